--- /dev/null
+++ b/Makefile
@@ -0,0 +1,79 @@
+# kumquatrock: one plain Makefile. Every .c file under an area is one object.
+
+CC = cc
+PKGS = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 yajl libsodium libtirpc
+CFLAGS = -O2 -g -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wno-unused-parameter -Werror
+CPPFLAGS := -D_GNU_SOURCE -Isrc/internal -Isrc \
+	-I. $(shell pkg-config --cflags $(PKGS))
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -lhttp_parser -largtable2 -lm
+CHECK_LIBS := $(shell pkg-config --libs check)
+O = build
+SAN =
+
+CORE_SRC := $(wildcard src/core/*/*.c src/core/*.c)
+ADAPTER_SRC := $(wildcard src/adapter/*/*.c)
+DAEMON_SRC := $(wildcard src/daemon/*.c)
+TOOL_SRC := $(wildcard src/tool/*.c)
+LIB_SRC := $(CORE_SRC) $(ADAPTER_SRC)
+LIB_OBJ := $(LIB_SRC:%.c=$(O)/%.o)
+
+# Programs with several files each have a directory: bench/NAME, tests/fake/NAME.
+BENCH := $(notdir $(patsubst %/,%,$(wildcard bench/*/)))
+FAKES := $(notdir $(patsubst %/,%,$(wildcard tests/fake/*/)))
+UNITS := $(notdir $(basename $(wildcard tests/unit/*.c)))
+
+PROGS := $(if $(DAEMON_SRC),$(O)/kumquatrockd) $(if $(TOOL_SRC),$(O)/kumquatrock) \
+	$(BENCH:%=$(O)/bench-%) $(FAKES:%=$(O)/fake-%)
+UNIT_PROGS := $(UNITS:%=$(O)/unit-%)
+
+all: $(PROGS)
+
+$(O)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(SAN) -MMD -MP -c -o $@ $<
+
+$(O)/libkumquatrock.a: $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(O)/kumquatrockd: $(DAEMON_SRC:%.c=$(O)/%.o) $(O)/libkumquatrock.a
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(O)/kumquatrock: $(TOOL_SRC:%.c=$(O)/%.o) $(O)/libkumquatrock.a
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+define multi_prog
+$(O)/$(1)-$(2): $$(patsubst %.c,$(O)/%.o,$$(wildcard $(3)/$(2)/*.c)) $(O)/libkumquatrock.a
+	$$(CC) $$(SAN) -o $$@ $$^ $$(LDLIBS)
+endef
+$(foreach b,$(BENCH),$(eval $(call multi_prog,bench,$(b),bench)))
+$(foreach f,$(FAKES),$(eval $(call multi_prog,fake,$(f),tests/fake)))
+
+$(O)/unit-%: $(O)/tests/unit/%.o $(O)/libkumquatrock.a
+	$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
+
+check: all $(UNIT_PROGS)
+	./scripts/run-tests $(O)
+
+bench: all
+	./scripts/run-bench $(O)
+
+lint:
+	./scripts/lint
+
+format:
+	git ls-files '*.c' '*.h' ':!src/adapter/rpc/gen/*' | xargs clang-format -i
+
+sanitize:
+	$(MAKE) O=build/asan SAN='-fsanitize=address,undefined -fno-sanitize-recover=all' check
+
+sanitize-thread:
+	$(MAKE) O=build/tsan SAN=-fsanitize=thread check
+
+clean:
+	rm -rf build out
+
+.PHONY: all check bench lint format sanitize sanitize-thread clean
+.SECONDARY:
+-include $(shell find $(O) -name '*.d' 2>/dev/null)
