--- /dev/null
+++ b/src/adapter/rpc/peer_hello.c
@@ -0,0 +1,115 @@
+#include <sodium.h>
+#include <string.h>
+
+#include "peer_impl.h"
+
+static const unsigned char *
+find_key(const struct peer_keys *k, uint32_t id)
+{
+	int i;
+
+	for (i = 0; i < k->nkey; i++)
+		if (peer_key_id(k->key[i]) == id)
+			return k->key[i];
+	return NULL;
+}
+
+static int
+verify(struct peer_conn *c, const unsigned char *key, const void *rec,
+    size_t len, size_t verf)
+{
+	unsigned char mac[PEER_MAC_LEN];
+	int dir = c->accepted ? PEER_DIR_CONNECTOR : PEER_DIR_ACCEPTOR;
+
+	peer_mac(mac, key, dir, c->seq_in, rec, len, verf);
+	if (sodium_memcmp(mac, (const char *)rec + verf, sizeof mac))
+		return -1;
+	c->seq_in++;
+	return 0;
+}
+
+int
+peer_hello_send(struct peer_conn *c)
+{
+	struct peer_node *n = c->node;
+	struct wire_hello h;
+	struct peer_record r;
+
+	randombytes_buf(c->nonce, sizeof c->nonce);
+	h.clock = io_now(n->loop);
+	h.key = peer_key_id(n->keys.key[0]);
+	h.incarnation = n->incarnation;
+	memcpy(h.nonce, c->nonce, sizeof h.nonce);
+	if (peer_call_begin(&r, c, ++c->next_xid, WIRE_HELLO))
+		return -1;
+	if (!wire_hello(&r.xdr, &h))
+		return -1;
+	return peer_record_send(&r, n->keys.key[0]);
+}
+
+static int
+hello_answer(struct peer_conn *c, uint32_t xid, uint32_t key)
+{
+	struct wire_hello h;
+	struct peer_record r;
+
+	h.clock = io_now(c->node->loop);
+	h.key = key;
+	h.incarnation = c->node->incarnation;
+	memcpy(h.nonce, c->nonce, sizeof h.nonce);
+	if (peer_reply_begin(&r, c, xid) || !wire_hello(&r.xdr, &h))
+		return -1;
+	return peer_record_send(&r, c->key);
+}
+
+void
+peer_hello_call(struct peer_conn *c, XDR *x, uint32_t xid, const void *rec,
+    size_t len)
+{
+	const unsigned char *key;
+	struct wire_hello h;
+
+	if (!c->accepted || c->state != PEER_HELLO || !wire_hello(x, &h)) {
+		peer_refused(c);
+		return;
+	}
+	key = find_key(&c->node->keys, h.key);
+	if (!key || verify(c, key, rec, len, PEER_VERF_CALL)) {
+		peer_refused(c);
+		return;
+	}
+	randombytes_buf(c->nonce, sizeof c->nonce);
+	peer_key_derive(c->key, key, h.nonce, c->nonce);
+	c->incarnation = h.incarnation;
+	c->hello_clock = h.clock;
+	if (hello_answer(c, xid, h.key)) {
+		peer_close(c);
+		return;
+	}
+	peer_conn_opened(c);
+}
+
+void
+peer_hello_reply(struct peer_conn *c, XDR *x, const void *rec, size_t len)
+{
+	const unsigned char *key;
+	struct wire_hello h;
+
+	if (c->accepted || c->state != PEER_HELLO || !wire_hello(x, &h)) {
+		peer_refused(c);
+		return;
+	}
+	key = find_key(&c->node->keys, h.key);
+	if (!key) {
+		peer_refused(c);
+		return;
+	}
+	peer_key_derive(c->key, key, c->nonce, h.nonce);
+	if (verify(c, c->key, rec, len, PEER_VERF_REPLY)) {
+		peer_refused(c);
+		return;
+	}
+	c->incarnation = h.incarnation;
+	c->hello_clock = h.clock;
+	peer_conn_opened(c);
+}
--- /dev/null
+++ b/src/adapter/rpc/peer_node.c
@@ -0,0 +1,91 @@
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peer_impl.h"
+
+#define MARK_LEN 4
+
+struct peer_node *
+peer_node_new(struct io_loop *loop, uint64_t incarnation,
+    const struct peer_keys *keys, const struct peer_ops *ops, void *ctx)
+{
+	struct peer_node *n = g_new0(struct peer_node, 1);
+
+	n->loop = loop;
+	n->incarnation = incarnation;
+	n->keys = *keys;
+	n->ops = ops;
+	n->ctx = ctx;
+	n->listen_fd = -1;
+	n->conns = g_ptr_array_new();
+	n->dead = g_ptr_array_new();
+	n->scratch = g_malloc(WIRE_RECORD_MAX + MARK_LEN);
+	n->arena = g_malloc(WIRE_RECORD_MAX);
+	n->read_buf = g_malloc(PEER_READ_MAX);
+	return n;
+}
+
+static void
+accept_ready(void *ctx, int ready)
+{
+	struct peer_node *n = ctx;
+	int fd, one = 1;
+
+	for (;;) {
+		fd = accept4(n->listen_fd, NULL, NULL,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+		peer_conn_new(n, fd, 1);
+	}
+}
+
+int
+peer_node_listen(struct peer_node *n, const char *ip, int port,
+    struct kq_error *e)
+{
+	n->listen_fd = io_listen_tcp(ip, port);
+	if (n->listen_fd < 0)
+		return kq_error_set(e, KQ_LAYER_RPC, errno, "listen %s:%d: %s",
+		    ip, port, g_strerror(errno));
+	return io_watch_add(n->loop, &n->listen_watch, n->listen_fd, IO_READ,
+	    accept_ready, n);
+}
+
+void
+peer_node_stop(struct peer_node *n)
+{
+	if (n->listen_fd < 0)
+		return;
+	io_watch_remove(n->loop, &n->listen_watch);
+	close(n->listen_fd);
+	n->listen_fd = -1;
+}
+
+void
+peer_node_free(struct peer_node *n)
+{
+	guint i;
+
+	peer_node_stop(n);
+	while (n->conns->len)
+		peer_close(g_ptr_array_index(n->conns, n->conns->len - 1));
+	for (i = 0; i < n->dead->len; i++)
+		peer_conn_free(g_ptr_array_index(n->dead, i));
+	g_ptr_array_unref(n->conns);
+	g_ptr_array_unref(n->dead);
+	g_free(n->scratch);
+	g_free(n->arena);
+	g_free(n->read_buf);
+	g_free(n);
+}
+
+const struct peer_counters *
+peer_node_counters(const struct peer_node *n)
+{
+	return &n->counters;
+}
--- /dev/null
+++ b/src/adapter/rpc/wire_state.c
@@ -0,0 +1,31 @@
+#include "wire.h"
+
+int
+wire_pull(XDR *x, struct wire_pull *p)
+{
+	return xdr_uint64_t(x, &p->after);
+}
+
+static int
+wire_object(XDR *x, struct wire_object *o, struct wire_arena *a)
+{
+	return xdr_uint64_t(x, &o->version) && wire_string(x, &o->kind, a) &&
+	    wire_string(x, &o->name, a) && wire_string(x, &o->value, a);
+}
+
+int
+wire_state(XDR *x, struct wire_state *s, struct wire_arena *a)
+{
+	uint32_t i;
+
+	if (!xdr_uint64_t(x, &s->from) || !xdr_uint64_t(x, &s->upto))
+		return 0;
+	if (!xdr_uint32_t(x, &s->nobject))
+		return 0;
+	if (s->nobject > WIRE_PULL_OBJECTS_MAX)
+		return 0;
+	for (i = 0; i < s->nobject; i++)
+		if (!wire_object(x, &s->object[i], a))
+			return 0;
+	return 1;
+}
