--- /dev/null
+++ b/src/internal/load.h
@@ -0,0 +1,27 @@
+#ifndef KQ_LOAD_H
+#define KQ_LOAD_H
+
+#include <stdint.h>
+
+/**
+ * struct load_report - load of one target as its inbound side saw it
+ * @in_flight: requests given to the target and not yet answered
+ * @queued: requests that wait at the inbound side
+ * @limit: requests in flight the inbound side allows now
+ * @latency_us: smoothed latency of the target, 0 when not known
+ * @cold: nonzero while the target is cold
+ * @draining: nonzero once the target takes no new work
+ * @age_us: time between the making of the report and its arrival, as far as
+ *          known; the receiver's clock minus this is the report time
+ */
+struct load_report {
+	uint32_t in_flight;
+	uint32_t queued;
+	uint32_t limit;
+	uint32_t latency_us;
+	uint8_t cold;
+	uint8_t draining;
+	uint32_t age_us;
+};
+
+#endif
