--- /dev/null
+++ b/src/internal/config.h
@@ -0,0 +1,146 @@
+#ifndef KQ_CONFIG_H
+#define KQ_CONFIG_H
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "error.h"
+
+/**
+ * DOC: Table of every object in force.
+ *
+ * The platform's single version counter orders all changes of all objects.
+ * The table takes an object only at a higher version than it holds, and knows
+ * the version up to which it is complete; neither ever goes back. A removed
+ * object stays as a tombstone with the version of its removal. Values are
+ * text that the table does not look into.
+ *
+ * What moves the complete version is a batch that says "everything after A
+ * up to B" with A not above it. A batch may be cut into pages. Since an object
+ * that changes meanwhile moves behind the cursor of its old version, the
+ * pages of one batch must come from one source, and the complete version
+ * moves with the last page, to what the source held complete at the first.
+ */
+
+#define CONFIG_NAME_MAX 64	   /* bytes with the final NUL */
+#define CONFIG_VALUE_MAX 1048576   /* bytes */
+#define CONFIG_TOMBSTONES_MAX 4096 /* older ones are dropped */
+#define CONFIG_SOURCE_PLATFORM 0   /* source of batches from the platform */
+
+enum config_kind { CONFIG_SERVICE, CONFIG_DATACENTRE, CONFIG_INSTANCE };
+#define CONFIG_KINDS 3
+
+/** config_kind_name() - name in the platform's paths, or NULL;
+ * config_kind_of() - kind of a name, or -1 */
+const char *config_kind_name(int kind);
+int config_kind_of(const char *name);
+
+/**
+ * struct config_object - one object at one version
+ * @value: text, NULL when removed; it belongs to the table, the snapshot or
+ *         the caller that filled it in
+ */
+struct config_object {
+	int kind; /* enum config_kind */
+	char name[CONFIG_NAME_MAX];
+	uint64_t version;
+	int removed;
+	GBytes *value;
+};
+
+/**
+ * struct config_batch - objects in order of version, from one source
+ * @source: CONFIG_SOURCE_PLATFORM or the incarnation of a daemon
+ * @after: version the batch or page begins after
+ * @upto: version of the page's last object, or @complete on the last page if
+ *        that is higher
+ * @complete: version up to which the source is complete; 0 for single
+ *            objects that are not part of a batch
+ * @more: more pages follow, to be asked for with after = @upto
+ * @full: list of all objects from the beginning; what it lacks is removed
+ */
+struct config_batch {
+	uint64_t source;
+	uint64_t after;
+	uint64_t upto;
+	uint64_t complete;
+	int more;
+	int full;
+	int nobject;
+	struct config_object *object;
+};
+
+enum config_outcome {
+	CONFIG_APPLIED,	  /* complete version moved, or a page was taken */
+	CONFIG_OLD,	  /* nothing new in it */
+	CONFIG_GAP,	  /* objects taken, but the complete version stays: the
+			     batch begins after it, or is not one */
+	CONFIG_WENT_BACK, /* platform's version is below ours: refused */
+	CONFIG_CONFLICT /* an object differs at the version we hold: refused */
+};
+
+/** struct config_counts - totals since the table was made */
+struct config_counts {
+	uint64_t taken;	    /* objects that became newer */
+	uint64_t old;	    /* objects refused as not newer */
+	uint64_t gaps;	    /* batches that could not move the version */
+	uint64_t went_back; /* batches refused with a lower platform version */
+	uint64_t conflicts; /* objects that differed at an equal version */
+	uint64_t bad;	    /* objects with a bad kind, name or value */
+};
+
+/** config_changed_fn - one object became newer; it may not call the table */
+typedef void config_changed_fn(void *ctx, const struct config_object *);
+
+struct config_table;
+
+struct config_table *config_new(config_changed_fn *, void *ctx);
+void config_free(struct config_table *);
+
+/** config_apply() - take what is newer in a batch or page; outcomes other than
+ * CONFIG_APPLIED fill in the error if they refuse or lack something */
+enum config_outcome config_apply(
+    struct config_table *, const struct config_batch *, struct kq_error *);
+/** config_complete() - version up to which nothing is missing; the digest that
+ * rides on peers' messages and requests */
+uint64_t config_complete(const struct config_table *);
+/** config_highest() - highest version of any object held */
+uint64_t config_highest(const struct config_table *);
+/** config_cursor() - version to ask a source for what comes after */
+uint64_t config_cursor(const struct config_table *, uint64_t source);
+/** config_find() - object in force or its tombstone, or NULL; lasts until the
+ * next config_apply() */
+const struct config_object *
+config_find(const struct config_table *, int kind, const char *name);
+void config_counts(const struct config_table *, struct config_counts *);
+
+/**
+ * config_changes() - page of what comes after a version
+ * @after: cursor of the asker; one below the oldest tombstone that was dropped
+ *         is answered with a full list
+ * @full_next: nonzero when the asker is on a later page of a full list
+ * @bytes: bound on the names and values of the page; at least one version is
+ *         always in it
+ *
+ * Objects of one version are never parted. Free with config_batch_clear().
+ */
+void config_changes(const struct config_table *, uint64_t source,
+    uint64_t after, int full_next, size_t bytes, struct config_batch *);
+void config_batch_clear(struct config_batch *);
+
+/** struct config_snapshot - immutable copy, in order of kind and name, without
+ * tombstones; may pass to another thread */
+struct config_snapshot {
+	uint64_t complete;
+	int nobject;
+	struct config_object *object;
+};
+
+struct config_snapshot *config_snapshot_new(const struct config_table *);
+void config_snapshot_free(struct config_snapshot *);
+/** config_snapshot_find() - object by kind and name, or NULL */
+const struct config_object *config_snapshot_find(
+    const struct config_snapshot *, int kind, const char *name);
+
+#endif
