--- a/src/adapter/rpc/peer_conn.c
+++ b/src/adapter/rpc/peer_conn.c
@@ -149,6 +149,12 @@
 	return c->state == PEER_OPEN;
 }
 
+int
+peer_is_accepted(const struct peer_conn *c)
+{
+	return c->accepted;
+}
+
 uint64_t
 peer_incarnation(const struct peer_conn *c)
 {
--- a/src/adapter/rpc/wire_state.c
+++ b/src/adapter/rpc/wire_state.c
@@ -3,14 +3,14 @@
 int
 wire_pull(XDR *x, struct wire_pull *p)
 {
-	return xdr_uint64_t(x, &p->after);
+	return xdr_uint64_t(x, &p->after) && xdr_uint32_t(x, &p->full_next);
 }
 
 static int
 wire_object(XDR *x, struct wire_object *o, struct wire_arena *a)
 {
-	return xdr_uint64_t(x, &o->version) && wire_string(x, &o->kind, a) &&
-	    wire_string(x, &o->name, a) && wire_string(x, &o->value, a);
+	return xdr_uint32_t(x, &o->kind) && xdr_uint32_t(x, &o->removed) &&
+	    xdr_uint64_t(x, &o->version) && wire_string(x, &o->name, a) && wire_string(x, &o->value, a);
 }
 
 int
@@ -18,9 +18,10 @@
 {
 	uint32_t i;
 
-	if (!xdr_uint64_t(x, &s->from) || !xdr_uint64_t(x, &s->upto))
+	if (!xdr_uint64_t(x, &s->after) || !xdr_uint64_t(x, &s->upto) ||
+	    !xdr_uint64_t(x, &s->complete))
 		return 0;
-	if (!xdr_uint32_t(x, &s->nobject))
+	if (!xdr_uint32_t(x, &s->flags) || !xdr_uint32_t(x, &s->nobject))
 		return 0;
 	if (s->nobject > WIRE_PULL_OBJECTS_MAX)
 		return 0;
--- /dev/null
+++ b/src/daemon/data.c
@@ -0,0 +1,227 @@
+#include <string.h>
+
+#include "config.h"
+#include "data_impl.h"
+
+int64_t
+data_now(const struct data *d)
+{
+	return io_now(d->task.loop);
+}
+
+static void
+conn_opened(void *ctx, struct peer_conn *conn)
+{
+	struct data *d = ctx;
+	struct in_conn *ic;
+
+	if (!peer_is_accepted(conn)) {
+		out_peer_opened(peer_ctx(conn));
+		return;
+	}
+	ic = g_new0(struct in_conn, 1);
+	ic->data = d;
+	ic->conn = conn;
+	ic->id = ++d->next_conn;
+	ic->calls = g_hash_table_new(g_direct_hash, g_direct_equal);
+	peer_set_ctx(conn, ic);
+	g_hash_table_insert(d->conns, &ic->id, ic);
+}
+
+static void
+conn_closed(void *ctx, struct peer_conn *conn)
+{
+	struct data *d = ctx;
+
+	if (!peer_ctx(conn))
+		return;
+	if (peer_is_accepted(conn))
+		inbound_conn_closed(d, conn);
+	else
+		out_peer_closed(peer_ctx(conn));
+}
+
+static void
+conn_body(void *ctx, struct peer_conn *conn, const struct wire_body *m)
+{
+	if (peer_is_accepted(conn))
+		inbound_body(conn, m);
+	else
+		outbound_body(peer_ctx(conn), m);
+}
+
+static void
+conn_credit(void *ctx, struct peer_conn *conn, const struct wire_credit *m)
+{
+	if (peer_is_accepted(conn))
+		inbound_credit(conn, m);
+	else
+		outbound_credit(peer_ctx(conn), m);
+}
+
+static void
+conn_pull(void *ctx, struct peer_conn *conn, uint32_t xid,
+    const struct wire_pull *m)
+{
+	struct in_conn *ic = peer_ctx(conn);
+	struct data *d = ctx;
+
+	d->events->pull(d->events_ctx, ic->id, xid, m->after, m->full_next);
+}
+
+static const struct peer_ops ops = {
+	.opened = conn_opened,
+	.closed = conn_closed,
+	.call = inbound_call,
+	.reply = outbound_reply,
+	.body = conn_body,
+	.credit = conn_credit,
+	.cancel = inbound_cancel,
+	.probe = inbound_probe,
+	.load = outbound_load,
+	.pull = conn_pull,
+	.state = outbound_state,
+};
+
+static void
+in_conn_free(gpointer p)
+{
+	struct in_conn *ic = p;
+
+	g_hash_table_unref(ic->calls);
+	g_free(ic);
+}
+
+static void
+out_peer_free(gpointer v)
+{
+	struct out_peer *p = v;
+
+	g_hash_table_unref(p->attempts);
+	g_hash_table_unref(p->probes);
+	g_ptr_array_unref(p->waiting);
+	g_free(p);
+}
+
+static void
+out_service_free(gpointer v)
+{
+	struct out_service *s = v;
+
+	pick_free(s->pick);
+	g_hash_table_unref(s->by_handle);
+	g_free(s);
+}
+
+static void
+make_tables(struct data *d)
+{
+	struct once_limits limits = ONCE_LIMITS_DEFAULT;
+
+	d->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	    out_service_free);
+	d->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+	    out_peer_free);
+	d->out_calls = g_hash_table_new(g_direct_hash, g_direct_equal);
+	d->conns = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+	    in_conn_free);
+	d->in_calls = g_hash_table_new(g_direct_hash, g_direct_equal);
+	d->measure_body = g_string_new(NULL);
+	d->once = once_new(d->incarnation, &limits, inbound_once_reply, d);
+	d->view = g_new0(struct view, 1);
+	d->view->may_act = 1;
+}
+
+static int
+open_ports(struct data *d, struct kq_error *e)
+{
+	const struct settings *s = &d->settings;
+	struct http_limits limits = { s->head_bytes, s->connections,
+		s->head_ms, s->idle_ms };
+	struct peer_keys keys = { 0 };
+
+	keys.nkey = s->nkey;
+	memcpy(keys.key, s->fleet_key, sizeof keys.key);
+	d->node = peer_node_new(d->task.loop, d->incarnation, &keys, &ops, d);
+	if (peer_node_listen(d->node, s->ip, s->peer_port, e))
+		return kq_error_wrap(e, KQ_LAYER_DAEMON, 1, "peer_port");
+	d->server = http_server_new(d->task.loop, s->ip, s->caller_port,
+	    &limits, &outbound_server_ops, d, e);
+	if (!d->server)
+		return kq_error_wrap(e, KQ_LAYER_DAEMON, 1, "caller_port");
+	return 0;
+}
+
+struct data *
+data_new(const struct settings *s, uint64_t incarnation,
+    const struct data_events *events, void *ctx, struct kq_error *e)
+{
+	struct data *d = g_new0(struct data, 1);
+
+	d->settings = *s;
+	d->incarnation = incarnation;
+	d->events = events;
+	d->events_ctx = ctx;
+	rng_seed(&d->rng, incarnation);
+	task_init(&d->task, "data");
+	make_tables(d);
+	if (open_ports(d, e)) {
+		data_stop(d);
+		return NULL;
+	}
+	return d;
+}
+
+void
+data_start(struct data *d)
+{
+	task_start(&d->task);
+}
+
+static void
+abort_calls(struct data *d)
+{
+	GHashTableIter it;
+	struct in_call *c;
+	gpointer v;
+
+	for (;;) {
+		g_hash_table_iter_init(&it, d->in_calls);
+		if (!g_hash_table_iter_next(&it, NULL, &v))
+			return;
+		c = v;
+		if (c->target_call)
+			inbound_cut(c);
+		else
+			inbound_abandon(c);
+	}
+}
+
+void
+data_stop(struct data *d)
+{
+	task_stop(&d->task);
+	d->stopped = 1;
+	abort_calls(d);
+	if (d->server)
+		http_server_free(d->server);
+	if (d->node)
+		peer_node_free(d->node);
+	io_timer_clear(d->task.loop, &d->measure_timer);
+	io_timer_clear(d->task.loop, &d->admit_timer);
+	io_timer_clear(d->task.loop, &d->once_timer);
+	if (d->pool)
+		http_pool_free(d->pool);
+	if (d->admit)
+		admit_free(d->admit);
+	once_free(d->once);
+	g_hash_table_unref(d->peers);
+	g_hash_table_unref(d->services);
+	g_hash_table_unref(d->out_calls);
+	g_hash_table_unref(d->conns);
+	g_hash_table_unref(d->in_calls);
+	g_string_free(d->measure_body, TRUE);
+	view_free(d->view);
+	task_clear(&d->task);
+	g_free(d);
+}
--- /dev/null
+++ b/src/daemon/data.h
@@ -0,0 +1,77 @@
+#ifndef KQ_DATA_H
+#define KQ_DATA_H
+
+#include <glib.h>
+
+#include "settings.h"
+#include "task.h"
+#include "view.h"
+
+/**
+ * DOC: The data task: every call passes through it.
+ *
+ * Others reach it only by the functions below, each of which posts a message.
+ */
+
+struct data;
+
+/**
+ * struct data_target - the target beside this daemon, as it announced itself
+ * @start: its start id; a new one means that it is cold
+ */
+struct data_target {
+	char service[SERVICE_NAME_MAX];
+	char ip[IP_TEXT_MAX];
+	int port;
+	int slots;
+	int connections;
+	char start[SERVICE_NAME_MAX];
+};
+
+/**
+ * struct data_events - what the data task tells; called in the data task, to
+ * be posted on by the receiver
+ * @behind: a call was picked under a higher version by that incarnation
+ * @pull: another daemon asks for configuration on a connection
+ * @page: a page of configuration came from another daemon, or NULL when the
+ *        pull failed; the receiver frees it with config_batch_clear() and
+ *        g_free()
+ * @drained: nothing is in flight any more after data_drain()
+ */
+struct config_batch;
+struct data_events {
+	void (*behind)(void *ctx, uint64_t version, uint64_t incarnation);
+	void (*pull)(void *ctx, uint64_t conn, uint32_t xid, uint64_t after,
+	    int full_next);
+	void (*page)(void *ctx, uint64_t incarnation,
+	    struct config_batch *page);
+	void (*drained)(void *ctx);
+};
+
+struct data *data_new(const struct settings *, uint64_t incarnation,
+    const struct data_events *, void *ctx, struct kq_error *);
+void data_start(struct data *);
+/** data_stop() - end the task and free everything */
+void data_stop(struct data *);
+
+/** data_set_view() - takes over the view */
+void data_set_view(struct data *, struct view *);
+/** data_set_target() - target announced itself, copied */
+void data_set_target(struct data *, const struct data_target *);
+/** data_drain_target() - the target leaves: no new work for it */
+void data_drain_target(struct data *);
+/** data_drain() - this daemon stops: nothing new, finish what is there */
+void data_drain(struct data *);
+/** data_pull() - ask an instance for configuration after a version */
+void data_pull(struct data *, uint64_t incarnation, const char *ip, int port,
+    uint64_t after, int full_next);
+/** data_send_page() - answer to a pull; takes over the batch */
+void data_send_page(struct data *, uint64_t conn, uint32_t xid,
+    struct config_batch *);
+/** data_report_fn - text made by the data task, called there */
+typedef void data_report_fn(void *ctx, GString *text);
+enum data_report { DATA_METRICS, DATA_TARGETS };
+/** data_report() - ask for counters or the table of targets as text */
+void data_report(struct data *, enum data_report, data_report_fn *, void *ctx);
+
+#endif
--- /dev/null
+++ b/src/daemon/data_messages.c
@@ -0,0 +1,186 @@
+#include <string.h>
+
+#include "config.h"
+#include "data_impl.h"
+
+static void
+set_view(void *ctx, void *message)
+{
+	struct data *d = ctx;
+
+	view_free(d->view);
+	d->view = message;
+	outbound_take_view(d);
+	inbound_take_view(d);
+}
+
+void
+data_set_view(struct data *d, struct view *v)
+{
+	task_post(&d->task, set_view, d, v);
+}
+
+static void
+set_target(void *ctx, void *message)
+{
+	if (!((struct data *)ctx)->draining)
+		inbound_set_target(ctx, message);
+	g_free(message);
+}
+
+void
+data_set_target(struct data *d, const struct data_target *t)
+{
+	task_post(&d->task, set_target, d, g_memdup2(t, sizeof *t));
+}
+
+static void
+drain_target(void *ctx, void *message)
+{
+	struct data *d = ctx;
+
+	d->target_draining = 1;
+	d->has_next_target = 0;
+	if (!d->admit)
+		return;
+	admit_drain(d->admit);
+	inbound_pop(d);
+}
+
+void
+data_drain_target(struct data *d)
+{
+	task_post(&d->task, drain_target, d, NULL);
+}
+
+static void
+drain(void *ctx, void *message)
+{
+	struct data *d = ctx;
+
+	if (d->draining)
+		return;
+	d->draining = 1;
+	drain_target(d, NULL);
+	io_timer_clear(d->task.loop, &d->measure_timer);
+	http_server_stop(d->server);
+	data_check_drained(d);
+}
+
+void
+data_drain(struct data *d)
+{
+	task_post(&d->task, drain, d, NULL);
+}
+
+/* Takes what waits for the last call to end. */
+void
+data_check_drained(struct data *d)
+{
+	if (d->stopped)
+		return;
+	if (d->has_next_target && !admit_in_flight(d->admit)) {
+		d->has_next_target = 0;
+		inbound_set_target(d, &d->next_target);
+	}
+	if (!d->draining || d->drained_told)
+		return;
+	if (g_hash_table_size(d->out_calls) || g_hash_table_size(d->in_calls))
+		return;
+	d->drained_told = 1;
+	d->events->drained(d->events_ctx);
+}
+
+struct page_order {
+	uint64_t conn;
+	uint32_t xid;
+	struct config_batch *batch;
+};
+
+static void
+fill_state(const struct config_batch *b, struct wire_state *m)
+{
+	struct wire_object *o;
+	int i;
+
+	m->after = b->after;
+	m->upto = b->upto;
+	m->complete = b->complete;
+	m->flags = (b->more ? WIRE_STATE_MORE : 0) |
+	    (b->full ? WIRE_STATE_FULL : 0);
+	m->nobject = b->nobject;
+	for (i = 0; i < b->nobject; i++) {
+		o = &m->object[i];
+		o->kind = b->object[i].kind;
+		o->version = b->object[i].version;
+		o->removed = b->object[i].removed;
+		o->name = b->object[i].name;
+		o->value = NULL;
+		if (b->object[i].value)
+			o->value = (char *)g_bytes_get_data(b->object[i].value,
+			    NULL);
+	}
+}
+
+static void
+send_page(void *ctx, void *message)
+{
+	struct page_order *o = message;
+	struct data *d = ctx;
+	struct in_conn *ic = g_hash_table_lookup(d->conns, &o->conn);
+	struct wire_state *m;
+
+	if (ic && o->batch->nobject <= WIRE_PULL_OBJECTS_MAX) {
+		m = g_new0(struct wire_state, 1);
+		fill_state(o->batch, m);
+		peer_send_state(ic->conn, o->xid, m);
+		g_free(m);
+	}
+	config_batch_clear(o->batch);
+	g_free(o->batch);
+	g_free(o);
+}
+
+void
+data_send_page(struct data *d, uint64_t conn, uint32_t xid,
+    struct config_batch *b)
+{
+	struct page_order *o = g_new0(struct page_order, 1);
+
+	o->conn = conn;
+	o->xid = xid;
+	o->batch = b;
+	task_post(&d->task, send_page, d, o);
+}
+
+struct report_order {
+	enum data_report kind;
+	data_report_fn *fn;
+	void *ctx;
+};
+
+static void
+report(void *ctx, void *message)
+{
+	struct report_order *o = message;
+	GString *text = g_string_new(NULL);
+
+	if (o->kind == DATA_METRICS)
+		data_write_metrics(ctx, text);
+	else
+		data_write_targets(ctx, text);
+	o->fn(o->ctx, text);
+	g_free(o);
+}
+
+void
+data_report(struct data *d, enum data_report kind, data_report_fn *fn,
+    void *ctx)
+{
+	struct report_order *o = g_new0(struct report_order, 1);
+
+	o->kind = kind;
+	o->fn = fn;
+	o->ctx = ctx;
+	task_post(&d->task, report, d, o);
+}
--- /dev/null
+++ b/src/daemon/data_report.c
@@ -0,0 +1,109 @@
+#include "data_impl.h"
+
+static void
+metric(GString *t, const char *name, const char *help, uint64_t v)
+{
+	g_string_append_printf(t,
+	    "# HELP kumquatrock_%s %s\n# TYPE kumquatrock_%s counter\n"
+	    "kumquatrock_%s %" G_GUINT64_FORMAT "\n",
+	    name, help, name, name, v);
+}
+
+static void
+gauge(GString *t, const char *name, const char *help, double v)
+{
+	g_string_append_printf(t,
+	    "# HELP kumquatrock_%s %s\n# TYPE kumquatrock_%s gauge\n"
+	    "kumquatrock_%s %g\n",
+	    name, help, name, name, v);
+}
+
+static void
+refusals(struct data *d, GString *t)
+{
+	uint32_t r;
+
+	g_string_append(t,
+	    "# HELP kumquatrock_inbound_refused_total Calls not run, by reason\n"
+	    "# TYPE kumquatrock_inbound_refused_total counter\n");
+	for (r = 1; r <= WIRE_REASON_PAUSED; r++)
+		g_string_append_printf(t,
+		    "kumquatrock_inbound_refused_total{reason=\"%s\"} "
+		    "%" G_GUINT64_FORMAT "\n",
+		    wire_reason_name(r), d->counters.in_refused[r]);
+}
+
+void
+data_write_metrics(struct data *d, GString *t)
+{
+	const struct peer_counters *p = peer_node_counters(d->node);
+	const struct counters *c = &d->counters;
+
+	metric(t, "calls_total", "Calls from callers", c->calls);
+	metric(t, "whole_total", "Whole answers", c->whole);
+	metric(t, "refused_total", "Answers not-run", c->refused);
+	metric(t, "unknown_total", "Answers unknown", c->unknown);
+	metric(t, "failed_total", "Answers failed or cut", c->failed);
+	metric(t, "bad_total", "Requests at fault", c->bad);
+	metric(t, "retries_total", "Attempts after the first", c->retries);
+	metric(t, "hedges_total", "Attempts beside a late one", c->hedges);
+	metric(t, "hedge_wins_total", "Answers that a later attempt gave",
+	    c->hedge_wins);
+	metric(t, "probes_total", "Probes sent to daemons", c->probes);
+	metric(t, "measured_total", "Measuring requests to the target",
+	    c->measured);
+	metric(t, "inbound_calls_total", "Calls from daemons", c->in_calls);
+	metric(t, "inbound_repeats_total", "Repeats of a known request id",
+	    c->in_repeats);
+	refusals(d, t);
+	metric(t, "peer_records_in_total", "Records received", p->records_in);
+	metric(t, "peer_bytes_in_total", "Bytes received", p->bytes_in);
+	metric(t, "peer_bytes_out_total", "Bytes sent", p->bytes_out);
+	metric(t, "peer_records_refused_total",
+	    "Records with a wrong code or form", p->refused);
+	gauge(t, "calls_open", "Calls in progress",
+	    g_hash_table_size(d->out_calls));
+	gauge(t, "config_version", "Version in force",
+	    (double)d->view->complete);
+	if (!d->admit)
+		return;
+	gauge(t, "target_in_flight", "Requests in flight at the target",
+	    admit_in_flight(d->admit));
+	gauge(t, "target_queued", "Requests that wait for the target",
+	    admit_queued(d->admit));
+	gauge(t, "target_limit", "Requests in flight allowed",
+	    admit_limit(d->admit, data_now(d)));
+	gauge(t, "target_cold", "1 while the target is cold",
+	    admit_cold(d->admit, data_now(d)));
+}
+
+static void
+write_target(struct out_service *s, struct out_peer *p, GString *t, int comma)
+{
+	g_string_append_printf(t,
+	    "%s\n{\"service\":\"%s\",\"incarnation\":\"%016" G_GINT64_MODIFIER
+	    "x\",\"datacentre\":\"%s\",\"ip\":\"%s\",\"peer_port\":%d,"
+	    "\"connected\":%s,\"in_flight\":%u,\"pressure\":%.3f}",
+	    comma ? "," : "", s->conf.name, p->incarnation, p->datacentre,
+	    p->ip, p->port,
+	    p->conn && peer_is_open(p->conn) ? "true" : "false",
+	    pick_in_flight(s->pick, p->handle), pick_pressure(s->pick));
+}
+
+void
+data_write_targets(struct data *d, GString *t)
+{
+	GHashTableIter it;
+	struct out_peer *p;
+	int n = 0;
+	gpointer v;
+
+	g_string_append(t, "[");
+	g_hash_table_iter_init(&it, d->peers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		p = v;
+		if (p->service)
+			write_target(p->service, p, t, n++);
+	}
+	g_string_append(t, "]\n");
+}
--- /dev/null
+++ b/src/daemon/head_copy.c
@@ -0,0 +1,63 @@
+#include <string.h>
+#include <strings.h>
+
+#include "data_impl.h"
+
+static char *
+put(char **at, const char *s)
+{
+	size_t n = strlen(s) + 1;
+	char *p = memcpy(*at, s, n);
+
+	*at += n;
+	return p;
+}
+
+void
+head_copy(struct head_copy *h, const char *method, const char *path,
+    int64_t length, const struct http_field *f, int nfield)
+{
+	size_t n = 0;
+	char *at;
+	int i;
+
+	n += method ? strlen(method) + 1 : 0;
+	n += path ? strlen(path) + 1 : 0;
+	for (i = 0; i < nfield; i++)
+		n += strlen(f[i].name) + strlen(f[i].value) + 2;
+	h->block = g_malloc(n + 1);
+	at = h->block;
+	h->method = method ? put(&at, method) : NULL;
+	h->path = path ? put(&at, path) : NULL;
+	h->length = length;
+	h->nfield = 0;
+	for (i = 0; i < nfield; i++) {
+		if (field_hop_by_hop(f[i].name))
+			continue;
+		h->field[h->nfield].name = put(&at, f[i].name);
+		h->field[h->nfield].value = put(&at, f[i].value);
+		h->nfield++;
+	}
+}
+
+void
+head_copy_clear(struct head_copy *h)
+{
+	g_free(h->block);
+	h->block = NULL;
+	h->nfield = 0;
+}
+
+int
+field_hop_by_hop(const char *name)
+{
+	static const char *const names[] = { "Connection", "Keep-Alive",
+		"Proxy-Connection", "Transfer-Encoding", "Content-Length",
+		"TE", "Trailer", "Upgrade", "Expect" };
+	size_t i;
+
+	for (i = 0; i < sizeof names / sizeof *names; i++)
+		if (!strcasecmp(name, names[i]))
+			return 1;
+	return 0;
+}
--- /dev/null
+++ b/src/daemon/inbound_answer.c
@@ -0,0 +1,197 @@
+#include <string.h>
+
+#include "data_impl.h"
+
+static void
+fill_reply(struct in_call *c, struct wire_reply *m, uint32_t outcome)
+{
+	struct data *d = c->data;
+
+	memset(m, 0, G_STRUCT_OFFSET(struct wire_reply, field));
+	m->clock = data_now(d);
+	m->used = c->answer_used;
+	m->outcome = outcome;
+	m->config_version = d->view->rules_version;
+	inbound_report(d, &m->load);
+	m->status = c->answer_status;
+	m->length = c->answer.length;
+	m->nfield = c->answer.nfield;
+	memcpy(m->field, c->answer.field, m->nfield * sizeof *m->field);
+}
+
+void
+inbound_reply_head(struct in_call *c, uint32_t outcome, const void *body,
+    size_t len, int more)
+{
+	struct wire_reply m;
+
+	c->answer_held = 0;
+	io_timer_clear(c->data->task.loop, &c->timer);
+	if (!c->conn)
+		return;
+	fill_reply(c, &m, outcome);
+	m.flags = more ? WIRE_REPLY_MORE : 0;
+	m.body = body;
+	m.body_len = len;
+	c->answer_credit -= len;
+	peer_send_reply(c->conn, c->xid, &m);
+}
+
+static int
+send_chunk(struct in_call *c, const void *p, size_t n, int flags)
+{
+	struct wire_body m = { c->xid, flags | WIRE_BODY_ANSWER, p, n };
+
+	c->answer_credit -= n;
+	return peer_send_body(c->conn, &m);
+}
+
+/* Sends what credit allows; the rest waits and the target is held back. */
+void
+inbound_answer_pump(struct in_call *c)
+{
+	GByteArray *b = c->answer_body;
+	size_t n, done = 0;
+	int last;
+
+	while (c->conn && b && done < b->len && c->answer_credit) {
+		n = MIN(MIN(b->len - done, c->answer_credit), WIRE_CHUNK_MAX);
+		last = c->answer_done && done + n == b->len;
+		send_chunk(c, b->data + done, n, last ? WIRE_BODY_LAST : 0);
+		done += n;
+		if (last) {
+			inbound_free(c);
+			return;
+		}
+	}
+	if (b && done)
+		g_byte_array_remove_range(b, 0, done);
+	if (c->answer_paused && c->target_call && (!b || !b->len)) {
+		c->answer_paused = 0;
+		http_call_pause(c->target_call, 0);
+	}
+}
+
+static void
+hold_back(struct in_call *c, const void *p, size_t n)
+{
+	if (!c->answer_body)
+		c->answer_body = g_byte_array_new();
+	g_byte_array_append(c->answer_body, p, n);
+	if (c->target_call && !c->answer_paused) {
+		c->answer_paused = 1;
+		http_call_pause(c->target_call, 1);
+	}
+}
+
+static void
+broken(struct in_call *c)
+{
+	if (c->conn)
+		send_chunk(c, NULL, 0, WIRE_BODY_LAST | WIRE_BODY_BROKEN);
+	inbound_free(c);
+}
+
+/* Takes bytes of the target's answer; the last call frees @c unless some wait
+ * for credit. */
+void
+inbound_answer_body(struct in_call *c, const void *p, size_t n, int last,
+    int cut)
+{
+	size_t first = MIN(n, WIRE_CHUNK_MAX);
+
+	if (cut) {
+		broken(c);
+		return;
+	}
+	if (!c->conn) {
+		if (last)
+			inbound_free(c);
+		return;
+	}
+	if (c->answer_held) {
+		/* More may follow a first chunk that is all there is so far. */
+		inbound_reply_head(c, WIRE_ANSWER, p, first,
+		    !last &&
+			!(c->answer.length >= 0 &&
+			    (uint64_t)c->answer.length == first));
+		c->answer_whole = !last && c->answer.length >= 0 &&
+		    (uint64_t)c->answer.length == first;
+		if (last) {
+			inbound_free(c);
+			return;
+		}
+		p = (const char *)p + first;
+		n -= first;
+	}
+	if (n)
+		hold_back(c, p, n);
+	c->answer_done = last;
+	if (last && (c->answer_whole || !c->answer_body ||
+		!c->answer_body->len)) {
+		if (!c->answer_whole)
+			send_chunk(c, NULL, 0, WIRE_BODY_LAST);
+		inbound_free(c);
+		return;
+	}
+	inbound_answer_pump(c);
+}
+
+/* A kept answer fits the window, so it is sent at once. */
+void
+inbound_reply_kept(struct in_call *c, const struct once_answer *k)
+{
+	size_t n, done;
+
+	c->answer_status = k->status;
+	head_copy(&c->answer, NULL, NULL, k->body_len,
+	    (const struct http_field *)k->field, k->nfield);
+	c->answer.length = k->body_len;
+	done = MIN(k->body_len, WIRE_CHUNK_MAX);
+	inbound_reply_head(c, WIRE_KEPT, k->body, done, done < k->body_len);
+	while (c->conn && done < k->body_len) {
+		n = MIN(k->body_len - done, WIRE_CHUNK_MAX);
+		send_chunk(c, (const char *)k->body + done, n,
+		    done + n == k->body_len ? WIRE_BODY_LAST : 0);
+		done += n;
+	}
+	inbound_free(c);
+}
+
+/* Reply of the at-most-once table to a repeat that waited. */
+void
+inbound_once_reply(void *ctx, void *arg, enum once_outcome o,
+    const struct once_answer *k)
+{
+	struct in_call *c = arg;
+
+	c->waiter = 0;
+	if (o == ONCE_ANSWER)
+		inbound_reply_kept(c, k);
+	else if (o == ONCE_NOT_RUN)
+		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_FULL);
+	else
+		inbound_refuse(c, WIRE_UNKNOWN, WIRE_REASON_LOST);
+}
+
+static void
+once_due(void *ctx, int64_t now)
+{
+	struct data *d = ctx;
+
+	once_expire(d->once, now);
+	inbound_once_arm(d);
+}
+
+void
+inbound_once_arm(struct data *d)
+{
+	int64_t due = once_next_due(d->once);
+
+	d->once_timer.fire = once_due;
+	d->once_timer.ctx = d;
+	if (due == INT64_MAX)
+		io_timer_clear(d->task.loop, &d->once_timer);
+	else
+		io_timer_set(d->task.loop, &d->once_timer, due);
+}
--- /dev/null
+++ b/src/daemon/inbound_call.c
@@ -0,0 +1,275 @@
+#include <string.h>
+
+#include "data_impl.h"
+
+#define CATCH_UP_US 1000000 /* longest wait for a newer configuration */
+
+/* xid to struct in_call of one accepted connection. */
+static GHashTable *
+conn_calls(struct peer_conn *conn)
+{
+	struct in_conn *ic = peer_ctx(conn);
+
+	return ic->calls;
+}
+
+static struct in_call *
+call_new(struct data *d, struct peer_conn *conn, uint32_t xid,
+    const struct wire_call *m)
+{
+	struct in_call *c = g_new0(struct in_call, 1);
+
+	c->data = d;
+	c->conn = conn;
+	c->xid = xid;
+	do {
+		c->tag = ++d->next_tag;
+	} while (!c->tag ||
+	    g_hash_table_contains(d->in_calls, GUINT_TO_POINTER(c->tag)));
+	head_copy(&c->head, m->method, m->path, m->length, m->field,
+	    m->nfield);
+	c->idempotent = !!(m->flags & WIRE_CALL_IDEMPOTENT);
+	c->repeat = !!(m->flags & WIRE_CALL_REPEAT);
+	c->started = data_now(d);
+	c->deadline = c->started + m->left_us;
+	c->version = m->config_version;
+	c->from = peer_incarnation(conn);
+	c->retries_left = m->retry_budget;
+	c->depth = m->depth;
+	g_strlcpy(c->id, m->id, sizeof c->id);
+	g_strlcpy(c->trace, m->trace, sizeof c->trace);
+	c->body = g_byte_array_new();
+	g_byte_array_append(c->body, m->body, m->body_len);
+	c->body_last = !(m->flags & WIRE_CALL_MORE);
+	c->answer_credit = WIRE_WINDOW;
+	g_hash_table_insert(d->in_calls, GUINT_TO_POINTER(c->tag), c);
+	g_hash_table_insert(conn_calls(conn), GUINT_TO_POINTER(xid), c);
+	d->counters.in_calls++;
+	return c;
+}
+
+void
+inbound_free(struct in_call *c)
+{
+	struct data *d = c->data;
+
+	io_timer_clear(d->task.loop, &c->timer);
+	if (c->conn)
+		g_hash_table_remove(conn_calls(c->conn),
+		    GUINT_TO_POINTER(c->xid));
+	g_hash_table_remove(d->in_calls, GUINT_TO_POINTER(c->tag));
+	head_copy_clear(&c->head);
+	head_copy_clear(&c->answer);
+	g_byte_array_unref(c->body);
+	if (c->answer_body)
+		g_byte_array_unref(c->answer_body);
+	g_free(c);
+	data_check_drained(d);
+}
+
+/* Answers that nothing of this call was given to the target, or what else is
+ * known without it; frees the call. */
+void
+inbound_refuse(struct in_call *c, uint32_t outcome, uint32_t reason)
+{
+	struct data *d = c->data;
+	struct wire_reply m;
+
+	memset(&m, 0, G_STRUCT_OFFSET(struct wire_reply, field));
+	m.clock = data_now(d);
+	m.outcome = outcome;
+	m.reason = reason;
+	m.config_version = d->view->rules_version;
+	m.length = HTTP_LENGTH_NONE;
+	m.body_len = 0;
+	inbound_report(d, &m.load);
+	if (outcome == WIRE_NOT_RUN && reason <= WIRE_REASON_PAUSED)
+		d->counters.in_refused[reason]++;
+	if (c->conn)
+		peer_send_reply(c->conn, c->xid, &m);
+	inbound_free(c);
+}
+
+static uint32_t
+admit_to_wire(enum admit_reason r)
+{
+	static const uint32_t map[ADMIT_REASONS] = {
+		[ADMIT_OK] = WIRE_REASON_NO_TARGET,
+		[ADMIT_FULL] = WIRE_REASON_FULL,
+		[ADMIT_DEADLINE] = WIRE_REASON_DEADLINE,
+		[ADMIT_COLD] = WIRE_REASON_COLD,
+		[ADMIT_DRAINING] = WIRE_REASON_DRAINING,
+		[ADMIT_OUT] = WIRE_REASON_OUT,
+	};
+
+	return map[r];
+}
+
+static void
+refuse_admit(struct in_call *c, enum admit_reason r)
+{
+	if (c->entry)
+		once_not_run(c->data->once, c->entry);
+	c->entry = 0;
+	inbound_refuse(c, WIRE_NOT_RUN, admit_to_wire(r));
+}
+
+/* At most once: says whether this call is the one that may run. */
+static int
+first_arrival(struct in_call *c)
+{
+	struct once_request r = { c->id, c->deadline, c };
+	const struct once_answer *kept;
+	struct data *d = c->data;
+	uint64_t handle;
+
+	switch (once_arrive(d->once, &r, data_now(d), &handle, &kept)) {
+	case ONCE_RUN:
+		c->entry = handle;
+		return 1;
+	case ONCE_WAIT:
+		c->waiter = handle;
+		c->state = IN_WAITING_ANSWER;
+		d->counters.in_repeats++;
+		inbound_once_arm(d);
+		return 0;
+	case ONCE_ANSWER:
+		d->counters.in_repeats++;
+		inbound_reply_kept(c, kept);
+		return 0;
+	case ONCE_NOT_RUN:
+		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_DEADLINE);
+		return 0;
+	case ONCE_ELSEWHERE:
+		inbound_refuse(c, WIRE_GONE, WIRE_REASON_FORGOTTEN);
+		return 0;
+	default:
+		inbound_refuse(c, WIRE_UNKNOWN, WIRE_REASON_FORGOTTEN);
+		return 0;
+	}
+}
+
+static int
+target_serves(const struct data *d, const struct in_call *c)
+{
+	return d->has_target && !d->target_draining && d->admit;
+}
+
+void
+inbound_admit(struct in_call *c)
+{
+	struct data *d = c->data;
+	enum admit_reason reason;
+
+	if (!c->idempotent && !first_arrival(c))
+		return;
+	if (!target_serves(d, c)) {
+		refuse_admit(c,
+		    d->target_draining ? ADMIT_DRAINING : ADMIT_OK);
+		return;
+	}
+	switch (admit_request(d->admit, data_now(d), c->deadline, c->tag,
+	    &c->run, &c->queue_handle, &reason)) {
+	case ADMIT_RUN:
+		inbound_run(c);
+		return;
+	case ADMIT_WAIT:
+		c->state = IN_QUEUED;
+		inbound_pop(d);
+		return;
+	default:
+		refuse_admit(c, reason);
+	}
+}
+
+static void
+still_behind(void *ctx, int64_t now)
+{
+	inbound_refuse(ctx, WIRE_NOT_RUN, WIRE_REASON_BEHIND);
+}
+
+/* The call was picked under rules that are not here yet: catch up first. */
+static void
+catch_up(struct in_call *c)
+{
+	struct data *d = c->data;
+
+	c->state = IN_WAITING_VERSION;
+	c->timer.fire = still_behind;
+	c->timer.ctx = c;
+	io_timer_set(d->task.loop, &c->timer,
+	    MIN(c->deadline, c->started + CATCH_UP_US));
+	d->events->behind(d->events_ctx, c->version, c->from);
+}
+
+void
+inbound_call(void *ctx, struct peer_conn *conn, uint32_t xid,
+    const struct wire_call *m)
+{
+	struct data *d = ctx;
+	struct in_call *c;
+
+	if (g_hash_table_contains(conn_calls(conn), GUINT_TO_POINTER(xid)))
+		return;
+	c = call_new(d, conn, xid, m);
+	if (m->incarnation != d->incarnation) {
+		inbound_refuse(c, WIRE_GONE, WIRE_REASON_NO_TARGET);
+		return;
+	}
+	if (!d->view->may_act && !c->repeat) {
+		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_PAUSED);
+		return;
+	}
+	if (strcmp(m->service, d->target.service) && !c->repeat) {
+		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_NO_TARGET);
+		return;
+	}
+	if (c->version > d->view->rules_version)
+		catch_up(c);
+	else
+		inbound_admit(c);
+}
+
+/* Calls that waited for a newer configuration go on when it is there. */
+static void
+resume_waiting(struct data *d)
+{
+	GHashTableIter it;
+	GPtrArray *ready = g_ptr_array_new();
+	struct in_call *c;
+	gpointer v;
+	guint i;
+
+	g_hash_table_iter_init(&it, d->in_calls);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		c = v;
+		if (c->state == IN_WAITING_VERSION &&
+		    c->version <= d->view->rules_version)
+			g_ptr_array_add(ready, GUINT_TO_POINTER(c->tag));
+	}
+	for (i = 0; i < ready->len; i++) {
+		c = g_hash_table_lookup(d->in_calls,
+		    g_ptr_array_index(ready, i));
+		if (!c || c->state != IN_WAITING_VERSION)
+			continue;
+		io_timer_clear(d->task.loop, &c->timer);
+		inbound_admit(c);
+	}
+	g_ptr_array_unref(ready);
+}
+
+void
+inbound_take_view(struct data *d)
+{
+	const struct service *s;
+
+	if (d->admit) {
+		admit_set_out(d->admit,
+		    view_out(d->view, d->settings.datacentre));
+		s = view_service(d->view, d->target.service);
+		if (s)
+			inbound_configure(d, s);
+		inbound_pop(d);
+	}
+	resume_waiting(d);
+}
--- /dev/null
+++ b/src/daemon/inbound_conn.c
@@ -0,0 +1,132 @@
+#include "data_impl.h"
+
+static struct in_call *
+find(struct peer_conn *conn, uint32_t xid)
+{
+	struct in_conn *ic = peer_ctx(conn);
+
+	return g_hash_table_lookup(ic->calls, GUINT_TO_POINTER(xid));
+}
+
+static void
+owe_credit(struct in_call *c, size_t n)
+{
+	struct wire_credit m = { c->xid, 0, 0 };
+
+	c->body_owed += n;
+	if (c->body_owed < WIRE_WINDOW / 4 || !c->conn)
+		return;
+	m.bytes = c->body_owed;
+	c->body_owed = 0;
+	peer_send_credit(c->conn, &m);
+}
+
+/* Moves what came of the request's body to the target. */
+void
+inbound_body_pump(struct in_call *c)
+{
+	size_t n = c->body->len;
+
+	if (!c->target_call)
+		return;
+	if (n && http_call_write(c->target_call, c->body->data, n) >
+	    WIRE_WINDOW)
+		return;
+	g_byte_array_set_size(c->body, 0);
+	owe_credit(c, n);
+	if (c->body_last == 1) {
+		c->body_last = 2;
+		http_call_end(c->target_call);
+	}
+}
+
+void
+inbound_body(struct peer_conn *conn, const struct wire_body *m)
+{
+	struct in_call *c = find(conn, m->call);
+
+	if (!c || c->body_last || c->body->len + m->body_len > WIRE_WINDOW)
+		return;
+	g_byte_array_append(c->body, m->body, m->body_len);
+	if (m->flags & WIRE_BODY_LAST)
+		c->body_last = 1;
+	inbound_body_pump(c);
+}
+
+void
+inbound_credit(struct peer_conn *conn, const struct wire_credit *m)
+{
+	struct in_call *c = find(conn, m->call);
+
+	if (!c || m->bytes > WIRE_WINDOW - c->answer_credit)
+		return;
+	c->answer_credit += m->bytes;
+	inbound_answer_pump(c);
+}
+
+/* Nobody waits for the answer. Idempotent work is cancelled; other work that
+ * the target may have begun goes on, so that a repeat finds its answer. */
+void
+inbound_abandon(struct in_call *c)
+{
+	struct data *d = c->data;
+	struct in_conn *ic;
+
+	if (c->conn) {
+		ic = peer_ctx(c->conn);
+		g_hash_table_remove(ic->calls, GUINT_TO_POINTER(c->xid));
+		c->conn = NULL;
+	}
+	if (c->target_call && !c->idempotent && c->body_last) {
+		if (c->answer_paused)
+			http_call_pause(c->target_call, 0);
+		c->answer_paused = 0;
+		return;
+	}
+	if (c->target_call) {
+		inbound_cut(c);
+		return;
+	}
+	if (c->state == IN_WAITING_ANSWER)
+		once_forget(d->once, c->waiter);
+	if (c->state == IN_QUEUED)
+		admit_cancel(d->admit, c->queue_handle);
+	if (c->entry)
+		once_not_run(d->once, c->entry);
+	c->entry = 0;
+	inbound_free(c);
+}
+
+/* Ends a call whatever became of it. */
+void
+inbound_cut(struct in_call *c)
+{
+	http_call_cancel(c->target_call);
+	c->target_call = NULL;
+	inbound_ended(c, ADMIT_CANCELLED);
+}
+
+void
+inbound_cancel(void *ctx, struct peer_conn *conn, uint32_t xid)
+{
+	struct in_call *c = find(conn, xid);
+
+	if (c)
+		inbound_abandon(c);
+}
+
+void
+inbound_conn_closed(struct data *d, struct peer_conn *conn)
+{
+	struct in_conn *ic = peer_ctx(conn);
+	GHashTableIter it;
+	gpointer v;
+
+	for (;;) {
+		g_hash_table_iter_init(&it, ic->calls);
+		if (!g_hash_table_iter_next(&it, NULL, &v))
+			break;
+		inbound_abandon(v);
+	}
+	g_hash_table_remove(d->conns, &ic->id);
+}
--- /dev/null
+++ b/src/daemon/inbound_run.c
@@ -0,0 +1,261 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "data_impl.h"
+
+/* The target's answer to a request that it did not start. */
+static int
+shed(const struct http_head *h)
+{
+	return h->status == 503 && http_head_find(h, FIELD_NOT_RUN);
+}
+
+static void
+hold_timer(void *ctx, int64_t now)
+{
+	struct in_call *c = ctx;
+
+	if (c->answer_held)
+		inbound_reply_head(c, WIRE_ANSWER, NULL, 0, 1);
+}
+
+static void
+target_head(void *ctx, const struct http_head *h)
+{
+	struct in_call *c = ctx;
+	struct data *d = c->data;
+	const char *used = http_head_find(h, FIELD_RETRIES_USED);
+
+	if (shed(h)) {
+		if (c->entry)
+			once_shed(d->once, c->entry);
+		c->entry = 0;
+		http_call_cancel(c->target_call);
+		c->target_call = NULL;
+		inbound_ended(c, ADMIT_SHED);
+		return;
+	}
+	c->answer_used = used ? g_ascii_strtoull(used, NULL, 10) : 0;
+	head_copy(&c->answer, NULL, NULL, h->length, h->field, h->nfield);
+	c->answer.length = h->length;
+	c->answer_status = h->status;
+	c->answer_held = 1;
+	c->state = IN_ANSWERING;
+	c->timer.fire = hold_timer;
+	c->timer.ctx = c;
+	io_timer_set(d->task.loop, &c->timer, data_now(d));
+	if (c->entry)
+		once_keep_head(d->once, c->entry, h->status,
+		    (const struct once_field *)c->answer.field,
+		    c->answer.nfield);
+}
+
+static void
+target_body(void *ctx, const void *p, size_t n)
+{
+	struct in_call *c = ctx;
+
+	if (c->entry)
+		once_keep_body(c->data->once, c->entry, p, n);
+	inbound_answer_body(c, p, n, 0, 0);
+}
+
+static void
+target_done(void *ctx)
+{
+	struct in_call *c = ctx;
+	struct data *d = c->data;
+	enum admit_outcome o;
+
+	c->target_call = NULL;
+	o = c->answer_status == 500 || c->answer_status == 503 ? ADMIT_FAILED
+							       : ADMIT_GOOD;
+	if (c->entry)
+		once_done(d->once, c->entry);
+	c->entry = 0;
+	admit_done(d->admit, data_now(d), &c->run, o);
+	inbound_answer_body(c, NULL, 0, 1, 0);
+	inbound_pop(d);
+}
+
+static void
+target_failed(void *ctx, const struct kq_error *e, int sent)
+{
+	struct in_call *c = ctx;
+	struct data *d = c->data;
+
+	c->target_call = NULL;
+	if (c->entry && sent)
+		once_lost(d->once, c->entry);
+	else if (c->entry)
+		sent = once_not_run(d->once, c->entry) == ONCE_UNKNOWN;
+	c->entry = 0;
+	c->was_sent = sent;
+	inbound_ended(c, ADMIT_RESET);
+}
+
+static void
+target_drained(void *ctx)
+{
+	inbound_body_pump(ctx);
+}
+
+static const struct http_call_ops target_ops = {
+	.head = target_head,
+	.body = target_body,
+	.done = target_done,
+	.failed = target_failed,
+	.drained = target_drained,
+};
+
+/* The call's place at the target is free again; tells the caller side and
+ * frees the call. */
+void
+inbound_ended(struct in_call *c, enum admit_outcome o)
+{
+	struct data *d = c->data;
+
+	admit_done(d->admit, data_now(d), &c->run, o);
+	if (c->entry)
+		once_lost(d->once, c->entry);
+	c->entry = 0;
+	if (o == ADMIT_CANCELLED || !c->conn)
+		inbound_free(c);
+	else if (o == ADMIT_SHED)
+		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_SHED);
+	else if (c->state == IN_ANSWERING && !c->answer_held)
+		inbound_answer_body(c, NULL, 0, 1, 1);
+	else
+		inbound_refuse(c, c->was_sent ? WIRE_UNKNOWN : WIRE_NOT_RUN,
+		    WIRE_REASON_LOST);
+	inbound_pop(d);
+}
+
+static int
+own_fields(struct in_call *c, struct http_field *f, char text[][32])
+{
+	int n = 0;
+	int64_t left = (c->deadline - data_now(c->data)) / 1000;
+
+	snprintf(text[0], 32, "%lld", (long long)(left > 0 ? left : 0));
+	snprintf(text[1], 32, "%u", c->depth);
+	snprintf(text[2], 32, "%u", c->retries_left);
+	f[n++] = (struct http_field) { FIELD_TARGET_DEADLINE, text[0] };
+	f[n++] = (struct http_field) { FIELD_DEADLINE, text[0] };
+	f[n++] = (struct http_field) { FIELD_DEPTH, text[1] };
+	f[n++] = (struct http_field) { FIELD_RETRIES, text[2] };
+	if (c->id[0])
+		f[n++] = (struct http_field) { FIELD_REQUEST_ID, c->id };
+	return n;
+}
+
+/* Fields that this program sets anew for the target. */
+static int
+replaced(const char *name)
+{
+	static const char *const names[] = { FIELD_TARGET_DEADLINE,
+		FIELD_DEADLINE, FIELD_DEPTH, FIELD_RETRIES, FIELD_REQUEST_ID };
+	size_t i;
+
+	for (i = 0; i < sizeof names / sizeof *names; i++)
+		if (!g_ascii_strcasecmp(name, names[i]))
+			return 1;
+	return 0;
+}
+
+static void
+start_target_call(struct in_call *c)
+{
+	struct http_field f[HTTP_FIELDS_MAX + OWN_FIELDS_MAX];
+	char text[3][32];
+	int i, n = 0;
+
+	for (i = 0; i < c->head.nfield; i++)
+		if (!replaced(c->head.field[i].name))
+			f[n++] = c->head.field[i];
+	n += own_fields(c, f + n, text);
+	c->target_call = http_call_start(c->data->pool, c->head.method,
+	    c->head.path, f, n, c->head.length, !c->idempotent, &target_ops, c,
+	    NULL);
+}
+
+/* Admitted: gives the request to the target, unless it is too late now. */
+void
+inbound_run(struct in_call *c)
+{
+	struct data *d = c->data;
+	int64_t now = g_get_monotonic_time();
+
+	c->state = IN_RUNNING;
+	if (c->entry ? !once_may_send(d->once, c->entry, now)
+		     : now >= c->deadline) {
+		c->entry = 0;
+		admit_done(d->admit, now, &c->run, ADMIT_CANCELLED);
+		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_DEADLINE);
+		inbound_pop(d);
+		return;
+	}
+	start_target_call(c);
+	if (!c->target_call) {
+		/* Nothing was written, so the fate is known for certain. */
+		if (c->entry)
+			once_shed(d->once, c->entry);
+		c->entry = 0;
+		admit_done(d->admit, now, &c->run, ADMIT_CANCELLED);
+		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_FULL);
+		return;
+	}
+	inbound_body_pump(c);
+}
+
+static void
+pop_expired(struct in_call *c, enum admit_reason reason)
+{
+	struct data *d = c->data;
+
+	if (c->entry)
+		once_not_run(d->once, c->entry);
+	c->entry = 0;
+	inbound_refuse(c, WIRE_NOT_RUN,
+	    reason == ADMIT_DRAINING  ? WIRE_REASON_DRAINING
+		: reason == ADMIT_OUT ? WIRE_REASON_OUT
+				      : WIRE_REASON_DEADLINE);
+}
+
+static void
+admit_due(void *ctx, int64_t now)
+{
+	inbound_pop(ctx);
+}
+
+/* Runs or refuses what the admission lets go of its queue. */
+void
+inbound_pop(struct data *d)
+{
+	struct admit_item item;
+	enum admit_pop p;
+	struct in_call *c;
+	int64_t due;
+
+	if (!d->admit)
+		return;
+	while ((p = admit_pop(d->admit, data_now(d), &item)) !=
+	    ADMIT_POP_NONE) {
+		c = g_hash_table_lookup(d->in_calls,
+		    GUINT_TO_POINTER(item.tag));
+		if (!c)
+			continue;
+		c->run = item.run;
+		if (p == ADMIT_POP_RUN)
+			inbound_run(c);
+		else
+			pop_expired(c, item.reason);
+	}
+	due = admit_timer(d->admit);
+	d->admit_timer.fire = admit_due;
+	d->admit_timer.ctx = d;
+	if (due == INT64_MAX)
+		io_timer_clear(d->task.loop, &d->admit_timer);
+	else
+		io_timer_set(d->task.loop, &d->admit_timer, due);
+}
--- /dev/null
+++ b/src/daemon/inbound_target.c
@@ -0,0 +1,110 @@
+#include <string.h>
+
+#include "data_impl.h"
+
+#define TARGET_SPARE_CONNECTIONS 4 /* kept open ahead */
+
+static void
+admit_settings(const struct data *d, const struct service *s,
+    struct admit_config *a)
+{
+	a->slots = d->target.slots;
+	a->connections = d->target.connections;
+	a->cold_limit = s ? s->cold_limit : 1;
+	a->cold_good_us = (s ? s->cold_good_ms : 100) * (int64_t)1000;
+	a->cold_idle_us = (s ? s->cold_idle_ms : 0) * (int64_t)1000;
+	a->queue_max = s ? s->queue_max : 0;
+}
+
+void
+inbound_configure(struct data *d, const struct service *s)
+{
+	struct admit_config a;
+
+	admit_settings(d, s, &a);
+	admit_configure(d->admit, &a);
+	budget_set_rate(&d->measure_budget, s->measure_per_s);
+	inbound_measure_start(d);
+}
+
+/* A port or service other than before is another target: nothing of the old
+ * one's state holds. */
+static void
+replace_target(struct data *d, const struct service *s)
+{
+	struct admit_config a;
+	struct http_limits limits = HTTP_LIMITS_DEFAULT;
+
+	admit_settings(d, s, &a);
+	if (d->admit)
+		admit_free(d->admit);
+	d->admit = admit_new(&a, data_now(d));
+	admit_set_out(d->admit, view_out(d->view, d->settings.datacentre));
+	if (d->pool)
+		http_pool_free(d->pool);
+	d->pool = http_pool_new(d->task.loop, d->target.ip, d->target.port,
+	    d->target.connections, TARGET_SPARE_CONNECTIONS, &limits);
+	budget_init(&d->measure_budget, s ? s->measure_per_s : 0,
+	    data_now(d));
+	inbound_measure_start(d);
+}
+
+static int
+same_target(const struct data_target *a, const struct data_target *b)
+{
+	return a->port == b->port && !strcmp(a->ip, b->ip) &&
+	    !strcmp(a->service, b->service) && a->slots == b->slots &&
+	    a->connections == b->connections;
+}
+
+/* Calls on the old target's connections end before it is replaced. */
+static int
+busy(const struct data *d)
+{
+	return d->admit && (admit_in_flight(d->admit) || admit_queued(d->admit));
+}
+
+void
+inbound_set_target(struct data *d, const struct data_target *t)
+{
+	int same = d->has_target && same_target(&d->target, t);
+	int restarted = d->has_target && strcmp(d->target.start, t->start);
+
+	if (!same && busy(d)) {
+		d->target_draining = 1;
+		admit_drain(d->admit);
+		inbound_pop(d);
+		d->next_target = *t;
+		d->has_next_target = 1;
+		return;
+	}
+	d->target = *t;
+	d->has_target = 1;
+	if (!same || d->target_draining)
+		replace_target(d, view_service(d->view, t->service));
+	else if (restarted)
+		admit_restarted(d->admit, data_now(d));
+	d->target_draining = 0;
+}
+
+void
+inbound_report(struct data *d, struct load_report *r)
+{
+	memset(r, 0, sizeof *r);
+	if (!d->admit) {
+		r->draining = 1;
+		return;
+	}
+	admit_report(d->admit, data_now(d), r);
+}
+
+void
+inbound_probe(void *ctx, struct peer_conn *conn, uint32_t xid)
+{
+	struct wire_probe_result m;
+	struct data *d = ctx;
+
+	m.clock = data_now(d);
+	inbound_report(d, &m.load);
+	peer_send_load(conn, xid, &m);
+}
--- /dev/null
+++ b/src/daemon/outbound_answer.c
@@ -0,0 +1,136 @@
+#include <string.h>
+
+#include "data_impl.h"
+
+static int
+other_open(const struct out_call *c)
+{
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state != ATTEMPT_UNUSED)
+			return 1;
+	return 0;
+}
+
+/* Ends the call with an answer of our own; frees it. */
+void
+outbound_refuse(struct out_call *c, int status, const char *outcome,
+    const char *reason, const char *text)
+{
+	struct http_field f[OWN_FIELDS_MAX] = { { FIELD_OUTCOME, outcome },
+		{ FIELD_REASON, reason }, { "Content-Type", "text/plain" } };
+	struct http_exchange *x = c->exchange;
+	struct counters *n = &c->data->counters;
+	int nf = 3, i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		outbound_attempt_cancel(&c->attempt[i]);
+	if (status == 503)
+		n->refused++;
+	else if (status == 504)
+		n->unknown++;
+	else if (status == 502)
+		n->failed++;
+	else
+		n->bad++;
+	if (c->id[0])
+		f[nf++] = (struct http_field) { FIELD_REQUEST_ID, c->id };
+	http_exchange_head(x, status, f, nf, strlen(text));
+	http_exchange_write(x, text, strlen(text));
+	c->exchange = NULL;
+	http_exchange_end(x);
+	outbound_call_free(c);
+}
+
+/* No attempt is left to wait for. */
+void
+outbound_give_up(struct out_call *c)
+{
+	const char *reason = wire_reason_name(c->reason);
+
+	if (c->state == OUT_ANSWERING) {
+		struct http_exchange *x = c->exchange;
+
+		c->data->counters.failed++;
+		c->exchange = NULL;
+		outbound_attempt_cancel(c->winner);
+		http_exchange_abort(x);
+		outbound_call_free(c);
+		return;
+	}
+	if (!c->may_have_run && !other_open(c)) {
+		outbound_refuse(c, 503, "not-run", reason,
+		    "refused; the request was not run\n");
+		return;
+	}
+	if (c->idempotent && c->reason != WIRE_REASON_DEADLINE) {
+		outbound_refuse(c, 502, "failed", reason,
+		    "the request failed on each target tried\n");
+		return;
+	}
+	outbound_refuse(c, 504, "unknown", reason,
+	    "no whole answer came; the request may have run\n");
+}
+
+static void
+another(struct out_call *c, enum retry_cause cause, int free_of_charge)
+{
+	int64_t now = data_now(c->data);
+	int go = free_of_charge && now < c->deadline && !c->repeat;
+
+	if (!go && !c->repeat)
+		go = retry_ask(&c->service->retry, &c->retry, cause, now) ==
+		    RETRY_GO;
+	if (go && !outbound_attempt(c)) {
+		c->data->counters.retries++;
+		return;
+	}
+	if (!other_open(c))
+		outbound_give_up(c);
+}
+
+/* Refusals that cost no target any work are not paid for. */
+static int
+costs_nothing(uint32_t reason)
+{
+	return reason == WIRE_REASON_DRAINING || reason == WIRE_REASON_OUT ||
+	    reason == WIRE_REASON_BEHIND || reason == WIRE_REASON_NO_TARGET;
+}
+
+/* The attempt was truly not run. */
+void
+outbound_refused(struct out_attempt *a, uint32_t reason,
+    const struct load_report *load)
+{
+	struct out_call *c = a->call;
+
+	c->reason = reason;
+	pick_refused(c->service->pick, a->handle, data_now(c->data), reason,
+	    load);
+	outbound_attempt_clear(a);
+	if (c->state != OUT_ANSWERING)
+		another(c, RETRY_NOT_RUN, costs_nothing(reason));
+}
+
+/* The attempt may have run and brought no whole answer. */
+void
+outbound_failed(struct out_attempt *a, enum retry_cause cause)
+{
+	struct out_call *c = a->call;
+	int64_t now = data_now(c->data);
+
+	pick_done(c->service->pick, a->handle, now, now - a->started,
+	    cause == RETRY_LOST ? PICK_LOST : PICK_FAILED, NULL);
+	c->may_have_run = 1;
+	if (!c->reason)
+		c->reason = WIRE_REASON_LOST;
+	if (c->winner == a) {
+		outbound_give_up(c);
+		return;
+	}
+	outbound_attempt_clear(a);
+	if (c->winner)
+		return;
+	another(c, cause, 0);
+}
--- /dev/null
+++ b/src/daemon/outbound_attempt.c
@@ -0,0 +1,258 @@
+#include <string.h>
+
+#include <sodium.h>
+
+#include "data_impl.h"
+
+static struct out_attempt *
+free_attempt(struct out_call *c)
+{
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state == ATTEMPT_UNUSED)
+			return &c->attempt[i];
+	return NULL;
+}
+
+/* An id that a caller brought goes to the incarnation that it names. */
+static struct out_peer *
+named_peer(struct out_call *c)
+{
+	struct once_id id;
+
+	if (once_id_parse(&id, c->id))
+		return NULL;
+	return g_hash_table_lookup(c->data->peers, &id.incarnation);
+}
+
+static struct out_peer *
+choose(struct out_call *c, int64_t now)
+{
+	struct out_service *s = c->service;
+	uint32_t handle;
+
+	if (c->repeat)
+		return named_peer(c);
+	if (c->ntried == ATTEMPTS_MAX)
+		return NULL;
+	handle = pick_choose(s->pick, now, c->tried, c->ntried);
+	if (handle == PICK_NONE)
+		return NULL;
+	c->tried[c->ntried++] = handle;
+	return g_hash_table_lookup(s->by_handle, GUINT_TO_POINTER(handle));
+}
+
+/* Sends now, or once the connection is open; -1 when neither can be. */
+static int
+begin(struct out_attempt *a)
+{
+	struct out_peer *p = a->peer;
+
+	if (p->conn && peer_is_open(p->conn))
+		return outbound_attempt_send(a);
+	if (out_peer_connect(p))
+		return -1;
+	a->state = ATTEMPT_WAITING;
+	g_ptr_array_add(p->waiting, a);
+	return 0;
+}
+
+/* Returns -1 when there is nobody to send to. */
+int
+outbound_attempt(struct out_call *c)
+{
+	struct out_attempt *a = free_attempt(c);
+	int64_t now = data_now(c->data);
+	struct out_service *s = c->service;
+	struct out_peer *p;
+
+	if (!a || c->body_base)
+		return -1;
+	while ((p = choose(c, now))) {
+		memset(a, 0, sizeof *a);
+		a->call = c;
+		a->peer = p;
+		a->handle = p->handle;
+		a->started = now;
+		a->credit = WIRE_WINDOW;
+		pick_sent(s->pick, a->handle, now);
+		if (!begin(a)) {
+			out_peer_probe(s);
+			return 0;
+		}
+		outbound_attempt_clear(a);
+		pick_refused(s->pick, a->handle, now, WIRE_REASON_NO_TARGET,
+		    NULL);
+		if (c->repeat)
+			break;
+	}
+	return -1;
+}
+
+static int
+mint_id(struct out_attempt *a, int64_t now)
+{
+	struct out_call *c = a->call;
+	uint8_t random[ONCE_RANDOM_LEN];
+	struct once_id id;
+
+	if (c->idempotent || c->repeat)
+		return 0;
+	randombytes_buf(random, sizeof random);
+	if (once_id_mint(&id, a->peer->incarnation, &a->peer->clock, now,
+		random))
+		return -1;
+	once_id_format(&id, c->id);
+	return 0;
+}
+
+static uint32_t
+left_us(const struct out_call *c, int64_t now)
+{
+	int64_t left = c->deadline - now;
+
+	if (left < 0)
+		return 0;
+	return left > UINT32_MAX ? UINT32_MAX : left;
+}
+
+static void
+fill_call(struct out_attempt *a, struct wire_call *m, int64_t now)
+{
+	struct out_call *c = a->call;
+	size_t n = MIN(c->body->len, WIRE_CHUNK_MAX);
+
+	memset(m, 0, G_STRUCT_OFFSET(struct wire_call, field));
+	m->config_version = c->data->view->rules_version;
+	m->incarnation = a->peer->incarnation;
+	m->left_us = left_us(c, now);
+	m->flags = (c->idempotent ? WIRE_CALL_IDEMPOTENT : 0) |
+	    (c->repeat ? WIRE_CALL_REPEAT : 0);
+	m->retry_budget = retry_sent(&c->retry);
+	m->depth = c->retry.depth + 1;
+	m->service = c->service->conf.name;
+	m->method = c->head.method;
+	m->path = c->head.path;
+	m->id = c->id;
+	m->trace = c->trace;
+	m->length = c->head.length;
+	m->nfield = c->head.nfield;
+	memcpy(m->field, c->head.field, m->nfield * sizeof *m->field);
+	m->body = c->body->data;
+	m->body_len = n;
+	if (!c->body_whole || n < c->body->len)
+		m->flags |= WIRE_CALL_MORE;
+	else
+		a->last_sent = 1;
+}
+
+int
+outbound_attempt_send(struct out_attempt *a)
+{
+	struct out_call *c = a->call;
+	int64_t now = data_now(c->data);
+	struct wire_call m;
+
+	if (mint_id(a, now))
+		return -1;
+	fill_call(a, &m, now);
+	a->xid = peer_send_call(a->peer->conn, &m);
+	if (!a->xid)
+		return -1;
+	a->state = ATTEMPT_SENT;
+	a->sent = m.body_len;
+	a->credit -= m.body_len;
+	g_hash_table_insert(a->peer->attempts, GUINT_TO_POINTER(a->xid), a);
+	outbound_pump(a);
+	return 0;
+}
+
+/* Drops what no other attempt can use, and reads on. */
+static void
+release_body(struct out_call *c)
+{
+	size_t low = SIZE_MAX, total = c->body_base + c->body->len;
+	int i;
+
+	if (total <= BODY_KEEP_MAX)
+		return;
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state != ATTEMPT_UNUSED)
+			low = MIN(low, c->attempt[i].sent);
+	if (low == SIZE_MAX || low <= c->body_base)
+		return;
+	g_byte_array_remove_range(c->body, 0, low - c->body_base);
+	c->body_base = low;
+	if (c->paused && c->body->len <= WIRE_WINDOW / 2) {
+		c->paused = 0;
+		http_exchange_pause(c->exchange, 0);
+	}
+}
+
+/* Sends what credit allows of the request's body. */
+void
+outbound_pump(struct out_attempt *a)
+{
+	struct out_call *c = a->call;
+	size_t total = c->body_base + c->body->len;
+	struct wire_body m;
+	size_t n;
+
+	while (!a->last_sent) {
+		n = MIN(MIN(total - a->sent, a->credit), WIRE_CHUNK_MAX);
+		if (!n && !(c->body_whole && a->sent == total))
+			break;
+		m.call = a->xid;
+		m.body = c->body->data + (a->sent - c->body_base);
+		m.body_len = n;
+		m.flags = 0;
+		if (c->body_whole && a->sent + n == total)
+			m.flags = WIRE_BODY_LAST;
+		if (peer_send_body(a->peer->conn, &m))
+			return;
+		a->sent += n;
+		a->credit -= n;
+		a->last_sent = m.flags & WIRE_BODY_LAST;
+	}
+	release_body(c);
+}
+
+void
+outbound_credit(struct out_peer *p, const struct wire_credit *m)
+{
+	struct out_attempt *a = g_hash_table_lookup(p->attempts,
+	    GUINT_TO_POINTER(m->call));
+
+	if (!a || m->bytes > WIRE_WINDOW - a->credit)
+		return;
+	a->credit += m->bytes;
+	outbound_pump(a);
+}
+
+void
+outbound_attempt_clear(struct out_attempt *a)
+{
+	if (a->state == ATTEMPT_WAITING)
+		g_ptr_array_remove_fast(a->peer->waiting, a);
+	if (a->state == ATTEMPT_SENT)
+		g_hash_table_remove(a->peer->attempts,
+		    GUINT_TO_POINTER(a->xid));
+	a->state = ATTEMPT_UNUSED;
+}
+
+void
+outbound_attempt_cancel(struct out_attempt *a)
+{
+	struct out_call *c = a->call;
+	int64_t now;
+
+	if (a->state == ATTEMPT_UNUSED)
+		return;
+	now = data_now(c->data);
+	if (a->state == ATTEMPT_SENT && a->peer->conn)
+		peer_send_cancel(a->peer->conn, a->xid);
+	pick_done(c->service->pick, a->handle, now, now - a->started,
+	    PICK_CANCELLED, NULL);
+	outbound_attempt_clear(a);
+}
--- /dev/null
+++ b/src/daemon/outbound_call.c
@@ -0,0 +1,147 @@
+#include <string.h>
+
+#include "data_impl.h"
+
+static void
+deadline_over(void *ctx, int64_t now)
+{
+	struct out_call *c = ctx;
+
+	c->reason = WIRE_REASON_DEADLINE;
+	outbound_give_up(c);
+}
+
+static void
+hedge_due(void *ctx, int64_t now)
+{
+	struct out_call *c = ctx;
+
+	if (c->winner || c->state != OUT_TRYING)
+		return;
+	if (retry_hedge(&c->service->retry, &c->retry, now) != RETRY_GO)
+		return;
+	if (!outbound_attempt(c))
+		c->data->counters.hedges++;
+}
+
+void
+outbound_start(struct out_call *c)
+{
+	struct io_loop *loop = c->data->task.loop;
+
+	c->service->used = 1;
+	c->deadline_timer.fire = deadline_over;
+	c->deadline_timer.ctx = c;
+	io_timer_set(loop, &c->deadline_timer, c->deadline);
+	c->hedge_timer.fire = hedge_due;
+	c->hedge_timer.ctx = c;
+}
+
+/* Begins with the first attempt once enough of the body is there. */
+void
+outbound_try(struct out_call *c)
+{
+	int64_t delay;
+
+	if (c->state != OUT_READING)
+		return;
+	c->state = OUT_TRYING;
+	if (outbound_attempt(c)) {
+		c->reason = WIRE_REASON_NO_TARGET;
+		outbound_give_up(c);
+		return;
+	}
+	delay = retry_hedge_delay(&c->service->retry, &c->retry);
+	if (delay >= 0 && c->body_whole)
+		io_timer_set(c->data->task.loop, &c->hedge_timer,
+		    data_now(c->data) + delay);
+}
+
+static void
+request_body(void *ctx, struct http_exchange *x, const void *p, size_t n)
+{
+	struct out_call *c = http_exchange_ctx(x);
+	int i;
+
+	if (!c)
+		return;
+	g_byte_array_append(c->body, p, n);
+	if (c->state == OUT_READING && c->body->len >= WIRE_CHUNK_MAX)
+		outbound_try(c);
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state == ATTEMPT_SENT)
+			outbound_pump(&c->attempt[i]);
+	if (!c->paused && c->body->len > WIRE_WINDOW) {
+		c->paused = 1;
+		http_exchange_pause(x, 1);
+	}
+}
+
+static void
+request_end(void *ctx, struct http_exchange *x)
+{
+	struct out_call *c = http_exchange_ctx(x);
+	int i;
+
+	if (!c)
+		return;
+	c->body_whole = 1;
+	if (c->state == OUT_READING) {
+		outbound_try(c);
+		return;
+	}
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state == ATTEMPT_SENT)
+			outbound_pump(&c->attempt[i]);
+}
+
+static void
+caller_gone(void *ctx, struct http_exchange *x, const struct kq_error *err)
+{
+	struct out_call *c = http_exchange_ctx(x);
+	int i;
+
+	if (!c)
+		return;
+	c->exchange = NULL;
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		outbound_attempt_cancel(&c->attempt[i]);
+	outbound_call_free(c);
+}
+
+static void
+bad_message(void *ctx, const struct kq_error *err)
+{
+	struct data *d = ctx;
+
+	d->counters.bad++;
+}
+
+void
+outbound_call_free(struct out_call *c)
+{
+	struct io_loop *loop = c->data->task.loop;
+	struct data *d = c->data;
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		outbound_attempt_clear(&c->attempt[i]);
+	io_timer_clear(loop, &c->deadline_timer);
+	io_timer_clear(loop, &c->hedge_timer);
+	if (c->retry.deadline)
+		retry_end(&c->service->retry, &c->retry);
+	head_copy_clear(&c->head);
+	g_byte_array_unref(c->body);
+	g_hash_table_remove(d->out_calls, c);
+	g_free(c);
+	data_check_drained(d);
+}
+
+const struct http_server_ops outbound_server_ops = {
+	.request = outbound_request,
+	.body = request_body,
+	.end = request_end,
+	.drained = outbound_drained,
+	.gone = caller_gone,
+	.bad = bad_message,
+};
--- /dev/null
+++ b/src/daemon/outbound_reply.c
@@ -0,0 +1,205 @@
+#include <string.h>
+
+#include "data_impl.h"
+
+/* Statuses by which a target says that it failed. */
+static int
+status_failed(int status)
+{
+	return status == 500 || status == 502 || status == 503 || status == 504;
+}
+
+static void
+finish(struct out_attempt *a, enum pick_outcome outcome,
+    const struct load_report *load)
+{
+	struct out_call *c = a->call;
+	struct http_exchange *x = c->exchange;
+	int64_t now = data_now(c->data);
+
+	pick_done(c->service->pick, a->handle, now, now - a->started, outcome,
+	    load);
+	outbound_attempt_clear(a);
+	if (outcome == PICK_GOOD)
+		retry_success(&c->service->retry, now - a->started);
+	c->data->counters.whole++;
+	c->exchange = NULL;
+	http_exchange_end(x);
+	outbound_call_free(c);
+}
+
+static void
+cancel_others(struct out_call *c, struct out_attempt *winner)
+{
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (&c->attempt[i] != winner)
+			outbound_attempt_cancel(&c->attempt[i]);
+	io_timer_clear(c->data->task.loop, &c->hedge_timer);
+}
+
+static void
+give_credit(struct out_call *c, struct out_attempt *a)
+{
+	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, c->answer_owed };
+
+	if (!c->answer_owed || !a->peer->conn)
+		return;
+	c->answer_owed = 0;
+	peer_send_credit(a->peer->conn, &m);
+}
+
+static void
+pass_body(struct out_attempt *a, const void *p, size_t n)
+{
+	struct out_call *c = a->call;
+
+	if (!n)
+		return;
+	c->answer_owed += n;
+	if (http_exchange_write(c->exchange, p, n) <= ANSWER_UNSENT_MAX &&
+	    c->answer_owed >= WIRE_WINDOW / 4)
+		give_credit(c, a);
+}
+
+static void
+pass_head(struct out_attempt *a, const struct wire_reply *m)
+{
+	struct out_call *c = a->call;
+	struct http_field f[HTTP_FIELDS_MAX + OWN_FIELDS_MAX];
+	int n = m->nfield;
+
+	memcpy(f, m->field, n * sizeof *f);
+	if (c->id[0])
+		f[n++] = (struct http_field) { FIELD_REQUEST_ID, c->id };
+	if (m->outcome == WIRE_KEPT)
+		f[n++] = (struct http_field) { FIELD_OUTCOME, "kept" };
+	c->state = OUT_ANSWERING;
+	c->winner = a;
+	http_exchange_head(c->exchange, m->status, f, n, m->length);
+}
+
+static int
+other_open(struct out_attempt *a)
+{
+	struct out_call *c = a->call;
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (&c->attempt[i] != a &&
+		    c->attempt[i].state != ATTEMPT_UNUSED)
+			return 1;
+	return 0;
+}
+
+/* Whether another attempt replaces one that the target answered with a
+ * failure. */
+static int
+replaced(struct out_attempt *a, const struct wire_reply *m)
+{
+	struct out_call *c = a->call;
+	int64_t now = data_now(c->data);
+
+	if (!status_failed(m->status) || !c->idempotent ||
+	    m->flags & WIRE_REPLY_MORE)
+		return 0;
+	if (!other_open(a)) {
+		if (retry_ask(&c->service->retry, &c->retry, RETRY_FAILED,
+			now) != RETRY_GO)
+			return 0;
+		if (outbound_attempt(c))
+			return 0;
+		c->data->counters.retries++;
+	}
+	c->may_have_run = 1;
+	pick_done(c->service->pick, a->handle, now, now - a->started,
+	    PICK_FAILED, &m->load);
+	outbound_attempt_clear(a);
+	return 1;
+}
+
+static void
+answer(struct out_attempt *a, const struct wire_reply *m)
+{
+	struct out_call *c = a->call;
+
+	retry_reply(&c->retry, m->used);
+	if (replaced(a, m))
+		return;
+	if (a != &c->attempt[0])
+		c->data->counters.hedge_wins++;
+	cancel_others(c, a);
+	pass_head(a, m);
+	pass_body(a, m->body, m->body_len);
+	if (!(m->flags & WIRE_REPLY_MORE))
+		finish(a, status_failed(m->status) ? PICK_FAILED : PICK_GOOD,
+		    &m->load);
+}
+
+static void
+unknown(struct out_attempt *a, const struct wire_reply *m)
+{
+	a->call->reason = m->reason;
+	outbound_failed(a, RETRY_LOST);
+}
+
+/* The id names an incarnation that is not there any more. */
+static void
+gone(struct out_attempt *a, const struct wire_reply *m)
+{
+	struct out_call *c = a->call;
+
+	if (c->repeat) {
+		unknown(a, m);
+		return;
+	}
+	outbound_refused(a, WIRE_REASON_NO_TARGET, NULL);
+}
+
+void
+outbound_reply(void *ctx, struct peer_conn *conn, uint32_t xid,
+    const struct wire_reply *m)
+{
+	struct out_peer *p = peer_ctx(conn);
+	struct out_attempt *a;
+
+	a = g_hash_table_lookup(p->attempts, GUINT_TO_POINTER(xid));
+	if (!a)
+		return;
+	once_clock_stamp(&p->clock, m->clock, data_now(p->data));
+	if (m->outcome == WIRE_ANSWER || m->outcome == WIRE_KEPT)
+		answer(a, m);
+	else if (m->outcome == WIRE_NOT_RUN)
+		outbound_refused(a, m->reason, &m->load);
+	else if (m->outcome == WIRE_GONE)
+		gone(a, m);
+	else
+		unknown(a, m);
+}
+
+void
+outbound_body(struct out_peer *p, const struct wire_body *m)
+{
+	struct out_attempt *a = g_hash_table_lookup(p->attempts,
+	    GUINT_TO_POINTER(m->call));
+
+	if (!a || a->call->winner != a)
+		return;
+	if (m->flags & WIRE_BODY_BROKEN) {
+		outbound_failed(a, RETRY_LOST);
+		return;
+	}
+	pass_body(a, m->body, m->body_len);
+	if (m->flags & WIRE_BODY_LAST)
+		finish(a, PICK_GOOD, NULL);
+}
+
+void
+outbound_drained(void *ctx, struct http_exchange *x)
+{
+	struct out_call *c = http_exchange_ctx(x);
+
+	if (c && c->winner)
+		give_credit(c, c->winner);
+}
--- a/src/internal/peer.h
+++ b/src/internal/peer.h
@@ -82,6 +82,8 @@
 /** peer_close() - end a connection; closed is called before this returns */
 void peer_close(struct peer_conn *);
 int peer_is_open(const struct peer_conn *);
+/** peer_is_accepted() - nonzero if the other end made the connection */
+int peer_is_accepted(const struct peer_conn *);
 /** peer_incarnation() - of the other end, 0 before the connection is open */
 uint64_t peer_incarnation(const struct peer_conn *);
 /** peer_hello_clock() - clock of the other end when it opened, microseconds */
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -164,26 +164,32 @@
 	unsigned char nonce[WIRE_NONCE_LEN];
 };
 
-/** struct wire_pull - arguments of WIRE_PULL */
+/** struct wire_pull - arguments of WIRE_PULL: what comes after a version */
 struct wire_pull {
-	uint64_t after; /* objects with a higher version are wanted */
+	uint64_t after;
+	uint32_t full_next; /* on a later page of a full list */
 };
 
 #define WIRE_PULL_OBJECTS_MAX 512
+#define WIRE_PULL_BYTES 65536 /* names and values of one page */
+
+enum { WIRE_STATE_MORE = 1, WIRE_STATE_FULL = 2 };
 
 /** struct wire_object - one object of a WIRE_PULL result */
 struct wire_object {
+	uint32_t kind;
+	uint32_t removed;
 	uint64_t version;
-	char *kind;
 	char *name;
 	char *value; /* empty when removed */
 };
 
-/** struct wire_state - result of WIRE_PULL: everything after @from up to
- * @upto */
+/** struct wire_state - result of WIRE_PULL: a page as in config.h */
 struct wire_state {
-	uint64_t from;
+	uint64_t after;
 	uint64_t upto;
+	uint64_t complete;
+	uint32_t flags;
 	uint32_t nobject;
 	struct wire_object object[WIRE_PULL_OBJECTS_MAX];
 };
