Read service files and object values strictly; match rules conservatively

Rules that repeat, contradict or are covered by an earlier one are refused with the line of the earlier one. Service and data centre values may name their publication.

--- /dev/null
+++ b/src/adapter/objects/rules.c
@@ -0,0 +1,109 @@
+#include "adapter/objects/rules.h"
+
+#include <string.h>
+
+#include "rule.h"
+
+static int
+read_method(
+    struct json *j, int object, struct service_rule *r, struct kq_error *e)
+{
+	static const char upper[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+	int node = json_need(j, object, "method", e);
+
+	if (node == JSON_NONE || json_get_string(j, object, "method", r->method,
+				     sizeof r->method, e) == -1)
+		return -1;
+	if (strcmp(r->method, "*") == 0 ||
+	    r->method[strspn(r->method, upper)] == '\0')
+		return 0;
+	return json_fail(j, node, e, JSON_E_VALUE,
+	    "\"method\" must be upper-case letters, or \"*\" for any");
+}
+
+static int
+read_path(
+    struct json *j, int object, struct service_rule *r, struct kq_error *e)
+{
+	const char *star;
+	int node = json_need(j, object, "path", e);
+
+	if (node == JSON_NONE || json_get_string(j, object, "path", r->path,
+				     sizeof r->path, e) == -1)
+		return -1;
+	star = strchr(r->path, '*');
+	if (star && star[1])
+		return json_fail(j, node, e, JSON_E_VALUE,
+		    "\"*\" may only be the last character of \"path\"");
+	if (strchr(r->path, '?'))
+		return json_fail(j, node, e, JSON_E_VALUE,
+		    "\"path\" must not have a query; rules look at the path "
+		    "alone");
+	if (!service_path_plain(r->path))
+		return json_fail(j, node, e, JSON_E_VALUE,
+		    "\"path\" must begin with \"/\" and have one spelling: no "
+		    "\"//\", \"/./\", \"/../\", \"%%\", \";\", \"\\\" or \"#\"");
+	return 0;
+}
+
+static int
+read_rule(struct json *j, int node, struct service_rule *r, struct kq_error *e)
+{
+	if (json_expect(j, node, JSON_OBJECT, e) == -1 ||
+	    read_method(j, node, r, e) == -1 || read_path(j, node, r, e) == -1)
+		return -1;
+	if (json_need(j, node, "idempotent", e) == JSON_NONE ||
+	    json_get_bool(j, node, "idempotent", &r->idempotent, e) == -1)
+		return -1;
+	return json_check_unused(j, node, e);
+}
+
+/* Refuses the last rule if an earlier one leaves nothing for it to match. */
+static int
+check_last(
+    struct json *j, int list, const struct service *s, struct kq_error *e)
+{
+	const struct service_rule *b = &s->rule[s->nrule - 1];
+	int node = json_item(j, list, s->nrule - 1);
+	int i;
+
+	for (i = 0; i < s->nrule - 1; i++) {
+		const struct service_rule *a = &s->rule[i];
+		int line = json_line(j, json_item(j, list, i));
+
+		if (!service_rule_covers(a, b))
+			continue;
+		if (strcmp(a->method, b->method) != 0 ||
+		    strcmp(a->path, b->path) != 0)
+			return json_fail(j, node, e, JSON_E_VALUE,
+			    "rule can never match: the rule at line %d "
+			    "covers it",
+			    line);
+		return json_fail(j, node, e, JSON_E_VALUE,
+		    a->idempotent == b->idempotent
+			? "rule stands twice, first at line %d"
+			: "rule contradicts the rule at line %d",
+		    line);
+	}
+	return 0;
+}
+
+int
+rules_read(struct json *j, int object, struct service *s, struct kq_error *e)
+{
+	int i, list, r = json_get_array(j, object, "requests", &list, e);
+
+	if (r != 1)
+		return r;
+	if (json_count(j, list) > SERVICE_RULES_MAX)
+		return json_fail(j, json_item(j, list, SERVICE_RULES_MAX), e,
+		    JSON_E_RANGE, "more than %d rules", SERVICE_RULES_MAX);
+	for (i = 0; i < json_count(j, list); i++) {
+		if (read_rule(j, json_item(j, list, i), &s->rule[i], e) == -1)
+			return -1;
+		s->nrule = i + 1;
+		if (check_last(j, list, s, e) == -1)
+			return -1;
+	}
+	return 0;
+}
--- a/src/internal/objects.h
+++ b/src/internal/objects.h
@@ -26,7 +26,8 @@
 #define SERVICE_HEDGE 0
 #define DATACENTRE_RAMP_MS 10000
 
-#define IP_TEXT_MAX 16 /* bytes of an IPv4 number with the final NUL */
+#define PUBLICATION_MAX 40 /* bytes with the final NUL */
+#define IP_TEXT_MAX 16	   /* bytes of an IPv4 number with the final NUL */
 
 /**
  * struct instance - one instance object: a daemon and the service beside it
@@ -60,4 +61,17 @@
 void datacentre_write(GString *, const struct datacentre *);
 void instance_write(GString *, const struct instance *);
 
+/**
+ * publication_add() - name the publication within a value, after its "{"
+ * @id: letters, digits and "-"
+ *
+ * Service and data centre objects may hold it under "publication", so that a
+ * publisher who lost the answer can tell whether the write was its own.
+ */
+void publication_add(GString *value, const char *id);
+/** publication_read() - publication that a value names, or an empty string; 0
+ * or -1 */
+int publication_read(
+    char id[PUBLICATION_MAX], const char *text, size_t n, struct kq_error *);
+
 #endif
