Stand-in for the platform's object API, history lines

Cause: daemons need versions, conditional updates, watches and faults on command before the platform itself can be had. An answer is lost by shutting the socket down after the write took effect; libsoup's own write then fails without a resend.

--- /dev/null
+++ b/tests/fake/platform/serve.c
@@ -0,0 +1,270 @@
+#include "platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <yajl/yajl_tree.h>
+
+#define OBJECTS "/v1/objects"
+#define ETAG_MAX 24 /* bytes with the final NUL */
+#define STATUS_TOO_MANY_REQUESTS 429
+
+void
+serve_json(SoupServerMessage *msg, int status, char *text)
+{
+	soup_server_message_set_status(msg, status, NULL);
+	soup_server_message_set_response(
+	    msg, "application/json", SOUP_MEMORY_TAKE, text, strlen(text));
+}
+
+void
+serve_cut(SoupServerMessage *msg)
+{
+	GSocket *s = soup_server_message_get_socket(msg);
+
+	soup_server_message_set_status(
+	    msg, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+	if (s)
+		g_socket_shutdown(s, TRUE, TRUE, NULL);
+}
+
+static void
+set_etag(SoupServerMessage *msg, uint64_t version)
+{
+	char b[ETAG_MAX];
+
+	g_snprintf(b, sizeof b, "\"%" G_GUINT64_FORMAT "\"", version);
+	soup_message_headers_replace(
+	    soup_server_message_get_response_headers(msg), "ETag", b);
+}
+
+static void
+read_object(struct platform *p, SoupServerMessage *msg, const char *key)
+{
+	const struct event *o = store_get(&p->store, key);
+
+	if (!o) {
+		soup_server_message_set_status(
+		    msg, SOUP_STATUS_NOT_FOUND, NULL);
+		return;
+	}
+	set_etag(msg, o->version);
+	serve_json(msg, SOUP_STATUS_OK, g_strdup(o->value));
+}
+
+/* Status of a write under its condition, or 200 when it may go ahead. */
+static int
+condition(SoupServerMessage *msg, const struct event *o, int removal)
+{
+	SoupMessageHeaders *h = soup_server_message_get_request_headers(msg);
+	const char *match = soup_message_headers_get_one(h, "If-Match");
+	const char *none = soup_message_headers_get_one(h, "If-None-Match");
+
+	if (removal && !o)
+		return SOUP_STATUS_NOT_FOUND;
+	if (none && !removal && strcmp(none, "*") == 0)
+		return o ? SOUP_STATUS_PRECONDITION_FAILED : SOUP_STATUS_OK;
+	if (!match || *match != '"')
+		return SOUP_STATUS_BAD_REQUEST;
+	if (!o || strtoull(match + 1, NULL, 10) != o->version)
+		return SOUP_STATUS_PRECONDITION_FAILED;
+	return SOUP_STATUS_OK;
+}
+
+static int
+check_value(const char *text, size_t n)
+{
+	yajl_val v;
+
+	if (n > VALUE_MAX)
+		return SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
+	v = yajl_tree_parse(text, NULL, 0);
+	if (!v)
+		return SOUP_STATUS_BAD_REQUEST;
+	yajl_tree_free(v);
+	return SOUP_STATUS_OK;
+}
+
+static void
+write_object(
+    struct platform *p, SoupServerMessage *msg, const char *key, int removal)
+{
+	const struct event *o = store_get(&p->store, key);
+	SoupMessageBody *b = soup_server_message_get_request_body(msg);
+	char *value = NULL;
+	uint64_t v = 0;
+	int status;
+
+	status = condition(msg, o, removal);
+	if (!removal) {
+		value = g_strndup(b->data ? b->data : "", (gsize)b->length);
+		if (status == SOUP_STATUS_OK)
+			status = check_value(value, (size_t)b->length);
+	}
+	if (status == SOUP_STATUS_OK)
+		v = store_put(&p->store, key, value);
+	else if (o)
+		v = o->version;
+	g_free(value);
+	history_line(&p->history, g_get_monotonic_time(),
+	    "write name=%s status=%d version=%" G_GUINT64_FORMAT " removal=%d",
+	    key, status, v, removal);
+	soup_server_message_set_status(msg, status, NULL);
+	if (v)
+		set_etag(msg, v);
+	if (status != SOUP_STATUS_OK)
+		return;
+	if (p->lose_answers > 0) {
+		p->lose_answers--;
+		serve_cut(msg);
+	}
+	watch_wake(p);
+}
+
+static void
+watch(struct platform *p, SoupServerMessage *msg)
+{
+	const char *q = g_uri_get_query(soup_server_message_get_uri(msg));
+	GHashTable *t = soup_form_decode(q ? q : "");
+	const char *from = g_hash_table_lookup(t, "from");
+	const char *ms = g_hash_table_lookup(t, "wait_ms");
+
+	history_line(&p->history, g_get_monotonic_time(), "watch from=%s",
+	    from ? from : "0");
+	watch_start(p, msg, from ? strtoull(from, NULL, 10) : 0,
+	    ms ? (unsigned)strtoul(ms, NULL, 10) : 0);
+	g_hash_table_destroy(t);
+}
+
+static void
+objects(struct platform *p, SoupServerMessage *msg, const char *path)
+{
+	const char *m = soup_server_message_get_method(msg);
+	const char *key = path + strlen(OBJECTS);
+	int reading = strcmp(m, "GET") == 0;
+
+	if (!rates_take(&p->rates, reading ? CALL_READ : CALL_WRITE,
+		g_get_monotonic_time())) {
+		soup_server_message_set_status(
+		    msg, STATUS_TOO_MANY_REQUESTS, NULL);
+		return;
+	}
+	if (reading)
+		history_line(&p->history, g_get_monotonic_time(),
+		    "read name=%s", *key ? key + 1 : "*");
+	if (*key == '\0' && reading)
+		serve_json(msg, SOUP_STATUS_OK, store_list(&p->store));
+	else if (*key != '/' || !strchr(key + 1, '/'))
+		soup_server_message_set_status(
+		    msg, SOUP_STATUS_NOT_FOUND, NULL);
+	else if (reading)
+		read_object(p, msg, key + 1);
+	else if (strcmp(m, "PUT") == 0 || strcmp(m, "DELETE") == 0)
+		write_object(p, msg, key + 1, *m == 'D');
+	else
+		soup_server_message_set_status(
+		    msg, SOUP_STATUS_METHOD_NOT_ALLOWED, NULL);
+}
+
+static void
+api(struct platform *p, SoupServerMessage *msg)
+{
+	const char *path = g_uri_get_path(soup_server_message_get_uri(msg));
+
+	if (p->mode == FAULT_DOWN) {
+		serve_cut(msg);
+	} else if (strcmp(path, "/v1/watch") == 0) {
+		if (rates_take(&p->rates, CALL_WATCH, g_get_monotonic_time()))
+			watch(p, msg);
+		else
+			soup_server_message_set_status(
+			    msg, STATUS_TOO_MANY_REQUESTS, NULL);
+	} else if (g_str_has_prefix(path, OBJECTS)) {
+		objects(p, msg, path);
+	} else {
+		soup_server_message_set_status(
+		    msg, SOUP_STATUS_NOT_FOUND, NULL);
+	}
+}
+
+struct delayed {
+	struct platform *platform;
+	SoupServerMessage *msg;
+};
+
+static gboolean
+api_later(void *ctx)
+{
+	struct delayed *d = ctx;
+
+	/* api() may pause the message again */
+	soup_server_message_unpause(d->msg);
+	api(d->platform, d->msg);
+	g_object_unref(d->msg);
+	g_free(d);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+counts(struct platform *p, SoupServerMessage *msg)
+{
+	static const char *const name[] = {
+	    "reads", "writes", "watches", "refusals"};
+	GString *t = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < CALL_KINDS; i++)
+		g_string_append_printf(t,
+		    "%s %" G_GUINT64_FORMAT "\n%s_peak %d\n", name[i],
+		    p->rates.total[i], name[i], p->rates.peak[i]);
+	g_string_append_printf(t,
+	    "waiting %u\nversion %" G_GUINT64_FORMAT "\nobjects %u\n",
+	    g_list_length(p->waits), p->store.version,
+	    g_hash_table_size(p->store.objects));
+	soup_server_message_set_status(msg, SOUP_STATUS_OK, NULL);
+	soup_server_message_set_response(
+	    msg, "text/plain", SOUP_MEMORY_TAKE, t->str, t->len);
+	g_string_free(t, FALSE);
+}
+
+static void
+handle(SoupServer *s, SoupServerMessage *msg, const char *path,
+    GHashTable *query, void *ctx)
+{
+	struct platform *p = ctx;
+	struct delayed *d;
+
+	if (strcmp(path, "/fake/fault") == 0) {
+		soup_server_message_set_status(msg, fault_set(p, query), NULL);
+	} else if (strcmp(path, "/fake/counts") == 0) {
+		counts(p, msg);
+	} else if (p->mode == FAULT_SLOW) {
+		d = g_new0(struct delayed, 1);
+		d->platform = p;
+		d->msg = g_object_ref(msg);
+		soup_server_message_pause(msg);
+		g_timeout_add((guint)p->slow_ms, api_later, d);
+	} else {
+		api(p, msg);
+	}
+}
+
+int
+serve_start(struct platform *p, SoupServer *s, const char *ip, int port,
+    struct kq_error *e)
+{
+	GSocketAddress *a = g_inet_socket_address_new_from_string(ip, port);
+	GError *g = NULL;
+
+	if (!a)
+		return kq_error_set(e, KQ_LAYER_HTTP, 1, "%s: no address", ip);
+	soup_server_add_handler(s, NULL, handle, p, NULL);
+	if (!soup_server_listen(s, a, 0, &g)) {
+		kq_error_set(
+		    e, KQ_LAYER_HTTP, 1, "%s:%d: %s", ip, port, g->message);
+		g_error_free(g);
+		g_object_unref(a);
+		return -1;
+	}
+	g_object_unref(a);
+	return 0;
+}
