--- /dev/null
+++ b/src/daemon/control.c
@@ -0,0 +1,218 @@
+#include <string.h>
+#include <unistd.h>
+
+#include "control_impl.h"
+
+int64_t
+control_now(const struct control *c)
+{
+	return io_now(c->task.loop);
+}
+
+struct control *
+control_new(const struct settings *s, uint64_t incarnation, struct kq_error *e)
+{
+	struct control *c = g_new0(struct control, 1);
+
+	c->settings = *s;
+	c->incarnation = incarnation;
+	c->udp_fd = -1;
+	c->may_act = 1;
+	c->platform_pause = PLATFORM_PAUSE_MIN_US;
+	rng_seed(&c->rng, incarnation ^ 1);
+	task_init(&c->task, "control");
+	c->config = config_new(control_changed, c);
+	c->forgotten = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+	    g_free, NULL);
+	c->leave_waiting = g_ptr_array_new();
+	g_main_context_push_thread_default(c->task.context);
+	if (control_open_udp(c, e) || control_open_operators(c, e)) {
+		g_main_context_pop_thread_default(c->task.context);
+		control_stop(c);
+		return NULL;
+	}
+	if (s->platform.port)
+		c->platform = platform_new(s->platform.ip, s->platform.port);
+	g_main_context_pop_thread_default(c->task.context);
+	return c;
+}
+
+void
+control_set_data(struct control *c, struct data *d)
+{
+	c->data = d;
+}
+
+static void
+begin(void *ctx, void *message)
+{
+	struct control *c = ctx;
+
+	control_member_start(c);
+	control_platform_start(c);
+	control_publish_view(c);
+}
+
+void
+control_start(struct control *c)
+{
+	task_post(&c->task, begin, c, NULL);
+	task_start(&c->task);
+}
+
+/* The data task's events come in its thread and are posted on. */
+
+static void
+on_behind(void *ctx, uint64_t version, uint64_t incarnation)
+{
+	struct behind_message *m = g_new(struct behind_message, 1);
+	struct control *c = ctx;
+
+	m->version = version;
+	m->incarnation = incarnation;
+	task_post(&c->task, control_behind, c, m);
+}
+
+static void
+on_pull(void *ctx, uint64_t conn, uint32_t xid, uint64_t after, int full_next)
+{
+	struct pull_message *m = g_new(struct pull_message, 1);
+	struct control *c = ctx;
+
+	m->conn = conn;
+	m->xid = xid;
+	m->after = after;
+	m->full_next = full_next;
+	task_post(&c->task, control_serve_pull, c, m);
+}
+
+static void
+on_page(void *ctx, uint64_t incarnation, struct config_batch *page)
+{
+	struct page_message *m = g_new(struct page_message, 1);
+	struct control *c = ctx;
+
+	m->incarnation = incarnation;
+	m->batch = page;
+	task_post(&c->task, control_page, c, m);
+}
+
+static void
+drained(void *ctx, void *message)
+{
+	struct control *c = ctx;
+
+	c->drained = 1;
+	control_target_idle(c);
+}
+
+static void
+on_drained(void *ctx)
+{
+	struct control *c = ctx;
+
+	task_post(&c->task, drained, c, NULL);
+}
+
+static void
+target_idle(void *ctx, void *message)
+{
+	control_target_idle(ctx);
+}
+
+static void
+on_target_idle(void *ctx)
+{
+	struct control *c = ctx;
+
+	task_post(&c->task, target_idle, c, NULL);
+}
+
+const struct data_events control_data_events = {
+	.behind = on_behind,
+	.pull = on_pull,
+	.page = on_page,
+	.drained = on_drained,
+	.target_idle = on_target_idle,
+};
+
+static void
+leave_step(void *ctx, int64_t now)
+{
+	struct control *c = ctx;
+	int64_t since = now - c->leave_started;
+
+	if (since >= LEAVE_TOLD_US && c->drained < 1)
+		data_drain(c->data);
+	if ((c->drained && since >= LEAVE_TOLD_US &&
+		c->registration != REG_WRITING) ||
+	    since >= LEAVE_MAX_US) {
+		c->leave_done(c->leave_ctx);
+		return;
+	}
+	io_timer_set(c->task.loop, &c->leave_timer, now + 20000);
+}
+
+static void
+leave(void *ctx, void *message)
+{
+	struct control *c = ctx;
+
+	if (c->leaving)
+		return;
+	c->leaving = 1;
+	c->leave_started = control_now(c);
+	log_event(EVENT_STOPPING, G_LOG_LEVEL_MESSAGE, control_now(c),
+	    "stopping: no new work, waiting for what is in flight");
+	data_drain_target(c->data);
+	member_leave(c->members, control_now(c));
+	control_member_arm(c);
+	control_unregister(c);
+	c->leave_timer.fire = leave_step;
+	c->leave_timer.ctx = c;
+	io_timer_set(c->task.loop, &c->leave_timer, control_now(c) + 20000);
+}
+
+void
+control_leave(struct control *c, void (*done)(void *ctx), void *ctx)
+{
+	c->leave_done = done;
+	c->leave_ctx = ctx;
+	task_post(&c->task, leave, c, NULL);
+}
+
+void
+control_stop(struct control *c)
+{
+	struct io_loop *loop = c->task.loop;
+
+	task_stop(&c->task);
+	g_main_context_push_thread_default(c->task.context);
+	if (c->operators) {
+		soup_server_disconnect(c->operators);
+		g_object_unref(c->operators);
+	}
+	if (c->platform)
+		platform_free(c->platform);
+	while (g_main_context_iteration(c->task.context, FALSE))
+		;
+	g_main_context_pop_thread_default(c->task.context);
+	io_timer_clear(loop, &c->member_timer);
+	io_timer_clear(loop, &c->watch_timer);
+	io_timer_clear(loop, &c->register_timer);
+	io_timer_clear(loop, &c->pull_timer);
+	io_timer_clear(loop, &c->leave_timer);
+	if (c->udp_fd >= 0) {
+		io_watch_remove(loop, &c->udp_watch);
+		close(c->udp_fd);
+	}
+	if (c->members)
+		member_free(c->members);
+	if (c->codec)
+		datagram_codec_free(c->codec);
+	config_free(c->config);
+	g_hash_table_unref(c->forgotten);
+	g_ptr_array_unref(c->leave_waiting);
+	task_clear(&c->task);
+	g_free(c);
+}
--- /dev/null
+++ b/src/daemon/control_config.c
@@ -0,0 +1,228 @@
+#include <string.h>
+
+#include "control_impl.h"
+
+void
+control_changed(void *ctx, const struct config_object *o)
+{
+	struct control *c = ctx;
+
+	c->config_dirty = 1;
+	if (o->kind != CONFIG_INSTANCE)
+		c->rules_high = MAX(c->rules_high, o->version);
+	else
+		control_learn(c, o);
+}
+
+static void
+bad_object(struct control *c, const struct config_object *o,
+    const struct kq_error *e)
+{
+	log_event(EVENT_CONFIG_BAD, G_LOG_LEVEL_WARNING, control_now(c),
+	    "object not understood kind=%s name=%s version=%" G_GUINT64_FORMAT
+	    " error=\"%s\"",
+	    config_kind_name(o->kind), o->name, o->version, e->text);
+}
+
+static void
+add_object(struct control *c, struct view *v, const struct config_object *o)
+{
+	struct view_instance *vi = &v->instance[v->ninstance];
+	struct kq_error e = { 0 };
+	const char *text;
+	gsize n;
+	int bad;
+
+	text = g_bytes_get_data(o->value, &n);
+	switch (o->kind) {
+	case CONFIG_SERVICE:
+		bad = service_read(&v->service[v->nservice], text, n, &e);
+		v->service[v->nservice].version = o->version;
+		v->nservice += !bad;
+		break;
+	case CONFIG_DATACENTRE:
+		bad = datacentre_read(&v->datacentre[v->ndatacentre], text, n,
+		    &e);
+		v->datacentre[v->ndatacentre].version = o->version;
+		v->ndatacentre += !bad;
+		break;
+	default:
+		bad = instance_read(&vi->instance, text, n, &e);
+		vi->live = control_live(c, vi->instance.incarnation);
+		v->ninstance += !bad;
+	}
+	if (bad)
+		bad_object(c, o, &e);
+}
+
+/* Posts what is in force and who is there to the data task. */
+void
+control_publish_view(struct control *c)
+{
+	struct config_snapshot *s = config_snapshot_new(c->config);
+	struct view *v = g_new0(struct view, 1);
+	int i;
+
+	if (config_complete(c->config) >= c->rules_high)
+		c->rules_version = c->rules_high;
+	v->complete = config_complete(c->config);
+	v->rules_version = c->rules_version;
+	v->may_act = c->may_act;
+	v->service = g_new0(struct service, s->nobject + 1);
+	v->datacentre = g_new0(struct datacentre, s->nobject + 1);
+	v->instance = g_new0(struct view_instance, s->nobject + 1);
+	for (i = 0; i < s->nobject; i++)
+		add_object(c, v, &s->object[i]);
+	config_snapshot_free(s);
+	c->config_dirty = 0;
+	data_set_view(c->data, v);
+}
+
+/* Our own registration was removed by somebody else while we are here. */
+static void
+check_registration(struct control *c)
+{
+	const struct config_object *o;
+	char name[17];
+
+	if (c->registration != REG_DONE || c->leaving)
+		return;
+	g_snprintf(name, sizeof name, "%016" G_GINT64_MODIFIER "x",
+	    c->incarnation);
+	o = config_find(c->config, CONFIG_INSTANCE, name);
+	if (!o || !o->removed || o->version <= c->registered_version)
+		return;
+	c->registration = REG_NONE;
+	c->registered_version = 0;
+	control_register_soon(c);
+}
+
+void
+control_apply(struct control *c, const struct config_batch *b)
+{
+	uint64_t before = config_complete(c->config);
+	struct kq_error e = { 0 };
+
+	if (config_apply(c->config, b, &e) == CONFIG_WENT_BACK)
+		log_event(EVENT_PLATFORM_WENT_BACK, G_LOG_LEVEL_WARNING,
+		    control_now(c), "older configuration refused: %s", e.text);
+	if (config_complete(c->config) == before && !c->config_dirty)
+		return;
+	log_event(EVENT_CONFIG_TAKEN, G_LOG_LEVEL_INFO, control_now(c),
+	    "configuration complete=%" G_GUINT64_FORMAT
+	    " source=%016" G_GINT64_MODIFIER "x objects=%d",
+	    config_complete(c->config), b->source, b->nobject);
+	member_set_digest(c->members, config_complete(c->config),
+	    control_now(c));
+	control_member_arm(c);
+	control_publish_view(c);
+	check_registration(c);
+}
+
+static void
+pull_late(void *ctx, int64_t now)
+{
+	struct control *c = ctx;
+
+	c->pulling = 0;
+}
+
+static int
+address_of(struct control *c, uint64_t incarnation, char *ip, int *port)
+{
+	const struct config_object *o;
+	const struct member *m;
+	struct instance in;
+	char name[17];
+	gsize n;
+	int h;
+
+	g_snprintf(name, sizeof name, "%016" G_GINT64_MODIFIER "x",
+	    incarnation);
+	o = config_find(c->config, CONFIG_INSTANCE, name);
+	if (o && !o->removed &&
+	    !instance_read(&in, g_bytes_get_data(o->value, &n),
+		g_bytes_get_size(o->value), NULL)) {
+		g_strlcpy(ip, in.ip, IP_TEXT_MAX);
+		*port = in.peer_port;
+		return 0;
+	}
+	h = member_find(c->members, incarnation);
+	if (h == MEMBER_NONE)
+		return -1;
+	m = member_at(c->members, h);
+	g_snprintf(ip, IP_TEXT_MAX, "%u.%u.%u.%u", m->info.address.ip >> 24,
+	    m->info.address.ip >> 16 & 255, m->info.address.ip >> 8 & 255,
+	    m->info.address.ip & 255);
+	*port = m->info.address.port;
+	return 0;
+}
+
+/* One pull is in flight at a time; the next notice starts another. */
+void
+control_pull_from(struct control *c, uint64_t incarnation)
+{
+	char ip[IP_TEXT_MAX];
+	int port;
+
+	if (c->pulling || incarnation == c->incarnation)
+		return;
+	if (address_of(c, incarnation, ip, &port))
+		return;
+	c->pulling = 1;
+	c->pull_from = incarnation;
+	c->pull_timer.fire = pull_late;
+	c->pull_timer.ctx = c;
+	io_timer_set(c->task.loop, &c->pull_timer,
+	    control_now(c) + PULL_TIMEOUT_US);
+	data_pull(c->data, incarnation, ip, port,
+	    config_cursor(c->config, incarnation), c->pull_full_next);
+}
+
+void
+control_page(void *ctx, void *message)
+{
+	struct page_message *m = message;
+	struct control *c = ctx;
+	int more;
+
+	if (m->incarnation == c->pull_from) {
+		c->pulling = 0;
+		c->pull_full_next = 0;
+		io_timer_clear(c->task.loop, &c->pull_timer);
+	}
+	if (m->batch) {
+		more = m->batch->more;
+		c->pull_full_next = more && m->batch->full;
+		control_apply(c, m->batch);
+		config_batch_clear(m->batch);
+		g_free(m->batch);
+		if (more)
+			control_pull_from(c, m->incarnation);
+	}
+	g_free(m);
+}
+
+void
+control_serve_pull(void *ctx, void *message)
+{
+	struct config_batch *b = g_new0(struct config_batch, 1);
+	struct pull_message *m = message;
+	struct control *c = ctx;
+
+	config_changes(c->config, c->incarnation, m->after, m->full_next,
+	    WIRE_PULL_BYTES, b);
+	data_send_page(c->data, m->conn, m->xid, b);
+	g_free(m);
+}
+
+void
+control_behind(void *ctx, void *message)
+{
+	struct behind_message *m = message;
+	struct control *c = ctx;
+
+	if (m->version > c->rules_version)
+		control_pull_from(c, m->incarnation);
+	g_free(m);
+}
--- /dev/null
+++ b/src/daemon/control_impl.h
@@ -0,0 +1,121 @@
+#ifndef KQ_CONTROL_IMPL_H
+#define KQ_CONTROL_IMPL_H
+
+#include <libsoup/soup.h>
+
+#include "config.h"
+#include "control.h"
+#include "log.h"
+#include "member.h"
+#include "member_codec.h"
+#include "objects.h"
+#include "platform.h"
+#include "rng.h"
+
+#define WATCHERS_PER_DATACENTRE 2
+#define WATCH_WAIT_MS 20000
+#define PLATFORM_PAUSE_MIN_US 500000 /* after a failure, doubled each time */
+#define PLATFORM_PAUSE_MAX_US 16000000
+#define PULL_TIMEOUT_US 2000000
+#define LEAVE_TOLD_US 1000000 /* others learn of it before the ports close */
+#define LEAVE_MAX_US 60000000 /* longest wait for what is in flight */
+
+enum registration { REG_NONE, REG_WRITING, REG_DONE, REG_REMOVED };
+
+struct control {
+	struct task task;
+	struct settings settings;
+	uint64_t incarnation;
+	struct data *data;
+	struct rng rng;
+
+	struct config_table *config;
+	uint64_t rules_high; /* highest version of a rule taken */
+	uint64_t rules_version; /* the same, of those that are complete */
+	int config_dirty;
+
+	struct member_table *members;
+	struct datagram_codec *codec;
+	int udp_fd;
+	struct io_watch udp_watch;
+	struct io_timer member_timer;
+	struct member_address platform_seed;
+	GHashTable *forgotten; /* incarnations held for dead and forgotten */
+	int may_act;
+
+	struct platform *platform;
+	int platform_down;
+	int64_t platform_pause; /* present pause after failures */
+	int listing;
+	int watching;
+	int started_listing;
+	struct io_timer watch_timer;
+	struct io_timer register_timer;
+	enum registration registration;
+	int register_again; /* the value changed while it was written */
+	uint64_t registered_version;
+
+	int pulling;
+	uint64_t pull_from;
+	int pull_full_next;
+	struct io_timer pull_timer;
+
+	struct data_target target;
+	int has_target;
+	int leaving;
+	int drained;
+	int64_t leave_started;
+	struct io_timer leave_timer;
+	void (*leave_done)(void *ctx);
+	void *leave_ctx;
+
+	SoupServer *operators;
+	GPtrArray *leave_waiting; /* messages answered when the target is idle */
+};
+
+int64_t control_now(const struct control *);
+
+/* configuration */
+void control_changed(void *ctx, const struct config_object *);
+void control_apply(struct control *, const struct config_batch *);
+void control_publish_view(struct control *);
+void control_pull_from(struct control *, uint64_t incarnation);
+void control_page(void *ctx, void *message);
+void control_serve_pull(void *ctx, void *message);
+void control_behind(void *ctx, void *message);
+
+struct page_message {
+	uint64_t incarnation;
+	struct config_batch *batch;
+};
+struct pull_message {
+	uint64_t conn;
+	uint32_t xid;
+	uint64_t after;
+	int full_next;
+};
+struct behind_message {
+	uint64_t version;
+	uint64_t incarnation;
+};
+
+/* membership */
+extern const struct member_ops control_member_ops;
+int control_open_udp(struct control *, struct kq_error *);
+void control_member_arm(struct control *);
+void control_member_start(struct control *);
+void control_learn(struct control *, const struct config_object *);
+int control_live(const struct control *, uint64_t incarnation);
+
+/* platform */
+void control_platform_start(struct control *);
+void control_watch(struct control *);
+void control_register(struct control *);
+void control_register_soon(struct control *);
+void control_unregister(struct control *);
+
+/* operators */
+int control_open_operators(struct control *, struct kq_error *);
+void control_target_idle(struct control *);
+
+#endif
--- /dev/null
+++ b/src/daemon/control_member.c
@@ -0,0 +1,262 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "control_impl.h"
+
+#define DATAGRAM_MAX 2048 /* bytes */
+
+static uint32_t
+ip_number(const char *text)
+{
+	struct in_addr a;
+
+	return inet_pton(AF_INET, text, &a) == 1 ? ntohl(a.s_addr) : 0;
+}
+
+static void
+send_message(void *ctx, const struct member_address *to,
+    const struct member_message *m)
+{
+	unsigned char buf[DATAGRAM_MAX];
+	struct control *c = ctx;
+	struct sockaddr_in sa = { 0 };
+	size_t n = datagram_encode(c->codec, m, buf, sizeof buf);
+
+	if (!n)
+		return;
+	sa.sin_family = AF_INET;
+	sa.sin_addr.s_addr = htonl(to->ip);
+	sa.sin_port = htons(to->port);
+	sendto(c->udp_fd, buf, n, 0, (struct sockaddr *)&sa, sizeof sa);
+}
+
+static void
+log_member(struct control *c, const struct member *m, enum member_event ev)
+{
+	static const enum event numbers[] = {
+		[MEMBER_EVENT_JOINED] = EVENT_MEMBER_JOINED,
+		[MEMBER_EVENT_SUSPECTED] = EVENT_MEMBER_SUSPECTED,
+		[MEMBER_EVENT_ALIVE] = EVENT_MEMBER_ALIVE,
+		[MEMBER_EVENT_DEAD] = EVENT_MEMBER_DEAD,
+		[MEMBER_EVENT_LEFT] = EVENT_MEMBER_LEFT,
+	};
+	static const char *const words[] = { "joined", "suspected", "alive",
+		"dead", "left" };
+
+	if (ev == MEMBER_EVENT_FORGOTTEN)
+		return;
+	log_event(numbers[ev], G_LOG_LEVEL_INFO, control_now(c),
+	    "member %s incarnation=%016" G_GINT64_MODIFIER "x datacentre=%s",
+	    words[ev], m->info.id, m->info.datacentre);
+}
+
+static void
+on_event(void *ctx, int handle, enum member_event ev)
+{
+	struct control *c = ctx;
+	const struct member *m = member_at(c->members, handle);
+
+	log_member(c, m, ev);
+	if (ev == MEMBER_EVENT_FORGOTTEN)
+		g_hash_table_add(c->forgotten,
+		    g_memdup2(&m->info.id, sizeof m->info.id));
+	else if (ev == MEMBER_EVENT_JOINED || ev == MEMBER_EVENT_ALIVE)
+		g_hash_table_remove(c->forgotten, &m->info.id);
+	if (ev != MEMBER_EVENT_SUSPECTED)
+		c->config_dirty = 1;
+}
+
+static void
+on_behind(void *ctx, int handle, uint64_t digest)
+{
+	struct control *c = ctx;
+	const struct member *m = member_at(c->members, handle);
+
+	if (digest > config_complete(c->config))
+		control_pull_from(c, m->info.id);
+}
+
+const struct member_ops control_member_ops = {
+	.send = send_message,
+	.event = on_event,
+	.behind = on_behind,
+};
+
+/* After a pause nothing is decided until another member has acknowledged us. */
+static void
+check_pause(struct control *c)
+{
+	int may = member_may_act(c->members) || c->leaving;
+
+	if (member_count(c->members) <= 1)
+		may = 1;
+	if (may == c->may_act)
+		return;
+	c->may_act = may;
+	c->config_dirty = 1;
+	if (!may)
+		log_event(EVENT_PAUSED, G_LOG_LEVEL_WARNING, control_now(c),
+		    "this daemon was paused; it takes no work until another "
+		    "member has acknowledged it");
+}
+
+static void
+member_changed(struct control *c)
+{
+	check_pause(c);
+	if (c->config_dirty)
+		control_publish_view(c);
+	control_watch(c);
+}
+
+static void
+member_due(void *ctx, int64_t now)
+{
+	struct control *c = ctx;
+
+	io_timer_set(c->task.loop, &c->member_timer,
+	    member_tick(c->members, now));
+	member_changed(c);
+}
+
+void
+control_member_arm(struct control *c)
+{
+	c->member_timer.fire = member_due;
+	c->member_timer.ctx = c;
+	io_timer_set(c->task.loop, &c->member_timer, control_now(c));
+}
+
+static void
+take_datagram(struct control *c, const unsigned char *buf, size_t n,
+    const struct sockaddr_in *sa)
+{
+	static struct member_message m;
+	enum datagram_reason r = datagram_decode(c->codec, buf, n, &m);
+
+	if (r != DATAGRAM_OK) {
+		log_event(EVENT_DATAGRAM_REFUSED, G_LOG_LEVEL_INFO,
+		    control_now(c), "datagram refused reason=%s",
+		    datagram_reason_name(r));
+		return;
+	}
+	m.source.ip = ntohl(sa->sin_addr.s_addr);
+	m.source.port = ntohs(sa->sin_port);
+	member_receive(c->members, &m, control_now(c));
+}
+
+static void
+udp_ready(void *ctx, int ready)
+{
+	unsigned char buf[DATAGRAM_MAX];
+	struct control *c = ctx;
+	struct sockaddr_in sa;
+	socklen_t len;
+	ssize_t n;
+
+	for (;;) {
+		len = sizeof sa;
+		n = recvfrom(c->udp_fd, buf, sizeof buf, 0,
+		    (struct sockaddr *)&sa, &len);
+		if (n < 0)
+			break;
+		take_datagram(c, buf, n, &sa);
+	}
+	control_member_arm(c);
+}
+
+int
+control_open_udp(struct control *c, struct kq_error *e)
+{
+	const struct settings *s = &c->settings;
+	struct sockaddr_in sa = { 0 };
+
+	sa.sin_family = AF_INET;
+	sa.sin_addr.s_addr = htonl(ip_number(s->ip));
+	sa.sin_port = htons(s->peer_port);
+	c->udp_fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+	    0);
+	if (c->udp_fd < 0 ||
+	    bind(c->udp_fd, (struct sockaddr *)&sa, sizeof sa))
+		return kq_error_set(e, KQ_LAYER_DAEMON, errno,
+		    "peer_port: %s:%d: %s", s->ip, s->peer_port,
+		    g_strerror(errno));
+	c->codec = datagram_codec_new(c->incarnation, s->fleet_key, s->nkey);
+	return io_watch_add(c->task.loop, &c->udp_watch, c->udp_fd, IO_READ,
+	    udp_ready, c);
+}
+
+void
+control_member_start(struct control *c)
+{
+	struct member_limits limits = MEMBER_LIMITS_DEFAULT;
+	struct member_address seed[SETTINGS_PEERS_MAX];
+	const struct settings *s = &c->settings;
+	struct member_info self = { 0 };
+	int i;
+
+	self.id = c->incarnation;
+	self.address.ip = ip_number(s->ip);
+	self.address.port = s->peer_port;
+	self.caller_port = s->caller_port;
+	self.operator_port = s->operator_port;
+	g_strlcpy(self.datacentre, s->datacentre, sizeof self.datacentre);
+	g_strlcpy(self.region, s->region, sizeof self.region);
+	c->members = member_new(&self, &limits, rng_next(&c->rng),
+	    &control_member_ops, c, control_now(c));
+	for (i = 0; i < s->npeer; i++) {
+		seed[i].ip = ip_number(s->peer[i].ip);
+		seed[i].port = s->peer[i].port;
+	}
+	if (s->npeer)
+		member_join(c->members, seed, s->npeer, control_now(c));
+	control_member_arm(c);
+}
+
+/* An instance object came or went. */
+void
+control_learn(struct control *c, const struct config_object *o)
+{
+	struct member_info info = { 0 };
+	struct instance in;
+	uint64_t id;
+	gsize n;
+
+	id = g_ascii_strtoull(o->name, NULL, 16);
+	if (id == c->incarnation)
+		return;
+	if (o->removed) {
+		member_unlearn(c->members, id, control_now(c));
+		g_hash_table_remove(c->forgotten, &id);
+		return;
+	}
+	if (instance_read(&in, g_bytes_get_data(o->value, &n),
+		g_bytes_get_size(o->value), NULL))
+		return;
+	info.id = in.incarnation;
+	info.address.ip = ip_number(in.ip);
+	info.address.port = in.peer_port;
+	info.caller_port = in.caller_port;
+	info.operator_port = in.operator_port;
+	g_strlcpy(info.datacentre, in.datacentre, sizeof info.datacentre);
+	g_strlcpy(info.region, in.region, sizeof info.region);
+	member_learn(c->members, &info, control_now(c));
+}
+
+int
+control_live(const struct control *c, uint64_t id)
+{
+	int h;
+
+	if (id == c->incarnation)
+		return !c->leaving;
+	if (g_hash_table_contains(c->forgotten, &id))
+		return 0;
+	h = member_find(c->members, id);
+	if (h == MEMBER_NONE)
+		return 1;
+	return member_at(c->members, h)->state <= MEMBER_SUSPECT;
+}
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -37,6 +37,7 @@
  *        pull failed; the receiver frees it with config_batch_clear() and
  *        g_free()
  * @drained: nothing is in flight any more after data_drain()
+ * @target_idle: nothing is at the target any more after data_drain_target()
  */
 struct config_batch;
 struct data_events {
@@ -46,6 +47,7 @@
 	void (*page)(void *ctx, uint64_t incarnation,
 	    struct config_batch *page);
 	void (*drained)(void *ctx);
+	void (*target_idle)(void *ctx);
 };
 
 struct data *data_new(const struct settings *, uint64_t incarnation,
--- /dev/null
+++ b/src/daemon/main.c
@@ -0,0 +1,168 @@
+#include <argtable2.h>
+#include <glib-unix.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "control.h"
+#include "log.h"
+
+#define EXIT_USAGE 2
+#define EXIT_SETTINGS 3
+#define EXIT_PORTS 4
+
+struct program {
+	GMainLoop *loop;
+	struct control *control;
+	int leaving;
+};
+
+static gboolean
+quit(gpointer ctx)
+{
+	g_main_loop_quit(ctx);
+	return G_SOURCE_REMOVE;
+}
+
+static void
+left(void *ctx)
+{
+	struct program *p = ctx;
+
+	g_idle_add(quit, p->loop);
+}
+
+static gboolean
+stop_signal(gpointer ctx)
+{
+	struct program *p = ctx;
+
+	if (!p->leaving)
+		control_leave(p->control, left, p);
+	p->leaving = 1;
+	return G_SOURCE_CONTINUE;
+}
+
+static GLogLevelFlags
+log_flags(enum log_level l)
+{
+	static const GLogLevelFlags flags[] = { G_LOG_LEVEL_CRITICAL,
+		G_LOG_LEVEL_WARNING, G_LOG_LEVEL_INFO, G_LOG_LEVEL_DEBUG };
+
+	return flags[l];
+}
+
+static uint64_t
+new_incarnation(void)
+{
+	uint64_t v;
+
+	do {
+		randombytes_buf(&v, sizeof v);
+	} while (!v);
+	return v;
+}
+
+static int
+run(const struct settings *s)
+{
+	uint64_t incarnation = new_incarnation();
+	struct program p = { 0 };
+	struct kq_error e = { 0 };
+	struct data *d;
+
+	p.control = control_new(s, incarnation, &e);
+	d = p.control ? data_new(s, incarnation, &control_data_events,
+			    p.control, &e)
+		      : NULL;
+	if (!d) {
+		log_event(EVENT_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL, 0, "%s",
+		    e.text);
+		return EXIT_PORTS;
+	}
+	control_set_data(p.control, d);
+	p.loop = g_main_loop_new(NULL, FALSE);
+	g_unix_signal_add(SIGTERM, stop_signal, &p);
+	g_unix_signal_add(SIGINT, stop_signal, &p);
+	data_start(d);
+	control_start(p.control);
+	log_event(EVENT_STARTED, G_LOG_LEVEL_MESSAGE, 0,
+	    "started name=%s ip=%s caller_port=%d peer_port=%d "
+	    "operator_port=%d datacentre=%s incarnation=%016" G_GINT64_MODIFIER
+	    "x",
+	    s->name, s->ip, s->caller_port, s->peer_port, s->operator_port,
+	    s->datacentre, incarnation);
+	g_main_loop_run(p.loop);
+	data_stop(d);
+	control_stop(p.control);
+	g_main_loop_unref(p.loop);
+	log_event(EVENT_STOPPED, G_LOG_LEVEL_MESSAGE, 0, "stopped");
+	return EXIT_SUCCESS;
+}
+
+static int
+print_settings(const struct settings *s)
+{
+	GString *t = g_string_new(NULL);
+
+	settings_print(t, s);
+	fputs(t->str, stdout);
+	g_string_free(t, TRUE);
+	return EXIT_SUCCESS;
+}
+
+static int
+load(const char *path, struct settings *s)
+{
+	struct kq_error e = { 0 };
+
+	if (!settings_load(s, path, &e))
+		return 0;
+	if (e.line)
+		fprintf(stderr, "kumquatrockd: %s:%d:%d: %s\n", path, e.line,
+		    e.column, e.text);
+	else
+		fprintf(stderr, "kumquatrockd: %s: %s\n", path, e.text);
+	return -1;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_file *file = arg_file1("s", "settings", "FILE",
+	    "settings, JSON with comments");
+	struct arg_lit *check = arg_lit0(NULL, "check-settings",
+	    "read the settings, say what is wrong, and exit");
+	struct arg_lit *print = arg_lit0(NULL, "print-settings",
+	    "print the settings in force, without keys, and exit");
+	struct arg_lit *help = arg_lit0("h", "help", "print this text");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { file, check, print, help, end };
+	static struct settings s;
+	int errors = arg_parse(argc, argv, table);
+
+	if (help->count) {
+		printf("usage: kumquatrockd");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		printf("exit: 0 stopped, 2 usage, 3 settings, 4 ports\n");
+		return EXIT_SUCCESS;
+	}
+	if (errors) {
+		arg_print_errors(stderr, end, "kumquatrockd");
+		fprintf(stderr, "see: kumquatrockd --help\n");
+		return EXIT_USAGE;
+	}
+	if (load(file->filename[0], &s))
+		return EXIT_SETTINGS;
+	if (print->count)
+		return print_settings(&s);
+	if (check->count) {
+		printf("%s: settings are good\n", file->filename[0]);
+		return EXIT_SUCCESS;
+	}
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	log_setup(log_flags(s.log_level));
+	return run(&s);
+}
--- a/src/internal/json.h
+++ b/src/internal/json.h
@@ -106,5 +106,7 @@
 
 /** json_quote() - append @text as a JSON string with its quotes */
 void json_quote(GString *, const char *text);
+/** json_append() - append a node as JSON on one line, without comments */
+void json_append(GString *, const struct json *, int node);
 
 #endif
