Event loop and HTTP/1.1 adapter

The loop is one GLib source around an epoll descriptor and a timer heap; watches are slots with a generation, so one that is removed within a batch is not called. The HTTP adapter moves bytes between non-blocking sockets and the http-parser library.

Freeing a connection while its own functions ran was a use after free that clang-analyzer found; connections are now closed at once and freed in the next iteration.

--- /dev/null
+++ b/src/adapter/http/link.c
@@ -0,0 +1,204 @@
+#include "http_impl.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static void
+on_ready(void *ctx, int ready)
+{
+	link_ready(ctx, ready);
+}
+
+static void
+on_timer(void *ctx, int64_t now)
+{
+	link_expire(ctx, now);
+}
+
+static void
+list_add(struct http_link *l, enum link_state state)
+{
+	struct http_pool *p = l->pool;
+
+	l->state = state;
+	l->prev = NULL;
+	l->next = p->links[state];
+	if (l->next)
+		l->next->prev = l;
+	p->links[state] = l;
+	p->count[state]++;
+}
+
+static void
+list_remove(struct http_link *l)
+{
+	struct http_pool *p = l->pool;
+
+	if (l->prev)
+		l->prev->next = l->next;
+	else
+		p->links[l->state] = l->next;
+	if (l->next)
+		l->next->prev = l->prev;
+	p->count[l->state]--;
+}
+
+void
+link_move(struct http_link *l, enum link_state state)
+{
+	list_remove(l);
+	list_add(l, state);
+}
+
+struct http_link *
+link_new(struct http_pool *p, struct kq_error *err)
+{
+	struct http_link *l;
+	int fd = io_connect_tcp(p->ip, p->port);
+
+	if (fd < 0) {
+		kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_CONNECT,
+		    "connect to %s port %d: %s", p->ip, p->port,
+		    strerror(errno));
+		return NULL;
+	}
+	l = g_new0(struct http_link, 1);
+	l->pool = p;
+	l->fd = fd;
+	l->last = io_now(p->loop);
+	l->timer.fire = on_timer;
+	l->timer.ctx = l;
+	if (io_watch_add(p->loop, &l->watch, fd, IO_WRITE, on_ready, l) < 0) {
+		kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_SOCKET, "watch: %s",
+		    strerror(errno));
+		close(fd);
+		g_free(l);
+		return NULL;
+	}
+	in_init(&l->in, HTTP_RESPONSE, p->limits.head_bytes, &link_in_ops, l);
+	list_add(l, LINK_SPARE);
+	p->nopen++;
+	link_settle(l);
+	return l;
+}
+
+void
+link_close(struct http_link *l)
+{
+	struct http_pool *p = l->pool;
+
+	if (l->dead)
+		return;
+	l->dead = 1;
+	l->call = NULL;
+	in_hold(&l->in, 1);
+	io_watch_remove(p->loop, &l->watch);
+	io_timer_clear(p->loop, &l->timer);
+	close(l->fd);
+	list_remove(l);
+	p->nopen--;
+	l->next = p->dead;
+	p->dead = l;
+	io_timer_set(p->loop, &p->reaper, io_now(p->loop));
+}
+
+void
+link_reap(struct http_pool *p)
+{
+	struct http_link *l;
+
+	while ((l = p->dead)) {
+		p->dead = l->next;
+		out_clear(&l->out);
+		in_clear(&l->in);
+		g_free(l);
+	}
+}
+
+int
+link_alive(const struct http_link *l)
+{
+	char c;
+
+	if (l->dead || l->failed)
+		return 0;
+	if (!l->connected)
+		return 1;
+	return recv(l->fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       errno == EAGAIN;
+}
+
+void
+link_soon(struct http_link *l)
+{
+	if (l->dead)
+		return;
+	l->resume = 1;
+	io_timer_set(l->pool->loop, &l->timer, io_now(l->pool->loop));
+}
+
+void
+link_sent(struct http_link *l, ssize_t r)
+{
+	l->corked = 0;
+	if (r > 0) {
+		l->call->sent = 1;
+		l->last = io_now(l->pool->loop);
+		return;
+	}
+	if (r == 0 || errno == EAGAIN || errno == EINTR)
+		return;
+	l->failed = errno;
+	link_soon(l);
+}
+
+void
+link_flush(struct http_link *l)
+{
+	struct http_call *c = l->call;
+
+	if (!c || !l->connected || l->failed || !out_pending(&l->out))
+		return;
+	link_sent(l, out_send(&l->out, l->fd, NULL, 0));
+	if (l->failed || out_pending(&l->out) || !c->drain)
+		return;
+	c->drain = 0;
+	if (c->ops->drained)
+		c->ops->drained(c->ctx);
+}
+
+int64_t
+link_due(const struct http_link *l)
+{
+	const struct http_limits *m = &l->pool->limits;
+	const struct http_call *c = l->call;
+
+	if (!l->connected)
+		return l->last + (int64_t)m->head_ms * HTTP_US_PER_MS;
+	if (c && (c->paused || (!c->ended && !out_pending(&l->out))))
+		return 0;
+	return l->last + (int64_t)m->idle_ms * HTTP_US_PER_MS;
+}
+
+void
+link_settle(struct http_link *l)
+{
+	int64_t due = link_due(l);
+	int events = 0;
+
+	if (l->dead)
+		return;
+	if (!l->call || !l->call->paused)
+		l->read_off = 0;
+	if (l->connected && !l->read_off)
+		events |= IO_READ;
+	if (!l->connected || (out_pending(&l->out) && !l->corked))
+		events |= IO_WRITE;
+	io_watch_events(l->pool->loop, &l->watch, events);
+	if (l->resume || !due)
+		return;
+	if (!l->timer.pos || due < l->timer.due)
+		io_timer_set(l->pool->loop, &l->timer, due);
+}
--- /dev/null
+++ b/src/adapter/http/out.c
@@ -0,0 +1,161 @@
+#include "http_impl.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define OUT_FIRST_BYTES 1024
+#define OUT_IOV_MAX 4
+#define CHUNK_HEAD_BYTES 24
+
+size_t
+out_pending(const struct http_out *o)
+{
+	return o->len - o->off;
+}
+
+char *
+out_room(struct http_out *o, size_t n)
+{
+	if (o->off > 0 && o->off >= o->len - o->off) {
+		memmove(o->data, o->data + o->off, o->len - o->off);
+		o->len -= o->off;
+		o->off = 0;
+	}
+	if (o->cap - o->len < n) {
+		if (!o->cap)
+			o->cap = OUT_FIRST_BYTES;
+		while (o->cap - o->len < n)
+			o->cap *= 2;
+		o->data = g_realloc(o->data, o->cap);
+	}
+	return o->data + o->len;
+}
+
+void
+out_add(struct http_out *o, const void *data, size_t n)
+{
+	if (!n)
+		return;
+	memcpy(out_room(o, n), data, n);
+	o->len += n;
+}
+
+void
+out_text(struct http_out *o, const char *s)
+{
+	out_add(o, s, strlen(s));
+}
+
+void
+out_field(struct http_out *o, const char *name, const char *value)
+{
+	out_text(o, name);
+	out_add(o, ": ", 2);
+	out_text(o, value);
+	out_add(o, "\r\n", 2);
+}
+
+void
+out_int(struct http_out *o, int64_t n)
+{
+	char buf[24];
+	char *p = buf + sizeof buf;
+	uint64_t u = (uint64_t)n;
+
+	do
+		*--p = (char)('0' + u % 10);
+	while (u /= 10);
+	out_add(o, p, (size_t)(buf + sizeof buf - p));
+}
+
+void
+out_clear(struct http_out *o)
+{
+	g_free(o->data);
+	memset(o, 0, sizeof *o);
+}
+
+static void
+sent_all(struct http_out *o)
+{
+	o->off = o->len = 0;
+	if (o->cap > HTTP_OUT_KEEP_BYTES)
+		out_clear(o);
+}
+
+static void
+keep_tail(struct http_out *o, const struct iovec *iov, int niov, size_t skip)
+{
+	int i;
+
+	for (i = 0; i < niov; i++) {
+		if (skip >= iov[i].iov_len) {
+			skip -= iov[i].iov_len;
+			continue;
+		}
+		out_add(
+		    o, (char *)iov[i].iov_base + skip, iov[i].iov_len - skip);
+		skip = 0;
+	}
+}
+
+ssize_t
+out_send(struct http_out *o, int fd, const struct iovec *iov, int niov)
+{
+	struct iovec v[OUT_IOV_MAX];
+	struct msghdr m = {0};
+	size_t pending = out_pending(o), n;
+	ssize_t r;
+	size_t k = 0;
+	int e;
+
+	if (pending) {
+		v[k].iov_base = o->data + o->off;
+		v[k++].iov_len = pending;
+	}
+	if (niov)
+		memcpy(v + k, iov, (size_t)niov * sizeof *iov);
+	m.msg_iov = v;
+	m.msg_iovlen = k + (size_t)niov;
+	r = sendmsg(fd, &m, MSG_NOSIGNAL);
+	e = errno;
+	n = r < 0 ? 0 : (size_t)r;
+	if (n >= pending)
+		sent_all(o);
+	else
+		o->off += n;
+	keep_tail(o, iov, niov, n >= pending ? n - pending : 0);
+	errno = e;
+	return r;
+}
+
+ssize_t
+out_body(struct http_out *o, int fd, const void *data, size_t n, int chunked,
+    int ready)
+{
+	char head[CHUNK_HEAD_BYTES];
+	char crlf[2] = {'\r', '\n'};
+	struct iovec v[3];
+	int i, k = 0;
+
+	if (!n)
+		return 0;
+	if (chunked) {
+		v[k].iov_base = head;
+		v[k++].iov_len =
+		    (size_t)snprintf(head, sizeof head, "%zx\r\n", n);
+	}
+	v[k].iov_base = (void *)data;
+	v[k++].iov_len = n;
+	if (chunked) {
+		v[k].iov_base = crlf;
+		v[k++].iov_len = sizeof crlf;
+	}
+	if (ready)
+		return out_send(o, fd, v, k);
+	for (i = 0; i < k; i++)
+		out_add(o, v[i].iov_base, v[i].iov_len);
+	return 0;
+}
--- /dev/null
+++ b/src/adapter/http/server.c
@@ -0,0 +1,155 @@
+#include "http_impl.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ACCEPT_BATCH 32
+
+static int
+refuse(const struct http_server *s)
+{
+	return s->nconn >= s->limits.connections || s->stopping;
+}
+
+static void
+accepted(struct http_server *s, int fd)
+{
+	int over = refuse(s);
+
+	if (over && s->nrefused >= HTTP_REFUSED_MAX) {
+		close(fd);
+		return;
+	}
+	if (!conn_new(s, fd, over))
+		close(fd);
+}
+
+static void
+on_listen(void *ctx, int ready)
+{
+	struct http_server *s = ctx;
+	int i, fd;
+
+	(void)ready;
+	for (i = 0; i < ACCEPT_BATCH; i++) {
+		fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd >= 0) {
+			accepted(s, fd);
+			continue;
+		}
+		if (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED)
+			return;
+		io_watch_events(s->loop, &s->watch, 0);
+		io_timer_set(
+		    s->loop, &s->timer, io_now(s->loop) + HTTP_ACCEPT_RETRY_US);
+		return;
+	}
+}
+
+static void
+on_retry(void *ctx, int64_t now)
+{
+	struct http_server *s = ctx;
+
+	(void)now;
+	io_watch_events(s->loop, &s->watch, IO_READ);
+}
+
+static void
+on_reap(void *ctx, int64_t now)
+{
+	(void)now;
+	conn_reap(ctx);
+}
+
+struct http_server *
+http_server_new(struct io_loop *l, const char *ip, int port,
+    const struct http_limits *limits, const struct http_server_ops *ops,
+    void *ctx, struct kq_error *err)
+{
+	struct http_server *s;
+	int fd = io_listen_tcp(ip, port);
+
+	if (fd < 0) {
+		kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_BIND,
+		    "listen on %s port %d: %s", ip, port, strerror(errno));
+		return NULL;
+	}
+	s = g_new0(struct http_server, 1);
+	s->loop = l;
+	s->limits = *limits;
+	s->ops = ops;
+	s->ctx = ctx;
+	s->fd = fd;
+	s->scratch = g_malloc(HTTP_READ_BYTES);
+	s->timer.fire = on_retry;
+	s->timer.ctx = s;
+	s->reaper.fire = on_reap;
+	s->reaper.ctx = s;
+	if (io_watch_add(l, &s->watch, fd, IO_READ, on_listen, s) < 0) {
+		kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_SOCKET, "watch: %s",
+		    strerror(errno));
+		http_server_free(s);
+		return NULL;
+	}
+	return s;
+}
+
+static void
+stop_listening(struct http_server *s)
+{
+	if (s->fd < 0)
+		return;
+	io_watch_remove(s->loop, &s->watch);
+	io_timer_clear(s->loop, &s->timer);
+	close(s->fd);
+	s->fd = -1;
+}
+
+static int
+has_input(int fd)
+{
+	char c;
+
+	return recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void
+http_server_stop(struct http_server *s)
+{
+	struct http_conn *c, *next;
+
+	s->stopping = 1;
+	stop_listening(s);
+	for (c = s->conns; c; c = next) {
+		next = c->next;
+		if (c->state != CONN_OPEN || c->exchange.open || c->running)
+			continue;
+		/* a request that is already here is still answered */
+		if (in_started(&c->in) || c->in.rest_len || has_input(c->fd))
+			continue;
+		conn_linger(c);
+	}
+}
+
+int
+http_server_open(const struct http_server *s)
+{
+	return s->nconn;
+}
+
+void
+http_server_free(struct http_server *s)
+{
+	if (!s)
+		return;
+	stop_listening(s);
+	while (s->conns)
+		conn_close(s->conns);
+	conn_reap(s);
+	io_timer_clear(s->loop, &s->reaper);
+	g_free(s->scratch);
+	g_free(s);
+}
--- /dev/null
+++ b/src/adapter/io/io_impl.h
@@ -0,0 +1,33 @@
+#ifndef KQ_IO_IMPL_H
+#define KQ_IO_IMPL_H
+
+#include "io.h"
+
+#include <stddef.h>
+
+struct io_slot {
+	struct io_watch *watch; /* NULL when free */
+	uint32_t generation;
+	uint32_t next_free; /* index plus one */
+};
+
+struct io_loop {
+	GSource source; /* first, GLib allocates the whole */
+	gpointer tag;
+	int epoll;
+	int dispatching;
+	int64_t now;
+	struct io_slot *slot;
+	uint32_t nslot;
+	uint32_t free_slot; /* index plus one, 0 is none */
+	struct io_timer **heap;
+	uint32_t ntimer;
+	uint32_t heap_cap;
+};
+
+/** io_timers_run() - fire what is due at @now */
+void io_timers_run(struct io_loop *, int64_t now);
+/** io_timers_arm() - tell GLib when the next timer is due */
+void io_timers_arm(struct io_loop *);
+
+#endif
--- /dev/null
+++ b/src/adapter/io/loop.c
@@ -0,0 +1,105 @@
+#include "io_impl.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#define IO_BATCH 128 /* events taken in one iteration */
+
+static int
+ready_bits(uint32_t events)
+{
+	int ready = 0;
+
+	if (events & (EPOLLIN | EPOLLRDHUP))
+		ready |= IO_READ;
+	if (events & EPOLLOUT)
+		ready |= IO_WRITE;
+	if (events & (EPOLLERR | EPOLLHUP))
+		ready |= IO_READ | IO_WRITE;
+	return ready;
+}
+
+static void
+run_event(struct io_loop *l, const struct epoll_event *e)
+{
+	uint32_t i = (uint32_t)e->data.u64;
+	uint32_t generation = (uint32_t)(e->data.u64 >> 32);
+	struct io_watch *w = l->slot[i].watch;
+
+	if (!w || l->slot[i].generation != generation)
+		return;
+	w->ready(w->ctx, ready_bits(e->events));
+}
+
+static void
+run_events(struct io_loop *l)
+{
+	struct epoll_event ev[IO_BATCH];
+	int i, n;
+
+	n = epoll_wait(l->epoll, ev, IO_BATCH, 0);
+	for (i = 0; i < n; i++)
+		run_event(l, &ev[i]);
+}
+
+static gboolean
+dispatch(GSource *source, GSourceFunc fn, gpointer ctx)
+{
+	struct io_loop *l = (struct io_loop *)source;
+
+	(void)fn;
+	(void)ctx;
+	l->now = g_get_monotonic_time();
+	l->dispatching = 1;
+	if (g_source_query_unix_fd(source, l->tag))
+		run_events(l);
+	io_timers_run(l, l->now);
+	l->dispatching = 0;
+	io_timers_arm(l);
+	return G_SOURCE_CONTINUE;
+}
+
+static void
+finalize(GSource *source)
+{
+	struct io_loop *l = (struct io_loop *)source;
+
+	if (l->epoll >= 0)
+		close(l->epoll);
+	g_free(l->slot);
+	g_free((void *)l->heap);
+}
+
+static GSourceFuncs loop_funcs = {NULL, NULL, dispatch, finalize, NULL, NULL};
+
+struct io_loop *
+io_loop_new(GMainContext *ctx)
+{
+	GSource *s = g_source_new(&loop_funcs, sizeof(struct io_loop));
+	struct io_loop *l = (struct io_loop *)s;
+
+	l->epoll = epoll_create1(EPOLL_CLOEXEC);
+	if (l->epoll < 0) {
+		g_source_unref(s);
+		return NULL;
+	}
+	l->tag = g_source_add_unix_fd(s, l->epoll, G_IO_IN);
+	g_source_set_name(s, "io_loop");
+	g_source_attach(s, ctx);
+	return l;
+}
+
+void
+io_loop_free(struct io_loop *l)
+{
+	if (!l)
+		return;
+	g_source_destroy(&l->source);
+	g_source_unref(&l->source);
+}
+
+int64_t
+io_now(const struct io_loop *l)
+{
+	return l->dispatching ? l->now : g_get_monotonic_time();
+}
