--- a/src/adapter/json/get.c
+++ b/src/adapter/json/get.c
@@ -6,8 +6,11 @@
 json_get(struct json *j, int object, const char *key)
 {
 	struct json_asked asked = {object, key};
-	int i, n = json_count(j, object);
+	int i, n;
 
+	if (object == JSON_NONE)
+		return JSON_NONE;
+	n = json_count(j, object);
 	g_array_append_val(j->asked, asked);
 	for (i = 0; i < n; i++) {
 		int child = json_item(j, object, i);
--- /dev/null
+++ b/src/adapter/settings/read.c
@@ -0,0 +1,118 @@
+#include "adapter/settings/table.h"
+
+#include <string.h>
+
+#include "adapter/objects/fields.h"
+
+/* Object that a setting stands in, JSON_NONE if its group is absent, or -2
+ * after an error. */
+#define GROUP_BAD (-2)
+
+static int
+group_node(const struct setting *d, struct json *j, struct kq_error *e)
+{
+	int r, node;
+
+	if (!d->group)
+		return json_root(j);
+	if (!d->fallback &&
+	    json_need(j, json_root(j), d->group, e) == JSON_NONE)
+		return GROUP_BAD;
+	r = json_get_object(j, json_root(j), d->group, &node, e);
+	if (r == -1)
+		return GROUP_BAD;
+	return r == 1 ? node : JSON_NONE;
+}
+
+static int
+check_unused(struct json *j, struct kq_error *e)
+{
+	int i;
+
+	for (i = 0; i < settings_table_count; i++) {
+		const struct setting *d = &settings_table[i];
+		int node = group_node(d, j, e);
+
+		if (node != JSON_NONE && json_check_unused(j, node, e) == -1)
+			return -1;
+	}
+	return 0;
+}
+
+/* The three ports share one address, so they must differ. */
+static int
+check_ports(const struct settings *s, struct json *j, struct kq_error *e)
+{
+	int o = json_root(j);
+
+	if (s->peer_port == s->caller_port)
+		return json_fail(j, json_get(j, o, "peer_port"), e,
+		    JSON_E_VALUE,
+		    "\"peer_port\" and \"caller_port\" are equal");
+	if (s->operator_port == s->caller_port ||
+	    s->operator_port == s->peer_port)
+		return json_fail(j, json_get(j, o, "operator_port"), e,
+		    JSON_E_VALUE,
+		    "\"operator_port\" equals \"caller_port\" or "
+		    "\"peer_port\"");
+	return 0;
+}
+
+static int
+check_trace(const struct settings *s, struct json *j, struct kq_error *e)
+{
+	int node = json_get(j, json_root(j), "trace");
+
+	if ((s->trace.port != 0) == (s->trace.ip[0] != '\0'))
+		return 0;
+	return json_fail(j, node, e, JSON_E_MISSING,
+	    "\"trace\" needs both \"ip\" and \"port\", or neither");
+}
+
+static int
+read_all(struct settings *s, struct json *j, struct kq_error *e)
+{
+	int i;
+
+	for (i = 0; i < settings_table_count; i++) {
+		const struct setting *d = &settings_table[i];
+		int node = group_node(d, j, e);
+
+		if (node == GROUP_BAD ||
+		    settings_value_read(s, d, j, node, e) == -1)
+			return -1;
+	}
+	if (check_unused(j, e) == -1 || check_ports(s, j, e) == -1)
+		return -1;
+	return check_trace(s, j, e);
+}
+
+int
+settings_read(
+    struct settings *s, const char *text, size_t n, struct kq_error *e)
+{
+	struct json *j = fields_open(text, n, e);
+	int r;
+
+	memset(s, 0, sizeof *s);
+	if (!j)
+		return -1;
+	r = read_all(s, j, e);
+	json_free(j);
+	return r;
+}
+
+int
+settings_load(struct settings *s, const char *path, struct kq_error *e)
+{
+	char *text;
+	gsize n;
+	int r;
+
+	if (!g_file_get_contents(path, &text, &n, NULL))
+		return kq_error_set(e, KQ_LAYER_CONFIG, JSON_E_VALUE,
+		    "can't read settings file %s", path);
+	r = settings_read(s, text, n, e);
+	g_free(text);
+	return r;
+}
--- /dev/null
+++ b/tests/unit/settings.c
@@ -0,0 +1,216 @@
+#include <check.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "json.h"
+#include "settings.h"
+
+#define K1 "00112233445566778899aabbccddeeff00112233445566778899AABBCCDDEEFF"
+#define K2 "f0112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define HEAD \
+	"{\"name\":\"cb-1\",\"ip\":\"127.0.0.1\",\"datacentre\":\"luzon-a\",\n"
+#define PORTS "\"caller_port\":8080,\"peer_port\":8081,\"operator_port\":8082"
+#define PLATFORM "\"platform\":{\"ip\":\"127.0.0.1\",\"port\":9000}"
+#define KEYS "\"fleet_keys\":[\"" K1 "\"]"
+#define WITH(extra) HEAD PORTS "," PLATFORM "," KEYS ",\n" extra "}"
+
+START_TEST(reads_minimum)
+{
+	static const char text[] = HEAD PORTS "," PLATFORM "," KEYS "}";
+	struct kq_error e;
+	struct settings s;
+
+	ck_assert_msg(
+	    settings_read(&s, text, strlen(text), &e) == 0, "%s", e.text);
+	ck_assert_str_eq(s.name, "cb-1");
+	ck_assert_int_eq(s.peer_port, 8081);
+	ck_assert_int_eq(s.platform.port, 9000);
+	ck_assert_int_eq(s.nkey, 1);
+	ck_assert_int_eq(s.fleet_key[0][1], 0x11);
+	ck_assert_int_eq(s.fleet_key[0][31], 0xff);
+	ck_assert_int_eq(s.head_bytes, 16384);
+	ck_assert_int_eq(s.body_in_flight_bytes, 67108864);
+	ck_assert_int_eq(s.idle_ms, 60000);
+	ck_assert_int_eq(s.trace.port, 0);
+	ck_assert_int_eq(s.log_level, LOG_INFO);
+	ck_assert(s.trace_ratio == 0.01);
+}
+END_TEST
+
+static const char whole[] =
+    HEAD PORTS "," PLATFORM ", // two keys while they are rotated\n"
+	       "\"fleet_keys\":[\"" K1 "\",\"" K2 "\"], \"region\":\"luzon\",\n"
+	       "\"peers\":[{\"ip\":\"127.0.0.2\",\"port\":1},"
+	       "{\"ip\":\"127.0.0.3\",\"port\":2}],\n"
+	       "\"limits\":{\"head_bytes\":2048,\"connections\":5},\n"
+	       "\"trace\":{\"ip\":\"127.0.0.1\",\"port\":4318,"
+	       "\"sample_ratio\":0.25},\n"
+	       "\"log\":{\"level\":\"debug\"}}";
+
+START_TEST(prints_what_it_reads)
+{
+	GString *out = g_string_new(NULL);
+	struct kq_error e;
+	struct settings a, b;
+
+	ck_assert_msg(
+	    settings_read(&a, whole, strlen(whole), &e) == 0, "%s", e.text);
+	ck_assert_int_eq(a.npeer, 2);
+	ck_assert_int_eq(a.nkey, 2);
+	settings_print(out, &a);
+	ck_assert_ptr_null(strstr(out->str, "00112233"));
+	g_string_truncate(out, out->len - strlen("}\n"));
+	g_string_append(out, ",\"fleet_keys\":[\"" K1 "\",\"" K2 "\"]}");
+	ck_assert_msg(settings_read(&b, out->str, out->len, &e) == 0,
+	    "%s at %d:%d in\n%s", e.text, e.line, e.column, out->str);
+	ck_assert_mem_eq(&a, &b, sizeof a);
+	g_string_free(out, TRUE);
+}
+END_TEST
+
+static const struct {
+	const char *text;
+	int code;
+	int line;
+	int column;
+	const char *says;
+} bad[] = {
+    {"{}", JSON_E_MISSING, 1, 1, "\"name\""},
+    {HEAD PORTS "," KEYS "}", JSON_E_MISSING, 1, 1, "\"platform\""},
+    {HEAD PORTS "," PLATFORM "}", JSON_E_MISSING, 1, 1, "fleet_key_file"},
+    {HEAD "\"caller_port\":1,\"peer_port\":1,\"operator_port\":2," PLATFORM
+	  "," KEYS "}",
+	JSON_E_VALUE, 2, 29, "are equal"},
+    {HEAD "\"caller_port\":1,\"peer_port\":2,\"operator_port\":2," PLATFORM
+	  "," KEYS "}",
+	JSON_E_VALUE, 2, 47, "equals"},
+    {HEAD PORTS ",\"platform\":{\"ip\":\"127.0.0.1\"},\n" KEYS "}",
+	JSON_E_MISSING, 2, 69, "\"port\""},
+    {WITH("\"idle_ms\":5"), JSON_E_UNKNOWN, 3, 1, "unknown key"},
+    {WITH("\"limits\":{\"idle_s\":5}"), JSON_E_UNKNOWN, 3, 11,
+	"nearest is \"idle_ms\""},
+    {WITH("\"limits\":{\"head_bytes\":1}"), JSON_E_RANGE, 3, 24, "1024"},
+    {WITH("\"limits\":{\"head_bytes\":\"16k\"}"), JSON_E_TYPE, 3, 24,
+	"integer"},
+    {WITH("\"limits\":[]"), JSON_E_TYPE, 3, 10, "an object"},
+    {WITH("\"peers\":[{\"ip\":\"127.0.0.1\"}]"), JSON_E_MISSING, 3, 10,
+	"\"port\""},
+    {WITH("\"peers\":[{\"ip\":\"localhost\",\"port\":1}]"), JSON_E_VALUE, 3, 16,
+	"IPv4"},
+    {WITH("\"peers\":[{\"ip\":\"127.0.0.1\",\"port\":1},"
+	  "{\"ip\":\"127.0.0.1\",\"port\":1}]"),
+	JSON_E_VALUE, 3, 38, "twice"},
+    {WITH("\"trace\":{\"port\":1}"), JSON_E_MISSING, 3, 9, "both"},
+    {WITH("\"trace\":{\"sample_ratio\":2}"), JSON_E_RANGE, 3, 25, "0 to 1"},
+    {WITH("\"log\":{\"level\":\"loud\"}"), JSON_E_VALUE, 3, 16, "\"debug\""},
+    {WITH("\"fleet_key_file\":\"/x\""), JSON_E_VALUE, 3, 1, "contradicts"},
+    {HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[]}", JSON_E_RANGE, 3, 14,
+	"1 or 2"},
+    {HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "0\"]}", JSON_E_VALUE,
+	3, 15, "64 hex"},
+    {HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "\",\"" K1 "\"]}",
+	JSON_E_VALUE, 3, 82, "equal"},
+    {HEAD PORTS "," PLATFORM ",\n\"fleet_key_file\":\"/nonexistent\"}",
+	JSON_E_VALUE, 3, 18, "can't read"},
+};
+
+START_TEST(refuses_with_place)
+{
+	struct kq_error e = {0};
+	struct settings s;
+	const char *t = bad[_i].text;
+
+	ck_assert_msg(
+	    settings_read(&s, t, strlen(t), &e) == -1, "taken: %s", t);
+	ck_assert_msg(e.code == bad[_i].code && e.line == bad[_i].line &&
+			  e.column == bad[_i].column &&
+			  strstr(e.text, bad[_i].says),
+	    "%s: code %d at %d:%d, %s", t, e.code, e.line, e.column, e.text);
+}
+END_TEST
+
+static const struct {
+	const char *file;
+	int keys; /* 0 when refused */
+} key_files[] = {
+    {K1 "\n", 1},
+    {"\n" K1 "\r\n" K2, 2},
+    {"", 0},
+    {"\n\n", 0},
+    {K1 "\n" K1 "\n", 0},
+    {K1 "\n" K2 "\n" K1, 0},
+    {"# " K1, 0},
+    {K1 K2, 0},
+};
+
+START_TEST(reads_key_file)
+{
+	char dir[] = "/tmp/kq-settings-XXXXXX";
+	char *path, *text;
+	struct kq_error e;
+	struct settings s;
+	int r;
+
+	ck_assert_ptr_nonnull(g_mkdtemp(dir));
+	path = g_build_filename(dir, "keys", NULL);
+	ck_assert(g_file_set_contents(path, key_files[_i].file, -1, NULL));
+	text = g_strdup_printf(
+	    HEAD PORTS "," PLATFORM ",\"fleet_key_file\":\"%s\"}", path);
+	r = settings_read(&s, text, strlen(text), &e);
+	g_unlink(path);
+	g_rmdir(dir);
+	ck_assert_int_eq(r, key_files[_i].keys > 0 ? 0 : -1);
+	if (r == 0)
+		ck_assert_int_eq(s.nkey, key_files[_i].keys);
+	g_free(path);
+	g_free(text);
+}
+END_TEST
+
+/* With KQ_UPDATE_DOCS set, the page is written anew. */
+START_TEST(page_is_current)
+{
+	static const char path[] = "docs/SETTINGS.md";
+	GString *table = g_string_new(NULL);
+	char *page, *at, *whole_page;
+
+	settings_document(table);
+	ck_assert(g_file_get_contents(path, &page, NULL, NULL));
+	if (getenv("KQ_UPDATE_DOCS")) {
+		at = strstr(page, "| setting |");
+		ck_assert_ptr_nonnull(at);
+		*at = '\0';
+		whole_page = g_strconcat(page, table->str, NULL);
+		ck_assert(g_file_set_contents(path, whole_page, -1, NULL));
+		g_free(whole_page);
+	} else {
+		ck_assert_msg(strstr(page, table->str) != NULL,
+		    "%s differs from the table of settings", path);
+	}
+	g_free(page);
+	g_string_free(table, TRUE);
+}
+END_TEST
+
+#define COUNT(a) ((int)(sizeof(a) / sizeof(a)[0]))
+
+int
+main(void)
+{
+	Suite *s = suite_create("settings");
+	TCase *c = tcase_create("settings");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	tcase_add_test(c, reads_minimum);
+	tcase_add_test(c, prints_what_it_reads);
+	tcase_add_loop_test(c, refuses_with_place, 0, COUNT(bad));
+	tcase_add_loop_test(c, reads_key_file, 0, COUNT(key_files));
+	tcase_add_test(c, page_is_current);
+	suite_add_tcase(s, c);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
