--- a/src/internal/quantile.h
+++ b/src/internal/quantile.h
@@ -22,7 +22,7 @@
 void quantile_init(struct quantile *);
 void quantile_add(struct quantile *, int64_t us);
 /** quantile_get() - upper edge in microseconds of the bucket that holds
- * quantile @q (0..1); 0 without samples */
-int64_t quantile_get(const struct quantile *, double q);
+ * quantile @share (0..1); 0 without samples */
+int64_t quantile_get(const struct quantile *, double share);
 
 #endif
--- a/src/internal/retry.h
+++ b/src/internal/retry.h
@@ -23,7 +23,8 @@
  */
 
 #define RETRY_DEPTH_MAX 28
-#define RETRY_CARRY_MAX 2 /* extra attempts a call may carry */
+#define RETRY_CARRY_MAX 2   /* extra attempts a call may carry */
+#define RETRY_TOKENS_MAX 32 /* extra attempts saved up at most */
 
 /**
  * struct retry - budget and latencies of one service
