--- a/src/adapter/history/history.c
+++ b/src/adapter/history/history.c
@@ -9,8 +9,8 @@
 #include <unistd.h>
 
 int
-history_open(
-    struct history *h, const char *path, const char *who, struct kq_error *e)
+history_open(struct history *h, const char *path, const char *who,
+    struct kq_error *e)
 {
 	memset(h, 0, sizeof *h);
 	h->fd = -1;
--- a/src/adapter/json/error.c
+++ b/src/adapter/json/error.c
@@ -22,8 +22,8 @@
 }
 
 int
-json_error_at(
-    struct kq_error *e, int code, int line, int column, const char *fmt, ...)
+json_error_at(struct kq_error *e, int code, int line, int column,
+    const char *fmt, ...)
 {
 	va_list ap;
 
--- a/src/adapter/json/json_impl.h
+++ b/src/adapter/json/json_impl.h
@@ -37,7 +37,7 @@
 };
 
 struct json {
-	GArray *node;  /* struct json_node, a parent before its children */
+	GArray *node; /* struct json_node, a parent before its children */
 	GArray *child; /* int */
 	GArray *asked; /* struct json_asked */
 	GStringChunk *strings;
--- a/src/adapter/json/read.c
+++ b/src/adapter/json/read.c
@@ -10,8 +10,8 @@
 	struct json *doc;
 	yajl_handle yajl;
 	const char *text;
-	size_t n;	      /* without the newline that was added */
-	size_t end;	      /* offset after the last token */
+	size_t n; /* without the newline that was added */
+	size_t end; /* offset after the last token */
 	struct json_place at; /* start of the present token */
 	int parent;
 	int depth;
@@ -152,8 +152,8 @@
 		fail(r, JSON_E_UTF8, "escape names no character");
 		return NULL;
 	}
-	return g_string_chunk_insert_len(
-	    r->doc->strings, (const char *)s, (gssize)len);
+	return g_string_chunk_insert_len(r->doc->strings, (const char *)s,
+	    (gssize)len);
 }
 
 static int
--- a/src/adapter/json/unused.c
+++ b/src/adapter/json/unused.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#define NEAR_MAX 4    /* edits between a key and the one that is suggested */
+#define NEAR_MAX 4 /* edits between a key and the one that is suggested */
 #define NEAR_BYTES 64 /* longer keys get no suggestion */
 
 /* Edits (insert, delete, replace) from one key to the other: Levenshtein
--- a/src/adapter/objects/datacentre_read.c
+++ b/src/adapter/objects/datacentre_read.c
@@ -26,8 +26,8 @@
 }
 
 int
-datacentre_read(
-    struct datacentre *d, const char *text, size_t n, struct kq_error *e)
+datacentre_read(struct datacentre *d, const char *text, size_t n,
+    struct kq_error *e)
 {
 	static const struct int_field ramp = {"ramp_ms", 0, RAMP_MS_MAX};
 	struct json *j = fields_open(text, n, e);
@@ -41,8 +41,8 @@
 	d->ramp_ms = DATACENTRE_RAMP_MS;
 	if (fields_publication(j, o, publication, e) == -1 ||
 	    fields_name(j, o, "datacentre", d->name, sizeof d->name, e) == -1 ||
-	    fields_name_optional(
-		j, o, "region", d->region, sizeof d->region, e) == -1 ||
+	    fields_name_optional(j, o, "region", d->region, sizeof d->region,
+		e) == -1 ||
 	    read_state(j, o, &d->state, e) == -1 ||
 	    fields_int(j, o, &ramp, &d->ramp_ms, e) == -1 ||
 	    json_check_unused(j, o, e) == -1)
--- a/src/adapter/objects/fields.c
+++ b/src/adapter/objects/fields.c
@@ -66,8 +66,8 @@
 }
 
 int
-fields_port(
-    struct json *j, int object, const char *key, int *port, struct kq_error *e)
+fields_port(struct json *j, int object, const char *key, int *port,
+    struct kq_error *e)
 {
 	const struct int_field field = {key, 1, PORT_MAX};
 
--- a/src/adapter/objects/fields.h
+++ b/src/adapter/objects/fields.h
@@ -24,13 +24,13 @@
 int fields_int(struct json *, int object, const struct int_field *, int *value,
     struct kq_error *);
 /** fields_port() - required port; 0 or -1 */
-int fields_port(
-    struct json *, int object, const char *key, int *port, struct kq_error *);
+int fields_port(struct json *, int object, const char *key, int *port,
+    struct kq_error *);
 /** fields_ip() - required IPv4 number; 0 or -1 */
 int fields_ip(struct json *, int object, const char *key, char *ip, size_t size,
     struct kq_error *);
 /** fields_publication() - optional id of a publication; 0 or -1 */
-int fields_publication(
-    struct json *, int object, char id[PUBLICATION_MAX], struct kq_error *);
+int fields_publication(struct json *, int object, char id[PUBLICATION_MAX],
+    struct kq_error *);
 
 #endif
--- a/src/adapter/objects/instance_read.c
+++ b/src/adapter/objects/instance_read.c
@@ -6,8 +6,8 @@
 #define INCARNATION_DIGITS 16
 
 static int
-read_incarnation(
-    struct json *j, int object, uint64_t *incarnation, struct kq_error *e)
+read_incarnation(struct json *j, int object, uint64_t *incarnation,
+    struct kq_error *e)
 {
 	const char *s;
 	int i, node = json_need(j, object, "incarnation", e);
@@ -37,8 +37,8 @@
 }
 
 int
-instance_read(
-    struct instance *i, const char *text, size_t n, struct kq_error *e)
+instance_read(struct instance *i, const char *text, size_t n,
+    struct kq_error *e)
 {
 	struct json *j = fields_open(text, n, e);
 	int o, r = 0;
@@ -48,12 +48,12 @@
 		return -1;
 	o = json_root(j);
 	if (read_incarnation(j, o, &i->incarnation, e) == -1 ||
-	    fields_name_optional(
-		j, o, "service", i->service, sizeof i->service, e) == -1 ||
+	    fields_name_optional(j, o, "service", i->service, sizeof i->service,
+		e) == -1 ||
 	    fields_name(j, o, "datacentre", i->datacentre, sizeof i->datacentre,
 		e) == -1 ||
-	    fields_name_optional(
-		j, o, "region", i->region, sizeof i->region, e) == -1 ||
+	    fields_name_optional(j, o, "region", i->region, sizeof i->region,
+		e) == -1 ||
 	    fields_ip(j, o, "ip", i->ip, sizeof i->ip, e) == -1 ||
 	    read_ports(j, o, i, e) == -1 || json_check_unused(j, o, e) == -1)
 		r = -1;
--- a/src/adapter/objects/publication.c
+++ b/src/adapter/objects/publication.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 int
-fields_publication(
-    struct json *j, int object, char id[PUBLICATION_MAX], struct kq_error *e)
+fields_publication(struct json *j, int object, char id[PUBLICATION_MAX],
+    struct kq_error *e)
 {
 	static const char chars[] =
 	    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-";
@@ -33,8 +33,8 @@
 }
 
 int
-publication_read(
-    char id[PUBLICATION_MAX], const char *text, size_t n, struct kq_error *e)
+publication_read(char id[PUBLICATION_MAX], const char *text, size_t n,
+    struct kq_error *e)
 {
 	struct json *j = fields_open(text, n, e);
 	int r;
--- a/src/adapter/objects/rules.c
+++ b/src/adapter/objects/rules.c
@@ -5,8 +5,8 @@
 #include "rule.h"
 
 static int
-read_method(
-    struct json *j, int object, struct service_rule *r, struct kq_error *e)
+read_method(struct json *j, int object, struct service_rule *r,
+    struct kq_error *e)
 {
 	static const char upper[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
 	int node = json_need(j, object, "method", e);
@@ -22,8 +22,8 @@
 }
 
 static int
-read_path(
-    struct json *j, int object, struct service_rule *r, struct kq_error *e)
+read_path(struct json *j, int object, struct service_rule *r,
+    struct kq_error *e)
 {
 	const char *star;
 	int node = json_need(j, object, "path", e);
@@ -60,8 +60,8 @@
 
 /* Refuses the last rule if an earlier one leaves nothing for it to match. */
 static int
-check_last(
-    struct json *j, int list, const struct service *s, struct kq_error *e)
+check_last(struct json *j, int list, const struct service *s,
+    struct kq_error *e)
 {
 	const struct service_rule *b = &s->rule[s->nrule - 1];
 	int node = json_item(j, list, s->nrule - 1);
--- a/src/adapter/objects/service_read.c
+++ b/src/adapter/objects/service_read.c
@@ -29,8 +29,8 @@
 static int
 read_object(struct json *j, struct service *s, struct kq_error *e)
 {
-	static const struct int_field timeout = {
-	    "timeout_ms", 1, TIMEOUT_MS_MAX};
+	static const struct int_field timeout = {"timeout_ms", 1,
+	    TIMEOUT_MS_MAX};
 	static const struct int_field queue = {"queue_max", 0, COUNT_MAX};
 	char publication[PUBLICATION_MAX];
 	int o = json_root(j);
--- a/src/adapter/objects/write.c
+++ b/src/adapter/objects/write.c
@@ -74,8 +74,8 @@
 void
 instance_write(GString *s, const struct instance *i)
 {
-	g_string_append_printf(
-	    s, "{\"incarnation\":\"%016" PRIx64 "\",", i->incarnation);
+	g_string_append_printf(s, "{\"incarnation\":\"%016" PRIx64 "\",",
+	    i->incarnation);
 	put_optional(s, "service", i->service);
 	put_string(s, "datacentre", i->datacentre);
 	put_optional(s, "region", i->region);
--- a/src/adapter/platform/request.c
+++ b/src/adapter/platform/request.c
@@ -75,8 +75,9 @@
 static uint64_t
 etag(SoupMessage *msg)
 {
-	const char *s = soup_message_headers_get_one(
-	    soup_message_get_response_headers(msg), "ETag");
+	const char *s =
+	    soup_message_headers_get_one(soup_message_get_response_headers(msg),
+		"ETag");
 
 	return s && *s == '"' ? g_ascii_strtoull(s + 1, NULL, 10) : 0;
 }
@@ -281,8 +282,8 @@
 const char *
 platform_status_name(enum platform_status s)
 {
-	static const char *const names[] = { "ok", "conflict", "absent",
-		"too-old", "over-rate", "refused", "down" };
+	static const char *const names[] = {"ok", "conflict", "absent",
+	    "too-old", "over-rate", "refused", "down"};
 
 	return names[s];
 }
--- a/src/adapter/rpc/peer_auth.c
+++ b/src/adapter/rpc/peer_auth.c
@@ -9,8 +9,8 @@
 	unsigned char h[crypto_generichash_BYTES_MIN];
 	uint32_t id;
 
-	crypto_generichash(h, sizeof h, (const unsigned char *)"key id", 6,
-	    key, PEER_KEY_LEN);
+	crypto_generichash(h, sizeof h, (const unsigned char *)"key id", 6, key,
+	    PEER_KEY_LEN);
 	memcpy(&id, h, sizeof id);
 	return id;
 }
--- a/src/adapter/rpc/wire_call.c
+++ b/src/adapter/rpc/wire_call.c
@@ -4,12 +4,13 @@
 wire_call(XDR *x, struct wire_call *c, struct wire_arena *a)
 {
 	return xdr_uint64_t(x, &c->config_version) &&
-	    xdr_uint64_t(x, &c->incarnation) && xdr_uint32_t(x, &c->left_us) &&
-	    xdr_uint32_t(x, &c->flags) && xdr_uint32_t(x, &c->retry_budget) &&
-	    xdr_uint32_t(x, &c->depth) && wire_string(x, &c->service, a) &&
-	    wire_string(x, &c->method, a) && wire_string(x, &c->path, a) &&
-	    wire_string(x, &c->id, a) && wire_string(x, &c->trace, a) &&
-	    xdr_int64_t(x, &c->length) &&
-	    wire_fields(x, &c->nfield, c->field, a) &&
-	    wire_blob(x, &c->body, &c->body_len, WIRE_CHUNK_MAX);
+	       xdr_uint64_t(x, &c->incarnation) &&
+	       xdr_uint32_t(x, &c->left_us) && xdr_uint32_t(x, &c->flags) &&
+	       xdr_uint32_t(x, &c->retry_budget) &&
+	       xdr_uint32_t(x, &c->depth) && wire_string(x, &c->service, a) &&
+	       wire_string(x, &c->method, a) && wire_string(x, &c->path, a) &&
+	       wire_string(x, &c->id, a) && wire_string(x, &c->trace, a) &&
+	       xdr_int64_t(x, &c->length) &&
+	       wire_fields(x, &c->nfield, c->field, a) &&
+	       wire_blob(x, &c->body, &c->body_len, WIRE_CHUNK_MAX);
 }
--- a/src/adapter/rpc/wire_hello.c
+++ b/src/adapter/rpc/wire_hello.c
@@ -3,6 +3,7 @@
 int
 wire_hello(XDR *x, struct wire_hello *h)
 {
-	return xdr_int64_t(x, &h->clock) && xdr_uint32_t(x, &h->key) && xdr_uint64_t(x, &h->incarnation) &&
-	    xdr_opaque(x, (char *)h->nonce, sizeof h->nonce);
+	return xdr_int64_t(x, &h->clock) && xdr_uint32_t(x, &h->key) &&
+	       xdr_uint64_t(x, &h->incarnation) &&
+	       xdr_opaque(x, (char *)h->nonce, sizeof h->nonce);
 }
--- a/src/adapter/rpc/wire_state.c
+++ b/src/adapter/rpc/wire_state.c
@@ -10,7 +10,8 @@
 wire_object(XDR *x, struct wire_object *o, struct wire_arena *a)
 {
 	return xdr_uint32_t(x, &o->kind) && xdr_uint32_t(x, &o->removed) &&
-	    xdr_uint64_t(x, &o->version) && wire_string(x, &o->name, a) && wire_string(x, &o->value, a);
+	       xdr_uint64_t(x, &o->version) && wire_string(x, &o->name, a) &&
+	       wire_string(x, &o->value, a);
 }
 
 int
--- a/src/adapter/settings/document.c
+++ b/src/adapter/settings/document.c
@@ -17,8 +17,8 @@
 	if (d->max <= 0)
 		g_string_append(out, "| ");
 	else if (d->type == SETTING_PEERS || d->type == SETTING_KEYS)
-		g_string_append_printf(
-		    out, "| %.0f to %.0f entries ", d->min, d->max);
+		g_string_append_printf(out, "| %.0f to %.0f entries ", d->min,
+		    d->max);
 	else
 		g_string_append_printf(out, "| %.0f to %.0f ", d->min, d->max);
 }
--- a/src/adapter/settings/keys.c
+++ b/src/adapter/settings/keys.c
@@ -27,8 +27,8 @@
 }
 
 int
-settings_keys_read(
-    struct settings *s, struct json *j, int object, struct kq_error *e)
+settings_keys_read(struct settings *s, struct json *j, int object,
+    struct kq_error *e)
 {
 	int i, list, r = json_get_array(j, object, "fleet_keys", &list, e);
 
@@ -69,8 +69,8 @@
 }
 
 int
-settings_key_file_read(
-    struct settings *s, struct json *j, int object, struct kq_error *e)
+settings_key_file_read(struct settings *s, struct json *j, int object,
+    struct kq_error *e)
 {
 	const char *wrong;
 	char *text;
--- a/src/adapter/settings/print.c
+++ b/src/adapter/settings/print.c
@@ -95,13 +95,13 @@
 			comma = ",";
 		}
 		if (d->group && !same_group(group, d->group)) {
-			g_string_append_printf(
-			    out, "%s\n\t\"%s\": {", comma, d->group);
+			g_string_append_printf(out, "%s\n\t\"%s\": {", comma,
+			    d->group);
 			comma = "";
 		}
 		group = d->group;
-		g_string_append_printf(
-		    out, "%s\n\t%s\"%s\": ", comma, group ? "\t" : "", d->key);
+		g_string_append_printf(out, "%s\n\t%s\"%s\": ", comma,
+		    group ? "\t" : "", d->key);
 		print_value(out, s, d);
 		comma = ",";
 	}
--- a/src/adapter/settings/read.c
+++ b/src/adapter/settings/read.c
@@ -88,8 +88,8 @@
 }
 
 int
-settings_read(
-    struct settings *s, const char *text, size_t n, struct kq_error *e)
+settings_read(struct settings *s, const char *text, size_t n,
+    struct kq_error *e)
 {
 	struct json *j = fields_open(text, n, e);
 	int r;
--- a/src/adapter/settings/table.h
+++ b/src/adapter/settings/table.h
@@ -44,14 +44,14 @@
 int settings_value_read(struct settings *, const struct setting *,
     struct json *, int object, struct kq_error *);
 /** settings_peers_read() - read "peers"; 0 or -1 */
-int settings_peers_read(
-    struct settings *, struct json *, int object, struct kq_error *);
+int settings_peers_read(struct settings *, struct json *, int object,
+    struct kq_error *);
 /** settings_keys_read() - read "fleet_keys"; 0 or -1 */
-int settings_keys_read(
-    struct settings *, struct json *, int object, struct kq_error *);
+int settings_keys_read(struct settings *, struct json *, int object,
+    struct kq_error *);
 /** settings_key_file_read() - read the file of "fleet_key_file", one key a
  * line; 0 or -1 */
-int settings_key_file_read(
-    struct settings *, struct json *, int object, struct kq_error *);
+int settings_key_file_read(struct settings *, struct json *, int object,
+    struct kq_error *);
 
 #endif
--- a/src/adapter/settings/value.c
+++ b/src/adapter/settings/value.c
@@ -15,8 +15,8 @@
 read_int64(int64_t *value, const struct setting *d, struct json *j, int object,
     struct kq_error *e)
 {
-	int r = json_get_int(
-	    j, object, d->key, (int64_t)d->min, (int64_t)d->max, value, e);
+	int r = json_get_int(j, object, d->key, (int64_t)d->min,
+	    (int64_t)d->max, value, e);
 
 	if (r == 0)
 		*value =
@@ -38,8 +38,8 @@
 const char *
 log_level_name(enum log_level level)
 {
-	static const char *const names[] = {
-	    "error", "warning", "info", "debug"};
+	static const char *const names[] = {"error", "warning", "info",
+	    "debug"};
 
 	return names[level];
 }
--- a/src/core/config/idempotent.c
+++ b/src/core/config/idempotent.c
@@ -5,8 +5,8 @@
 #define PATH_BYTES 2048 /* a longer path matches no rule */
 
 int
-service_idempotent(
-    const struct service *s, const char *method, const char *path)
+service_idempotent(const struct service *s, const char *method,
+    const char *path)
 {
 	char plain[PATH_BYTES];
 	size_t n = strcspn(path, "?");
--- a/src/core/config/rule.c
+++ b/src/core/config/rule.c
@@ -57,8 +57,8 @@
 }
 
 int
-service_rule_matches(
-    const struct service_rule *r, const char *method, const char *path)
+service_rule_matches(const struct service_rule *r, const char *method,
+    const char *path)
 {
 	return method_covers(r->method, method) && path_matches(r, path);
 }
--- a/src/core/error.c
+++ b/src/core/error.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 int
-kq_error_set(
-    struct kq_error *e, enum kq_layer layer, int code, const char *fmt, ...)
+kq_error_set(struct kq_error *e, enum kq_layer layer, int code, const char *fmt,
+    ...)
 {
 	va_list ap;
 
@@ -22,8 +22,8 @@
 }
 
 int
-kq_error_wrap(
-    struct kq_error *e, enum kq_layer layer, int code, const char *fmt, ...)
+kq_error_wrap(struct kq_error *e, enum kq_layer layer, int code,
+    const char *fmt, ...)
 {
 	char below[KQ_ERROR_TEXT_MAX];
 	va_list ap;
--- a/src/core/retry/ask.c
+++ b/src/core/retry/ask.c
@@ -1,8 +1,8 @@
 #include "impl.h"
 
 enum retry_verdict
-retry_ask(
-    struct retry *r, struct retry_call *c, enum retry_cause why, int64_t now)
+retry_ask(struct retry *r, struct retry_call *c, enum retry_cause why,
+    int64_t now)
 {
 	if (why == RETRY_FINAL)
 		return RETRY_NO_FINAL;
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -22,8 +22,8 @@
 	rng_seed(&c->rng, incarnation ^ 1);
 	task_init(&c->task, "control");
 	c->config = config_new(control_changed, c);
-	c->forgotten = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-	    g_free, NULL);
+	c->forgotten =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	c->leave_waiting = g_ptr_array_new();
 	g_main_context_push_thread_default(c->task.context);
 	if (control_open_udp(c, e) || control_open_operators(c, e)) {
@@ -129,11 +129,11 @@
 }
 
 const struct data_events control_data_events = {
-	.behind = on_behind,
-	.pull = on_pull,
-	.page = on_page,
-	.drained = on_drained,
-	.target_idle = on_target_idle,
+    .behind = on_behind,
+    .pull = on_pull,
+    .page = on_page,
+    .drained = on_drained,
+    .target_idle = on_target_idle,
 };
 
 static void
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -12,8 +12,8 @@
 struct control;
 
 /** control_new() - open its sockets; the data task must exist already */
-struct control *control_new(const struct settings *, uint64_t incarnation,
-    struct kq_error *);
+struct control *
+control_new(const struct settings *, uint64_t incarnation, struct kq_error *);
 /** control_set_data() - the data task it works for, before control_start() */
 void control_set_data(struct control *, struct data *);
 void control_start(struct control *);
--- a/src/daemon/control_config.c
+++ b/src/daemon/control_config.c
@@ -28,7 +28,7 @@
 add_object(struct control *c, struct view *v, const struct config_object *o)
 {
 	struct view_instance *vi = &v->instance[v->ninstance];
-	struct kq_error e = { 0 };
+	struct kq_error e = {0};
 	const char *text;
 	gsize n;
 	int bad;
@@ -101,7 +101,7 @@
 control_apply(struct control *c, const struct config_batch *b)
 {
 	uint64_t before = config_complete(c->config);
-	struct kq_error e = { 0 };
+	struct kq_error e = {0};
 
 	if (config_apply(c->config, b, &e) == CONFIG_WENT_BACK)
 		log_event(EVENT_PLATFORM_WENT_BACK, G_LOG_LEVEL_WARNING,
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -11,6 +11,7 @@
 #include "objects.h"
 #include "platform.h"
 #include "rng.h"
+#include "wire.h"
 
 #define WATCHERS_PER_DATACENTRE 2
 #define WATCH_WAIT_MS 20000
@@ -70,7 +71,8 @@
 	void *leave_ctx;
 
 	SoupServer *operators;
-	GPtrArray *leave_waiting; /* messages answered when the target is idle */
+	GPtrArray
+	    *leave_waiting; /* messages answered when the target is idle */
 };
 
 int64_t control_now(const struct control *);
@@ -105,7 +107,7 @@
 void control_member_arm(struct control *);
 void control_member_start(struct control *);
 void control_learn(struct control *, const struct config_object *);
-int control_live(const struct control *, uint64_t incarnation);
+int control_live(const struct control *, uint64_t id);
 
 /* platform */
 void control_platform_start(struct control *);
--- a/src/daemon/control_operators.c
+++ b/src/daemon/control_operators.c
@@ -37,18 +37,18 @@
 		return -1;
 	g_strlcpy(t->ip, c->settings.ip, sizeof t->ip);
 	if (json_need(j, root, "service", e) == JSON_NONE ||
-	    json_get_string(j, root, "service", t->service,
-		sizeof t->service, e) != 1 ||
+	    json_get_string(j, root, "service", t->service, sizeof t->service,
+		e) != 1 ||
 	    json_need(j, root, "port", e) == JSON_NONE ||
 	    json_get_int(j, root, "port", 1, 65535, &port, e) != 1 ||
 	    json_need(j, root, "slots", e) == JSON_NONE ||
 	    json_get_int(j, root, "slots", 1, 100000, &slots, e) != 1 ||
 	    json_need(j, root, "connections", e) == JSON_NONE ||
-	    json_get_int(j, root, "connections", 1, 100000, &connections,
-		e) != 1 ||
+	    json_get_int(j, root, "connections", 1, 100000, &connections, e) !=
+		1 ||
 	    json_need(j, root, "start", e) == JSON_NONE ||
-	    json_get_string(j, root, "start", t->start, sizeof t->start,
-		e) != 1 ||
+	    json_get_string(j, root, "start", t->start, sizeof t->start, e) !=
+		1 ||
 	    json_get_string(j, root, "ip", t->ip, sizeof t->ip, e) < 0)
 		return -1;
 	t->port = port;
@@ -61,8 +61,8 @@
 announce(struct control *c, SoupServerMessage *msg)
 {
 	SoupMessageBody *body = soup_server_message_get_request_body(msg);
-	struct data_target t = { 0 };
-	struct kq_error e = { 0 };
+	struct data_target t = {0};
+	struct kq_error e = {0};
 	struct json *j;
 	int bad;
 
@@ -158,9 +158,9 @@
 	    ",\"registered\":%s,\"leaving\":%s,\"may_act\":%s}\n",
 	    c->incarnation, config_complete(c->config), c->rules_version,
 	    config_highest(c->config), member_count(c->members),
-	    !c->platform	 ? "none"
-		: c->platform_down ? "down"
-				   : "up",
+	    !c->platform       ? "none"
+	    : c->platform_down ? "down"
+			       : "up",
 	    c->watching ? "true" : "false",
 	    c->registration == REG_DONE ? "true" : "false",
 	    c->leaving ? "true" : "false", c->may_act ? "true" : "false");
@@ -170,8 +170,8 @@
 static void
 append_member(GString *t, const struct member *m)
 {
-	static const char *const states[] = { "alive", "suspect", "dead",
-		"left" };
+	static const char *const states[] = {"alive", "suspect", "dead",
+	    "left"};
 
 	g_string_append_printf(t,
 	    "{\"incarnation\":\"%016" G_GINT64_MODIFIER
@@ -297,10 +297,10 @@
     GHashTable *query, gpointer ctx)
 {
 	SoupMessageBody *body = soup_server_message_get_request_body(msg);
-	struct config_object o = { 0 };
-	struct config_batch b = { 0 };
+	struct config_object o = {0};
+	struct config_batch b = {0};
 	struct control *c = ctx;
-	struct kq_error e = { 0 };
+	struct kq_error e = {0};
 	struct json *j;
 	int bad;
 
@@ -348,7 +348,8 @@
 		kq_error_set(e, KQ_LAYER_DAEMON, 1, "operator_port: %s:%d: %s",
 		    s->ip, s->operator_port, err ? err->message : "bad ip");
 		g_clear_error(&err);
-		g_clear_object(&a);
+		if (a)
+			g_object_unref(a);
 		return -1;
 	}
 	g_object_unref(a);
--- a/src/daemon/control_platform.c
+++ b/src/daemon/control_platform.c
@@ -130,15 +130,14 @@
 	if (!c->platform)
 		return;
 	/* Peers named in the settings are asked first. */
-	watch_again(c,
-	    c->settings.npeer ? PLATFORM_PAUSE_MIN_US : 0);
+	watch_again(c, c->settings.npeer ? PLATFORM_PAUSE_MIN_US : 0);
 }
 
 static void
 write_instance(struct control *c, GString *text)
 {
 	const struct settings *s = &c->settings;
-	struct instance in = { 0 };
+	struct instance in = {0};
 
 	in.incarnation = c->incarnation;
 	g_strlcpy(in.service, c->has_target ? c->target.service : "",
@@ -163,8 +162,7 @@
 {
 	c->register_timer.fire = register_due;
 	c->register_timer.ctx = c;
-	io_timer_set(c->task.loop, &c->register_timer,
-	    control_now(c) + pause);
+	io_timer_set(c->task.loop, &c->register_timer, control_now(c) + pause);
 }
 
 static void
--- a/src/daemon/data.c
+++ b/src/daemon/data.c
@@ -70,17 +70,17 @@
 }
 
 static const struct peer_ops ops = {
-	.opened = conn_opened,
-	.closed = conn_closed,
-	.call = inbound_call,
-	.reply = outbound_reply,
-	.body = conn_body,
-	.credit = conn_credit,
-	.cancel = inbound_cancel,
-	.probe = inbound_probe,
-	.load = outbound_load,
-	.pull = conn_pull,
-	.state = outbound_state,
+    .opened = conn_opened,
+    .closed = conn_closed,
+    .call = inbound_call,
+    .reply = outbound_reply,
+    .body = conn_body,
+    .credit = conn_credit,
+    .cancel = inbound_cancel,
+    .probe = inbound_probe,
+    .load = outbound_load,
+    .pull = conn_pull,
+    .state = outbound_state,
 };
 
 static void
@@ -136,9 +136,9 @@
 open_ports(struct data *d, struct kq_error *e)
 {
 	const struct settings *s = &d->settings;
-	struct http_limits limits = { s->head_bytes, s->connections,
-		s->head_ms, s->idle_ms };
-	struct peer_keys keys = { 0 };
+	struct http_limits limits = {s->head_bytes, s->connections, s->head_ms,
+	    s->idle_ms};
+	struct peer_keys keys = {0};
 
 	keys.nkey = s->nkey;
 	memcpy(keys.key, s->fleet_key, sizeof keys.key);
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -44,8 +44,8 @@
 	void (*behind)(void *ctx, uint64_t version, uint64_t incarnation);
 	void (*pull)(void *ctx, uint64_t conn, uint32_t xid, uint64_t after,
 	    int full_next);
-	void (*page)(void *ctx, uint64_t incarnation,
-	    struct config_batch *page);
+	void (
+	    *page)(void *ctx, uint64_t incarnation, struct config_batch *page);
 	void (*drained)(void *ctx);
 	void (*target_idle)(void *ctx);
 };
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -242,8 +242,8 @@
 
 /* outbound */
 extern const struct http_server_ops outbound_server_ops;
-void outbound_request(void *ctx, struct http_exchange *,
-    const struct http_head *);
+void
+outbound_request(void *ctx, struct http_exchange *, const struct http_head *);
 void outbound_start(struct out_call *);
 void outbound_try(struct out_call *);
 int outbound_attempt(struct out_call *);
@@ -268,8 +268,8 @@
     const struct wire_state *);
 void outbound_drained(void *ctx, struct http_exchange *);
 void outbound_take_view(struct data *);
-struct out_peer *out_peer_new(struct data *, uint64_t incarnation,
-    const char *ip, int port);
+struct out_peer *
+out_peer_new(struct data *, uint64_t incarnation, const char *ip, int port);
 int out_peer_connect(struct out_peer *);
 void out_peer_opened(struct out_peer *);
 void out_peer_closed(struct out_peer *);
@@ -285,7 +285,7 @@
 void inbound_reply_head(struct in_call *, uint32_t outcome, const void *body,
     size_t len, int more);
 void inbound_answer_body(struct in_call *, const void *, size_t, int last,
-    int broken);
+    int cut);
 void inbound_answer_pump(struct in_call *);
 void inbound_free(struct in_call *);
 void inbound_body(struct peer_conn *, const struct wire_body *);
--- a/src/daemon/data_messages.c
+++ b/src/daemon/data_messages.c
@@ -106,8 +106,8 @@
 	m->after = b->after;
 	m->upto = b->upto;
 	m->complete = b->complete;
-	m->flags = (b->more ? WIRE_STATE_MORE : 0) |
-	    (b->full ? WIRE_STATE_FULL : 0);
+	m->flags =
+	    (b->more ? WIRE_STATE_MORE : 0) | (b->full ? WIRE_STATE_FULL : 0);
 	m->nobject = b->nobject;
 	for (i = 0; i < b->nobject; i++) {
 		o = &m->object[i];
@@ -117,8 +117,8 @@
 		o->name = b->object[i].name;
 		o->value = NULL;
 		if (b->object[i].value)
-			o->value = (char *)g_bytes_get_data(b->object[i].value,
-			    NULL);
+			o->value =
+			    (char *)g_bytes_get_data(b->object[i].value, NULL);
 	}
 }
 
--- a/src/daemon/data_report.c
+++ b/src/daemon/data_report.c
@@ -85,8 +85,7 @@
 	    "x\",\"datacentre\":\"%s\",\"ip\":\"%s\",\"peer_port\":%d,"
 	    "\"connected\":%s,\"in_flight\":%u,\"pressure\":%.3f}",
 	    comma ? "," : "", s->conf.name, p->incarnation, p->datacentre,
-	    p->ip, p->port,
-	    p->conn && peer_is_open(p->conn) ? "true" : "false",
+	    p->ip, p->port, p->conn && peer_is_open(p->conn) ? "true" : "false",
 	    pick_in_flight(s->pick, p->handle), pick_pressure(s->pick));
 }
 
--- a/src/daemon/inbound_answer.c
+++ b/src/daemon/inbound_answer.c
@@ -40,7 +40,7 @@
 static int
 send_chunk(struct in_call *c, const void *p, size_t n, int flags)
 {
-	struct wire_body m = { c->xid, flags | WIRE_BODY_ANSWER, p, n };
+	struct wire_body m = {c->xid, flags | WIRE_BODY_ANSWER, p, n};
 
 	c->answer_credit -= n;
 	return peer_send_body(c->conn, &m);
@@ -112,11 +112,10 @@
 	if (c->answer_held) {
 		/* More may follow a first chunk that is all there is so far. */
 		inbound_reply_head(c, WIRE_ANSWER, p, first,
-		    !last &&
-			!(c->answer.length >= 0 &&
-			    (uint64_t)c->answer.length == first));
+		    !last && !(c->answer.length >= 0 &&
+				 (uint64_t)c->answer.length == first));
 		c->answer_whole = !last && c->answer.length >= 0 &&
-		    (uint64_t)c->answer.length == first;
+				  (uint64_t)c->answer.length == first;
 		if (last) {
 			inbound_free(c);
 			return;
@@ -127,8 +126,8 @@
 	if (n)
 		hold_back(c, p, n);
 	c->answer_done = last;
-	if (last && (c->answer_whole || !c->answer_body ||
-		!c->answer_body->len)) {
+	if (last &&
+	    (c->answer_whole || !c->answer_body || !c->answer_body->len)) {
 		if (!c->answer_whole)
 			send_chunk(c, NULL, 0, WIRE_BODY_LAST);
 		inbound_free(c);
--- a/src/daemon/inbound_call.c
+++ b/src/daemon/inbound_call.c
@@ -25,9 +25,8 @@
 	do {
 		c->tag = ++d->next_tag;
 	} while (!c->tag ||
-	    g_hash_table_contains(d->in_calls, GUINT_TO_POINTER(c->tag)));
-	head_copy(&c->head, m->method, m->path, m->length, m->field,
-	    m->nfield);
+		 g_hash_table_contains(d->in_calls, GUINT_TO_POINTER(c->tag)));
+	head_copy(&c->head, m->method, m->path, m->length, m->field, m->nfield);
 	c->idempotent = !!(m->flags & WIRE_CALL_IDEMPOTENT);
 	c->repeat = !!(m->flags & WIRE_CALL_REPEAT);
 	c->started = data_now(d);
@@ -94,12 +93,12 @@
 admit_to_wire(enum admit_reason r)
 {
 	static const uint32_t map[ADMIT_REASONS] = {
-		[ADMIT_OK] = WIRE_REASON_NO_TARGET,
-		[ADMIT_FULL] = WIRE_REASON_FULL,
-		[ADMIT_DEADLINE] = WIRE_REASON_DEADLINE,
-		[ADMIT_COLD] = WIRE_REASON_COLD,
-		[ADMIT_DRAINING] = WIRE_REASON_DRAINING,
-		[ADMIT_OUT] = WIRE_REASON_OUT,
+	    [ADMIT_OK] = WIRE_REASON_NO_TARGET,
+	    [ADMIT_FULL] = WIRE_REASON_FULL,
+	    [ADMIT_DEADLINE] = WIRE_REASON_DEADLINE,
+	    [ADMIT_COLD] = WIRE_REASON_COLD,
+	    [ADMIT_DRAINING] = WIRE_REASON_DRAINING,
+	    [ADMIT_OUT] = WIRE_REASON_OUT,
 	};
 
 	return map[r];
@@ -118,7 +117,7 @@
 static int
 first_arrival(struct in_call *c)
 {
-	struct once_request r = { c->id, c->deadline, c };
+	struct once_request r = {c->id, c->deadline, c};
 	const struct once_answer *kept;
 	struct data *d = c->data;
 	uint64_t handle;
@@ -164,8 +163,7 @@
 	if (!c->idempotent && !first_arrival(c))
 		return;
 	if (!target_serves(d, c)) {
-		refuse_admit(c,
-		    d->target_draining ? ADMIT_DRAINING : ADMIT_OK);
+		refuse_admit(c, d->target_draining ? ADMIT_DRAINING : ADMIT_OK);
 		return;
 	}
 	switch (admit_request(d->admit, data_now(d), c->deadline, c->tag,
--- a/src/daemon/inbound_conn.c
+++ b/src/daemon/inbound_conn.c
@@ -11,7 +11,7 @@
 static void
 owe_credit(struct in_call *c, size_t n)
 {
-	struct wire_credit m = { c->xid, 0, 0 };
+	struct wire_credit m = {c->xid, 0, 0};
 
 	c->body_owed += n;
 	if (c->body_owed < WIRE_WINDOW / 4 || !c->conn)
@@ -29,8 +29,8 @@
 
 	if (!c->target_call)
 		return;
-	if (n && http_call_write(c->target_call, c->body->data, n) >
-	    WIRE_WINDOW)
+	if (n &&
+	    http_call_write(c->target_call, c->body->data, n) > WIRE_WINDOW)
 		return;
 	g_byte_array_set_size(c->body, 0);
 	owe_credit(c, n);
--- a/src/daemon/inbound_target.c
+++ b/src/daemon/inbound_target.c
@@ -44,8 +44,7 @@
 		http_pool_free(d->pool);
 	d->pool = http_pool_new(d->task.loop, d->target.ip, d->target.port,
 	    d->target.connections, TARGET_SPARE_CONNECTIONS, &limits);
-	budget_init(&d->measure_budget, s ? s->measure_per_s : 0,
-	    data_now(d));
+	budget_init(&d->measure_budget, s ? s->measure_per_s : 0, data_now(d));
 	inbound_measure_start(d);
 }
 
@@ -53,15 +52,16 @@
 same_target(const struct data_target *a, const struct data_target *b)
 {
 	return a->port == b->port && !strcmp(a->ip, b->ip) &&
-	    !strcmp(a->service, b->service) && a->slots == b->slots &&
-	    a->connections == b->connections;
+	       !strcmp(a->service, b->service) && a->slots == b->slots &&
+	       a->connections == b->connections;
 }
 
 /* Calls on the old target's connections end before it is replaced. */
 static int
 busy(const struct data *d)
 {
-	return d->admit && (admit_in_flight(d->admit) || admit_queued(d->admit));
+	return d->admit &&
+	       (admit_in_flight(d->admit) || admit_queued(d->admit));
 }
 
 void
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -46,8 +46,8 @@
 static GLogLevelFlags
 log_flags(enum log_level l)
 {
-	static const GLogLevelFlags flags[] = { G_LOG_LEVEL_CRITICAL,
-		G_LOG_LEVEL_WARNING, G_LOG_LEVEL_INFO, G_LOG_LEVEL_DEBUG };
+	static const GLogLevelFlags flags[] = {G_LOG_LEVEL_CRITICAL,
+	    G_LOG_LEVEL_WARNING, G_LOG_LEVEL_INFO, G_LOG_LEVEL_DEBUG};
 
 	return flags[l];
 }
@@ -67,14 +67,14 @@
 run(const struct settings *s)
 {
 	uint64_t incarnation = new_incarnation();
-	struct program p = { 0 };
-	struct kq_error e = { 0 };
+	struct program p = {0};
+	struct kq_error e = {0};
 	struct data *d;
 
 	p.control = control_new(s, incarnation, &e);
-	d = p.control ? data_new(s, incarnation, &control_data_events,
-			    p.control, &e)
-		      : NULL;
+	d = p.control
+		? data_new(s, incarnation, &control_data_events, p.control, &e)
+		: NULL;
 	if (!d) {
 		log_event(EVENT_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL, 0, "%s",
 		    e.text);
@@ -114,7 +114,7 @@
 static int
 load(const char *path, struct settings *s)
 {
-	struct kq_error e = { 0 };
+	struct kq_error e = {0};
 
 	if (!settings_load(s, path, &e))
 		return 0;
@@ -129,15 +129,15 @@
 int
 main(int argc, char **argv)
 {
-	struct arg_file *file = arg_file1("s", "settings", "FILE",
-	    "settings, JSON with comments");
+	struct arg_file *file =
+	    arg_file1("s", "settings", "FILE", "settings, JSON with comments");
 	struct arg_lit *check = arg_lit0(NULL, "check-settings",
 	    "read the settings, say what is wrong, and exit");
 	struct arg_lit *print = arg_lit0(NULL, "print-settings",
 	    "print the settings in force, without keys, and exit");
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { file, check, print, help, end };
+	void *table[] = {file, check, print, help, end};
 	static struct settings s;
 	int errors = arg_parse(argc, argv, table);
 
--- a/src/daemon/out_peer.c
+++ b/src/daemon/out_peer.c
@@ -43,7 +43,7 @@
 static void
 send_pull(struct out_peer *p)
 {
-	struct wire_pull m = { p->pull_after, p->pull_full_next };
+	struct wire_pull m = {p->pull_after, p->pull_full_next};
 
 	p->pull_wanted = 0;
 	p->pull_xid = peer_send_pull(p->conn, &m);
--- a/src/daemon/outbound_attempt.c
+++ b/src/daemon/outbound_attempt.c
@@ -128,7 +128,7 @@
 	m->incarnation = a->peer->incarnation;
 	m->left_us = left_us(c, now);
 	m->flags = (c->idempotent ? WIRE_CALL_IDEMPOTENT : 0) |
-	    (c->repeat ? WIRE_CALL_REPEAT : 0);
+		   (c->repeat ? WIRE_CALL_REPEAT : 0);
 	m->retry_budget = retry_sent(&c->retry);
 	m->depth = c->retry.depth + 1;
 	m->service = c->service->conf.name;
@@ -221,8 +221,8 @@
 void
 outbound_credit(struct out_peer *p, const struct wire_credit *m)
 {
-	struct out_attempt *a = g_hash_table_lookup(p->attempts,
-	    GUINT_TO_POINTER(m->call));
+	struct out_attempt *a =
+	    g_hash_table_lookup(p->attempts, GUINT_TO_POINTER(m->call));
 
 	if (!a || m->bytes > WIRE_WINDOW - a->credit)
 		return;
--- a/src/daemon/outbound_reply.c
+++ b/src/daemon/outbound_reply.c
@@ -42,7 +42,7 @@
 static void
 give_credit(struct out_call *c, struct out_attempt *a)
 {
-	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, c->answer_owed };
+	struct wire_credit m = {a->xid, WIRE_BODY_ANSWER, c->answer_owed};
 
 	if (!c->answer_owed || !a->peer->conn)
 		return;
@@ -72,9 +72,9 @@
 
 	memcpy(f, m->field, n * sizeof *f);
 	if (c->id[0])
-		f[n++] = (struct http_field) { FIELD_REQUEST_ID, c->id };
+		f[n++] = (struct http_field){FIELD_REQUEST_ID, c->id};
 	if (m->outcome == WIRE_KEPT)
-		f[n++] = (struct http_field) { FIELD_OUTCOME, "kept" };
+		f[n++] = (struct http_field){FIELD_OUTCOME, "kept"};
 	c->state = OUT_ANSWERING;
 	c->winner = a;
 	http_exchange_head(c->exchange, m->status, f, n, m->length);
@@ -181,8 +181,8 @@
 void
 outbound_body(struct out_peer *p, const struct wire_body *m)
 {
-	struct out_attempt *a = g_hash_table_lookup(p->attempts,
-	    GUINT_TO_POINTER(m->call));
+	struct out_attempt *a =
+	    g_hash_table_lookup(p->attempts, GUINT_TO_POINTER(m->call));
 
 	if (!a || a->call->winner != a)
 		return;
--- a/src/daemon/outbound_request.c
+++ b/src/daemon/outbound_request.c
@@ -11,8 +11,8 @@
 answer_bad(struct http_exchange *x, int status, const char *reason,
     const char *text)
 {
-	struct http_field f[] = { { FIELD_OUTCOME, "not-run" },
-		{ FIELD_REASON, reason }, { "Content-Type", "text/plain" } };
+	struct http_field f[] = {{FIELD_OUTCOME, "not-run"},
+	    {FIELD_REASON, reason}, {"Content-Type", "text/plain"}};
 
 	http_exchange_set_ctx(x, NULL);
 	http_exchange_head(x, status, f, 3, strlen(text));
@@ -106,8 +106,7 @@
 	c->started = data_now(d);
 	c->idempotent = service_idempotent(&s->conf, h->method, h->path);
 	c->body = g_byte_array_new();
-	head_copy(&c->head, h->method, h->path, h->length, h->field,
-	    h->nfield);
+	head_copy(&c->head, h->method, h->path, h->length, h->field, h->nfield);
 	if (trace)
 		g_strlcpy(c->trace, trace, sizeof c->trace);
 	g_hash_table_add(d->out_calls, c);
--- a/src/daemon/outbound_view.c
+++ b/src/daemon/outbound_view.c
@@ -67,7 +67,7 @@
 serves(const struct data *d, const struct view_instance *vi)
 {
 	return vi->live && vi->instance.service[0] &&
-	    !view_out(d->view, vi->instance.datacentre);
+	       !view_out(d->view, vi->instance.datacentre);
 }
 
 static void
@@ -95,8 +95,7 @@
 	if (p->seen || p->pull_wanted || p->pull_xid)
 		return FALSE;
 	out_peer_retire(p);
-	return !p->conn && !p->waiting->len &&
-	    !g_hash_table_size(p->attempts);
+	return !p->conn && !p->waiting->len && !g_hash_table_size(p->attempts);
 }
 
 /* An instance that is gone or held for dead answers nobody any more. */
--- a/src/daemon/view.h
+++ b/src/daemon/view.h
@@ -41,8 +41,7 @@
 
 void view_free(struct view *);
 const struct service *view_service(const struct view *, const char *name);
-const struct datacentre *view_datacentre(const struct view *,
-    const char *name);
+const struct datacentre *view_datacentre(const struct view *, const char *name);
 /** view_out() - nonzero when a data centre is out; one that has no object is
  * in */
 int view_out(const struct view *, const char *datacentre);
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -46,31 +46,31 @@
 
 enum admit_reason {
 	ADMIT_OK,
-	ADMIT_FULL,	/* the queue is full */
+	ADMIT_FULL, /* the queue is full */
 	ADMIT_DEADLINE, /* can't be done before its deadline */
-	ADMIT_COLD,	/* the target is cold and the queue is full */
+	ADMIT_COLD, /* the target is cold and the queue is full */
 	ADMIT_DRAINING, /* the target is leaving */
-	ADMIT_OUT,	/* the data centre is out */
+	ADMIT_OUT, /* the data centre is out */
 	ADMIT_REASONS
 };
 
 enum admit_outcome {
-	ADMIT_GOOD,	/* a whole answer */
-	ADMIT_FAILED,	/* the target answered that it failed */
-	ADMIT_RESET,	/* connection refused, reset or cut by the target */
-	ADMIT_SHED,	/* the target said that it did not run the request */
+	ADMIT_GOOD, /* a whole answer */
+	ADMIT_FAILED, /* the target answered that it failed */
+	ADMIT_RESET, /* connection refused, reset or cut by the target */
+	ADMIT_SHED, /* the target said that it did not run the request */
 	ADMIT_CANCELLED /* given up by the caller; says nothing of the target */
 };
 
 /** enum admit_fall - why a target was last taken for cold */
 enum admit_fall {
 	ADMIT_FALL_NEW,
-	ADMIT_FALL_START,    /* start id changed */
-	ADMIT_FALL_RESET,    /* connection reset */
+	ADMIT_FALL_START, /* start id changed */
+	ADMIT_FALL_RESET, /* connection reset */
 	ADMIT_FALL_FAILURES, /* burst of failures */
-	ADMIT_FALL_LATENCY,  /* latency jump */
-	ADMIT_FALL_STALL,    /* requests in flight and none completed */
-	ADMIT_FALL_IDLE,     /* idle for long */
+	ADMIT_FALL_LATENCY, /* latency jump */
+	ADMIT_FALL_STALL, /* requests in flight and none completed */
+	ADMIT_FALL_IDLE, /* idle for long */
 	ADMIT_FALLS
 };
 
@@ -98,9 +98,9 @@
 
 /** struct admit_counters - sums since the start */
 struct admit_counters {
-	uint64_t run;	    /* given to the target */
-	uint64_t waited;    /* of these, after the queue */
-	uint64_t queued;    /* put into the queue */
+	uint64_t run; /* given to the target */
+	uint64_t waited; /* of these, after the queue */
+	uint64_t queued; /* put into the queue */
 	uint64_t cancelled; /* left the queue by admit_cancel() */
 	uint64_t refused[ADMIT_REASONS];
 	uint64_t fell[ADMIT_FALLS];
@@ -126,8 +126,8 @@
 admit_request(struct admit *, int64_t now, int64_t deadline, uint32_t tag,
     struct admit_run *run, uint32_t *handle, enum admit_reason *reason);
 /** admit_done() - a request in flight has ended */
-void admit_done(
-    struct admit *, int64_t now, const struct admit_run *, enum admit_outcome);
+void admit_done(struct admit *, int64_t now, const struct admit_run *,
+    enum admit_outcome);
 /** admit_cancel() - the caller of a waiting request went away; a handle that
  * already left the queue is ignored. Return: nonzero if it was waiting */
 int admit_cancel(struct admit *, uint32_t handle);
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -23,10 +23,10 @@
  * moves with the last page, to what the source held complete at the first.
  */
 
-#define CONFIG_NAME_MAX 64	   /* bytes with the final NUL */
-#define CONFIG_VALUE_MAX 1048576   /* bytes */
+#define CONFIG_NAME_MAX 64 /* bytes with the final NUL */
+#define CONFIG_VALUE_MAX 1048576 /* bytes */
 #define CONFIG_TOMBSTONES_MAX 4096 /* older ones are dropped */
-#define CONFIG_SOURCE_PLATFORM 0   /* source of batches from the platform */
+#define CONFIG_SOURCE_PLATFORM 0 /* source of batches from the platform */
 
 enum config_kind { CONFIG_SERVICE, CONFIG_DATACENTRE, CONFIG_INSTANCE };
 #define CONFIG_KINDS 3
@@ -72,22 +72,22 @@
 };
 
 enum config_outcome {
-	CONFIG_APPLIED,	  /* complete version moved, or a page was taken */
-	CONFIG_OLD,	  /* nothing new in it */
-	CONFIG_GAP,	  /* objects taken, but the complete version stays: the
-			     batch begins after it, or is not one */
+	CONFIG_APPLIED, /* complete version moved, or a page was taken */
+	CONFIG_OLD, /* nothing new in it */
+	CONFIG_GAP, /* objects taken, but the complete version stays: the
+		       batch begins after it, or is not one */
 	CONFIG_WENT_BACK, /* platform's version is below ours: refused */
 	CONFIG_CONFLICT /* an object differs at the version we hold: refused */
 };
 
 /** struct config_counts - totals since the table was made */
 struct config_counts {
-	uint64_t taken;	    /* objects that became newer */
-	uint64_t old;	    /* objects refused as not newer */
-	uint64_t gaps;	    /* batches that could not move the version */
+	uint64_t taken; /* objects that became newer */
+	uint64_t old; /* objects refused as not newer */
+	uint64_t gaps; /* batches that could not move the version */
 	uint64_t went_back; /* batches refused with a lower platform version */
 	uint64_t conflicts; /* objects that differed at an equal version */
-	uint64_t bad;	    /* objects with a bad kind, name or value */
+	uint64_t bad; /* objects with a bad kind, name or value */
 };
 
 /** config_changed_fn - one object became newer; it may not call the table */
@@ -100,8 +100,8 @@
 
 /** config_apply() - take what is newer in a batch or page; outcomes other than
  * CONFIG_APPLIED fill in the error if they refuse or lack something */
-enum config_outcome config_apply(
-    struct config_table *, const struct config_batch *, struct kq_error *);
+enum config_outcome config_apply(struct config_table *,
+    const struct config_batch *, struct kq_error *);
 /** config_complete() - version up to which nothing is missing; the digest that
  * rides on peers' messages and requests */
 uint64_t config_complete(const struct config_table *);
@@ -140,7 +140,7 @@
 struct config_snapshot *config_snapshot_new(const struct config_table *);
 void config_snapshot_free(struct config_snapshot *);
 /** config_snapshot_find() - object by kind and name, or NULL */
-const struct config_object *config_snapshot_find(
-    const struct config_snapshot *, int kind, const char *name);
+const struct config_object *config_snapshot_find(const struct config_snapshot *,
+    int kind, const char *name);
 
 #endif
--- a/src/internal/history.h
+++ b/src/internal/history.h
@@ -14,7 +14,7 @@
  */
 
 #define HISTORY_LINE_MAX 512 /* bytes with the final newline */
-#define HISTORY_WHO_MAX 64   /* bytes with the final NUL */
+#define HISTORY_WHO_MAX 64 /* bytes with the final NUL */
 
 /** struct history - an open history file
  * @fd: file, -1 when no history is kept
@@ -25,8 +25,8 @@
 };
 
 /** history_open() - append to @path; a NULL @path keeps no history */
-int history_open(
-    struct history *, const char *path, const char *who, struct kq_error *);
+int history_open(struct history *, const char *path, const char *who,
+    struct kq_error *);
 /** history_line() - write one event; @fmt gives its name and its fields */
 void history_line(struct history *, int64_t now, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -26,7 +26,7 @@
 };
 
 #define HTTP_FIELDS_MAX 64
-#define HTTP_LENGTH_NONE (-1)	 /* no body */
+#define HTTP_LENGTH_NONE (-1) /* no body */
 #define HTTP_LENGTH_CHUNKED (-2) /* length not known in advance */
 
 /**
@@ -52,21 +52,21 @@
 
 enum http_error_code {
 	HTTP_E_SYNTAX = 1, /* not HTTP/1.x, wrong lengths, both length forms */
-	HTTP_E_HEAD_SIZE,  /* start line and fields over the limit */
-	HTTP_E_FIELDS,	   /* more than HTTP_FIELDS_MAX */
-	HTTP_E_TIMEOUT,	   /* idle or head time over */
-	HTTP_E_CLOSED,	   /* peer closed before the message was whole */
+	HTTP_E_HEAD_SIZE, /* start line and fields over the limit */
+	HTTP_E_FIELDS, /* more than HTTP_FIELDS_MAX */
+	HTTP_E_TIMEOUT, /* idle or head time over */
+	HTTP_E_CLOSED, /* peer closed before the message was whole */
 	HTTP_E_CONNECT,
 	HTTP_E_BIND,
 	HTTP_E_SOCKET
 };
 
 struct http_limits {
-	int head_bytes;	 /* default 16384 */
+	int head_bytes; /* default 16384 */
 	int connections; /* default 1024; more are refused with 503 and closed
 			  */
-	int head_ms;	 /* time to send a whole head, default 5000 */
-	int idle_ms;	 /* without a byte on a connection, default 60000 */
+	int head_ms; /* time to send a whole head, default 5000 */
+	int idle_ms; /* without a byte on a connection, default 60000 */
 };
 #define HTTP_LIMITS_DEFAULT              \
 	{                                \
@@ -92,13 +92,13 @@
  *       by the server itself
  */
 struct http_server_ops {
-	void (*request)(
-	    void *ctx, struct http_exchange *, const struct http_head *);
+	void (*request)(void *ctx, struct http_exchange *,
+	    const struct http_head *);
 	void (*body)(void *ctx, struct http_exchange *, const void *, size_t);
 	void (*end)(void *ctx, struct http_exchange *);
 	void (*drained)(void *ctx, struct http_exchange *);
-	void (*gone)(
-	    void *ctx, struct http_exchange *, const struct kq_error *err);
+	void (*gone)(void *ctx, struct http_exchange *,
+	    const struct kq_error *err);
 	void (*bad)(void *ctx, const struct kq_error *err);
 };
 
--- a/src/internal/json.h
+++ b/src/internal/json.h
@@ -37,13 +37,13 @@
 	JSON_E_UTF8,
 	JSON_E_EQUAL_KEYS,
 	JSON_E_DEPTH,
-	JSON_E_SIZE,	/* text or count of nodes over the limit */
-	JSON_E_NUMBER,	/* not representable */
-	JSON_E_TYPE,	/* value of another type */
-	JSON_E_RANGE,	/* value out of the allowed range, string too long */
+	JSON_E_SIZE, /* text or count of nodes over the limit */
+	JSON_E_NUMBER, /* not representable */
+	JSON_E_TYPE, /* value of another type */
+	JSON_E_RANGE, /* value out of the allowed range, string too long */
 	JSON_E_MISSING, /* required key is absent */
 	JSON_E_UNKNOWN, /* key that nobody asked for */
-	JSON_E_VALUE	/* value of the right type that makes no sense */
+	JSON_E_VALUE /* value of the right type that makes no sense */
 };
 
 #define JSON_DEPTH_MAX 16
@@ -76,12 +76,12 @@
 int json_get(struct json *, int object, const char *key);
 /** json_need() - as json_get(), but absence is an error at the object */
 int json_need(struct json *, int object, const char *key, struct kq_error *);
-int json_get_object(
-    struct json *, int object, const char *key, int *node, struct kq_error *);
-int json_get_array(
-    struct json *, int object, const char *key, int *node, struct kq_error *);
-int json_get_bool(
-    struct json *, int object, const char *key, int *value, struct kq_error *);
+int json_get_object(struct json *, int object, const char *key, int *node,
+    struct kq_error *);
+int json_get_array(struct json *, int object, const char *key, int *node,
+    struct kq_error *);
+int json_get_bool(struct json *, int object, const char *key, int *value,
+    struct kq_error *);
 int json_get_int(struct json *, int object, const char *key, int64_t min,
     int64_t max, int64_t *value, struct kq_error *);
 int json_get_real(struct json *, int object, const char *key, double min,
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -34,7 +34,7 @@
 #define MEMBER_NONE (-1)
 #define MEMBER_SEEDS_MAX 32
 #define MEMBER_UPDATES_MAX 64 /* updates in one message */
-#define MEMBER_WANTS_MAX 32   /* incarnations asked for in one message */
+#define MEMBER_WANTS_MAX 32 /* incarnations asked for in one message */
 #define MEMBER_WATCHERS_MAX 8
 
 /** struct member_address - where datagrams go */
@@ -58,7 +58,7 @@
 	MEMBER_ALIVE,
 	MEMBER_SUSPECT,
 	MEMBER_DEAD, /* may come back with a higher number */
-	MEMBER_LEFT  /* final, at any number */
+	MEMBER_LEFT /* final, at any number */
 };
 
 /** struct member - row of the table */
@@ -66,7 +66,7 @@
 	struct member_info info;
 	enum member_state state;
 	uint32_t number; /* SWIM's incarnation number */
-	int64_t since;	 /* time of the last change of state */
+	int64_t since; /* time of the last change of state */
 	uint64_t digest; /* highest configuration version it has told */
 };
 
@@ -80,16 +80,16 @@
 };
 
 enum member_kind {
-	MEMBER_PING,	 /* answer with ACK */
+	MEMBER_PING, /* answer with ACK */
 	MEMBER_PING_REQ, /* probe @target for me, answer with ACK or NACK */
 	MEMBER_ACK,
 	MEMBER_NACK, /* @target did not answer me yet */
 	MEMBER_GOSSIP,
-	MEMBER_JOIN,	/* to an address; answer with WELCOME */
+	MEMBER_JOIN, /* to an address; answer with WELCOME */
 	MEMBER_WELCOME, /* tells a newcomer who is there */
-	MEMBER_PULL,	/* send the page at @cursor */
-	MEMBER_PAGE,	/* rows of the table, @cursor of the next or 0 */
-	MEMBER_WANT	/* send what is known about @want */
+	MEMBER_PULL, /* send the page at @cursor */
+	MEMBER_PAGE, /* rows of the table, @cursor of the next or 0 */
+	MEMBER_WANT /* send what is known about @want */
 };
 #define MEMBER_KINDS 10
 
@@ -148,15 +148,15 @@
 
 /** struct member_limits - periods in microseconds; bytes without IP headers */
 struct member_limits {
-	int64_t period;	       /* between two probes */
+	int64_t period; /* between two probes */
 	int64_t probe_timeout; /* until a ping is repeated and others asked */
 	int64_t gossip_period; /* between two sendings of fresh changes */
-	int64_t sync_period;   /* between two pushes of a page */
-	int64_t late;	       /* a tick this late means we were paused */
-	int64_t keep;	       /* time a dead or left member stays a row */
-	int indirect;	       /* members asked to probe */
-	int fanout;	       /* members a fresh change is sent to at once */
-	int datagram_bytes;    /* largest datagram */
+	int64_t sync_period; /* between two pushes of a page */
+	int64_t late; /* a tick this late means we were paused */
+	int64_t keep; /* time a dead or left member stays a row */
+	int indirect; /* members asked to probe */
+	int fanout; /* members a fresh change is sent to at once */
+	int datagram_bytes; /* largest datagram */
 };
 #define MEMBER_LIMITS_DEFAULT                                                  \
 	{                                                                      \
@@ -171,7 +171,7 @@
 	uint64_t refuted; /* by ourselves */
 	uint64_t died;
 	uint64_t pauses;
-	uint64_t full;	  /* members refused since the table was full */
+	uint64_t full; /* members refused since the table was full */
 	uint64_t ignored; /* messages for another incarnation or out of turn */
 };
 
@@ -185,8 +185,8 @@
 
 /** member_tick() - do what is due; returns when it is to be called next */
 int64_t member_tick(struct member_table *, int64_t now);
-void member_receive(
-    struct member_table *, const struct member_message *, int64_t now);
+void member_receive(struct member_table *, const struct member_message *,
+    int64_t now);
 
 /** member_join() - ask these addresses for the table until one answers, in
  * random order, a bounded number at a time */
@@ -227,8 +227,8 @@
  * Rendezvous hashing (Thaler, Ravishankar, 1998) over members of the data
  * centre that are alive. Return: count, at most @k.
  */
-int member_watchers(
-    const struct member_table *, const char *datacentre, int k, int *handle);
+int member_watchers(const struct member_table *, const char *datacentre, int k,
+    int *handle);
 void member_counts(const struct member_table *, struct member_counts *);
 
 /** member_message_size() - bytes of a message as a datagram */
--- a/src/internal/member_codec.h
+++ b/src/internal/member_codec.h
@@ -28,14 +28,14 @@
 
 enum datagram_reason {
 	DATAGRAM_OK,
-	DATAGRAM_SHORT,	    /* cut */
-	DATAGRAM_VERSION,   /* other format */
-	DATAGRAM_KEY,	    /* key id is not known */
-	DATAGRAM_FORGED,    /* tag is wrong */
+	DATAGRAM_SHORT, /* cut */
+	DATAGRAM_VERSION, /* other format */
+	DATAGRAM_KEY, /* key id is not known */
+	DATAGRAM_FORGED, /* tag is wrong */
 	DATAGRAM_MALFORMED, /* signed, but the message can't be read */
-	DATAGRAM_OTHER,	    /* for another incarnation */
-	DATAGRAM_REPLAYED,  /* counter was seen or is too old */
-	DATAGRAM_FULL	    /* no room to remember one more sender */
+	DATAGRAM_OTHER, /* for another incarnation */
+	DATAGRAM_REPLAYED, /* counter was seen or is too old */
+	DATAGRAM_FULL /* no room to remember one more sender */
 };
 #define DATAGRAM_REASONS 9
 
@@ -46,8 +46,8 @@
 /** datagram_codec_new() - codec of one daemon
  * @self: our incarnation
  * @key: the first one signs; @nkey is 1 or 2 */
-struct datagram_codec *datagram_codec_new(
-    uint64_t self, const unsigned char (*key)[FLEET_KEY_BYTES], int nkey);
+struct datagram_codec *datagram_codec_new(uint64_t self,
+    const unsigned char (*key)[FLEET_KEY_BYTES], int nkey);
 void datagram_codec_free(struct datagram_codec *);
 /** datagram_codec_keys() - replace the keys while running */
 void datagram_codec_keys(struct datagram_codec *,
@@ -68,9 +68,9 @@
 
 /** member_message_encode(), member_message_decode() - the XDR alone; bytes
  * written, or 0; bytes read, or 0 */
-size_t member_message_encode(
-    const struct member_message *, unsigned char *buf, size_t size);
-size_t member_message_decode(
-    struct member_message *, const unsigned char *buf, size_t n);
+size_t member_message_encode(const struct member_message *, unsigned char *buf,
+    size_t size);
+size_t member_message_decode(struct member_message *, const unsigned char *buf,
+    size_t n);
 
 #endif
--- a/src/internal/objects.h
+++ b/src/internal/objects.h
@@ -27,7 +27,7 @@
 #define DATACENTRE_RAMP_MS 10000
 
 #define PUBLICATION_MAX 40 /* bytes with the final NUL */
-#define IP_TEXT_MAX 16	   /* bytes of an IPv4 number with the final NUL */
+#define IP_TEXT_MAX 16 /* bytes of an IPv4 number with the final NUL */
 
 /**
  * struct instance - one instance object: a daemon and the service beside it
@@ -49,8 +49,8 @@
 int
 service_read(struct service *, const char *text, size_t n, struct kq_error *);
 /** datacentre_read() - read the value of a data centre object; 0 or -1 */
-int datacentre_read(
-    struct datacentre *, const char *text, size_t n, struct kq_error *);
+int datacentre_read(struct datacentre *, const char *text, size_t n,
+    struct kq_error *);
 /** instance_read() - read the value of an instance object; 0 or -1 */
 int
 instance_read(struct instance *, const char *text, size_t n, struct kq_error *);
@@ -71,7 +71,7 @@
 void publication_add(GString *value, const char *id);
 /** publication_read() - publication that a value names, or an empty string; 0
  * or -1 */
-int publication_read(
-    char id[PUBLICATION_MAX], const char *text, size_t n, struct kq_error *);
+int publication_read(char id[PUBLICATION_MAX], const char *text, size_t n,
+    struct kq_error *);
 
 #endif
--- a/src/internal/once.h
+++ b/src/internal/once.h
@@ -37,7 +37,7 @@
  * one of once_done(), once_lost(), once_not_run(), once_shed().
  */
 
-#define ONCE_ID_LEN 49	   /* characters, without the final NUL */
+#define ONCE_ID_LEN 49 /* characters, without the final NUL */
 #define ONCE_RANDOM_LEN 10 /* bytes of the random part */
 
 /** struct once_id - a request id: 16 hex digits of the incarnation, "-", 32
@@ -64,7 +64,7 @@
  */
 struct once_clock {
 	int64_t stamp; /* us of the other clock */
-	int64_t at;    /* us of the own clock when the stamp came; 0 is never */
+	int64_t at; /* us of the own clock when the stamp came; 0 is never */
 };
 
 /** once_clock_stamp() - a stamp came; the latest to come counts */
@@ -79,10 +79,10 @@
 
 /** struct once_limits - bounds of one table */
 struct once_limits {
-	uint32_t entries;    /* ids remembered, those in progress among them */
-	size_t bytes;	     /* of all answers kept */
+	uint32_t entries; /* ids remembered, those in progress among them */
+	size_t bytes; /* of all answers kept */
 	size_t answer_bytes; /* of one answer kept, fields included */
-	uint32_t waiters;    /* repeats that wait for an answer, in all */
+	uint32_t waiters; /* repeats that wait for an answer, in all */
 	uint32_t waiters_each; /* for one id */
 	int64_t ahead_us; /* a birth further ahead of the present is refused */
 };
@@ -92,15 +92,15 @@
 	}
 
 enum once_outcome {
-	ONCE_RUN,	/* run it; the handle is the entry's */
-	ONCE_WAIT,	/* the reply comes later; the handle is the waiter's */
-	ONCE_ANSWER,	/* ran; the kept answer is given */
-	ONCE_RAN,	/* ran; the answer is not kept */
-	ONCE_NOT_RUN,	/* not run, and never will be under this id */
-	ONCE_UNKNOWN,	/* not known whether it ran, for good */
-	ONCE_BUSY,	/* in progress and can't wait; repeat later */
+	ONCE_RUN, /* run it; the handle is the entry's */
+	ONCE_WAIT, /* the reply comes later; the handle is the waiter's */
+	ONCE_ANSWER, /* ran; the kept answer is given */
+	ONCE_RAN, /* ran; the answer is not kept */
+	ONCE_NOT_RUN, /* not run, and never will be under this id */
+	ONCE_UNKNOWN, /* not known whether it ran, for good */
+	ONCE_BUSY, /* in progress and can't wait; repeat later */
 	ONCE_ELSEWHERE, /* the id names another incarnation */
-	ONCE_BAD_ID	/* not an id, or born ahead of the present */
+	ONCE_BAD_ID /* not an id, or born ahead of the present */
 };
 
 /** once_outcome_name() - "run", "wait", "answer", "ran", "not-run", ... */
@@ -126,8 +126,8 @@
  * @ctx: the table's
  * @arg: the waiter's, from struct once_request
  * @answer: with ONCE_ANSWER, else NULL */
-typedef void once_reply_fn(
-    void *ctx, void *arg, enum once_outcome, const struct once_answer *answer);
+typedef void once_reply_fn(void *ctx, void *arg, enum once_outcome,
+    const struct once_answer *answer);
 
 /**
  * struct once_request - an arrival
--- a/src/internal/peer.h
+++ b/src/internal/peer.h
@@ -55,8 +55,8 @@
 	void (*reply)(void *ctx, struct peer_conn *, uint32_t xid,
 	    const struct wire_reply *);
 	void (*body)(void *ctx, struct peer_conn *, const struct wire_body *);
-	void (*credit)(void *ctx, struct peer_conn *,
-	    const struct wire_credit *);
+	void (
+	    *credit)(void *ctx, struct peer_conn *, const struct wire_credit *);
 	void (*cancel)(void *ctx, struct peer_conn *, uint32_t xid);
 	void (*probe)(void *ctx, struct peer_conn *, uint32_t xid);
 	void (*load)(void *ctx, struct peer_conn *, uint32_t xid,
@@ -77,8 +77,8 @@
 const struct peer_counters *peer_node_counters(const struct peer_node *);
 
 /** peer_connect() - connection to another daemon; opened or closed follows */
-struct peer_conn *peer_connect(struct peer_node *, const char *ip, int port,
-    struct kq_error *);
+struct peer_conn *
+peer_connect(struct peer_node *, const char *ip, int port, struct kq_error *);
 /** peer_close() - end a connection; closed is called before this returns */
 void peer_close(struct peer_conn *);
 int peer_is_open(const struct peer_conn *);
@@ -100,7 +100,8 @@
 uint32_t peer_send_pull(struct peer_conn *, struct wire_pull *);
 /* Each returns -1 when the connection is not open or the message too large. */
 int peer_send_reply(struct peer_conn *, uint32_t xid, struct wire_reply *);
-int peer_send_load(struct peer_conn *, uint32_t xid, struct wire_probe_result *);
+int
+peer_send_load(struct peer_conn *, uint32_t xid, struct wire_probe_result *);
 int peer_send_state(struct peer_conn *, uint32_t xid, struct wire_state *);
 int peer_send_body(struct peer_conn *, struct wire_body *);
 int peer_send_credit(struct peer_conn *, struct wire_credit *);
--- a/src/internal/pick.h
+++ b/src/internal/pick.h
@@ -26,17 +26,17 @@
 enum pick_policy {
 	PICK_RANDOM,
 	PICK_ROUND_ROBIN,
-	PICK_LEAST_OF_TWO,   /* fewer own requests in flight of two */
+	PICK_LEAST_OF_TWO, /* fewer own requests in flight of two */
 	PICK_LATENCY_OF_TWO, /* lower smoothed latency times own load of two */
-	PICK_PROBE_POOL,     /* Prequal's hot/cold rule over pooled probes */
-	PICK_EXPECTED,	     /* least expected wait, from all signals */
+	PICK_PROBE_POOL, /* Prequal's hot/cold rule over pooled probes */
+	PICK_EXPECTED, /* least expected wait, from all signals */
 	PICK_POLICIES
 };
 
 enum pick_outcome {
 	PICK_GOOD,
-	PICK_FAILED,   /* answered that it failed */
-	PICK_LOST,     /* connection lost or no answer in time */
+	PICK_FAILED, /* answered that it failed */
+	PICK_LOST, /* connection lost or no answer in time */
 	PICK_CANCELLED /* given up by this side; says nothing but how long */
 };
 
@@ -81,8 +81,8 @@
  * @exclude: handles not to choose, such as those already tried
  * Return: handle, or PICK_NONE.
  */
-uint32_t pick_choose(
-    struct pick *, int64_t now, const uint32_t *exclude, uint32_t nexclude);
+uint32_t pick_choose(struct pick *, int64_t now, const uint32_t *exclude,
+    uint32_t nexclude);
 
 /** pick_sent() - a request was sent to a candidate; each ends in one call of
  * pick_done() or pick_refused() */
@@ -98,8 +98,8 @@
 /** pick_probe() - candidate to probe now, or PICK_NONE; it is counted as sent.
  * Ask after each choice. */
 uint32_t pick_probe(struct pick *, int64_t now);
-void pick_probe_reply(
-    struct pick *, uint32_t handle, int64_t now, const struct load_report *);
+void pick_probe_reply(struct pick *, uint32_t handle, int64_t now,
+    const struct load_report *);
 
 /** pick_pressure() - smoothed use of the own data centre, 1 is full */
 double pick_pressure(const struct pick *);
--- a/src/internal/retry.h
+++ b/src/internal/retry.h
@@ -23,7 +23,7 @@
  */
 
 #define RETRY_DEPTH_MAX 28
-#define RETRY_CARRY_MAX 2   /* extra attempts a call may carry */
+#define RETRY_CARRY_MAX 2 /* extra attempts a call may carry */
 #define RETRY_TOKENS_MAX 32 /* extra attempts saved up at most */
 
 /**
@@ -66,16 +66,16 @@
 /** enum retry_cause - how an attempt ended without success */
 enum retry_cause {
 	RETRY_NOT_RUN, /* refused, and truly not run */
-	RETRY_FAILED,  /* run, and failed */
-	RETRY_LOST,    /* bytes were sent and no whole answer came */
-	RETRY_FINAL    /* the daemon below gave up for good */
+	RETRY_FAILED, /* run, and failed */
+	RETRY_LOST, /* bytes were sent and no whole answer came */
+	RETRY_FINAL /* the daemon below gave up for good */
 };
 
 enum retry_verdict {
-	RETRY_GO,	 /* send another attempt; it is paid */
-	RETRY_NO_FINAL,	 /* given up below */
-	RETRY_NO_ONCE,	 /* not idempotent, and it may have run */
-	RETRY_NO_TIME,	 /* can't finish before the deadline */
+	RETRY_GO, /* send another attempt; it is paid */
+	RETRY_NO_FINAL, /* given up below */
+	RETRY_NO_ONCE, /* not idempotent, and it may have run */
+	RETRY_NO_TIME, /* can't finish before the deadline */
 	RETRY_NO_BUDGET, /* nothing left to pay with */
 	RETRY_VERDICTS
 };
--- a/src/internal/rule.h
+++ b/src/internal/rule.h
@@ -12,8 +12,8 @@
  */
 
 /** service_rule_matches() - whether a rule matches a path without its query */
-int service_rule_matches(
-    const struct service_rule *, const char *method, const char *path);
+int service_rule_matches(const struct service_rule *, const char *method,
+    const char *path);
 /** service_rule_covers() - whether every request that @b matches exactly is
  * matched by @a */
 int
--- a/src/internal/service.h
+++ b/src/internal/service.h
@@ -34,13 +34,13 @@
 	struct service_rule rule[SERVICE_RULES_MAX];
 	int timeout_ms; /* default deadline of a call */
 	double
-	    measure_per_s;  /* health, load and probe requests a target bears */
-	int cold_limit;	    /* requests in flight a cold target bears */
-	int cold_good_ms;   /* a completion at most this slow counts as good */
-	int cold_idle_ms;   /* idle this long, a target counts as cold */
-	int queue_max;	    /* requests that may wait at a target */
+	    measure_per_s; /* health, load and probe requests a target bears */
+	int cold_limit; /* requests in flight a cold target bears */
+	int cold_good_ms; /* a completion at most this slow counts as good */
+	int cold_idle_ms; /* idle this long, a target counts as cold */
+	int queue_max; /* requests that may wait at a target */
 	double retry_ratio; /* retries and hedges a success earns */
-	int hedge;	    /* nonzero: idempotent requests may be hedged */
+	int hedge; /* nonzero: idempotent requests may be hedged */
 };
 
 enum datacentre_state { DATACENTRE_IN, DATACENTRE_OUT };
@@ -56,7 +56,7 @@
 
 /** service_idempotent() - whether a request may be repeated; requests that no
  * rule matches may not */
-int service_idempotent(
-    const struct service *, const char *method, const char *path);
+int service_idempotent(const struct service *, const char *method,
+    const char *path);
 
 #endif
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -24,7 +24,8 @@
 enum wire_procedure {
 	WIRE_NULL = 0,
 	WIRE_HELLO = 1, /* first on each connection */
-	WIRE_CALL = 2, /* request head and its first bytes; reply: answer head */
+	WIRE_CALL =
+	    2, /* request head and its first bytes; reply: answer head */
 	WIRE_BODY = 3, /* one way: further bytes of a request or an answer */
 	WIRE_CREDIT = 4, /* one way: the receiver took that many bytes */
 	WIRE_CANCEL = 5, /* one way: the caller side gave the call up */
@@ -45,7 +46,6 @@
 	size_t size;
 };
 
-
 enum {
 	WIRE_CALL_IDEMPOTENT = 1,
 	WIRE_CALL_REPEAT = 2, /* the caller brought the request id */
