Stand-in for a target instance

Cause: admission, drain, cold start and outcomes need a target whose faults come on command. It has a small HTTP server of its own on the io loop, not the product's adapter: the adapter can't delay the first request of a connection, refuse by close or reset, and must not; and a second server keeps a framing fault of the adapter from hiding in both ends.

--- a/tests/fake/platform/serve.c
+++ b/tests/fake/platform/serve.c
@@ -233,6 +233,7 @@
 	struct platform *p = ctx;
 	struct delayed *d;
 
+	(void)s;
 	if (strcmp(path, "/fake/fault") == 0) {
 		soup_server_message_set_status(msg, fault_set(p, query), NULL);
 	} else if (strcmp(path, "/fake/counts") == 0) {
--- a/tests/fake/platform/watch.c
+++ b/tests/fake/platform/watch.c
@@ -90,10 +90,12 @@
 void
 watch_cut(struct platform *p)
 {
+	GList *l, *next;
 	struct wait *w;
 
-	while (p->waits) {
-		w = p->waits->data;
+	for (l = p->waits; l; l = next) {
+		next = l->next;
+		w = l->data;
 		serve_cut(w->msg);
 		wait_end(w);
 	}
--- /dev/null
+++ b/tests/fake/target/answer.c
@@ -0,0 +1,131 @@
+#include "target.h"
+
+#include <string.h>
+
+#define HEAD_MAX 1024 /* bytes with the final NUL */
+
+static void
+put_head(struct conn *c, int status, const char *fields, int64_t length)
+{
+	char b[HEAD_MAX];
+	int n;
+
+	c->state = CONN_ANSWERING;
+	c->body_stop = -1;
+	c->body_left = length;
+	n = g_snprintf(b, sizeof b, "HTTP/1.1 %d %s\r\n%s%s", status,
+	    http_status_str(status), fields,
+	    c->last ? "Connection: close\r\n" : "");
+	g_byte_array_append(c->out, (const guint8 *)b, (guint)n);
+	if (c->chunked)
+		n = g_snprintf(
+		    b, sizeof b, "Transfer-Encoding: chunked\r\n\r\n");
+	else
+		n = g_snprintf(b, sizeof b,
+		    "Content-Length: %" G_GINT64_FORMAT "\r\n\r\n", length);
+	g_byte_array_append(c->out, (const guint8 *)b, (guint)n);
+}
+
+void
+answer_text(struct conn *c, int status, const char *fields, const char *text)
+{
+	c->chunked = 0;
+	put_head(c, status, fields, (int64_t)strlen(text));
+	c->body_left = 0;
+	g_byte_array_append(c->out, (const guint8 *)text, (guint)strlen(text));
+	conn_flush(c);
+}
+
+/* Bytes of the pattern from where the body has come to, at most @max. */
+static size_t
+next_bytes(struct conn *c, size_t max, const char **b)
+{
+	size_t n = MIN(strlen(c->pattern) - c->pattern_at, max);
+
+	*b = c->pattern + c->pattern_at;
+	c->pattern_at = (c->pattern_at + n) % strlen(c->pattern);
+	return n;
+}
+
+static void
+body_digest(struct conn *c, int64_t length, GChecksum *sum)
+{
+	const char *b;
+	size_t n;
+
+	while (length > 0) {
+		n = next_bytes(c, (size_t)length, &b);
+		g_checksum_update(sum, (const guchar *)b, (gssize)n);
+		length -= (int64_t)n;
+	}
+	c->pattern_at = 0;
+}
+
+static const char *
+answer_key(struct conn *c)
+{
+	if (c->target->knobs.wrong > 0) {
+		c->target->knobs.wrong--;
+		return "another";
+	}
+	return *c->key ? c->key : "-";
+}
+
+void
+answer_call(struct conn *c)
+{
+	struct target *t = c->target;
+	const char *key = answer_key(c);
+	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+	char fields[HEAD_MAX / 2];
+
+	g_snprintf(c->pattern, sizeof c->pattern, "%s\n", key);
+	c->pattern_at = 0;
+	body_digest(c, t->knobs.body_bytes, sum);
+	g_snprintf(fields, sizeof fields,
+	    "Call-Key: %s\r\nBody-Digest: %s\r\nRequest-Digest: %s\r\n", key,
+	    g_checksum_get_string(sum), g_checksum_get_string(c->digest));
+	g_checksum_free(sum);
+	c->chunked = t->knobs.chunked != 0;
+	put_head(c, 200, fields, t->knobs.body_bytes);
+	if (t->knobs.cut > 0) {
+		t->knobs.cut--;
+		c->body_stop = c->body_left / 2;
+	}
+	answer_fill(c); /* head and body leave together */
+	conn_flush(c);
+}
+
+static void
+put_chunk_size(struct conn *c, int64_t n)
+{
+	char line[16];
+	int k;
+
+	k = g_snprintf(line, sizeof line, "%x\r\n", (unsigned)n);
+	g_byte_array_append(c->out, (const guint8 *)line, (guint)k);
+}
+
+int
+answer_fill(struct conn *c)
+{
+	int64_t want =
+	    MIN(c->body_left - MAX(c->body_stop, 0), (int64_t)WRITE_AHEAD);
+	int ends_chunk = c->chunked && (want > 0 || c->body_left == 0);
+	const char *b;
+	size_t n;
+
+	if (ends_chunk)
+		put_chunk_size(c, want);
+	if (want == 0)
+		c->chunked = 0;
+	c->body_left -= want;
+	while (want > 0) {
+		n = next_bytes(c, (size_t)want, &b);
+		g_byte_array_append(c->out, (const guint8 *)b, (guint)n);
+		want -= (int64_t)n;
+	}
+	if (ends_chunk)
+		g_byte_array_append(c->out, (const guint8 *)"\r\n", 2);
+	return c->out->len > 0;
+}
--- /dev/null
+++ b/tests/fake/target/job.c
@@ -0,0 +1,241 @@
+#include "target.h"
+
+#include <math.h>
+
+#define SHED_FIELDS "Not-Run: 1\r\n"
+
+int
+job_inflight(const struct target *t)
+{
+	return t->running + (int)t->queue.length;
+}
+
+static void
+log_job(struct conn *c, const char *event)
+{
+	struct target *t = c->target;
+
+	history_line(&t->history, g_get_monotonic_time(),
+	    "%s service=%s dc=%s key=%s inflight=%d cold=%ld leaving=%d", event,
+	    t->service, t->dc, *c->key ? c->key : "-", job_inflight(t),
+	    t->knobs.cold, t->leaving);
+}
+
+static void
+shed(struct conn *c, long *count)
+{
+	(*count)++;
+	log_job(c, "shed");
+	answer_text(c, 503, SHED_FIELDS, "shed\n");
+}
+
+static void
+count_key(struct conn *c)
+{
+	struct target *t = c->target;
+
+	if (!t->knobs.keep_keys || !*c->key)
+		return;
+	if (g_hash_table_add(t->keys, g_strdup(c->key)))
+		return;
+	t->counts.duplicates++;
+	t->counts.duplicates_once += c->once;
+}
+
+static int64_t
+service_time(struct target *t)
+{
+	double s = (double)t->knobs.service_us;
+
+	if (!t->knobs.fixed)
+		s *= -log(1.0 - g_rand_double(t->rand));
+	if (t->knobs.cold)
+		s *= (double)t->knobs.cold_factor;
+	return (int64_t)(s * t->noise * (double)t->knobs.straggle);
+}
+
+static void start_next(struct target *);
+
+static void
+finish(void *ctx, int64_t now)
+{
+	struct conn *c = ctx;
+	struct target *t = c->target;
+
+	(void)now;
+	log_job(c, "done");
+	t->running--;
+	if (t->knobs.cold && ++t->cold_done >= t->knobs.cold_calls) {
+		t->knobs.cold = 0;
+		t->cold_done = 0;
+	}
+	answer_call(c);
+	start_next(t);
+}
+
+static void
+run(struct conn *c)
+{
+	struct target *t = c->target;
+
+	c->state = CONN_RUNNING;
+	t->running++;
+	t->counts.runs++;
+	count_key(c);
+	log_job(c, "run");
+	if (t->knobs.reset_after_read > 0) {
+		t->knobs.reset_after_read--;
+		conn_reset(c);
+		return;
+	}
+	if (t->knobs.hang > 0) {
+		t->knobs.hang--;
+		c->state = CONN_HUNG;
+		return;
+	}
+	c->timer.fire = finish;
+	c->timer.ctx = c;
+	io_timer_set(t->loop, &c->timer, io_now(t->loop) + service_time(t));
+}
+
+static void
+expire(void *ctx, int64_t now)
+{
+	struct conn *c = ctx;
+
+	(void)now;
+	g_queue_unlink(&c->target->queue, &c->queue_link);
+	shed(c, &c->target->counts.expired);
+}
+
+static void
+enqueue(struct conn *c)
+{
+	struct target *t = c->target;
+
+	c->state = CONN_QUEUED;
+	g_queue_push_tail_link(&t->queue, &c->queue_link);
+	if (!c->deadline)
+		return;
+	c->timer.fire = expire;
+	c->timer.ctx = c;
+	io_timer_set(t->loop, &c->timer, c->deadline);
+}
+
+static void
+start_next(struct target *t)
+{
+	struct conn *c;
+
+	while (t->queue.head && t->running < t->knobs.slots) {
+		c = t->queue.head->data;
+		g_queue_unlink(&t->queue, &c->queue_link);
+		io_timer_clear(t->loop, &c->timer);
+		run(c);
+	}
+}
+
+static void
+fall_over(struct target *t)
+{
+	GList *l, *next;
+	struct conn *c;
+
+	t->counts.fell++;
+	t->cold_done = 0;
+	t->fell_until = io_now(t->loop) + t->knobs.fell_ms * 1000;
+	history_line(&t->history, g_get_monotonic_time(),
+	    "fell service=%s dc=%s inflight=%d", t->service, t->dc,
+	    job_inflight(t));
+	/* no queued request may start while the others are reset */
+	for (l = t->queue.head; l; l = next) {
+		next = l->next;
+		conn_reset(l->data);
+	}
+	for (l = t->conns.head; l; l = next) {
+		next = l->next;
+		c = l->data;
+		if (c->state == CONN_RUNNING || c->state == CONN_HUNG)
+			conn_reset(c);
+	}
+}
+
+static void
+count_inflight(struct target *t)
+{
+	t->counts.max_inflight = MAX(t->counts.max_inflight, job_inflight(t));
+	if (t->knobs.cold)
+		t->counts.max_inflight_cold =
+		    MAX(t->counts.max_inflight_cold, job_inflight(t));
+}
+
+void
+job_admit(struct conn *c)
+{
+	struct target *t = c->target;
+	int64_t now = io_now(t->loop);
+
+	if (admin_serve(c))
+		return;
+	t->counts.calls++;
+	if (now < t->fell_until) {
+		answer_text(c, 500, "", "fell over\n");
+		return;
+	}
+	if (c->deadline && c->deadline <= now) {
+		shed(c, &t->counts.expired);
+		return;
+	}
+	if (t->running < t->knobs.slots) {
+		run(c);
+	} else if ((long)t->queue.length < t->knobs.queue) {
+		enqueue(c);
+	} else {
+		shed(c, &t->counts.shed);
+		return;
+	}
+	count_inflight(t);
+	if (t->knobs.cold && job_inflight(t) > t->knobs.cold_limit)
+		fall_over(t);
+}
+
+void
+job_gone(struct conn *c)
+{
+	struct target *t = c->target;
+	enum conn_state was = c->state;
+
+	c->state = CONN_READING;
+	if (was != CONN_QUEUED && was != CONN_RUNNING && was != CONN_HUNG)
+		return;
+	t->counts.cancelled++;
+	if (was == CONN_QUEUED) {
+		g_queue_unlink(&t->queue, &c->queue_link);
+		log_job(c, "shed");
+		return;
+	}
+	log_job(c, "cut");
+	t->running--;
+	start_next(t);
+}
+
+static void
+change_noise(void *ctx, int64_t now)
+{
+	struct target *t = ctx;
+
+	t->noise = 1;
+	if (t->knobs.noisy_ms > 0)
+		t->noise = g_rand_double_range(
+		    t->rand, 1, 1 + (double)t->knobs.noisy_factor);
+	io_timer_set(t->loop, &t->noise_timer,
+	    now + (t->knobs.noisy_ms > 0 ? t->knobs.noisy_ms : 100) * 1000);
+}
+
+void
+job_noise_start(struct target *t)
+{
+	t->noise_timer.fire = change_noise;
+	t->noise_timer.ctx = t;
+	change_noise(t, io_now(t->loop));
+}
--- /dev/null
+++ b/tests/fake/target/main.c
@@ -0,0 +1,121 @@
+#include "target.h"
+
+#include <argtable2.h>
+#include <glib-unix.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+/** struct options - command line; one number for each knob */
+struct options {
+	struct arg_str *ip, *service, *dc, *announce, *history;
+	struct arg_int *port;
+	struct arg_end *end;
+	void **table;
+};
+
+static void
+options_init(struct options *o)
+{
+	char *name;
+	int i, n = 0;
+
+	o->ip = arg_str1(NULL, "ip", "IP", "address to listen on");
+	o->port = arg_int1(NULL, "port", "N", "port");
+	o->service = arg_str1(NULL, "service", "NAME", "service");
+	o->dc = arg_str1(NULL, "dc", "NAME", "data centre");
+	o->announce = arg_str0(NULL, "announce", "IP:PORT",
+	    "operator port of the daemon beside it");
+	o->history = arg_str0(NULL, "history", "FILE", "append history lines");
+	o->end = arg_end(5);
+	o->table = g_new0(void *, knob_count + 7);
+	for (i = 0; i < knob_count; i++) {
+		name = g_strdelimit(g_strdup(knob_table[i].name), "_", '-');
+		o->table[n++] =
+		    arg_int0(NULL, name, "N", knob_table[i].glossary);
+	}
+	o->table[n++] = o->ip;
+	o->table[n++] = o->port;
+	o->table[n++] = o->service;
+	o->table[n++] = o->dc;
+	o->table[n++] = o->announce;
+	o->table[n++] = o->history;
+	o->table[n] = o->end;
+}
+
+static int
+options_parse(struct options *o, struct knobs *k, int argc, char **argv)
+{
+	struct arg_int *a;
+	int i;
+
+	options_init(o);
+	if (arg_parse(argc, argv, o->table) > 0) {
+		arg_print_errors(stderr, o->end, argv[0]);
+		arg_print_glossary(stderr, o->table, NULL);
+		return -1;
+	}
+	knobs_init(k);
+	for (i = 0; i < knob_count; i++) {
+		a = o->table[i];
+		if (a->count)
+			knobs_set(k, knob_table[i].name, a->ival[0]);
+	}
+	return 0;
+}
+
+static gboolean
+on_term(void *ctx)
+{
+	announce_leave(ctx);
+	return G_SOURCE_CONTINUE;
+}
+
+static int
+start(struct target *t, const struct options *o, struct kq_error *e)
+{
+	const char *file = o->history->count ? o->history->sval[0] : NULL;
+	char who[HISTORY_WHO_MAX];
+
+	g_snprintf(who, sizeof who, "%s:%d", t->ip, t->port);
+	if (history_open(&t->history, file, who, e) < 0)
+		return -1;
+	g_snprintf(t->start_id, sizeof t->start_id,
+	    "%08x%08" G_GINT64_MODIFIER "x", (unsigned)getpid(),
+	    g_get_monotonic_time() & G_MAXUINT32);
+	t->rand = g_rand_new_with_seed((guint32)t->knobs.seed);
+	t->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	t->main = g_main_loop_new(NULL, FALSE);
+	t->loop = io_loop_new(NULL);
+	if (conn_listen(t, e) < 0)
+		return -1;
+	job_noise_start(t);
+	admin_report_start(t);
+	history_line(&t->history, g_get_monotonic_time(),
+	    "start service=%s dc=%s start=%s", t->service, t->dc, t->start_id);
+	return announce_start(
+	    t, o->announce->count ? o->announce->sval[0] : NULL, e);
+}
+
+int
+main(int argc, char **argv)
+{
+	static struct target t;
+	static struct options o;
+	struct kq_error e;
+
+	if (options_parse(&o, &t.knobs, argc, argv) < 0)
+		return EXIT_FAILURE;
+	t.ip = o.ip->sval[0];
+	t.port = o.port->ival[0];
+	t.service = o.service->sval[0];
+	t.dc = o.dc->sval[0];
+	if (start(&t, &o, &e) < 0) {
+		fprintf(stderr, "fake-target: %s\n", e.text);
+		return EXIT_FAILURE;
+	}
+	g_unix_signal_add(SIGTERM, on_term, &t);
+	g_unix_signal_add(SIGINT, on_term, &t);
+	g_main_loop_run(t.main);
+	return EXIT_SUCCESS;
+}
