--- a/bench/load/call.c
+++ b/bench/load/call.c
@@ -24,6 +24,7 @@
 static void
 repeat(void *ctx, int64_t now)
 {
+	(void)now;
 	attempt(ctx);
 }
 
@@ -124,6 +125,7 @@
 	struct call *c = ctx;
 	struct load *l = c->load;
 
+	(void)e;
 	c->http = NULL;
 	if (sent) {
 		finish(c, OUTCOME_BROKEN);
@@ -168,6 +170,7 @@
 	struct call *c = ctx;
 	int sent = 0;
 
+	(void)now;
 	c->timed_out = 1;
 	if (c->http)
 		sent = http_call_cancel(c->http);
