--- a/bench/load/call.c
+++ b/bench/load/call.c
@@ -190,8 +190,9 @@
 	f[k++] = (struct http_field){"Call-Key", c->key};
 	f[k++] =
 	    (struct http_field){"Call-Kind", c->mix->once ? "once" : "repeat"};
-	f[k++] = (struct http_field){
-	    o->straight ? "Deadline-Ms" : "Kumquatrock-Deadline-Ms", ms};
+	f[k++] = (struct http_field){o->straight ? "Deadline-Ms"
+						 : "Kumquatrock-Deadline-Ms",
+	    ms};
 	if (c->attempts > 1 && *c->req)
 		f[k++] = (struct http_field){"Kumquatrock-Request-Id", c->req};
 	return k;
--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -61,8 +61,8 @@
 	OUTCOME_NOT_RUN,
 	OUTCOME_UNKNOWN,
 	OUTCOME_FAILED,
-	OUTCOME_BAD,	/* an answer that is not this call's own, or not whole
-			   but passed as whole */
+	OUTCOME_BAD, /* an answer that is not this call's own, or not whole
+			but passed as whole */
 	OUTCOME_BROKEN, /* cut, or none in time */
 	OUTCOMES
 };
@@ -84,7 +84,7 @@
 	uint64_t timeouts;
 	uint64_t repeats;
 	uint64_t moved; /* sent to another daemon as none could be reached */
-	struct histogram latency;  /* of whole answers */
+	struct histogram latency; /* of whole answers */
 	struct histogram lateness; /* of this tool's own starts */
 };
 
--- a/bench/load/options.c
+++ b/bench/load/options.c
@@ -35,8 +35,8 @@
 }
 
 static int
-parse_lists(
-    struct options *o, const struct arg_str *to, const struct arg_str *mix)
+parse_lists(struct options *o, const struct arg_str *to,
+    const struct arg_str *mix)
 {
 	int i;
 
@@ -79,8 +79,8 @@
 	    arg_int0(NULL, "timeout-ms", "N", "deadline, default 1000");
 	struct arg_int *bytes =
 	    arg_int0(NULL, "body-bytes", "N", "request body, default 64");
-	struct arg_int *conns = arg_int0(
-	    NULL, "connections", "N", "most to one address, default 256");
+	struct arg_int *conns = arg_int0(NULL, "connections", "N",
+	    "most to one address, default 256");
 	struct arg_lit *fixed = arg_lit0(NULL, "fixed", "even arrivals");
 	struct arg_lit *straight =
 	    arg_lit0(NULL, "straight", "the addresses are targets");
--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -153,7 +153,7 @@
 {
 	unsigned char buf[RECEIVE_MAX];
 	struct control *c = ctx;
-	struct sockaddr_in sa = { 0 };
+	struct sockaddr_in sa = {0};
 	socklen_t len;
 	ssize_t n;
 
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -284,8 +284,8 @@
 void inbound_refuse(struct in_call *, uint32_t outcome, uint32_t reason);
 void inbound_reply_head(struct in_call *, uint32_t outcome, const void *body,
     size_t len, int more);
-void inbound_answer_body(struct in_call *, const void *, size_t, int last,
-    int cut);
+void
+inbound_answer_body(struct in_call *, const void *, size_t, int last, int cut);
 void inbound_answer_pump(struct in_call *);
 void inbound_free(struct in_call *);
 void inbound_body(struct peer_conn *, const struct wire_body *);
--- /dev/null
+++ b/src/tool/command_publish.c
@@ -0,0 +1,203 @@
+#include <argtable2.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "objects.h"
+#include "tool.h"
+
+static void
+bad_file(const char *path, const struct kq_error *e)
+{
+	if (e->line)
+		fprintf(stderr, "%s:%d:%d: %s\n", path, e->line, e->column,
+		    e->text);
+	else
+		fprintf(stderr, "%s: %s\n", path, e->text);
+}
+
+static int
+read_file(const char *path, struct service *s)
+{
+	struct kq_error e = { 0 };
+	GError *err = NULL;
+	char *text;
+	gsize n;
+	int r;
+
+	if (!g_file_get_contents(path, &text, &n, &err)) {
+		fprintf(stderr, "%s: %s\n", path, err->message);
+		g_error_free(err);
+		return -1;
+	}
+	r = service_read(s, text, n, &e);
+	g_free(text);
+	if (r)
+		bad_file(path, &e);
+	return r;
+}
+
+int
+command_check(struct tool *t, int argc, char **argv)
+{
+	struct arg_file *file = arg_filen(NULL, NULL, "FILE", 1, 64,
+	    "service files");
+	struct arg_lit *help = arg_lit0("h", "help", "print this text");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { file, help, end };
+	struct service s;
+	int i, bad = 0, errors = arg_parse(argc, argv, table);
+
+	if (help->count || errors) {
+		fprintf(help->count ? stdout : stderr,
+		    "usage: kumquatrock check FILE...\n"
+		    "Reads service files and says what is wrong, by line and "
+		    "column.\nexit: 0 all good, 2 usage, 3 a file is bad\n");
+		return help->count ? EXIT_DONE : EXIT_USAGE;
+	}
+	for (i = 0; i < file->count; i++) {
+		if (read_file(file->filename[i], &s)) {
+			bad = 1;
+			continue;
+		}
+		if (!t->json)
+			printf("%s: service %s, %d rules, good\n",
+			    file->filename[i], s.name, s.nrule);
+	}
+	return bad ? EXIT_BAD_FILE : EXIT_DONE;
+}
+
+static void
+random_id(char *id, size_t size)
+{
+	unsigned char b[8];
+
+	randombytes_buf(b, sizeof b);
+	sodium_bin2hex(id, size, b, sizeof b);
+}
+
+static int
+publish(struct tool *t, const char *path, const char *id, uint64_t expect)
+{
+	struct publication p = { 0 };
+	struct service s;
+	GString *value, *settle;
+	int r;
+
+	if (read_file(path, &s))
+		return EXIT_BAD_FILE;
+	if (id)
+		g_strlcpy(p.id, id, sizeof p.id);
+	else
+		random_id(p.id, sizeof p.id);
+	value = g_string_new(NULL);
+	service_write(value, &s);
+	publication_add(value, p.id);
+	p.kind = CONFIG_SERVICE;
+	p.name = s.name;
+	p.value = value->str;
+	p.expect = expect;
+	tool_publish(t, &p);
+	settle = g_string_new(NULL);
+	g_string_printf(settle, "publish %s", path);
+	r = tool_publish_report(t, &p, settle->str);
+	g_string_free(settle, TRUE);
+	g_string_free(value, TRUE);
+	return r;
+}
+
+int
+command_publish(struct tool *t, int argc, char **argv)
+{
+	struct arg_file *file = arg_filen(NULL, NULL, "FILE", 1, 64,
+	    "service files");
+	struct arg_str *id = arg_str0(NULL, "publication", "ID",
+	    "settle or repeat that publication");
+	struct arg_str *expect = arg_str0(NULL, "expect", "VERSION",
+	    "publish only over this version, 0 for a new one");
+	struct arg_lit *help = arg_lit0("h", "help", "print this text");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { file, id, expect, help, end };
+	int i, r, worst = EXIT_DONE, errors = arg_parse(argc, argv, table);
+	uint64_t version = PUBLISH_ANY;
+
+	if (help->count || errors) {
+		fprintf(help->count ? stdout : stderr,
+		    "usage: kumquatrock publish [--publication ID] "
+		    "[--expect VERSION] FILE...\n"
+		    "Checks service files and puts them in force.\n"
+		    "exit: 0 accepted, 1 refused, 2 usage, 3 a file is bad, "
+		    "5 conflict,\n      6 undecided, 7 accepted but not in "
+		    "force everywhere within --wait\n");
+		return help->count ? EXIT_DONE : EXIT_USAGE;
+	}
+	if (!t->platform.port)
+		return tool_no_platform();
+	if (expect->count)
+		version = g_ascii_strtoull(expect->sval[0], NULL, 10);
+	for (i = 0; i < file->count; i++) {
+		r = publish(t, file->filename[i],
+		    id->count ? id->sval[0] : NULL, version);
+		worst = MAX(worst, r);
+	}
+	return worst;
+}
+
+int
+command_dc(struct tool *t, int argc, char **argv)
+{
+	struct arg_str *what = arg_str1(NULL, NULL, "in|out",
+	    "take it out or bring it back");
+	struct arg_str *name = arg_str1(NULL, NULL, "NAME", "data centre");
+	struct arg_str *region = arg_str0(NULL, "region", "NAME", "its region");
+	struct arg_int *ramp = arg_int0(NULL, "ramp-ms", "N",
+	    "time from returning to a full share");
+	struct arg_str *id = arg_str0(NULL, "publication", "ID",
+	    "settle or repeat that publication");
+	struct arg_lit *help = arg_lit0("h", "help", "print this text");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { what, name, region, ramp, id, help, end };
+	int r, errors = arg_parse(argc, argv, table);
+	struct publication p = { 0 };
+	struct datacentre dc = { 0 };
+	GString *value;
+	char settle[128];
+
+	if (help->count || errors ||
+	    (strcmp(what->sval[0], "in") && strcmp(what->sval[0], "out"))) {
+		fprintf(help->count ? stdout : stderr,
+		    "usage: kumquatrock dc in|out NAME [--region NAME] "
+		    "[--ramp-ms N] [--publication ID]\n"
+		    "Takes a data centre out, or brings it back on a ramp.\n"
+		    "exit: as of publish\n");
+		return help->count ? EXIT_DONE : EXIT_USAGE;
+	}
+	if (!t->platform.port)
+		return tool_no_platform();
+	g_strlcpy(dc.name, name->sval[0], sizeof dc.name);
+	g_strlcpy(dc.region, region->count ? region->sval[0] : "default",
+	    sizeof dc.region);
+	dc.state = strcmp(what->sval[0], "in") ? DATACENTRE_OUT : DATACENTRE_IN;
+	dc.ramp_ms = ramp->count ? ramp->ival[0] : DATACENTRE_RAMP_MS;
+	if (id->count)
+		g_strlcpy(p.id, id->sval[0], sizeof p.id);
+	else
+		random_id(p.id, sizeof p.id);
+	value = g_string_new(NULL);
+	datacentre_write(value, &dc);
+	publication_add(value, p.id);
+	if (datacentre_read(&dc, value->str, value->len, &p.error)) {
+		tool_error(&p.error);
+		g_string_free(value, TRUE);
+		return EXIT_USAGE;
+	}
+	p.kind = CONFIG_DATACENTRE;
+	p.name = dc.name;
+	p.value = value->str;
+	p.expect = PUBLISH_ANY;
+	tool_publish(t, &p);
+	g_snprintf(settle, sizeof settle, "dc %s %s", what->sval[0], dc.name);
+	r = tool_publish_report(t, &p, settle);
+	g_string_free(value, TRUE);
+	return r;
+}
--- /dev/null
+++ b/src/tool/main.c
@@ -0,0 +1,131 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tool.h"
+
+#define WAIT_DEFAULT_MS 10000
+
+struct command {
+	const char *name;
+	command_fn *run;
+	const char *help;
+};
+
+static const struct command commands[] = {
+	{ "check", command_check, "read service files and say what is wrong" },
+	{ "publish", command_publish, "put service files in force" },
+	{ "dc", command_dc, "take a data centre out or bring it back" },
+	{ "status", command_status, "what daemons hold in force" },
+	{ "targets", command_targets, "targets that daemons would pick" },
+	{ "members", command_members, "daemons that are there" },
+	{ "metrics", command_metrics, "counters of daemons" },
+	{ "settings", command_settings, "page of the daemon's settings" },
+};
+
+static int
+usage(FILE *f, int code)
+{
+	size_t i;
+
+	fprintf(f,
+	    "usage: kumquatrock [OPTION]... COMMAND [ARGUMENT]...\n\n"
+	    "  --platform IP:PORT  platform (or KUMQUATROCK_PLATFORM)\n"
+	    "  --daemon IP:PORT    operator port of a daemon, may be repeated\n"
+	    "                      (or KUMQUATROCK_DAEMON)\n"
+	    "  --wait[=MS]         wait until in force everywhere, default "
+	    "%d ms\n"
+	    "  --json              print JSON\n"
+	    "  --help              print this text\n\ncommands:\n",
+	    WAIT_DEFAULT_MS);
+	for (i = 0; i < sizeof commands / sizeof *commands; i++)
+		fprintf(f, "  %-10s %s\n", commands[i].name, commands[i].help);
+	fprintf(f,
+	    "\nexit: 0 done, 1 could not be done, 2 usage, 3 bad file, "
+	    "5 conflict,\n      6 undecided, 7 not in force in time\n"
+	    "kumquatrock COMMAND --help tells more.\n");
+	return code;
+}
+
+static int
+add_daemon(struct tool *t, const char *text)
+{
+	if (t->ndaemon == DAEMONS_MAX)
+		return -1;
+	return tool_address(text, &t->daemon[t->ndaemon]) ? -1
+	     : (t->ndaemon++, 0);
+}
+
+static int
+bad_option(const char *what)
+{
+	fprintf(stderr,
+	    "kumquatrock: %s: expected IP:PORT, such as 127.0.0.1:8500\n",
+	    what);
+	return EXIT_USAGE;
+}
+
+/* Options before the command; the index of the command or -1. */
+static int
+read_options(struct tool *t, int argc, char **argv)
+{
+	int i;
+
+	for (i = 1; i < argc && !strncmp(argv[i], "--", 2); i++) {
+		if (!strcmp(argv[i], "--json"))
+			t->json = 1;
+		else if (!strcmp(argv[i], "--wait"))
+			t->wait_ms = WAIT_DEFAULT_MS;
+		else if (!strncmp(argv[i], "--wait=", 7))
+			t->wait_ms = g_ascii_strtoull(argv[i] + 7, NULL, 10);
+		else if (!strcmp(argv[i], "--platform") && i + 1 < argc &&
+		    !tool_address(argv[i + 1], &t->platform))
+			i++;
+		else if (!strcmp(argv[i], "--daemon") && i + 1 < argc &&
+		    !add_daemon(t, argv[i + 1]))
+			i++;
+		else
+			return -1;
+	}
+	return i;
+}
+
+static int
+read_environment(struct tool *t)
+{
+	const char *p = getenv("KUMQUATROCK_PLATFORM");
+	const char *d = getenv("KUMQUATROCK_DAEMON");
+
+	if (p && !t->platform.port && tool_address(p, &t->platform))
+		return bad_option("KUMQUATROCK_PLATFORM");
+	if (d && !t->ndaemon && add_daemon(t, d))
+		return bad_option("KUMQUATROCK_DAEMON");
+	return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct tool t = { 0 };
+	size_t i;
+	int at;
+
+	if (sodium_init() < 0)
+		return EXIT_FAULT;
+	if (argc > 1 &&
+	    (!strcmp(argv[1], "--help") || !strcmp(argv[1], "help")))
+		return usage(stdout, EXIT_DONE);
+	at = read_options(&t, argc, argv);
+	if (at < 0 || at >= argc)
+		return usage(stderr, EXIT_USAGE);
+	if (read_environment(&t))
+		return EXIT_USAGE;
+	for (i = 0; i < sizeof commands / sizeof *commands; i++)
+		if (!strcmp(commands[i].name, argv[at]))
+			return commands[i].run(&t, argc - at, argv + at);
+	fprintf(stderr, "kumquatrock: no command \"%s\"; see: kumquatrock "
+			"--help\n",
+	    argv[at]);
+	return EXIT_USAGE;
+}
--- a/tests/fake/target/admin.c
+++ b/tests/fake/target/admin.c
@@ -135,8 +135,8 @@
 
 	t->shown = t->next;
 	t->next = truth(t);
-	io_timer_set(
-	    t->loop, &t->report_timer, now + (ms > 0 ? ms : 100) * 1000);
+	io_timer_set(t->loop, &t->report_timer,
+	    now + (ms > 0 ? ms : 100) * 1000);
 }
 
 void
--- a/tests/fake/target/announce.c
+++ b/tests/fake/target/announce.c
@@ -131,8 +131,8 @@
 		    "--announce %s: not IP:PORT", to);
 	}
 	*colon = '\0';
-	a->pool = http_pool_new(
-	    t->loop, ip, (int)strtol(colon + 1, NULL, 10), 2, 0, &limits);
+	a->pool = http_pool_new(t->loop, ip, (int)strtol(colon + 1, NULL, 10),
+	    2, 0, &limits);
 	g_free(ip);
 	send_announcement(a);
 	return 0;
--- a/tests/fake/target/answer.c
+++ b/tests/fake/target/answer.c
@@ -18,8 +18,8 @@
 	    c->last ? "Connection: close\r\n" : "");
 	g_byte_array_append(c->out, (const guint8 *)b, (guint)n);
 	if (c->chunked)
-		n = g_snprintf(
-		    b, sizeof b, "Transfer-Encoding: chunked\r\n\r\n");
+		n = g_snprintf(b, sizeof b,
+		    "Transfer-Encoding: chunked\r\n\r\n");
 	else
 		n = g_snprintf(b, sizeof b,
 		    "Content-Length: %" G_GINT64_FORMAT "\r\n\r\n", length);
--- a/tests/fake/target/conn.c
+++ b/tests/fake/target/conn.c
@@ -99,8 +99,8 @@
 		n = send(c->watch.fd, c->out->data + c->sent,
 		    c->out->len - c->sent, MSG_NOSIGNAL);
 		if (n < 0 && errno == EAGAIN) {
-			io_watch_events(
-			    c->target->loop, &c->watch, IO_READ | IO_WRITE);
+			io_watch_events(c->target->loop, &c->watch,
+			    IO_READ | IO_WRITE);
 			return;
 		}
 		if (n < 0) {
@@ -158,8 +158,8 @@
 
 	(void)ready;
 	for (;;) {
-		fd = accept4(
-		    t->listener.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		fd = accept4(t->listener.fd, NULL, NULL,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0)
 			return;
 		if ((long)t->conns.length >= t->knobs.connections) {
@@ -179,6 +179,6 @@
 	if (fd < 0)
 		return kq_error_set(e, KQ_LAYER_IO, errno, "%s:%d: %s", t->ip,
 		    t->port, g_strerror(errno));
-	return io_watch_add(
-	    t->loop, &t->listener, fd, IO_READ, accept_ready, t);
+	return io_watch_add(t->loop, &t->listener, fd, IO_READ, accept_ready,
+	    t);
 }
--- a/tests/fake/target/job.c
+++ b/tests/fake/target/job.c
@@ -226,8 +226,8 @@
 
 	t->noise = 1;
 	if (t->knobs.noisy_ms > 0)
-		t->noise = g_rand_double_range(
-		    t->rand, 1, 1 + (double)t->knobs.noisy_factor);
+		t->noise = g_rand_double_range(t->rand, 1,
+		    1 + (double)t->knobs.noisy_factor);
 	io_timer_set(t->loop, &t->noise_timer,
 	    now + (t->knobs.noisy_ms > 0 ? t->knobs.noisy_ms : 100) * 1000);
 }
--- a/tests/fake/target/main.c
+++ b/tests/fake/target/main.c
@@ -93,8 +93,8 @@
 	admin_report_start(t);
 	history_line(&t->history, g_get_monotonic_time(),
 	    "start service=%s dc=%s start=%s", t->service, t->dc, t->start_id);
-	return announce_start(
-	    t, o->announce->count ? o->announce->sval[0] : NULL, e);
+	return announce_start(t,
+	    o->announce->count ? o->announce->sval[0] : NULL, e);
 }
 
 int
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -31,28 +31,28 @@
 /** struct knobs - numbers that options set and POST /fake/set changes */
 struct knobs {
 	long slots;
-	long queue;	  /* requests that may wait for a slot */
+	long queue; /* requests that may wait for a slot */
 	long connections; /* more are closed at once */
-	long connect_us;  /* before the first request is read */
-	long service_us;  /* mean service time */
-	long fixed;	  /* nonzero: each service time is the mean */
+	long connect_us; /* before the first request is read */
+	long service_us; /* mean service time */
+	long fixed; /* nonzero: each service time is the mean */
 	long body_bytes;
 	long chunked; /* nonzero: answers come in chunks */
-	long cold;    /* nonzero: cold now */
+	long cold; /* nonzero: cold now */
 	long cold_limit;
-	long cold_calls;  /* completions until warm */
+	long cold_calls; /* completions until warm */
 	long cold_factor; /* service time while cold */
 	long fell_ms;
 	long straggle; /* factor of the service time */
 	long noisy_ms; /* period of the noisy neighbour, 0 for none */
 	long noisy_factor;
 	long report_lag_ms;
-	long report_lie;       /* in flight claimed by /load, -1 for truth */
-	long cut;	       /* next answers cut in the middle of the body */
-	long wrong;	       /* next answers are another call's */
-	long hang;	       /* next requests never answered */
+	long report_lie; /* in flight claimed by /load, -1 for truth */
+	long cut; /* next answers cut in the middle of the body */
+	long wrong; /* next answers are another call's */
+	long hang; /* next requests never answered */
 	long reset_after_read; /* next requests run and reset */
-	long keep_keys;	       /* nonzero: count runs by key */
+	long keep_keys; /* nonzero: count runs by key */
 	long seed;
 };
 
@@ -86,8 +86,8 @@
 	enum conn_state state;
 	struct io_watch watch;
 	struct io_timer timer; /* opening, deadline while queued, or work */
-	GList link;	       /* in target.conns */
-	GList queue_link;      /* in target.queue */
+	GList link; /* in target.conns */
+	GList queue_link; /* in target.queue */
 
 	http_parser parser;
 	char path[PATH_MAX_BYTES];
--- /dev/null
+++ b/tests/unit/peer.c
@@ -0,0 +1,295 @@
+#include <arpa/inet.h>
+#include <check.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peer.h"
+
+#define IP "127.0.0.1"
+#define PORT 20950
+#define STEPS_MAX 2000 /* loop iterations of at most 5 ms */
+
+struct side {
+	GMainContext *context;
+	struct io_loop *loop;
+	struct peer_node *node;
+	struct peer_conn *opened;
+	int closed;
+	int calls;
+	int replies;
+	uint32_t last_xid;
+	size_t body_bytes;
+	int bad_bytes;
+	char path[64];
+	int status;
+};
+
+static void
+on_opened(void *ctx, struct peer_conn *c)
+{
+	((struct side *)ctx)->opened = c;
+}
+
+static void
+on_closed(void *ctx, struct peer_conn *c)
+{
+	((struct side *)ctx)->closed++;
+}
+
+static void
+on_call(void *ctx, struct peer_conn *c, uint32_t xid, const struct wire_call *m)
+{
+	struct side *s = ctx;
+	struct wire_reply r = { 0 };
+
+	s->calls++;
+	g_strlcpy(s->path, m->path, sizeof s->path);
+	r.outcome = WIRE_ANSWER;
+	r.status = 200 + m->depth;
+	r.length = HTTP_LENGTH_NONE;
+	r.body = "";
+	peer_send_reply(c, xid, &r);
+	/* A doubled reply is dropped by the other end. */
+	peer_send_reply(c, xid, &r);
+}
+
+static void
+on_reply(void *ctx, struct peer_conn *c, uint32_t xid,
+    const struct wire_reply *m)
+{
+	struct side *s = ctx;
+
+	s->replies++;
+	s->last_xid = xid;
+	s->status = m->status;
+}
+
+static void
+on_body(void *ctx, struct peer_conn *c, const struct wire_body *m)
+{
+	const unsigned char *p = m->body;
+	struct side *s = ctx;
+	uint32_t i;
+
+	for (i = 0; i < m->body_len; i++)
+		s->bad_bytes += p[i] != (unsigned char)((s->body_bytes + i) *
+					    7);
+	s->body_bytes += m->body_len;
+}
+
+static const struct peer_ops ops = { .opened = on_opened,
+	.closed = on_closed,
+	.call = on_call,
+	.reply = on_reply,
+	.body = on_body };
+
+static void
+side_open(struct side *s, uint64_t incarnation, const char *keys)
+{
+	struct peer_keys k = { 0 };
+
+	memset(s, 0, sizeof *s);
+	for (; *keys; keys++)
+		memset(k.key[k.nkey++], *keys, PEER_KEY_LEN);
+	s->context = g_main_context_new();
+	s->loop = io_loop_new(s->context);
+	s->node = peer_node_new(s->loop, incarnation, &k, &ops, s);
+}
+
+static void
+side_close(struct side *s)
+{
+	peer_node_free(s->node);
+	io_loop_free(s->loop);
+	g_main_context_unref(s->context);
+}
+
+static int
+step(struct side *a, struct side *b, const int *until, int value)
+{
+	int i;
+
+	for (i = 0; i < STEPS_MAX && *until < value; i++) {
+		while (g_main_context_iteration(a->context, FALSE))
+			;
+		while (g_main_context_iteration(b->context, FALSE))
+			;
+		g_usleep(1000);
+	}
+	return *until >= value;
+}
+
+static struct peer_conn *
+connect_sides(struct side *a, struct side *b)
+{
+	struct peer_conn *c;
+	int i;
+
+	ck_assert_int_eq(peer_node_listen(a->node, IP, PORT, NULL), 0);
+	c = peer_connect(b->node, IP, PORT, NULL);
+	ck_assert_ptr_nonnull(c);
+	for (i = 0; i < STEPS_MAX && !b->opened && !b->closed; i++) {
+		g_main_context_iteration(a->context, FALSE);
+		g_main_context_iteration(b->context, FALSE);
+		g_usleep(1000);
+	}
+	return c;
+}
+
+static void
+fill(struct wire_call *m, char *path)
+{
+	memset(m, 0, sizeof *m);
+	m->service = "codebook";
+	m->method = "GET";
+	m->path = path;
+	m->id = "";
+	m->trace = "";
+	m->body = "";
+	m->depth = 3;
+}
+
+START_TEST(call_and_reply)
+{
+	struct side a, b;
+	struct peer_conn *c;
+	struct wire_call m;
+	uint32_t xid;
+
+	side_open(&a, 11, "k");
+	side_open(&b, 22, "k");
+	c = connect_sides(&a, &b);
+	ck_assert_ptr_eq(b.opened, c);
+	ck_assert_uint_eq(peer_incarnation(c), 11);
+	fill(&m, "/lookup/17");
+	xid = peer_send_call(c, &m);
+	ck_assert_uint_ne(xid, 0);
+	ck_assert(step(&a, &b, &b.replies, 1));
+	ck_assert_uint_eq(b.last_xid, xid);
+	ck_assert_int_eq(b.status, 203);
+	ck_assert_str_eq(a.path, "/lookup/17");
+	fill(&m, "/again");
+	peer_send_call(c, &m);
+	ck_assert(step(&a, &b, &b.replies, 2));
+	ck_assert_int_eq(b.replies, 2);
+	side_close(&b);
+	side_close(&a);
+}
+END_TEST
+
+START_TEST(large_bodies_pass_whole)
+{
+	unsigned char chunk[WIRE_CHUNK_MAX];
+	struct wire_body m = { 1, 0, chunk, sizeof chunk };
+	struct side a, b;
+	struct peer_conn *c;
+	size_t sent = 0, i;
+
+	side_open(&a, 11, "k");
+	side_open(&b, 22, "k");
+	c = connect_sides(&a, &b);
+	while (sent < 200 * sizeof chunk) {
+		for (i = 0; i < sizeof chunk; i++)
+			chunk[i] = (sent + i) * 7;
+		ck_assert_int_eq(peer_send_body(c, &m), 0);
+		sent += sizeof chunk;
+	}
+	for (i = 0; i < STEPS_MAX && a.body_bytes < sent; i++) {
+		g_main_context_iteration(a.context, FALSE);
+		g_main_context_iteration(b.context, FALSE);
+	}
+	ck_assert_uint_eq(a.body_bytes, sent);
+	ck_assert_int_eq(a.bad_bytes, 0);
+	side_close(&b);
+	side_close(&a);
+}
+END_TEST
+
+START_TEST(other_key_is_refused)
+{
+	struct side a, b;
+
+	side_open(&a, 11, "k");
+	side_open(&b, 22, "x");
+	connect_sides(&a, &b);
+	ck_assert(step(&a, &b, &b.closed, 1));
+	ck_assert_ptr_null(b.opened);
+	ck_assert_ptr_null(a.opened);
+	ck_assert_uint_eq(peer_node_counters(a.node)->refused, 1);
+	side_close(&b);
+	side_close(&a);
+}
+END_TEST
+
+START_TEST(second_key_is_accepted)
+{
+	struct side a, b;
+
+	side_open(&a, 11, "nk");
+	side_open(&b, 22, "kn");
+	connect_sides(&a, &b);
+	ck_assert_ptr_nonnull(b.opened);
+	side_close(&b);
+	side_close(&a);
+}
+END_TEST
+
+/* Bytes that are no record, and records without a good code, end the
+ * connection and are counted. */
+START_TEST(garbage_is_refused)
+{
+	static const char *const garbage[] = { "GET / HTTP/1.1\r\n\r\n",
+		"\x80\x00\x00\x40"
+		"0123456789012345678901234567890123456789012345678901234567"
+		"8901234567" };
+	struct sockaddr_in sa = { 0 };
+	struct side a, b;
+	size_t i;
+	int fd, n = 0;
+
+	side_open(&a, 11, "k");
+	side_open(&b, 22, "k");
+	ck_assert_int_eq(peer_node_listen(a.node, IP, PORT, NULL), 0);
+	sa.sin_family = AF_INET;
+	sa.sin_port = htons(PORT);
+	sa.sin_addr.s_addr = inet_addr(IP);
+	for (i = 0; i < sizeof garbage / sizeof *garbage; i++) {
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa,
+				     sizeof sa),
+		    0);
+		ck_assert_int_gt(send(fd, garbage[i], i ? 68 : 18, 0), 0);
+		ck_assert(step(&a, &b, &a.closed, ++n));
+		close(fd);
+	}
+	ck_assert_uint_eq(peer_node_counters(a.node)->refused, 2);
+	side_close(&b);
+	side_close(&a);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("peer");
+	TCase *c = tcase_create("peer");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	tcase_set_timeout(c, 30);
+	tcase_add_test(c, call_and_reply);
+	tcase_add_test(c, large_bodies_pass_whole);
+	tcase_add_test(c, other_key_is_refused);
+	tcase_add_test(c, second_key_is_accepted);
+	tcase_add_test(c, garbage_is_refused);
+	suite_add_tcase(s, c);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
