Admission: exact limit, cold start, queue by deadline

Cause: a target that turned cold with no sign gets the full load until something is noticed. One slow or failed completion already holds new work at the cold limit until a good one follows; three slow of eight, four failures of sixteen, one reset, a new start id, a stall or a long idle time make it cold, and only completions begun afterwards raise the limit again.

Ruled out: holding only after the averages move.

--- /dev/null
+++ b/src/core/admit/cold.c
@@ -0,0 +1,94 @@
+#include "impl.h"
+
+#define STALL_FALL 4 /* times the slow latency without any completion */
+
+int
+admit_most(const struct admit *a)
+{
+	int n = a->config.slots;
+
+	if (a->config.connections < n)
+		n = a->config.connections;
+	return n > 0 ? n : 1;
+}
+
+int
+admit_cold_limit(const struct admit *a)
+{
+	int n = a->config.cold_limit;
+
+	if (n < 1)
+		return 1;
+	return n < admit_most(a) ? n : admit_most(a);
+}
+
+double
+admit_slow_us(const struct admit *a)
+{
+	double us = (double)a->config.cold_good_us;
+
+	return JUMP * a->usual_us > us ? JUMP * a->usual_us : us;
+}
+
+static int
+idle(const struct admit *a, int64_t now)
+{
+	return a->config.cold_idle_us > 0 && a->in_flight == 0 &&
+	       now - a->idle_since >= a->config.cold_idle_us;
+}
+
+/** Nothing completed for @times the slow latency, with work in flight. */
+static int
+stalled(const struct admit *a, int64_t now, int times)
+{
+	return a->in_flight >= admit_cold_limit(a) &&
+	       (double)(now - a->progress) > times * admit_slow_us(a);
+}
+
+void
+admit_fall(struct admit *a, enum admit_fall why)
+{
+	a->epoch++;
+	a->counters.fell[why]++;
+	a->limit = admit_cold_limit(a);
+	a->cold = 1;
+	a->suspect = 0;
+	a->slow = 0;
+	a->failed = 0;
+	a->window_n = 0;
+	a->window_us = 0;
+	a->window_peak = 0;
+}
+
+void
+admit_settle(struct admit *a, int64_t now)
+{
+	if (a->cold && (int)a->limit <= admit_cold_limit(a))
+		return;
+	if (idle(a, now))
+		admit_fall(a, ADMIT_FALL_IDLE);
+	else if (stalled(a, now, STALL_FALL))
+		admit_fall(a, ADMIT_FALL_STALL);
+}
+
+int
+admit_limit(const struct admit *a, int64_t now)
+{
+	if (a->suspect || idle(a, now) || stalled(a, now, 1))
+		return admit_cold_limit(a);
+	return (int)a->limit;
+}
+
+int
+admit_cold(const struct admit *a, int64_t now)
+{
+	return a->cold || idle(a, now) || stalled(a, now, STALL_FALL);
+}
+
+void
+admit_restarted(struct admit *a, int64_t now)
+{
+	(void)now;
+	a->usual_us = 0;
+	admit_fall(a, ADMIT_FALL_START);
+}
--- /dev/null
+++ b/src/core/admit/done.c
@@ -0,0 +1,74 @@
+#include "impl.h"
+
+#define RECENT_GAIN 0.125
+#define SLOW_RECENT 0xffu /* completions looked back on */
+#define SLOW_FALL 3	  /* slow ones of these */
+#define FAILED_RECENT 0xffffu
+#define FAILED_FALL 4
+#define SHED_SHARE 0.9 /* of the limit left after the target shed */
+
+static void
+good(struct admit *a, double us)
+{
+	int slow = us > admit_slow_us(a);
+
+	a->recent_us +=
+	    (a->recent_us > 0 ? RECENT_GAIN : 1) * (us - a->recent_us);
+	a->failed <<= 1;
+	a->slow = a->slow << 1 | (uint32_t)slow;
+	a->suspect = slow;
+	if (__builtin_popcount(a->slow & SLOW_RECENT) >= SLOW_FALL) {
+		admit_fall(a, ADMIT_FALL_LATENCY);
+		return;
+	}
+	if (!slow)
+		admit_learn(a, us);
+}
+
+static void
+failed(struct admit *a)
+{
+	a->suspect = 1;
+	a->failed = a->failed << 1 | 1;
+	if (__builtin_popcount(a->failed & FAILED_RECENT) >= FAILED_FALL)
+		admit_fall(a, ADMIT_FALL_FAILURES);
+}
+
+static void
+shed(struct admit *a)
+{
+	a->limit *= SHED_SHARE;
+	if (a->limit < admit_cold_limit(a))
+		a->limit = admit_cold_limit(a);
+}
+
+/* Time given up on is no progress, so that a target whose requests are all
+ * cancelled still counts as stalled. */
+void
+admit_done(struct admit *a, int64_t now, const struct admit_run *run,
+    enum admit_outcome outcome)
+{
+	admit_settle(a, now);
+	if (--a->in_flight == 0)
+		a->idle_since = now;
+	if (outcome != ADMIT_CANCELLED)
+		a->progress = now;
+	if (run->epoch != a->epoch)
+		return;
+	switch (outcome) {
+	case ADMIT_GOOD:
+		good(a, (double)(now - run->started));
+		break;
+	case ADMIT_FAILED:
+		failed(a);
+		break;
+	case ADMIT_RESET:
+		admit_fall(a, ADMIT_FALL_RESET);
+		break;
+	case ADMIT_SHED:
+		shed(a);
+		break;
+	case ADMIT_CANCELLED:
+		break;
+	}
+}
--- /dev/null
+++ b/src/core/admit/impl.h
@@ -0,0 +1,93 @@
+#ifndef KQ_ADMIT_IMPL_H
+#define KQ_ADMIT_IMPL_H
+
+#include "admit.h"
+
+#define JUMP 4 /* times the usual latency that count as slow */
+
+/** struct entry - a waiting request, or a free place (next in @pos) */
+struct entry {
+	int64_t deadline;
+	uint32_t tag;
+	uint32_t pos; /* place in the heap plus one; 0 when free */
+	uint16_t gen;
+};
+
+/**
+ * struct queue - waiting requests, a binary heap by deadline
+ * @slot: entries, addressed by handles
+ * @heap: indexes of entries, earliest deadline first
+ * @spare: stack of free indexes
+ */
+struct queue {
+	int n;
+	int capacity;
+	struct entry *slot;
+	uint16_t *heap;
+	uint16_t *spare;
+};
+
+/**
+ * struct admit - one target
+ * @limit: requests in flight allowed while nothing speaks against it
+ * @epoch: raised at each fall; completions of earlier ones don't count
+ * @suspect: the last completion was slow or failed
+ * @idle_since: when the last request in flight ended
+ * @progress: when a request last completed, or the first one was sent
+ * @usual_us: slow average of latency while warm; 0 when not known
+ * @recent_us: quick average of latency
+ * @slow: one bit for each recent completion, set if it was slow
+ * @failed: the same for failures
+ * @window_n, @window_us, @window_peak: completions since the limit was last
+ *	set, their latencies' sum, and the most requests in flight
+ */
+struct admit {
+	struct admit_config config;
+	struct queue queue;
+	struct admit_counters counters;
+	int in_flight;
+	double limit;
+	int cold;
+	int suspect;
+	int draining;
+	int out;
+	uint32_t epoch;
+	int64_t idle_since;
+	int64_t progress;
+	double usual_us;
+	double recent_us;
+	uint32_t slow;
+	uint32_t failed;
+	int window_n;
+	double window_us;
+	int window_peak;
+};
+
+int queue_init(struct queue *, int capacity);
+void queue_clear(struct queue *);
+uint32_t queue_add(struct queue *, int64_t deadline, uint32_t tag);
+int queue_remove(struct queue *, uint32_t handle);
+/** queue_take() - remove the entry with the earliest deadline */
+uint32_t queue_take(struct queue *, uint32_t *tag);
+int64_t queue_first(const struct queue *);
+/** queue_before() - entries with a deadline at most this one */
+int queue_before(const struct queue *, int64_t deadline);
+
+/** admit_most() - least of slots and connections, at least 1 */
+int admit_most(const struct admit *);
+/** admit_cold_limit() - cold limit within 1 and admit_most() */
+int admit_cold_limit(const struct admit *);
+/** admit_slow_us() - a completion slower than this speaks for a cold target */
+double admit_slow_us(const struct admit *);
+/** admit_fall() - take the target for cold from now on */
+void admit_fall(struct admit *, enum admit_fall);
+/** admit_settle() - fall if the time that passed says so */
+void admit_settle(struct admit *, int64_t now);
+/** admit_learn() - set the limit after a whole answer */
+void admit_learn(struct admit *, double latency_us);
+/** admit_late() - whether a request can't be done if sent at @at */
+int admit_late(const struct admit *, int64_t at, int64_t deadline);
+/** admit_begin() - count a request as given to the target */
+void admit_begin(struct admit *, int64_t now, struct admit_run *);
+
+#endif
--- /dev/null
+++ b/src/core/admit/queue.c
@@ -0,0 +1,149 @@
+#include "impl.h"
+
+#include <stdlib.h>
+
+#define INDEX_BITS 16
+#define INDEX_MASK 0xffffu
+
+static int64_t
+key(const struct queue *q, int i)
+{
+	return q->slot[q->heap[i]].deadline;
+}
+
+static void
+put(struct queue *q, int i, uint16_t index)
+{
+	q->heap[i] = index;
+	q->slot[index].pos = (uint32_t)i + 1;
+}
+
+static void
+sift_up(struct queue *q, int i)
+{
+	uint16_t index = q->heap[i];
+
+	while (i > 0 && key(q, (i - 1) / 2) > q->slot[index].deadline) {
+		put(q, i, q->heap[(i - 1) / 2]);
+		i = (i - 1) / 2;
+	}
+	put(q, i, index);
+}
+
+static void
+sift_down(struct queue *q, int i)
+{
+	uint16_t index = q->heap[i];
+	int c;
+
+	while ((c = 2 * i + 1) < q->n) {
+		if (c + 1 < q->n && key(q, c + 1) < key(q, c))
+			c++;
+		if (key(q, c) >= q->slot[index].deadline)
+			break;
+		put(q, i, q->heap[c]);
+		i = c;
+	}
+	put(q, i, index);
+}
+
+static void
+remove_at(struct queue *q, int i)
+{
+	uint16_t index = q->heap[i];
+
+	q->slot[index].pos = 0;
+	q->slot[index].gen++;
+	q->spare[q->capacity - q->n] = index;
+	q->n--;
+	if (i == q->n)
+		return;
+	put(q, i, q->heap[q->n]);
+	sift_down(q, i);
+	sift_up(q, (int)q->slot[q->heap[i]].pos - 1);
+}
+
+int
+queue_init(struct queue *q, int capacity)
+{
+	int i;
+
+	if (capacity < 0)
+		capacity = 0;
+	if (capacity >= (int)INDEX_MASK)
+		capacity = INDEX_MASK - 1;
+	q->n = 0;
+	q->capacity = capacity;
+	q->slot = calloc((size_t)capacity + 1, sizeof *q->slot);
+	q->heap = calloc((size_t)capacity + 1, sizeof *q->heap);
+	q->spare = calloc((size_t)capacity + 1, sizeof *q->spare);
+	if (!q->slot || !q->heap || !q->spare)
+		return -1;
+	for (i = 0; i < capacity; i++)
+		q->spare[i] = (uint16_t)i;
+	return 0;
+}
+
+void
+queue_clear(struct queue *q)
+{
+	free(q->slot);
+	free(q->heap);
+	free(q->spare);
+}
+
+/* spare[0 .. capacity - n - 1] are free */
+uint32_t
+queue_add(struct queue *q, int64_t deadline, uint32_t tag)
+{
+	uint16_t index = q->spare[q->capacity - q->n - 1];
+	struct entry *e = &q->slot[index];
+
+	e->deadline = deadline;
+	e->tag = tag;
+	put(q, q->n++, index);
+	sift_up(q, q->n - 1);
+	return (uint32_t)e->gen << INDEX_BITS | (index + 1u);
+}
+
+int
+queue_remove(struct queue *q, uint32_t handle)
+{
+	uint32_t index = (handle & INDEX_MASK) - 1;
+
+	if (index >= (uint32_t)q->capacity)
+		return 0;
+	if (!q->slot[index].pos || q->slot[index].gen != handle >> INDEX_BITS)
+		return 0;
+	remove_at(q, (int)q->slot[index].pos - 1);
+	return 1;
+}
+
+uint32_t
+queue_take(struct queue *q, uint32_t *tag)
+{
+	uint16_t index = q->heap[0];
+	const struct entry *e = &q->slot[index];
+	uint32_t handle = (uint32_t)e->gen << INDEX_BITS | (index + 1u);
+
+	*tag = e->tag;
+	remove_at(q, 0);
+	return handle;
+}
+
+int64_t
+queue_first(const struct queue *q)
+{
+	return q->n ? key(q, 0) : INT64_MAX;
+}
+
+int
+queue_before(const struct queue *q, int64_t deadline)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < q->n; i++)
+		n += key(q, i) <= deadline;
+	return n;
+}
--- /dev/null
+++ b/tests/unit/admit_rules.c
@@ -0,0 +1,130 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "admit.h"
+
+#define MS 1000
+#define SECOND 1000000
+#define COLD 3
+
+static const struct admit_config config = {
+    12, 260, COLD, 20 * MS, 500 * MS, 32};
+
+START_TEST(queue_by_deadline_and_reasons)
+{
+	struct admit_config c = {1, 9, 1, 20 * MS, 0, 2};
+	struct admit *a = admit_new(&c, 0);
+	struct admit_run run;
+	struct admit_item item;
+	enum admit_reason why;
+	uint32_t late;
+	uint32_t soon;
+	uint32_t h;
+
+	ck_assert(admit_request(a, 0, 0, 1, &run, &h, &why) == ADMIT_REFUSE);
+	ck_assert_int_eq(why, ADMIT_DEADLINE);
+	ck_assert(admit_request(a, 0, 99, 1, &run, &h, &why) == ADMIT_RUN);
+	ck_assert(admit_request(a, 1, 900, 2, &run, &late, &why) == ADMIT_WAIT);
+	ck_assert(admit_request(a, 1, 200, 3, &run, &soon, &why) == ADMIT_WAIT);
+	ck_assert(admit_request(a, 1, 99, 4, &run, &h, &why) == ADMIT_REFUSE);
+	ck_assert_int_eq(why, ADMIT_COLD);
+	admit_done(a, 10, &run, ADMIT_GOOD);
+	ck_assert(admit_pop(a, 10, &item) == ADMIT_POP_RUN);
+	ck_assert_uint_eq(item.tag, 3);
+	ck_assert_uint_eq(item.handle, soon);
+	ck_assert(!admit_cancel(a, soon));
+	ck_assert(admit_cancel(a, late));
+	ck_assert(admit_request(a, 11, 900, 5, &run, &h, &why) == ADMIT_WAIT);
+	ck_assert(admit_pop(a, 900, &item) == ADMIT_POP_EXPIRED);
+	ck_assert_uint_eq(item.tag, 5);
+	ck_assert_int_eq(item.reason, ADMIT_DEADLINE);
+	ck_assert(admit_request(a, 901, 2000, 6, &run, &h, &why) == ADMIT_WAIT);
+	admit_drain(a);
+	ck_assert(admit_pop(a, 901, &item) == ADMIT_POP_EXPIRED);
+	ck_assert_int_eq(item.reason, ADMIT_DRAINING);
+	ck_assert(admit_request(a, 9, 99, 7, &run, &h, &why) == ADMIT_REFUSE);
+	ck_assert_int_eq(why, ADMIT_DRAINING);
+	ck_assert_int_eq(admit_in_flight(a), 1);
+	admit_done(a, 950, &item.run, ADMIT_CANCELLED);
+	ck_assert_int_eq(admit_in_flight(a), 0);
+	admit_free(a);
+}
+END_TEST
+
+START_TEST(work_begun_before_a_fall_does_not_warm)
+{
+	struct admit *a = admit_new(&config, 0);
+	struct admit_run run[COLD];
+	enum admit_reason why;
+	uint32_t h;
+	int i;
+
+	for (i = 0; i < COLD; i++)
+		admit_request(a, i, SECOND, 0, &run[i], &h, &why);
+	admit_restarted(a, COLD);
+	for (i = 0; i < COLD; i++)
+		admit_done(a, 1000 + i, &run[i], ADMIT_GOOD);
+	ck_assert_int_eq(admit_limit(a, 2000), COLD);
+	for (i = 0; i < COLD; i++)
+		admit_request(a, 2000, SECOND, 0, &run[i], &h, &why);
+	for (i = 0; i < COLD; i++)
+		admit_done(a, 3000 + i, &run[i], ADMIT_GOOD);
+	ck_assert_int_eq(admit_in_flight(a), 0);
+	ck_assert(admit_cold(a, 4000));
+	ck_assert_int_eq(admit_limit(a, 4000), COLD);
+	for (i = 0; i < COLD; i++) {
+		admit_request(a, 5000 + i, SECOND, 0, &run[0], &h, &why);
+		admit_request(a, 5000 + i, SECOND, 0, &run[1], &h, &why);
+		admit_done(a, 5000 + i, &run[0], ADMIT_GOOD);
+		admit_done(a, 5000 + i, &run[1], ADMIT_GOOD);
+	}
+	ck_assert_int_eq(admit_limit(a, 6000), COLD + 1);
+	admit_free(a);
+}
+END_TEST
+
+START_TEST(a_hanging_target_is_cold)
+{
+	struct admit *a = admit_new(&config, 0);
+	struct admit_run run[COLD + 2];
+	enum admit_reason why;
+	int64_t now = 0;
+	uint32_t h;
+	int i;
+
+	for (i = 0; i < 10; i++, now += 2 * MS) {
+		admit_request(a, now, SECOND, 0, &run[0], &h, &why);
+		admit_request(a, now, SECOND, 0, &run[1], &h, &why);
+		admit_done(a, now + MS, &run[0], ADMIT_GOOD);
+		admit_done(a, now + MS, &run[1], ADMIT_GOOD);
+	}
+	ck_assert_int_eq(admit_limit(a, now), COLD + 2);
+	for (i = 0; i < COLD + 1; i++)
+		admit_request(a, now, SECOND, 0, &run[i], &h, &why);
+	ck_assert_int_eq(admit_in_flight(a), COLD + 1);
+	ck_assert_int_eq(admit_limit(a, now + 20 * MS), COLD + 2);
+	ck_assert_int_eq(admit_limit(a, now + 20 * MS + 1), COLD);
+	ck_assert(admit_request(a, now + 80 * MS + 1, SECOND, 0, &run[0], &h,
+		      &why) == ADMIT_WAIT);
+	ck_assert_uint_eq(admit_counters(a)->fell[ADMIT_FALL_STALL], 1);
+	admit_free(a);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("admit rules");
+	TCase *c = tcase_create("admit rules");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	tcase_add_test(c, queue_by_deadline_and_reasons);
+	tcase_add_test(c, work_begun_before_a_fall_does_not_warm);
+	tcase_add_test(c, a_hanging_target_is_cold);
+	suite_add_tcase(s, c);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
