--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,9 @@
 bench: all
 	./scripts/run-bench $(O)
 
+picking: all
+	./scripts/picking $(O)
+
 lint:
 	./scripts/lint
 
@@ -74,6 +77,6 @@
 clean:
 	rm -rf build out
 
-.PHONY: all check bench lint format sanitize sanitize-thread clean
+.PHONY: all check bench picking lint format sanitize sanitize-thread clean
 .SECONDARY:
 -include $(shell find $(O) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/bench/pick/cost.c
@@ -0,0 +1,100 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "admit.h"
+#include "sim.h"
+
+#define ROUNDS 1000000
+
+static double
+seconds(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_MONOTONIC, &t);
+	return (double)t.tv_sec + (double)t.tv_nsec * 1e-9;
+}
+
+/** One call at a table of @n candidates: choose, sent, done with a report. */
+static void
+cost_choose(enum pick_policy policy, uint32_t n)
+{
+	struct pick_config config = {policy, n, 60, 1, 1};
+	struct pick *p = pick_new(&config);
+	struct load_report l = {3, 0, 12, 2000, 0, 0, 500};
+	int64_t now = 0;
+	double begin;
+	double chosen = 0;
+	uint32_t i;
+
+	if (!p)
+		abort();
+	for (i = 0; i < n; i++)
+		pick_add(p, 0, i % 3 == 0, 1);
+	begin = seconds();
+	for (i = 0; i < ROUNDS; i++) {
+		double t = seconds();
+		uint32_t h = pick_choose(p, now, NULL, 0);
+
+		chosen += seconds() - t;
+		pick_sent(p, h, now);
+		l.in_flight = i % 12;
+		pick_done(p, h, now + 2000, 2000, PICK_GOOD, &l);
+		h = pick_probe(p, now);
+		if (h)
+			pick_probe_reply(p, h, now, &l);
+		now += 3000;
+	}
+	begin = seconds() - begin;
+	printf("choose_%s_%u %.0f ns\n", pick_policy_name(policy), n,
+	    chosen / ROUNDS * 1e9);
+	printf("call_%s_%u %.0f ns\n", pick_policy_name(policy), n,
+	    begin / ROUNDS * 1e9);
+	pick_free(p);
+}
+
+static void
+cost_admit(int queued)
+{
+	struct admit_config config = {12, 260, 3, 20000, 0, 64};
+	struct admit *a = admit_new(&config, 0);
+	struct admit_run run[64] = {{0, 0}};
+	struct admit_item item;
+	enum admit_reason why;
+	int64_t now = 1;
+	uint32_t handle;
+	double begin;
+	int i;
+
+	if (!a)
+		abort();
+	for (i = 0; i < 3 + queued; i++)
+		admit_request(a, now, now + 1000000, 0, &run[i], &handle, &why);
+	begin = seconds();
+	for (i = 0; i < ROUNDS; i++) {
+		now += 100;
+		admit_request(a, now, now + 1000000, 0, &run[0], &handle, &why);
+		admit_done(a, now, &run[0], ADMIT_SHED);
+		while (admit_pop(a, now, &item) == ADMIT_POP_RUN)
+			run[0] = item.run;
+	}
+	printf("admit_done_%d_queued %.0f ns\n", queued,
+	    (seconds() - begin) / ROUNDS * 1e9);
+	admit_free(a);
+}
+
+void
+cost_run(void)
+{
+	static const uint32_t sizes[] = {19, 990};
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		cost_choose(PICK_LEAST_OF_TWO, sizes[i]);
+		cost_choose(PICK_PROBE_POOL, sizes[i]);
+		cost_choose(PICK_EXPECTED, sizes[i]);
+	}
+	cost_admit(0);
+	cost_admit(32);
+}
--- /dev/null
+++ b/bench/pick/sim.h
@@ -0,0 +1,190 @@
+#ifndef BENCH_PICK_SIM_H
+#define BENCH_PICK_SIM_H
+
+#include <stdint.h>
+
+#include "pick.h"
+#include "retry.h"
+#include "rng.h"
+
+/**
+ * DOC: Small fake targets and callers in virtual time.
+ *
+ * No cluster: targets are queues with slots, callers are tables of the code
+ * under test, the network is a delay.
+ */
+
+#define TARGETS 10
+#define SLOTS 12
+#define CALLERS 100
+#define SERVICE_US 2000.0
+#define NETWORK_US 500
+#define CAPACITY_PER_S (TARGETS * SLOTS / SERVICE_US * 1e6)
+#define DEADLINE_US 500000
+#define TRIES_MAX 4
+#define HISTORY 256 /* ms of loads kept for stale reports */
+
+/**
+ * struct scenario - what happens in one run
+ * @load: share of CAPACITY_PER_S
+ * @straggler: targets that take ten times as long
+ * @noisy: nonzero if speeds are drawn anew each 5 ms
+ * @stale_ms: age of reports, not told
+ * @liars: targets that report to be idle and quick
+ * @cold: nonzero if target 0 returns cold after a third of the run
+ * @burst: nonzero if the load triples for 100 ms in each second
+ */
+struct scenario {
+	const char *name;
+	double load;
+	int straggler;
+	int noisy;
+	int stale_ms;
+	int liars;
+	int cold;
+	int burst;
+};
+
+/**
+ * struct way - one way of choosing
+ * @oracle: nonzero to choose by the true state
+ * @queue_max: requests that may wait at a target; more are refused
+ * @hedge: nonzero to hedge
+ */
+struct way {
+	const char *name;
+	double probe_per_s;
+	double probe_per_call;
+	enum pick_policy policy;
+	int oracle;
+	int queue_max;
+	int hedge;
+};
+
+enum event_kind {
+	EVENT_ARRIVE,
+	EVENT_REACH,
+	EVENT_FINISH,
+	EVENT_REPLY,
+	EVENT_PROBE,
+	EVENT_PROBE_REPLY,
+	EVENT_HEDGE,
+	EVENT_TICK
+};
+
+struct event {
+	int64_t at;
+	uint32_t id;
+	enum event_kind kind;
+};
+
+struct heap {
+	uint32_t n;
+	uint32_t room;
+	struct event *event;
+};
+
+/** struct call - one request of a caller, with all its attempts */
+struct call {
+	int64_t arrived;
+	double work;
+	struct retry_call retry;
+	uint32_t tried[TRIES_MAX];
+	uint32_t ntried;
+	uint32_t out; /* attempts not yet ended */
+	uint16_t caller;
+	uint8_t over;
+};
+
+/** struct attempt - a request or a probe on its way */
+struct attempt {
+	uint32_t call;
+	uint32_t next; /* in the target's queue, or free */
+	int64_t sent;
+	int64_t started;
+	struct load_report report;
+	uint16_t caller;
+	uint8_t target;
+	uint8_t refused;
+};
+
+struct target {
+	int on_way; /* sent and not yet there, for the oracle */
+	int running;
+	int queued;
+	int limit;
+	uint32_t first;
+	uint32_t last;
+	double speed;  /* times the work */
+	double warmth; /* completions towards the next step of the limit */
+	double latency_us;
+	int cold;
+	int lies;
+	struct load_report history[HISTORY];
+};
+
+struct caller {
+	struct pick *pick;
+	struct retry retry;
+	uint32_t handle[TARGETS];
+};
+
+struct result {
+	uint64_t calls;
+	uint64_t failed;
+	uint64_t attempts;
+	uint64_t probes;
+	double p50_ms;
+	double p99_ms;
+	double p999_ms;
+	double mean_ms;
+};
+
+struct sim {
+	const struct scenario *scenario;
+	const struct way *way;
+	int64_t now;
+	int64_t end;
+	struct heap heap;
+	struct rng arrivals;
+	struct rng world;
+	struct target target[TARGETS];
+	struct caller caller[CALLERS];
+	struct call *call;
+	struct attempt *attempt;
+	uint32_t ncall;
+	uint32_t nattempt;
+	uint32_t free_attempt;
+	uint32_t room;
+	int64_t *latency;
+	uint32_t nlatency;
+	struct result result;
+};
+
+void heap_push(struct heap *, int64_t at, enum event_kind, uint32_t id);
+struct event heap_pop(struct heap *);
+
+void target_init(struct sim *, int i);
+void target_reach(struct sim *, uint32_t id);
+void target_finish(struct sim *, uint32_t id);
+void target_report(const struct sim *, int i, struct load_report *);
+/** target_tick() - once a millisecond: noise, cold return, history */
+void target_tick(struct sim *);
+
+uint32_t attempt_new(struct sim *);
+void attempt_free(struct sim *, uint32_t);
+
+int caller_init(struct sim *, int i, uint64_t seed);
+void caller_arrive(struct sim *);
+void caller_reply(struct sim *, uint32_t attempt);
+void caller_hedge(struct sim *, uint32_t id);
+void caller_probe_reply(struct sim *, uint32_t attempt);
+
+/** sim_run() - @calls arrivals; the first tenth is not measured */
+int sim_run(const struct scenario *, const struct way *, uint32_t calls,
+    uint64_t seed, struct result *);
+
+/** cost_run() - prints what choosing and admitting cost */
+void cost_run(void);
+
+#endif
--- /dev/null
+++ b/bench/pick/target.c
@@ -0,0 +1,191 @@
+#include "sim.h"
+
+#define NONE UINT32_MAX
+#define COLD_LIMIT 2
+#define COLD_SPEED 3
+#define STRAGGLER_SPEED 10
+#define NOISE_SPEED 3
+#define NOISE_MS 5
+#define NOISE_ONE_IN 4
+#define LATENCY_GAIN 0.125
+
+void
+target_init(struct sim *s, int i)
+{
+	struct target *t = &s->target[i];
+
+	*t = (struct target){.limit = SLOTS, .first = NONE, .last = NONE};
+	t->speed = i < s->scenario->straggler ? STRAGGLER_SPEED : 1;
+	t->lies = i < s->scenario->liars;
+}
+
+static double
+speed(const struct target *t)
+{
+	return t->cold ? t->speed * COLD_SPEED : t->speed;
+}
+
+static void
+start(struct sim *s, uint32_t id)
+{
+	struct attempt *a = &s->attempt[id];
+	struct target *t = &s->target[a->target];
+
+	t->running++;
+	a->started = s->now;
+	heap_push(&s->heap,
+	    s->now + 1 + (int64_t)(s->call[a->call].work * speed(t)),
+	    EVENT_FINISH, id);
+}
+
+static void
+enqueue(struct sim *s, struct target *t, uint32_t id)
+{
+	s->attempt[id].next = NONE;
+	if (t->last == NONE)
+		t->first = id;
+	else
+		s->attempt[t->last].next = id;
+	t->last = id;
+	t->queued++;
+}
+
+static void
+answer(struct sim *s, uint32_t id)
+{
+	struct attempt *a = &s->attempt[id];
+
+	target_report(s, a->target, &a->report);
+	heap_push(&s->heap, s->now + NETWORK_US, EVENT_REPLY, id);
+}
+
+void
+target_reach(struct sim *s, uint32_t id)
+{
+	struct attempt *a = &s->attempt[id];
+	struct target *t = &s->target[a->target];
+
+	t->on_way--;
+	if (t->running < t->limit) {
+		start(s, id);
+		return;
+	}
+	if (t->queued >= s->way->queue_max) {
+		a->refused = 1;
+		answer(s, id);
+		return;
+	}
+	enqueue(s, t, id);
+}
+
+/** The limit of a cold target rises by one for each limit's worth. */
+static void
+warm_up(struct target *t)
+{
+	t->warmth++;
+	if (t->warmth < t->limit)
+		return;
+	t->warmth = 0;
+	if (++t->limit >= SLOTS)
+		t->cold = 0;
+}
+
+/** The next waiting attempt whose call is not over yet. */
+static uint32_t
+dequeue(struct sim *s, struct target *t)
+{
+	while (t->first != NONE) {
+		uint32_t id = t->first;
+
+		t->first = s->attempt[id].next;
+		if (t->first == NONE)
+			t->last = NONE;
+		t->queued--;
+		if (!s->call[s->attempt[id].call].over)
+			return id;
+		answer(s, id);
+	}
+	return NONE;
+}
+
+void
+target_finish(struct sim *s, uint32_t id)
+{
+	struct attempt *a = &s->attempt[id];
+	struct target *t = &s->target[a->target];
+	double us = (double)(s->now - a->started);
+
+	t->running--;
+	t->latency_us +=
+	    (t->latency_us > 0 ? LATENCY_GAIN : 1) * (us - t->latency_us);
+	if (t->cold)
+		warm_up(t);
+	answer(s, id);
+	while (t->running < t->limit) {
+		uint32_t next = dequeue(s, t);
+
+		if (next == NONE)
+			break;
+		start(s, next);
+	}
+}
+
+void
+target_report(const struct sim *s, int i, struct load_report *l)
+{
+	const struct target *t = &s->target[i];
+	int64_t ms = s->now / 1000;
+
+	if (s->scenario->stale_ms) {
+		*l = t->history[(ms + HISTORY - s->scenario->stale_ms) %
+				HISTORY];
+		return;
+	}
+	*l = (struct load_report){(uint32_t)t->running, (uint32_t)t->queued,
+	    (uint32_t)t->limit, (uint32_t)t->latency_us, (uint8_t)t->cold, 0,
+	    NETWORK_US};
+	if (!t->lies)
+		return;
+	l->in_flight = 0;
+	l->queued = 0;
+	l->latency_us = 100;
+}
+
+static void
+record(struct target *t, int64_t ms)
+{
+	t->history[ms % HISTORY] = (struct load_report){(uint32_t)t->running,
+	    (uint32_t)t->queued, (uint32_t)t->limit, (uint32_t)t->latency_us,
+	    (uint8_t)t->cold, 0, 0};
+}
+
+static void
+cold_return(struct sim *s)
+{
+	struct target *t = &s->target[0];
+	int i;
+
+	t->cold = 1;
+	t->limit = COLD_LIMIT;
+	for (i = 0; i < CALLERS; i++)
+		s->caller[i].handle[0] =
+		    pick_add(s->caller[i].pick, s->now, 1, 1);
+}
+
+void
+target_tick(struct sim *s)
+{
+	int64_t ms = s->now / 1000;
+	int i;
+
+	for (i = 0; i < TARGETS; i++) {
+		if (s->scenario->noisy && ms % NOISE_MS == 0)
+			s->target[i].speed = rng_below(&s->world, NOISE_ONE_IN)
+						 ? 1
+						 : NOISE_SPEED;
+		record(&s->target[i], ms);
+	}
+	if (s->scenario->cold && !s->caller[0].handle[0] &&
+	    s->now >= s->end / 3)
+		cold_return(s);
+}
--- /dev/null
+++ b/src/core/pick/choose.c
@@ -0,0 +1,53 @@
+#include "impl.h"
+
+static pick_policy_fn *const policies[PICK_POLICIES] = {pick_random,
+    pick_round_robin, pick_least_of_two, pick_latency_of_two, pick_probe_pool,
+    pick_expected};
+
+const char *
+pick_policy_name(enum pick_policy policy)
+{
+	static const char *const names[PICK_POLICIES] = {"random",
+	    "round-robin", "least-of-two", "latency-of-two", "probe-pool",
+	    "expected"};
+
+	return names[policy];
+}
+
+static enum group
+first_group(struct pick *p)
+{
+	if (!p->list[GROUP_LOCAL].n)
+		return GROUP_OTHER;
+	if (p->pressure.spill > 0 && p->list[GROUP_OTHER].n &&
+	    rng_unit(&p->rng) < p->pressure.spill)
+		return GROUP_OTHER;
+	return GROUP_LOCAL;
+}
+
+uint32_t
+pick_choose(
+    struct pick *p, int64_t now, const uint32_t *exclude, uint32_t nexclude)
+{
+	struct query q = {now, GROUP_LOCAL, 1, nexclude, exclude};
+	enum group first;
+	int g;
+
+	pick_measure(p, now);
+	if (p->credit < 1)
+		p->credit += p->config.probe_per_call;
+	first = first_group(p);
+	for (q.strict = 1; q.strict >= 0; q.strict--) {
+		for (g = 0; g < GROUPS; g++) {
+			uint32_t index;
+
+			q.group = g ? (enum group) !first : first;
+			if (!p->list[q.group].n)
+				continue;
+			index = policies[p->config.policy](p, &q);
+			if (index != INDEX_NONE)
+				return pick_handle(p, index);
+		}
+	}
+	return PICK_NONE;
+}
--- /dev/null
+++ b/src/core/pick/probe.c
@@ -0,0 +1,54 @@
+#include "impl.h"
+
+#define US_PER_S 1e6
+#define OTHER_SHARE 8 /* one probe in so many leaves the own data centre */
+#define LOOKED_AT 3
+
+/** Of a few random candidates the one whose report is oldest. */
+static uint32_t
+stalest(struct pick *p, const struct list *l)
+{
+	uint32_t best = l->index[rng_below(&p->rng, l->n)];
+	int i;
+
+	for (i = 1; i < LOOKED_AT; i++) {
+		uint32_t other = l->index[rng_below(&p->rng, l->n)];
+
+		if (p->candidate[other].reported < p->candidate[best].reported)
+			best = other;
+	}
+	return best;
+}
+
+uint32_t
+pick_probe(struct pick *p, int64_t now)
+{
+	const struct list *l = &p->list[GROUP_LOCAL];
+	uint32_t index;
+
+	if (p->config.probe_per_s <= 0 || p->credit < 1 ||
+	    now < p->next_probe || !pick_count(p))
+		return PICK_NONE;
+	if (!l->n ||
+	    (p->list[GROUP_OTHER].n && rng_below(&p->rng, OTHER_SHARE) == 0))
+		l = &p->list[GROUP_OTHER];
+	index = p->config.policy == PICK_PROBE_POOL
+		    ? l->index[rng_below(&p->rng, l->n)]
+		    : stalest(p, l);
+	p->credit--;
+	p->next_probe = now + (int64_t)(US_PER_S / p->config.probe_per_s);
+	return pick_handle(p, index);
+}
+
+void
+pick_probe_reply(
+    struct pick *p, uint32_t handle, int64_t now, const struct load_report *l)
+{
+	uint32_t index = pick_find(p, handle);
+
+	if (index == INDEX_NONE)
+		return;
+	pick_note_report(p, &p->candidate[index], now, l, 0);
+	if (p->config.policy == PICK_PROBE_POOL)
+		pool_add(p, handle, now, l);
+}
--- /dev/null
+++ b/src/core/pick/sample.c
@@ -0,0 +1,44 @@
+#include "impl.h"
+
+#define RANDOM_TRIES 4
+
+int
+pick_usable(struct pick *p, const struct query *q, uint32_t index)
+{
+	const struct candidate *c = &p->candidate[index];
+	uint32_t i;
+
+	if (c->share <= 0)
+		return 0;
+	for (i = 0; i < q->nexclude; i++)
+		if (q->exclude[i] == pick_handle(p, index))
+			return 0;
+	if (!q->strict)
+		return 1;
+	if (c->draining || c->avoid_until > q->now)
+		return 0;
+	return c->share >= 1 || rng_unit(&p->rng) < c->share;
+}
+
+uint32_t
+pick_sample(struct pick *p, const struct query *q, uint32_t not )
+{
+	const struct list *l = &p->list[q->group];
+	uint32_t start;
+	uint32_t i;
+
+	for (i = 0; i < RANDOM_TRIES; i++) {
+		uint32_t index = l->index[rng_below(&p->rng, l->n)];
+
+		if (index != not &&pick_usable(p, q, index))
+			return index;
+	}
+	start = rng_below(&p->rng, l->n);
+	for (i = 0; i < l->n; i++) {
+		uint32_t index = l->index[(start + i) % l->n];
+
+		if (index != not &&pick_usable(p, q, index))
+			return index;
+	}
+	return INDEX_NONE;
+}
