--- a/tests/system/fakes.sh
+++ b/tests/system/fakes.sh
@@ -164,12 +164,13 @@
 
 "$o/fake-target" --ip 127.0.0.9 --port 20102 --service s --dc a &
 beside=$!
+pids="$pids $beside"
+ready $B
 "$o/fake-target" --ip 127.0.0.9 --port 20101 --service s --dc a --fixed 1 \
 	--service-us 1000 --connect-us 0 --announce $B \
 	--history "$dir/target" &
 target=$!
-pids="$pids $beside $target"
-ready $B
+pids="$pids $target"
 ready $T
 sleep 0.2
 same announced 1 "$(count $B runs)"
