--- a/src/adapter/http/call.c
+++ b/src/adapter/http/call.c
@@ -113,8 +113,8 @@
 			n = (size_t)c->left;
 		c->left -= (int64_t)n;
 	}
-	link_sent(
-	    l, out_body(&l->out, l->fd, data, n, c->chunked, !is_blocked(l)));
+	link_sent(l,
+	    out_body(&l->out, l->fd, data, n, c->chunked, !is_blocked(l)));
 	if (out_pending(&l->out))
 		c->drain = 1;
 	link_settle(l);
--- a/src/adapter/http/conn_time.c
+++ b/src/adapter/http/conn_time.c
@@ -38,8 +38,8 @@
 	struct kq_error err;
 	int answer;
 
-	kq_error_set(
-	    &err, KQ_LAYER_HTTP, HTTP_E_TIMEOUT, "request took too long");
+	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_TIMEOUT,
+	    "request took too long");
 	answer = c->state == CONN_OPEN && !out_pending(&c->out) &&
 		 in_started(&c->in) && conn_answerable(c);
 	conn_gone(c, &err);
--- a/src/adapter/http/head.c
+++ b/src/adapter/http/head.c
@@ -28,8 +28,8 @@
 	int64_t n = 0;
 
 	if (!*s || strspn(s, "0123456789") != strlen(s))
-		return in_fault(
-		    in, 400, HTTP_E_SYNTAX, "Content-Length is not a number");
+		return in_fault(in, 400, HTTP_E_SYNTAX,
+		    "Content-Length is not a number");
 	if (strlen(s) > LENGTH_DIGITS_MAX)
 		return in_fault(in, 413, HTTP_E_SYNTAX, "body is too large");
 	while (*s)
@@ -70,11 +70,11 @@
 check_request(struct http_in *in, const struct framing *f)
 {
 	if (in->parser.method == HTTP_CONNECT)
-		return in_fault(
-		    in, 400, HTTP_E_SYNTAX, "CONNECT is not served");
+		return in_fault(in, 400, HTTP_E_SYNTAX,
+		    "CONNECT is not served");
 	if (f->nhost > 1)
-		return in_fault(
-		    in, 400, HTTP_E_SYNTAX, "more than one Host field");
+		return in_fault(in, 400, HTTP_E_SYNTAX,
+		    "more than one Host field");
 	return 0;
 }
 
@@ -92,8 +92,8 @@
 		return in_fault(in, 400, HTTP_E_SYNTAX,
 		    "Transfer-Encoding other than chunked");
 	if (f->nencoding && !in->parser.http_minor)
-		return in_fault(
-		    in, 400, HTTP_E_SYNTAX, "Transfer-Encoding in HTTP/1.0");
+		return in_fault(in, 400, HTTP_E_SYNTAX,
+		    "Transfer-Encoding in HTTP/1.0");
 	return 0;
 }
 
--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -6,14 +6,14 @@
 
 #include "http.h"
 
-#define HTTP_READ_BYTES 65536	    /* taken from a socket at once */
+#define HTTP_READ_BYTES 65536 /* taken from a socket at once */
 #define HTTP_LENGTH_MAX (1LL << 50) /* bytes a body may announce */
-#define HTTP_OUT_KEEP_BYTES 65536   /* a larger empty buffer is freed */
-#define HTTP_DISCARD_BYTES 1048576  /* unread request body that is skipped */
-#define HTTP_LINGER_US 2000000	    /* wait for the peer to close */
+#define HTTP_OUT_KEEP_BYTES 65536 /* a larger empty buffer is freed */
+#define HTTP_DISCARD_BYTES 1048576 /* unread request body that is skipped */
+#define HTTP_LINGER_US 2000000 /* wait for the peer to close */
 #define HTTP_ACCEPT_RETRY_US 100000 /* after a failed accept */
 #define HTTP_SPARE_RETRY_US 1000000 /* after a spare connection was lost */
-#define HTTP_REFUSED_MAX 64	    /* refused connections being closed */
+#define HTTP_REFUSED_MAX 64 /* refused connections being closed */
 #define HTTP_US_PER_MS 1000
 
 /* ---- bytes to be sent ---- */
@@ -42,8 +42,8 @@
  */
 ssize_t out_send(struct http_out *, int fd, const struct iovec *, int niov);
 /** out_body() - out_send() of body bytes, as one chunk if @chunked */
-ssize_t out_body(
-    struct http_out *, int fd, const void *, size_t, int chunked, int ready);
+ssize_t out_body(struct http_out *, int fd, const void *, size_t, int chunked,
+    int ready);
 
 /* ---- messages being read ---- */
 
@@ -125,14 +125,14 @@
 	int open;
 	int expect; /* "100 Continue" is awaited */
 	int is_head;
-	int old;    /* HTTP/1.0 */
-	int keep;   /* the connection may serve another request */
+	int old; /* HTTP/1.0 */
+	int keep; /* the connection may serve another request */
 	int headed; /* response head was written */
 	int chunked;
 	int no_body;
 	int64_t left; /* body bytes still to be written, or HTTP_LENGTH_* */
-	int drain;    /* a write left bytes waiting */
-	int probed;   /* an interim response was sent at the end of input */
+	int drain; /* a write left bytes waiting */
+	int probed; /* an interim response was sent at the end of input */
 };
 
 enum conn_state { CONN_OPEN, CONN_LINGER };
@@ -153,7 +153,7 @@
 	int corked; /* a head waits for its first body bytes */
 	int read_off;
 	int64_t linger_until;
-	int64_t last;	    /* time of the last byte */
+	int64_t last; /* time of the last byte */
 	int64_t head_since; /* time of the head's first byte, 0 if none */
 	size_t skipped;
 	struct io_watch watch;
@@ -177,7 +177,7 @@
 	struct http_conn *conns;
 	struct http_conn *dead;
 	struct io_timer reaper; /* frees the dead */
-	char *scratch;		/* HTTP_READ_BYTES, shared by all connections */
+	char *scratch; /* HTTP_READ_BYTES, shared by all connections */
 };
 
 struct http_conn *conn_new(struct http_server *, int fd, int refused);
@@ -270,8 +270,8 @@
 	struct http_call *free_calls;
 	struct http_link *dead;
 	struct io_timer reaper; /* frees the dead */
-	struct io_timer timer;	/* opens spare connections */
-	char *scratch;		/* HTTP_READ_BYTES, shared by all */
+	struct io_timer timer; /* opens spare connections */
+	char *scratch; /* HTTP_READ_BYTES, shared by all */
 };
 
 struct http_link *link_new(struct http_pool *, struct kq_error *);
--- a/src/adapter/http/message.c
+++ b/src/adapter/http/message.c
@@ -91,8 +91,8 @@
 	size_t k = in_scan(in, data, n);
 
 	if (in->scan == SCAN_FOLD)
-		return in_fault(
-		    in, 400, HTTP_E_SYNTAX, "field folded over lines");
+		return in_fault(in, 400, HTTP_E_SYNTAX,
+		    "field folded over lines");
 	in->head_bytes += k;
 	if (in->head_bytes > in->head_max)
 		return in_fault(in, 431, HTTP_E_HEAD_SIZE, "head is too large");
@@ -163,6 +163,6 @@
 		return 0;
 	if (in->head_done && execute(in, NULL, 0) >= 0 && in->ended)
 		return 0;
-	return in_fault(
-	    in, 400, HTTP_E_CLOSED, "closed before the message was whole");
+	return in_fault(in, 400, HTTP_E_CLOSED,
+	    "closed before the message was whole");
 }
--- a/src/adapter/http/out.c
+++ b/src/adapter/http/out.c
@@ -95,8 +95,8 @@
 			skip -= iov[i].iov_len;
 			continue;
 		}
-		out_add(
-		    o, (char *)iov[i].iov_base + skip, iov[i].iov_len - skip);
+		out_add(o, (char *)iov[i].iov_base + skip,
+		    iov[i].iov_len - skip);
 		skip = 0;
 	}
 }
--- a/src/adapter/http/parse.c
+++ b/src/adapter/http/parse.c
@@ -34,12 +34,12 @@
 	if (in->head_done)
 		return 0; /* a trailer */
 	if (memchr(at, ' ', n))
-		return in_fault(
-		    in, 400, HTTP_E_SYNTAX, "space in a field name");
+		return in_fault(in, 400, HTTP_E_SYNTAX,
+		    "space in a field name");
 	if (in->in_value || !in->nfield) {
 		if (in->nfield == HTTP_FIELDS_MAX)
-			return in_fault(
-			    in, 431, HTTP_E_FIELDS, "too many fields");
+			return in_fault(in, 431, HTTP_E_FIELDS,
+			    "too many fields");
 		add_text(in, "", 1);
 		in->name_at[in->nfield++] = (uint32_t)in->text_len;
 		in->in_value = 0;
--- a/src/adapter/http/pool.c
+++ b/src/adapter/http/pool.c
@@ -158,6 +158,6 @@
 pool_fill_later(struct http_pool *p)
 {
 	if (p->spare > 0 && !p->timer.pos)
-		io_timer_set(
-		    p->loop, &p->timer, io_now(p->loop) + HTTP_SPARE_RETRY_US);
+		io_timer_set(p->loop, &p->timer,
+		    io_now(p->loop) + HTTP_SPARE_RETRY_US);
 }
--- a/src/adapter/http/server.c
+++ b/src/adapter/http/server.c
@@ -42,8 +42,8 @@
 		if (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED)
 			return;
 		io_watch_events(s->loop, &s->watch, 0);
-		io_timer_set(
-		    s->loop, &s->timer, io_now(s->loop) + HTTP_ACCEPT_RETRY_US);
+		io_timer_set(s->loop, &s->timer,
+		    io_now(s->loop) + HTTP_ACCEPT_RETRY_US);
 		return;
 	}
 }
--- a/src/adapter/io/timer.c
+++ b/src/adapter/io/timer.c
@@ -57,8 +57,8 @@
 io_timers_arm(struct io_loop *l)
 {
 	if (!l->dispatching)
-		g_source_set_ready_time(
-		    &l->source, l->ntimer ? l->heap[0]->due : -1);
+		g_source_set_ready_time(&l->source,
+		    l->ntimer ? l->heap[0]->due : -1);
 }
 
 void
--- a/tests/unit/io.c
+++ b/tests/unit/io.c
@@ -113,9 +113,9 @@
 	for (i = 0; i < 2; i++) {
 		ck_assert_int_eq(pipe(bed.pipe[i]), 0);
 		ck_assert_int_eq(write(bed.pipe[i][1], "x", 1), 1);
-		ck_assert_int_eq(
-		    io_watch_add(bed.loop, &bed.watch[i], bed.pipe[i][0],
-			IO_READ, remove_other, &bed.watch[i]),
+		ck_assert_int_eq(io_watch_add(bed.loop, &bed.watch[i],
+				     bed.pipe[i][0], IO_READ, remove_other,
+				     &bed.watch[i]),
 		    0);
 	}
 	g_main_context_iteration(bed.main, TRUE);
