--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -37,15 +37,17 @@
  *        pull failed; the receiver frees it with config_batch_clear() and
  *        g_free()
  * @drained: nothing is in flight any more after data_drain()
+ * @target_idle: nothing is at the target any more after data_drain_target()
  */
 struct config_batch;
 struct data_events {
 	void (*behind)(void *ctx, uint64_t version, uint64_t incarnation);
 	void (*pull)(void *ctx, uint64_t conn, uint32_t xid, uint64_t after,
 	    int full_next);
-	void (*page)(void *ctx, uint64_t incarnation,
-	    struct config_batch *page);
+	void (
+	    *page)(void *ctx, uint64_t incarnation, struct config_batch *page);
 	void (*drained)(void *ctx);
+	void (*target_idle)(void *ctx);
 };
 
 struct data *data_new(const struct settings *, uint64_t incarnation,
