--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,122 @@
+# Functions to run a small fleet on loopback addresses; to be sourced.
+#
+#   fleet_open BUILD-DIRECTORY     directory $fleet_dir for settings, logs and history
+#   fleet_platform                 the platform's stand-in at $fleet_platform_at
+#   fleet_instance DC N SERVICE [TARGET-OPTION]...
+#                                  a daemon and its target at 127.0.DC.N
+#   fleet_ready SERVICE...         wait until a call to each service is answered
+#   fleet_close                    stop all that was started, in order
+#
+# Ports on each address: caller 8400, peer 8410, operator 8420, target 9001.
+
+fleet_platform_at=127.0.0.10:20200
+fleet_key=00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
+
+fleet_open() {
+	fleet_build=$1
+	fleet_dir=$(mktemp -d)
+	fleet_pids=
+	fleet_daemons=
+	fleet_targets=
+}
+
+# Runs a program in the background; its process id is in $!.
+fleet_run() {
+	fleet_log=$1
+	shift
+	"$@" >"$fleet_dir/$fleet_log.log" 2>&1 &
+	fleet_pids="$! $fleet_pids"
+}
+
+fleet_platform() {
+	fleet_run platform "$fleet_build/fake-platform" --ip "${fleet_platform_at%:*}" \
+		--port "${fleet_platform_at#*:}" --history "$fleet_dir/platform.history"
+	fleet_platform_pid=$!
+	fleet_await "http://$fleet_platform_at/fake/counts"
+}
+
+# Waits until a GET is answered, 10 s at most.
+fleet_await() {
+	fleet_i=0
+	until curl -s -m 1 -o /dev/null "$1"; do
+		fleet_i=$((fleet_i + 1))
+		[ $fleet_i -lt 100 ] || return 1
+		sleep 0.1
+	done
+}
+
+# fleet_settings DC N: settings of the daemon at 127.0.DC.N
+fleet_settings() {
+	cat <<EOF
+{
+	"name": "dc$1-$2", "ip": "127.0.$1.$2",
+	"datacentre": "dc$1", "region": "r1",
+	"caller_port": 8400, "peer_port": 8410, "operator_port": 8420,
+	"platform": { "ip": "${fleet_platform_at%:*}", "port": ${fleet_platform_at#*:} },
+	"peers": [ { "ip": "127.0.1.1", "port": 8410 }, { "ip": "127.0.2.1", "port": 8410 } ],
+	"fleet_keys": [ "$fleet_key" ]
+}
+EOF
+}
+
+fleet_daemon() {
+	fleet_settings "$1" "$2" >"$fleet_dir/dc$1-$2.json"
+	fleet_run "daemon-$1-$2" "$fleet_build/kumquatrockd" --settings "$fleet_dir/dc$1-$2.json"
+	fleet_daemons="$fleet_daemons $!"
+	eval "fleet_daemon_$1_$2=$!"
+}
+
+fleet_target() {
+	fleet_at=127.0.$1.$2
+	fleet_n=$1-$2
+	fleet_var=fleet_target_$1_$2
+	fleet_dc=dc$1
+	fleet_service=$3
+	shift 3
+	fleet_run "target-$fleet_n" "$fleet_build/fake-target" --ip "$fleet_at" --port 9001 \
+		--service "$fleet_service" --dc "$fleet_dc" --announce "$fleet_at:8420" \
+		--history "$fleet_dir/target-$fleet_n.history" "$@"
+	fleet_targets="$fleet_targets $!"
+	eval "$fleet_var=$!"
+}
+
+fleet_instance() {
+	fleet_daemon "$1" "$2"
+	fleet_target "$@"
+}
+
+# Waits until calls to each service are answered, 15 s at most.
+fleet_ready() {
+	for fleet_s in "$@"; do
+		fleet_i=0
+		until [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' -H "Host: $fleet_s" \
+			http://127.0.1.1:8400/fleet-ready)" = 200 ]; do
+			fleet_i=$((fleet_i + 1))
+			[ $fleet_i -lt 150 ] || return 1
+			sleep 0.1
+		done
+	done
+}
+
+fleet_signal() {
+	for fleet_p in $2; do
+		kill "-$1" "$fleet_p" 2>/dev/null
+	done
+}
+
+# Ends what was started; true if none of it ended with an error.
+fleet_close() {
+	fleet_signal CONT "$fleet_pids"
+	fleet_signal TERM "$fleet_pids"
+	fleet_bad=0
+	for fleet_p in $fleet_pids; do
+		wait "$fleet_p" 2>/dev/null
+		case $? in 0 | 143 | 137) ;; *) fleet_bad=$((fleet_bad + 1)) ;; esac
+	done
+	fleet_pids=
+	return $((fleet_bad != 0))
+}
+
+fleet_tool() {
+	"$fleet_build/kumquatrock" --platform "$fleet_platform_at" --daemon 127.0.1.1:8420 "$@"
+}
