--- a/src/daemon/data.c
+++ b/src/daemon/data.c
@@ -123,6 +123,8 @@
 	d->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 	    out_peer_free);
 	d->out_calls = g_hash_table_new(g_direct_hash, g_direct_equal);
+	d->ramps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	    g_free);
 	d->conns = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 	    in_conn_free);
 	d->in_calls = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -210,6 +212,7 @@
 	io_timer_clear(d->task.loop, &d->measure_timer);
 	io_timer_clear(d->task.loop, &d->admit_timer);
 	io_timer_clear(d->task.loop, &d->once_timer);
+	io_timer_clear(d->task.loop, &d->ramp_timer);
 	if (d->pool)
 		http_pool_free(d->pool);
 	if (d->admit)
@@ -218,6 +221,7 @@
 	g_hash_table_unref(d->peers);
 	g_hash_table_unref(d->services);
 	g_hash_table_unref(d->out_calls);
+	g_hash_table_unref(d->ramps);
 	g_hash_table_unref(d->conns);
 	g_hash_table_unref(d->in_calls);
 	g_string_free(d->measure_body, TRUE);
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -209,6 +209,8 @@
 	GHashTable *services; /* name to struct out_service */
 	GHashTable *peers; /* incarnation to struct out_peer */
 	GHashTable *out_calls; /* set of struct out_call */
+	GHashTable *ramps; /* data centre name to struct ramp */
+	struct io_timer ramp_timer;
 
 	struct peer_node *node;
 	GHashTable *conns; /* id to struct in_conn */
@@ -219,6 +221,7 @@
 	int has_target;
 	struct data_target next_target; /* once the present one is idle */
 	int has_next_target;
+	int tell_idle; /* somebody waits for the target to be idle */
 	int target_draining;
 	struct http_pool *pool;
 	struct admit *admit;
@@ -268,6 +271,9 @@
     const struct wire_state *);
 void outbound_drained(void *ctx, struct http_exchange *);
 void outbound_take_view(struct data *);
+void outbound_ramp_view(struct data *);
+/* Part of a full share that targets of a data centre get now. */
+double outbound_share(struct data *, const char *datacentre);
 struct out_peer *
 out_peer_new(struct data *, uint64_t incarnation, const char *ip, int port);
 int out_peer_connect(struct out_peer *);
--- a/src/daemon/data_messages.c
+++ b/src/daemon/data_messages.c
@@ -41,10 +41,12 @@
 
 	d->target_draining = 1;
 	d->has_next_target = 0;
-	if (!d->admit)
-		return;
-	admit_drain(d->admit);
-	inbound_pop(d);
+	d->tell_idle = 1;
+	if (d->admit) {
+		admit_drain(d->admit);
+		inbound_pop(d);
+	}
+	data_check_drained(d);
 }
 
 void
@@ -83,6 +85,10 @@
 		d->has_next_target = 0;
 		inbound_set_target(d, &d->next_target);
 	}
+	if (d->tell_idle && (!d->admit || !admit_in_flight(d->admit))) {
+		d->tell_idle = 0;
+		d->events->target_idle(d->events_ctx);
+	}
 	if (!d->draining || d->drained_told)
 		return;
 	if (g_hash_table_size(d->out_calls) || g_hash_table_size(d->in_calls))
--- a/src/daemon/inbound_run.c
+++ b/src/daemon/inbound_run.c
@@ -251,6 +251,8 @@
 		else
 			pop_expired(c, item.reason);
 	}
+	if (d->tell_idle)
+		data_check_drained(d);
 	due = admit_timer(d->admit);
 	d->admit_timer.fire = admit_due;
 	d->admit_timer.ctx = d;
--- a/src/daemon/outbound_view.c
+++ b/src/daemon/outbound_view.c
@@ -53,7 +53,8 @@
 		return;
 	p->service = s;
 	p->handle = pick_add(s->pick, data_now(d),
-	    !strcmp(vi->instance.datacentre, d->settings.datacentre), 1.0);
+	    !strcmp(vi->instance.datacentre, d->settings.datacentre),
+	    outbound_share(d, p->datacentre));
 	if (p->handle == PICK_NONE) {
 		p->service = NULL;
 		return;
@@ -129,6 +130,7 @@
 	int i;
 
 	take_services(d);
+	outbound_ramp_view(d);
 	g_hash_table_iter_init(&it, d->peers);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		((struct out_peer *)v)->seen = 0;
