--- a/bench/load/call.c
+++ b/bench/load/call.c
@@ -158,10 +158,10 @@
 }
 
 static const struct http_call_ops ops = {
-    .head = on_head,
-    .body = on_body,
-    .done = on_done,
-    .failed = on_failed,
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.failed = on_failed,
 };
 
 static void
@@ -186,15 +186,16 @@
 	int k = 0;
 
 	g_snprintf(ms, n, "%d", o->timeout_ms);
-	f[k++] = (struct http_field){"Host", o->service};
-	f[k++] = (struct http_field){"Call-Key", c->key};
-	f[k++] =
-	    (struct http_field){"Call-Kind", c->mix->once ? "once" : "repeat"};
-	f[k++] = (struct http_field){o->straight ? "Deadline-Ms"
-						 : "Kumquatrock-Deadline-Ms",
-	    ms};
+	f[k++] = (struct http_field){ "Host", o->service };
+	f[k++] = (struct http_field){ "Call-Key", c->key };
+	f[k++] = (struct http_field){ "Call-Kind",
+		c->mix->once ? "once" : "repeat" };
+	f[k++] = (struct http_field){ o->straight ? "Deadline-Ms"
+						  : "Kumquatrock-Deadline-Ms",
+		ms };
 	if (c->attempts > 1 && *c->req)
-		f[k++] = (struct http_field){"Kumquatrock-Request-Id", c->req};
+		f[k++] =
+		    (struct http_field){ "Kumquatrock-Request-Id", c->req };
 	return k;
 }
 
--- a/bench/load/judge.c
+++ b/bench/load/judge.c
@@ -5,8 +5,8 @@
 const char *
 outcome_name(enum outcome o)
 {
-	static const char *const name[] = {"whole", "not-run", "unknown",
-	    "failed", "bad", "broken"};
+	static const char *const name[] = { "whole", "not-run", "unknown",
+		"failed", "bad", "broken" };
 
 	return name[o];
 }
--- a/bench/load/options.c
+++ b/bench/load/options.c
@@ -91,8 +91,8 @@
 	struct arg_str *file =
 	    arg_str0(NULL, "history", "FILE", "append history lines");
 	struct arg_end *end = arg_end(5);
-	void *table[] = {to, mix, service, rate, seconds, seed, timeout, bytes,
-	    conns, fixed, straight, again, figures, file, end};
+	void *table[] = { to, mix, service, rate, seconds, seed, timeout, bytes,
+		conns, fixed, straight, again, figures, file, end };
 
 	memset(o, 0, sizeof *o);
 	if (arg_parse(argc, argv, table) > 0) {
--- a/bench/pick/caller.c
+++ b/bench/pick/caller.c
@@ -6,9 +6,9 @@
 int
 caller_init(struct sim *s, int i, uint64_t seed)
 {
-	struct pick_config config = {s->way->policy, TARGETS,
-	    s->way->probe_per_s, s->way->probe_per_call,
-	    seed + (uint64_t)i * 7919};
+	struct pick_config config = { s->way->policy, TARGETS,
+		s->way->probe_per_s, s->way->probe_per_call,
+		seed + (uint64_t)i * 7919 };
 	struct caller *c = &s->caller[i];
 	int t;
 
@@ -92,8 +92,8 @@
 	if (s->way->oracle)
 		t = oracle(s, c);
 	else
-		t = target_of(
-		    who, pick_choose(who->pick, s->now, c->tried, c->ntried));
+		t = target_of(who,
+		    pick_choose(who->pick, s->now, c->tried, c->ntried));
 	if (t < 0)
 		return 0;
 	c->tried[c->ntried++] = who->handle[t];
@@ -131,7 +131,7 @@
 	struct caller *who;
 	int64_t delay;
 
-	*c = (struct call){.arrived = s->now};
+	*c = (struct call){ .arrived = s->now };
 	c->caller = (uint16_t)rng_below(&s->arrivals, CALLERS);
 	c->work = -SERVICE_US * __builtin_log(1 - rng_unit(&s->arrivals));
 	who = &s->caller[c->caller];
@@ -162,8 +162,8 @@
 	struct call *c = &s->call[id];
 	struct caller *who = &s->caller[c->caller];
 
-	pick_refused(
-	    who->pick, who->handle[a->target], s->now, ADMIT_FULL, &a->report);
+	pick_refused(who->pick, who->handle[a->target], s->now, ADMIT_FULL,
+	    &a->report);
 	if (c->over)
 		return;
 	if (retry_ask(&who->retry, &c->retry, RETRY_NOT_RUN, s->now) ==
--- a/bench/pick/cost.c
+++ b/bench/pick/cost.c
@@ -20,9 +20,9 @@
 static void
 cost_choose(enum pick_policy policy, uint32_t n)
 {
-	struct pick_config config = {policy, n, 60, 1, 1};
+	struct pick_config config = { policy, n, 60, 1, 1 };
 	struct pick *p = pick_new(&config);
-	struct load_report l = {3, 0, 12, 2000, 0, 0, 500};
+	struct load_report l = { 3, 0, 12, 2000, 0, 0, 500 };
 	int64_t now = 0;
 	double begin;
 	double chosen = 0;
@@ -57,9 +57,9 @@
 static void
 cost_admit(int queued)
 {
-	struct admit_config config = {12, 260, 3, 20000, 0, 64};
+	struct admit_config config = { 12, 260, 3, 20000, 0, 64 };
 	struct admit *a = admit_new(&config, 0);
-	struct admit_run run[64] = {{0, 0}};
+	struct admit_run run[64] = { { 0, 0 } };
 	struct admit_item item;
 	enum admit_reason why;
 	int64_t now = 1;
@@ -87,7 +87,7 @@
 void
 cost_run(void)
 {
-	static const uint32_t sizes[] = {19, 990};
+	static const uint32_t sizes[] = { 19, 990 };
 	int i;
 
 	for (i = 0; i < 2; i++) {
--- a/bench/pick/heap.c
+++ b/bench/pick/heap.c
@@ -20,7 +20,7 @@
 		h->event[i] = h->event[(i - 1) / 2];
 		i = (i - 1) / 2;
 	}
-	h->event[i] = (struct event){at, id, kind};
+	h->event[i] = (struct event){ at, id, kind };
 }
 
 struct event
--- a/bench/pick/main.c
+++ b/bench/pick/main.c
@@ -6,26 +6,26 @@
 #include "sim.h"
 
 static const struct scenario scenarios[] = {
-    {"steady-50", 0.5, 0, 0, 0, 0, 0, 0},
-    {"steady-75", 0.75, 0, 0, 0, 0, 0, 0},
-    {"steady-90", 0.9, 0, 0, 0, 0, 0, 0},
-    {"straggler", 0.5, 1, 0, 0, 0, 0, 0},
-    {"noisy", 0.5, 0, 1, 0, 0, 0, 0},
-    {"stale", 0.75, 0, 0, 100, 0, 0, 0},
-    {"lying", 0.75, 0, 0, 0, 2, 0, 0},
-    {"cold", 0.75, 0, 0, 0, 0, 1, 0},
-    {"burst", 0.5, 0, 0, 0, 0, 0, 1},
+	{ "steady-50", 0.5, 0, 0, 0, 0, 0, 0 },
+	{ "steady-75", 0.75, 0, 0, 0, 0, 0, 0 },
+	{ "steady-90", 0.9, 0, 0, 0, 0, 0, 0 },
+	{ "straggler", 0.5, 1, 0, 0, 0, 0, 0 },
+	{ "noisy", 0.5, 0, 1, 0, 0, 0, 0 },
+	{ "stale", 0.75, 0, 0, 100, 0, 0, 0 },
+	{ "lying", 0.75, 0, 0, 0, 2, 0, 0 },
+	{ "cold", 0.75, 0, 0, 0, 0, 1, 0 },
+	{ "burst", 0.5, 0, 0, 0, 0, 0, 1 },
 };
 
 static const struct way ways[] = {
-    {"random", 0, 0, PICK_RANDOM, 0, INT_MAX, 0},
-    {"round-robin", 0, 0, PICK_ROUND_ROBIN, 0, INT_MAX, 0},
-    {"least-of-two", 0, 0, PICK_LEAST_OF_TWO, 0, INT_MAX, 0},
-    {"latency-of-two", 0, 0, PICK_LATENCY_OF_TWO, 0, INT_MAX, 0},
-    {"probe-pool", 60, 1, PICK_PROBE_POOL, 0, INT_MAX, 0},
-    {"probe-pool-3", 1e6, 3, PICK_PROBE_POOL, 0, INT_MAX, 0},
-    {"expected", 60, 1, PICK_EXPECTED, 0, INT_MAX, 0},
-    {"oracle", 0, 0, PICK_RANDOM, 1, INT_MAX, 0},
+	{ "random", 0, 0, PICK_RANDOM, 0, INT_MAX, 0 },
+	{ "round-robin", 0, 0, PICK_ROUND_ROBIN, 0, INT_MAX, 0 },
+	{ "least-of-two", 0, 0, PICK_LEAST_OF_TWO, 0, INT_MAX, 0 },
+	{ "latency-of-two", 0, 0, PICK_LATENCY_OF_TWO, 0, INT_MAX, 0 },
+	{ "probe-pool", 60, 1, PICK_PROBE_POOL, 0, INT_MAX, 0 },
+	{ "probe-pool-3", 1e6, 3, PICK_PROBE_POOL, 0, INT_MAX, 0 },
+	{ "expected", 60, 1, PICK_EXPECTED, 0, INT_MAX, 0 },
+	{ "oracle", 0, 0, PICK_RANDOM, 1, INT_MAX, 0 },
 };
 
 #define COUNT(a) (sizeof(a) / sizeof *(a))
@@ -62,8 +62,8 @@
 		return 0;
 	}
 	if (argc < 3) {
-		fprintf(
-		    stderr, "usage: bench-pick CALLS SEED [SCENARIO [WAY]]\n");
+		fprintf(stderr,
+		    "usage: bench-pick CALLS SEED [SCENARIO [WAY]]\n");
 		return 2;
 	}
 	calls = (uint32_t)strtoul(argv[1], NULL, 10);
--- a/bench/pick/sim.c
+++ b/bench/pick/sim.c
@@ -75,10 +75,10 @@
 		caller_reply(s, e->id);
 		break;
 	case EVENT_PROBE:
-		target_report(
-		    s, s->attempt[e->id].target, &s->attempt[e->id].report);
-		heap_push(
-		    &s->heap, s->now + NETWORK_US, EVENT_PROBE_REPLY, e->id);
+		target_report(s, s->attempt[e->id].target,
+		    &s->attempt[e->id].report);
+		heap_push(&s->heap, s->now + NETWORK_US, EVENT_PROBE_REPLY,
+		    e->id);
 		break;
 	case EVENT_PROBE_REPLY:
 		caller_probe_reply(s, e->id);
--- a/bench/pick/sim.h
+++ b/bench/pick/sim.h
@@ -115,7 +115,7 @@
 	int limit;
 	uint32_t first;
 	uint32_t last;
-	double speed;  /* times the work */
+	double speed; /* times the work */
 	double warmth; /* completions towards the next step of the limit */
 	double latency_us;
 	int cold;
--- a/bench/pick/target.c
+++ b/bench/pick/target.c
@@ -14,7 +14,7 @@
 {
 	struct target *t = &s->target[i];
 
-	*t = (struct target){.limit = SLOTS, .first = NONE, .last = NONE};
+	*t = (struct target){ .limit = SLOTS, .first = NONE, .last = NONE };
 	t->speed = i < s->scenario->straggler ? STRAGGLER_SPEED : 1;
 	t->lies = i < s->scenario->liars;
 }
@@ -141,9 +141,9 @@
 				HISTORY];
 		return;
 	}
-	*l = (struct load_report){(uint32_t)t->running, (uint32_t)t->queued,
-	    (uint32_t)t->limit, (uint32_t)t->latency_us, (uint8_t)t->cold, 0,
-	    NETWORK_US};
+	*l = (struct load_report){ (uint32_t)t->running, (uint32_t)t->queued,
+		(uint32_t)t->limit, (uint32_t)t->latency_us, (uint8_t)t->cold,
+		0, NETWORK_US };
 	if (!t->lies)
 		return;
 	l->in_flight = 0;
@@ -154,9 +154,9 @@
 static void
 record(struct target *t, int64_t ms)
 {
-	t->history[ms % HISTORY] = (struct load_report){(uint32_t)t->running,
-	    (uint32_t)t->queued, (uint32_t)t->limit, (uint32_t)t->latency_us,
-	    (uint8_t)t->cold, 0, 0};
+	t->history[ms % HISTORY] = (struct load_report){ (uint32_t)t->running,
+		(uint32_t)t->queued, (uint32_t)t->limit,
+		(uint32_t)t->latency_us, (uint8_t)t->cold, 0, 0 };
 }
 
 static void
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -70,7 +70,7 @@
 		c->server->ops->end(c->server->ctx, &c->exchange);
 }
 
-const struct http_in_ops conn_in_ops = {on_head, on_body, on_end};
+const struct http_in_ops conn_in_ops = { on_head, on_body, on_end };
 
 int
 conn_answerable(const struct http_conn *c)
--- a/src/adapter/http/exchange.c
+++ b/src/adapter/http/exchange.c
@@ -123,7 +123,7 @@
 http_exchange_abort(struct http_exchange *x)
 {
 	struct http_conn *c = x->conn;
-	struct linger reset = {1, 0};
+	struct linger reset = { 1, 0 };
 
 	if (!x->open)
 		return;
--- a/src/adapter/http/head.c
+++ b/src/adapter/http/head.c
@@ -100,7 +100,7 @@
 int
 in_check_head(struct http_in *in)
 {
-	struct framing f = {0};
+	struct framing f = { 0 };
 
 	if (in->parser.http_major != 1 || in->parser.http_minor > 1)
 		return in_fault(in, 400, HTTP_E_SYNTAX,
--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -37,7 +37,7 @@
 	(void)ctx;
 }
 
-const struct http_in_ops link_in_ops = {on_head, on_body, on_end};
+const struct http_in_ops link_in_ops = { on_head, on_body, on_end };
 
 static int
 replace(struct http_link *l)
--- a/src/adapter/http/out.c
+++ b/src/adapter/http/out.c
@@ -105,7 +105,7 @@
 out_send(struct http_out *o, int fd, const struct iovec *iov, int niov)
 {
 	struct iovec v[OUT_IOV_MAX];
-	struct msghdr m = {0};
+	struct msghdr m = { 0 };
 	size_t pending = out_pending(o), n;
 	ssize_t r;
 	size_t k = 0;
@@ -136,7 +136,7 @@
     int ready)
 {
 	char head[CHUNK_HEAD_BYTES];
-	char crlf[2] = {'\r', '\n'};
+	char crlf[2] = { '\r', '\n' };
 	struct iovec v[3];
 	int i, k = 0;
 
--- a/src/adapter/http/parse.c
+++ b/src/adapter/http/parse.c
@@ -137,10 +137,10 @@
 }
 
 const http_parser_settings in_settings = {
-    .on_url = on_url,
-    .on_header_field = on_field,
-    .on_header_value = on_value,
-    .on_headers_complete = on_head,
-    .on_body = on_body,
-    .on_message_complete = on_end,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_end,
 };
--- a/src/adapter/io/loop.c
+++ b/src/adapter/io/loop.c
@@ -78,14 +78,14 @@
 	g_free((void *)l->heap);
 }
 
-static GSourceFuncs loop_funcs = {NULL, NULL, dispatch, finalize, NULL, NULL};
+static GSourceFuncs loop_funcs = { NULL, NULL, dispatch, finalize, NULL, NULL };
 
 struct io_loop *
 io_loop_new(GMainContext *ctx)
 {
 	GSource *s = g_source_new(&loop_funcs, sizeof(struct io_loop));
 	struct io_loop *l = (struct io_loop *)s;
-	struct epoll_event e = {.events = EPOLLIN, .data.u64 = IO_TIMER_DATA};
+	struct epoll_event e = { .events = EPOLLIN, .data.u64 = IO_TIMER_DATA };
 
 	l->epoll = epoll_create1(EPOLL_CLOEXEC);
 	l->timer = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
--- a/src/adapter/io/timer.c
+++ b/src/adapter/io/timer.c
@@ -59,7 +59,7 @@
 io_timers_arm(struct io_loop *l)
 {
 	int64_t due = l->ntimer ? MAX(l->heap[0]->due, 1) : IO_DISARMED;
-	struct itimerspec t = {0};
+	struct itimerspec t = { 0 };
 
 	if (l->dispatching || due == l->armed)
 		return;
--- a/src/adapter/io/watch.c
+++ b/src/adapter/io/watch.c
@@ -22,7 +22,7 @@
 static int
 control(struct io_loop *l, int op, const struct io_watch *w)
 {
-	struct epoll_event e = {0};
+	struct epoll_event e = { 0 };
 	uint32_t i = w->slot - 1;
 
 	if (w->events & IO_READ)
--- a/src/adapter/json/get.c
+++ b/src/adapter/json/get.c
@@ -5,7 +5,7 @@
 int
 json_get(struct json *j, int object, const char *key)
 {
-	struct json_asked asked = {object, key};
+	struct json_asked asked = { object, key };
 	int i, n;
 
 	if (object == JSON_NONE)
--- a/src/adapter/json/node.c
+++ b/src/adapter/json/node.c
@@ -23,8 +23,8 @@
 const char *
 json_type_name(enum json_type type)
 {
-	static const char *const names[] = {"null", "true or false",
-	    "an integer", "a number", "a string", "an array", "an object"};
+	static const char *const names[] = { "null", "true or false",
+		"an integer", "a number", "a string", "an array", "an object" };
 
 	return names[type];
 }
--- a/src/adapter/json/read.c
+++ b/src/adapter/json/read.c
@@ -101,7 +101,7 @@
 static int
 on_null(void *ctx)
 {
-	struct json_node n = {.type = JSON_NULL};
+	struct json_node n = { .type = JSON_NULL };
 
 	enter_token(ctx);
 	return add(ctx, &n);
@@ -110,7 +110,7 @@
 static int
 on_boolean(void *ctx, int value)
 {
-	struct json_node n = {.type = JSON_BOOL, .integer = value};
+	struct json_node n = { .type = JSON_BOOL, .integer = value };
 
 	enter_token(ctx);
 	return add(ctx, &n);
@@ -120,7 +120,7 @@
 on_number(void *ctx, const char *s, size_t len)
 {
 	struct reader *r = ctx;
-	struct json_node n = {.type = JSON_REAL};
+	struct json_node n = { .type = JSON_REAL };
 	char *copy;
 
 	enter_token(r);
@@ -159,7 +159,7 @@
 static int
 on_string(void *ctx, const unsigned char *s, size_t len)
 {
-	struct json_node n = {.type = JSON_STRING};
+	struct json_node n = { .type = JSON_STRING };
 
 	n.text = take_string(ctx, s, len);
 	return n.text ? add(ctx, &n) : 0;
@@ -190,7 +190,7 @@
 static int
 begin(struct reader *r, enum json_type type)
 {
-	struct json_node n = {.type = type};
+	struct json_node n = { .type = type };
 	int handle = (int)r->doc->node->len;
 
 	enter_token(r);
@@ -256,8 +256,9 @@
 static int
 parse(struct reader *r)
 {
-	static const yajl_callbacks calls = {on_null, on_boolean, NULL, NULL,
-	    on_number, on_string, on_object, on_key, on_end, on_array, on_end};
+	static const yajl_callbacks calls = { on_null, on_boolean, NULL, NULL,
+		on_number, on_string, on_object, on_key, on_end, on_array,
+		on_end };
 
 	r->yajl = yajl_alloc(&calls, NULL, r);
 	yajl_config(r->yajl, yajl_allow_comments, 1);
@@ -311,7 +312,7 @@
 struct json *
 json_read(const char *text, size_t n, struct kq_error *e)
 {
-	struct reader r = {.n = n, .parent = JSON_NONE, .err = e};
+	struct reader r = { .n = n, .parent = JSON_NONE, .err = e };
 	char *copy = g_malloc(n + 2);
 	int failed;
 
--- a/src/adapter/objects/datacentre_read.c
+++ b/src/adapter/objects/datacentre_read.c
@@ -29,7 +29,7 @@
 datacentre_read(struct datacentre *d, const char *text, size_t n,
     struct kq_error *e)
 {
-	static const struct int_field ramp = {"ramp_ms", 0, RAMP_MS_MAX};
+	static const struct int_field ramp = { "ramp_ms", 0, RAMP_MS_MAX };
 	struct json *j = fields_open(text, n, e);
 	char publication[PUBLICATION_MAX];
 	int o, r = 0;
--- a/src/adapter/objects/fields.c
+++ b/src/adapter/objects/fields.c
@@ -69,7 +69,7 @@
 fields_port(struct json *j, int object, const char *key, int *port,
     struct kq_error *e)
 {
-	const struct int_field field = {key, 1, PORT_MAX};
+	const struct int_field field = { key, 1, PORT_MAX };
 
 	if (json_need(j, object, key, e) == JSON_NONE)
 		return -1;
--- a/src/adapter/objects/service_read.c
+++ b/src/adapter/objects/service_read.c
@@ -12,9 +12,9 @@
 static int
 read_cold(struct json *j, int object, struct service *s, struct kq_error *e)
 {
-	static const struct int_field limit = {"limit", 1, COUNT_MAX};
-	static const struct int_field idle = {"idle_ms", 1, IDLE_MS_MAX};
-	const struct int_field good = {"good_ms", 1, s->timeout_ms};
+	static const struct int_field limit = { "limit", 1, COUNT_MAX };
+	static const struct int_field idle = { "idle_ms", 1, IDLE_MS_MAX };
+	const struct int_field good = { "good_ms", 1, s->timeout_ms };
 	int node, r = json_get_object(j, object, "cold", &node, e);
 
 	if (r != 1)
@@ -29,9 +29,9 @@
 static int
 read_object(struct json *j, struct service *s, struct kq_error *e)
 {
-	static const struct int_field timeout = {"timeout_ms", 1,
-	    TIMEOUT_MS_MAX};
-	static const struct int_field queue = {"queue_max", 0, COUNT_MAX};
+	static const struct int_field timeout = { "timeout_ms", 1,
+		TIMEOUT_MS_MAX };
+	static const struct int_field queue = { "queue_max", 0, COUNT_MAX };
 	char publication[PUBLICATION_MAX];
 	int o = json_root(j);
 
--- a/src/adapter/platform/request.c
+++ b/src/adapter/platform/request.c
@@ -282,8 +282,8 @@
 const char *
 platform_status_name(enum platform_status s)
 {
-	static const char *const names[] = {"ok", "conflict", "absent",
-	    "too-old", "over-rate", "refused", "down"};
+	static const char *const names[] = { "ok", "conflict", "absent",
+		"too-old", "over-rate", "refused", "down" };
 
 	return names[s];
 }
--- a/src/adapter/rpc/peer_dispatch.c
+++ b/src/adapter/rpc/peer_dispatch.c
@@ -44,7 +44,7 @@
 request(struct peer_conn *c, XDR *x, uint32_t xid, uint32_t proc)
 {
 	struct peer_node *n = c->node;
-	struct wire_arena a = {n->arena, 0, WIRE_RECORD_MAX};
+	struct wire_arena a = { n->arena, 0, WIRE_RECORD_MAX };
 	struct wire_call call;
 	struct wire_pull pull;
 
@@ -67,7 +67,7 @@
 result(struct peer_conn *c, XDR *x, uint32_t xid, uint32_t proc)
 {
 	struct peer_node *n = c->node;
-	struct wire_arena a = {n->arena, 0, WIRE_RECORD_MAX};
+	struct wire_arena a = { n->arena, 0, WIRE_RECORD_MAX };
 	static struct wire_state state;
 	struct wire_reply reply;
 	struct wire_probe_result load;
--- a/src/adapter/rpc/peer_record.c
+++ b/src/adapter/rpc/peer_record.c
@@ -29,7 +29,7 @@
 peer_call_begin(struct peer_record *r, struct peer_conn *c, uint32_t xid,
     uint32_t proc)
 {
-	char zero[PEER_MAC_LEN] = {0};
+	char zero[PEER_MAC_LEN] = { 0 };
 	struct rpc_msg m;
 
 	begin(r, c);
@@ -49,7 +49,7 @@
 int
 peer_reply_begin(struct peer_record *r, struct peer_conn *c, uint32_t xid)
 {
-	char zero[PEER_MAC_LEN] = {0};
+	char zero[PEER_MAC_LEN] = { 0 };
 	struct rpc_msg m;
 
 	begin(r, c);
--- a/src/adapter/rpc/peer_send.c
+++ b/src/adapter/rpc/peer_send.c
@@ -123,7 +123,7 @@
 int
 peer_send_cancel(struct peer_conn *c, uint32_t xid)
 {
-	struct wire_credit m = {xid, 0, 0};
+	struct wire_credit m = { xid, 0, 0 };
 	struct peer_record r;
 
 	g_hash_table_remove(c->asked, GUINT_TO_POINTER(xid));
--- a/src/adapter/rpc/wire_state.c
+++ b/src/adapter/rpc/wire_state.c
@@ -3,7 +3,8 @@
 int
 wire_pull(XDR *x, struct wire_pull *p)
 {
-	return xdr_uint64_t(x, &p->after) && xdr_uint32_t(x, &p->full_next);
+	return xdr_uint64_t(x, &p->after) && xdr_uint32_t(x, &p->full) &&
+	       xdr_uint32_t(x, &p->number);
 }
 
 static int
@@ -22,6 +23,8 @@
 	if (!xdr_uint64_t(x, &s->after) || !xdr_uint64_t(x, &s->upto) ||
 	    !xdr_uint64_t(x, &s->complete))
 		return 0;
+	if (!xdr_uint32_t(x, &s->number))
+		return 0;
 	if (!xdr_uint32_t(x, &s->flags) || !xdr_uint32_t(x, &s->nobject))
 		return 0;
 	if (s->nobject > WIRE_PULL_OBJECTS_MAX)
--- a/src/adapter/settings/value.c
+++ b/src/adapter/settings/value.c
@@ -38,8 +38,8 @@
 const char *
 log_level_name(enum log_level level)
 {
-	static const char *const names[] = {"error", "warning", "info",
-	    "debug"};
+	static const char *const names[] = { "error", "warning", "info",
+		"debug" };
 
 	return names[level];
 }
--- a/src/core/admit/done.c
+++ b/src/core/admit/done.c
@@ -2,7 +2,7 @@
 
 #define RECENT_GAIN 0.125
 #define SLOW_RECENT 0xffu /* completions looked back on */
-#define SLOW_FALL 3	  /* slow ones of these */
+#define SLOW_FALL 3 /* slow ones of these */
 #define FAILED_RECENT 0xffffu
 #define FAILED_FALL 4
 #define SHED_SHARE 0.9 /* of the limit left after the target shed */
--- a/src/core/admit/limit.c
+++ b/src/core/admit/limit.c
@@ -2,7 +2,7 @@
 
 #include <math.h>
 
-#define WINDOW_MIN 8  /* completions */
+#define WINDOW_MIN 8 /* completions */
 #define TOLERANCE 1.5 /* latency over the usual one that is no queue */
 #define GRADIENT_MIN 0.5
 #define LIMIT_GAIN 0.3
--- a/src/core/error.c
+++ b/src/core/error.c
@@ -45,8 +45,8 @@
 const char *
 kq_layer_name(enum kq_layer layer)
 {
-	static const char *const names[] = {"none", "core", "config", "io",
-	    "http", "rpc", "platform", "daemon", "tool"};
+	static const char *const names[] = { "none", "core", "config", "io",
+		"http", "rpc", "platform", "daemon", "tool" };
 
 	return names[layer];
 }
--- a/src/core/pick/choose.c
+++ b/src/core/pick/choose.c
@@ -1,15 +1,15 @@
 #include "impl.h"
 
-static pick_policy_fn *const policies[PICK_POLICIES] = {pick_random,
-    pick_round_robin, pick_least_of_two, pick_latency_of_two, pick_probe_pool,
-    pick_expected};
+static pick_policy_fn *const policies[PICK_POLICIES] = { pick_random,
+	pick_round_robin, pick_least_of_two, pick_latency_of_two,
+	pick_probe_pool, pick_expected };
 
 const char *
 pick_policy_name(enum pick_policy policy)
 {
-	static const char *const names[PICK_POLICIES] = {"random",
-	    "round-robin", "least-of-two", "latency-of-two", "probe-pool",
-	    "expected"};
+	static const char *const names[PICK_POLICIES] = { "random",
+		"round-robin", "least-of-two", "latency-of-two", "probe-pool",
+		"expected" };
 
 	return names[policy];
 }
@@ -26,10 +26,10 @@
 }
 
 uint32_t
-pick_choose(
-    struct pick *p, int64_t now, const uint32_t *exclude, uint32_t nexclude)
+pick_choose(struct pick *p, int64_t now, const uint32_t *exclude,
+    uint32_t nexclude)
 {
-	struct query q = {now, GROUP_LOCAL, 1, nexclude, exclude};
+	struct query q = { now, GROUP_LOCAL, 1, nexclude, exclude };
 	enum group first;
 	int g;
 
--- a/src/core/pick/impl.h
+++ b/src/core/pick/impl.h
@@ -139,7 +139,7 @@
     const struct load_report *, uint32_t unseen);
 /** pick_measure() - measure pressure and set the spill, once a window */
 void pick_measure(struct pick *, int64_t now);
-void pool_add(
-    struct pick *, uint32_t handle, int64_t now, const struct load_report *);
+void pool_add(struct pick *, uint32_t handle, int64_t now,
+    const struct load_report *);
 
 #endif
--- a/src/core/pick/pool.c
+++ b/src/core/pick/pool.c
@@ -1,6 +1,6 @@
 #include "impl.h"
 
-#define POOL_LEAST 2	    /* fewer probes say nothing */
+#define POOL_LEAST 2 /* fewer probes say nothing */
 #define POOL_AGE_US 1000000 /* a probe older than this is dropped */
 #define POOL_USES 3
 #define HOT_QUANTILE 0.84
@@ -35,8 +35,8 @@
 }
 
 void
-pool_add(
-    struct pick *p, uint32_t handle, int64_t now, const struct load_report *l)
+pool_add(struct pick *p, uint32_t handle, int64_t now,
+    const struct load_report *l)
 {
 	struct pool *o = &p->pool;
 	double load = l->in_flight + l->queued;
@@ -44,8 +44,8 @@
 	learn_hot(o, load);
 	if (o->n == POOL_MAX)
 		drop(o, oldest(o));
-	o->probe[o->n++] = (struct pooled){
-	    handle, load, l->latency_us, now - l->age_us, POOL_USES};
+	o->probe[o->n++] = (struct pooled){ handle, load, l->latency_us,
+		now - l->age_us, POOL_USES };
 }
 
 static int
--- a/src/core/pick/pressure.c
+++ b/src/core/pick/pressure.c
@@ -3,8 +3,8 @@
 #define WINDOW_US 50000
 #define FRESH_US 1000000 /* an older report says nothing of pressure */
 #define GAIN 0.3
-#define HIGH 0.9    /* above this calls spill over */
-#define LOW 0.7	    /* below this they come back */
+#define HIGH 0.9 /* above this calls spill over */
+#define LOW 0.7 /* below this they come back */
 #define STEP_UP 0.5 /* of the excess, a window */
 #define STEP_UP_MAX 0.05
 #define STEP_DOWN 0.01
--- a/src/core/pick/probe.c
+++ b/src/core/pick/probe.c
@@ -41,8 +41,8 @@
 }
 
 void
-pick_probe_reply(
-    struct pick *p, uint32_t handle, int64_t now, const struct load_report *l)
+pick_probe_reply(struct pick *p, uint32_t handle, int64_t now,
+    const struct load_report *l)
 {
 	uint32_t index = pick_find(p, handle);
 
--- a/src/core/pick/table.c
+++ b/src/core/pick/table.c
@@ -80,7 +80,7 @@
 	if (index == INDEX_NONE)
 		return PICK_NONE;
 	c = &p->candidate[index];
-	*c = (struct candidate){.gen = c->gen, .used = 1, .share = share};
+	*c = (struct candidate){ .gen = c->gen, .used = 1, .share = share };
 	c->group = local ? GROUP_LOCAL : GROUP_OTHER;
 	c->latency_at = now;
 	c->reported = now;
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -74,15 +74,14 @@
 }
 
 static void
-on_pull(void *ctx, uint64_t conn, uint32_t xid, uint64_t after, int full_next)
+on_pull(void *ctx, uint64_t conn, uint32_t xid, const struct config_pull *pull)
 {
 	struct pull_message *m = g_new(struct pull_message, 1);
 	struct control *c = ctx;
 
 	m->conn = conn;
 	m->xid = xid;
-	m->after = after;
-	m->full_next = full_next;
+	m->pull = *pull;
 	task_post(&c->task, control_serve_pull, c, m);
 }
 
@@ -129,11 +128,11 @@
 }
 
 const struct data_events control_data_events = {
-    .behind = on_behind,
-    .pull = on_pull,
-    .page = on_page,
-    .drained = on_drained,
-    .target_idle = on_target_idle,
+	.behind = on_behind,
+	.pull = on_pull,
+	.page = on_page,
+	.drained = on_drained,
+	.target_idle = on_target_idle,
 };
 
 static void
--- a/src/daemon/control_config.c
+++ b/src/daemon/control_config.c
@@ -28,7 +28,7 @@
 add_object(struct control *c, struct view *v, const struct config_object *o)
 {
 	struct view_instance *vi = &v->instance[v->ninstance];
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 	const char *text;
 	gsize n;
 	int bad;
@@ -101,7 +101,7 @@
 control_apply(struct control *c, const struct config_batch *b)
 {
 	uint64_t before = config_complete(c->config);
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 
 	if (config_apply(c->config, b, &e) == CONFIG_WENT_BACK)
 		log_event(EVENT_PLATFORM_WENT_BACK, G_LOG_LEVEL_WARNING,
@@ -162,6 +162,7 @@
 void
 control_pull_from(struct control *c, uint64_t incarnation)
 {
+	struct config_pull next;
 	char ip[IP_TEXT_MAX];
 	int port;
 
@@ -175,8 +176,8 @@
 	c->pull_timer.ctx = c;
 	io_timer_set(c->task.loop, &c->pull_timer,
 	    control_now(c) + PULL_TIMEOUT_US);
-	data_pull(c->data, incarnation, ip, port,
-	    config_cursor(c->config, incarnation), c->pull_full_next);
+	config_next(c->config, incarnation, &next);
+	data_pull(c->data, incarnation, ip, port, &next);
 }
 
 void
@@ -188,12 +189,10 @@
 
 	if (m->incarnation == c->pull_from) {
 		c->pulling = 0;
-		c->pull_full_next = 0;
 		io_timer_clear(c->task.loop, &c->pull_timer);
 	}
 	if (m->batch) {
 		more = m->batch->more;
-		c->pull_full_next = more && m->batch->full;
 		control_apply(c, m->batch);
 		config_batch_clear(m->batch);
 		g_free(m->batch);
@@ -210,8 +209,7 @@
 	struct pull_message *m = message;
 	struct control *c = ctx;
 
-	config_changes(c->config, c->incarnation, m->after, m->full_next,
-	    WIRE_PULL_BYTES, b);
+	config_changes(c->config, c->incarnation, &m->pull, WIRE_PULL_BYTES, b);
 	data_send_page(c->data, m->conn, m->xid, b);
 	g_free(m);
 }
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -58,7 +58,6 @@
 
 	int pulling;
 	uint64_t pull_from;
-	int pull_full_next;
 	struct io_timer pull_timer;
 
 	struct data_target target;
@@ -93,8 +92,7 @@
 struct pull_message {
 	uint64_t conn;
 	uint32_t xid;
-	uint64_t after;
-	int full_next;
+	struct config_pull pull;
 };
 struct behind_message {
 	uint64_t version;
--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -22,7 +22,7 @@
 {
 	unsigned char buf[RECEIVE_MAX];
 	struct control *c = ctx;
-	struct sockaddr_in sa = {0};
+	struct sockaddr_in sa = { 0 };
 	size_t n = datagram_encode(c->codec, m, buf, sizeof buf);
 
 	if (!n)
@@ -37,14 +37,14 @@
 log_member(struct control *c, const struct member *m, enum member_event ev)
 {
 	static const enum event numbers[] = {
-	    [MEMBER_EVENT_JOINED] = EVENT_MEMBER_JOINED,
-	    [MEMBER_EVENT_SUSPECTED] = EVENT_MEMBER_SUSPECTED,
-	    [MEMBER_EVENT_ALIVE] = EVENT_MEMBER_ALIVE,
-	    [MEMBER_EVENT_DEAD] = EVENT_MEMBER_DEAD,
-	    [MEMBER_EVENT_LEFT] = EVENT_MEMBER_LEFT,
+		[MEMBER_EVENT_JOINED] = EVENT_MEMBER_JOINED,
+		[MEMBER_EVENT_SUSPECTED] = EVENT_MEMBER_SUSPECTED,
+		[MEMBER_EVENT_ALIVE] = EVENT_MEMBER_ALIVE,
+		[MEMBER_EVENT_DEAD] = EVENT_MEMBER_DEAD,
+		[MEMBER_EVENT_LEFT] = EVENT_MEMBER_LEFT,
 	};
-	static const char *const words[] = {"joined", "suspected", "alive",
-	    "dead", "left"};
+	static const char *const words[] = { "joined", "suspected", "alive",
+		"dead", "left" };
 
 	if (ev == MEMBER_EVENT_FORGOTTEN)
 		return;
@@ -80,9 +80,9 @@
 }
 
 const struct member_ops control_member_ops = {
-    .send = send_message,
-    .event = on_event,
-    .behind = on_behind,
+	.send = send_message,
+	.event = on_event,
+	.behind = on_behind,
 };
 
 /* After a pause nothing is decided until another member has acknowledged us. */
@@ -153,7 +153,7 @@
 {
 	unsigned char buf[RECEIVE_MAX];
 	struct control *c = ctx;
-	struct sockaddr_in sa = {0};
+	struct sockaddr_in sa = { 0 };
 	socklen_t len;
 	ssize_t n;
 
@@ -172,7 +172,7 @@
 control_open_udp(struct control *c, struct kq_error *e)
 {
 	const struct settings *s = &c->settings;
-	struct sockaddr_in sa = {0};
+	struct sockaddr_in sa = { 0 };
 
 	sa.sin_family = AF_INET;
 	sa.sin_addr.s_addr = htonl(ip_number(s->ip));
@@ -194,7 +194,7 @@
 	struct member_limits limits = MEMBER_LIMITS_DEFAULT;
 	struct member_address seed[SETTINGS_PEERS_MAX];
 	const struct settings *s = &c->settings;
-	struct member_info self = {0};
+	struct member_info self = { 0 };
 	int i;
 
 	self.id = c->incarnation;
@@ -219,7 +219,7 @@
 void
 control_learn(struct control *c, const struct config_object *o)
 {
-	struct member_info info = {0};
+	struct member_info info = { 0 };
 	struct instance in;
 	uint64_t id;
 	gsize n;
--- a/src/daemon/control_operators.c
+++ b/src/daemon/control_operators.c
@@ -61,8 +61,8 @@
 announce(struct control *c, SoupServerMessage *msg)
 {
 	SoupMessageBody *body = soup_server_message_get_request_body(msg);
-	struct data_target t = {0};
-	struct kq_error e = {0};
+	struct data_target t = { 0 };
+	struct kq_error e = { 0 };
 	struct json *j;
 	int bad;
 
@@ -170,8 +170,8 @@
 static void
 append_member(GString *t, const struct member *m)
 {
-	static const char *const states[] = {"alive", "suspect", "dead",
-	    "left"};
+	static const char *const states[] = { "alive", "suspect", "dead",
+		"left" };
 
 	g_string_append_printf(t,
 	    "{\"incarnation\":\"%016" G_GINT64_MODIFIER
@@ -297,10 +297,10 @@
     GHashTable *query, gpointer ctx)
 {
 	SoupMessageBody *body = soup_server_message_get_request_body(msg);
-	struct config_object o = {0};
-	struct config_batch b = {0};
+	struct config_object o = { 0 };
+	struct config_batch b = { 0 };
 	struct control *c = ctx;
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 	struct json *j;
 	int bad;
 
--- a/src/daemon/control_platform.c
+++ b/src/daemon/control_platform.c
@@ -137,7 +137,7 @@
 write_instance(struct control *c, GString *text)
 {
 	const struct settings *s = &c->settings;
-	struct instance in = {0};
+	struct instance in = { 0 };
 
 	in.incarnation = c->incarnation;
 	g_strlcpy(in.service, c->has_target ? c->target.service : "",
--- a/src/daemon/data.c
+++ b/src/daemon/data.c
@@ -64,23 +64,27 @@
     const struct wire_pull *m)
 {
 	struct in_conn *ic = peer_ctx(conn);
+	struct config_pull pull;
 	struct data *d = ctx;
 
-	d->events->pull(d->events_ctx, ic->id, xid, m->after, m->full_next);
+	pull.after = m->after;
+	pull.full = m->full;
+	pull.number = m->number;
+	d->events->pull(d->events_ctx, ic->id, xid, &pull);
 }
 
 static const struct peer_ops ops = {
-    .opened = conn_opened,
-    .closed = conn_closed,
-    .call = inbound_call,
-    .reply = outbound_reply,
-    .body = conn_body,
-    .credit = conn_credit,
-    .cancel = inbound_cancel,
-    .probe = inbound_probe,
-    .load = outbound_load,
-    .pull = conn_pull,
-    .state = outbound_state,
+	.opened = conn_opened,
+	.closed = conn_closed,
+	.call = inbound_call,
+	.reply = outbound_reply,
+	.body = conn_body,
+	.credit = conn_credit,
+	.cancel = inbound_cancel,
+	.probe = inbound_probe,
+	.load = outbound_load,
+	.pull = conn_pull,
+	.state = outbound_state,
 };
 
 static void
@@ -123,8 +127,7 @@
 	d->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 	    out_peer_free);
 	d->out_calls = g_hash_table_new(g_direct_hash, g_direct_equal);
-	d->ramps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-	    g_free);
+	d->ramps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	d->conns = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 	    in_conn_free);
 	d->in_calls = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -138,9 +141,9 @@
 open_ports(struct data *d, struct kq_error *e)
 {
 	const struct settings *s = &d->settings;
-	struct http_limits limits = {s->head_bytes, s->connections, s->head_ms,
-	    s->idle_ms};
-	struct peer_keys keys = {0};
+	struct http_limits limits = { s->head_bytes, s->connections, s->head_ms,
+		s->idle_ms };
+	struct peer_keys keys = { 0 };
 
 	keys.nkey = s->nkey;
 	memcpy(keys.key, s->fleet_key, sizeof keys.key);
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -40,10 +40,11 @@
  * @target_idle: nothing is at the target any more after data_drain_target()
  */
 struct config_batch;
+struct config_pull;
 struct data_events {
 	void (*behind)(void *ctx, uint64_t version, uint64_t incarnation);
-	void (*pull)(void *ctx, uint64_t conn, uint32_t xid, uint64_t after,
-	    int full_next);
+	void (*pull)(void *ctx, uint64_t conn, uint32_t xid,
+	    const struct config_pull *);
 	void (
 	    *page)(void *ctx, uint64_t incarnation, struct config_batch *page);
 	void (*drained)(void *ctx);
@@ -66,7 +67,7 @@
 void data_drain(struct data *);
 /** data_pull() - ask an instance for configuration after a version */
 void data_pull(struct data *, uint64_t incarnation, const char *ip, int port,
-    uint64_t after, int full_next);
+    const struct config_pull *);
 /** data_send_page() - answer to a pull; takes over the batch */
 void data_send_page(struct data *, uint64_t conn, uint32_t xid,
     struct config_batch *);
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -3,6 +3,7 @@
 
 #include "admit.h"
 #include "budget.h"
+#include "config.h"
 #include "data.h"
 #include "http.h"
 #include "once.h"
@@ -71,8 +72,7 @@
 	GHashTable *probes; /* xids of probes in flight */
 	int seen; /* mark while a view is taken in */
 	int pull_wanted;
-	uint64_t pull_after;
-	int pull_full_next;
+	struct config_pull pull;
 	uint32_t pull_xid;
 };
 
--- a/src/daemon/data_messages.c
+++ b/src/daemon/data_messages.c
@@ -114,6 +114,7 @@
 	m->complete = b->complete;
 	m->flags =
 	    (b->more ? WIRE_STATE_MORE : 0) | (b->full ? WIRE_STATE_FULL : 0);
+	m->number = b->number;
 	m->nobject = b->nobject;
 	for (i = 0; i < b->nobject; i++) {
 		o = &m->object[i];
--- a/src/daemon/head_copy.c
+++ b/src/daemon/head_copy.c
@@ -51,9 +51,9 @@
 int
 field_hop_by_hop(const char *name)
 {
-	static const char *const names[] = {"Connection", "Keep-Alive",
-	    "Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE",
-	    "Trailer", "Upgrade", "Expect"};
+	static const char *const names[] = { "Connection", "Keep-Alive",
+		"Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE",
+		"Trailer", "Upgrade", "Expect" };
 	size_t i;
 
 	for (i = 0; i < sizeof names / sizeof *names; i++)
--- a/src/daemon/inbound_answer.c
+++ b/src/daemon/inbound_answer.c
@@ -40,7 +40,7 @@
 static int
 send_chunk(struct in_call *c, const void *p, size_t n, int flags)
 {
-	struct wire_body m = {c->xid, flags | WIRE_BODY_ANSWER, p, n};
+	struct wire_body m = { c->xid, flags | WIRE_BODY_ANSWER, p, n };
 
 	c->answer_credit -= n;
 	return peer_send_body(c->conn, &m);
--- a/src/daemon/inbound_call.c
+++ b/src/daemon/inbound_call.c
@@ -93,12 +93,12 @@
 admit_to_wire(enum admit_reason r)
 {
 	static const uint32_t map[ADMIT_REASONS] = {
-	    [ADMIT_OK] = WIRE_REASON_NO_TARGET,
-	    [ADMIT_FULL] = WIRE_REASON_FULL,
-	    [ADMIT_DEADLINE] = WIRE_REASON_DEADLINE,
-	    [ADMIT_COLD] = WIRE_REASON_COLD,
-	    [ADMIT_DRAINING] = WIRE_REASON_DRAINING,
-	    [ADMIT_OUT] = WIRE_REASON_OUT,
+		[ADMIT_OK] = WIRE_REASON_NO_TARGET,
+		[ADMIT_FULL] = WIRE_REASON_FULL,
+		[ADMIT_DEADLINE] = WIRE_REASON_DEADLINE,
+		[ADMIT_COLD] = WIRE_REASON_COLD,
+		[ADMIT_DRAINING] = WIRE_REASON_DRAINING,
+		[ADMIT_OUT] = WIRE_REASON_OUT,
 	};
 
 	return map[r];
@@ -117,7 +117,7 @@
 static int
 first_arrival(struct in_call *c)
 {
-	struct once_request r = {c->id, c->deadline, c};
+	struct once_request r = { c->id, c->deadline, c };
 	const struct once_answer *kept;
 	struct data *d = c->data;
 	uint64_t handle;
--- a/src/daemon/inbound_conn.c
+++ b/src/daemon/inbound_conn.c
@@ -11,7 +11,7 @@
 static void
 owe_credit(struct in_call *c, size_t n)
 {
-	struct wire_credit m = {c->xid, 0, 0};
+	struct wire_credit m = { c->xid, 0, 0 };
 
 	c->body_owed += n;
 	if (c->body_owed < WIRE_WINDOW / 4 || !c->conn)
--- a/src/daemon/inbound_measure.c
+++ b/src/daemon/inbound_measure.c
@@ -63,16 +63,16 @@
 }
 
 static const struct http_call_ops load_ops = {
-    .head = load_head,
-    .body = load_body,
-    .done = load_done,
-    .failed = load_failed,
+	.head = load_head,
+	.body = load_body,
+	.done = load_done,
+	.failed = load_failed,
 };
 
 static void
 measure(void *ctx, int64_t now)
 {
-	struct http_field f[] = {{"Host", "target"}};
+	struct http_field f[] = { { "Host", "target" } };
 	struct data *d = ctx;
 
 	if (d->measure_call || !budget_take(&d->measure_budget, now)) {
--- a/src/daemon/inbound_run.c
+++ b/src/daemon/inbound_run.c
@@ -101,11 +101,11 @@
 }
 
 static const struct http_call_ops target_ops = {
-    .head = target_head,
-    .body = target_body,
-    .done = target_done,
-    .failed = target_failed,
-    .drained = target_drained,
+	.head = target_head,
+	.body = target_body,
+	.done = target_done,
+	.failed = target_failed,
+	.drained = target_drained,
 };
 
 /* The call's place at the target is free again; tells the caller side and
@@ -140,12 +140,12 @@
 	snprintf(text[0], 32, "%lld", (long long)(left > 0 ? left : 0));
 	snprintf(text[1], 32, "%u", c->depth);
 	snprintf(text[2], 32, "%u", c->retries_left);
-	f[n++] = (struct http_field){FIELD_TARGET_DEADLINE, text[0]};
-	f[n++] = (struct http_field){FIELD_DEADLINE, text[0]};
-	f[n++] = (struct http_field){FIELD_DEPTH, text[1]};
-	f[n++] = (struct http_field){FIELD_RETRIES, text[2]};
+	f[n++] = (struct http_field){ FIELD_TARGET_DEADLINE, text[0] };
+	f[n++] = (struct http_field){ FIELD_DEADLINE, text[0] };
+	f[n++] = (struct http_field){ FIELD_DEPTH, text[1] };
+	f[n++] = (struct http_field){ FIELD_RETRIES, text[2] };
 	if (c->id[0])
-		f[n++] = (struct http_field){FIELD_REQUEST_ID, c->id};
+		f[n++] = (struct http_field){ FIELD_REQUEST_ID, c->id };
 	return n;
 }
 
@@ -153,8 +153,8 @@
 static int
 replaced(const char *name)
 {
-	static const char *const names[] = {FIELD_TARGET_DEADLINE,
-	    FIELD_DEADLINE, FIELD_DEPTH, FIELD_RETRIES, FIELD_REQUEST_ID};
+	static const char *const names[] = { FIELD_TARGET_DEADLINE,
+		FIELD_DEADLINE, FIELD_DEPTH, FIELD_RETRIES, FIELD_REQUEST_ID };
 	size_t i;
 
 	for (i = 0; i < sizeof names / sizeof *names; i++)
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -46,8 +46,8 @@
 static GLogLevelFlags
 log_flags(enum log_level l)
 {
-	static const GLogLevelFlags flags[] = {G_LOG_LEVEL_CRITICAL,
-	    G_LOG_LEVEL_WARNING, G_LOG_LEVEL_INFO, G_LOG_LEVEL_DEBUG};
+	static const GLogLevelFlags flags[] = { G_LOG_LEVEL_CRITICAL,
+		G_LOG_LEVEL_WARNING, G_LOG_LEVEL_INFO, G_LOG_LEVEL_DEBUG };
 
 	return flags[l];
 }
@@ -67,8 +67,8 @@
 run(const struct settings *s)
 {
 	uint64_t incarnation = new_incarnation();
-	struct program p = {0};
-	struct kq_error e = {0};
+	struct program p = { 0 };
+	struct kq_error e = { 0 };
 	struct data *d;
 
 	p.control = control_new(s, incarnation, &e);
@@ -114,7 +114,7 @@
 static int
 load(const char *path, struct settings *s)
 {
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 
 	if (!settings_load(s, path, &e))
 		return 0;
@@ -137,7 +137,7 @@
 	    "print the settings in force, without keys, and exit");
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {file, check, print, help, end};
+	void *table[] = { file, check, print, help, end };
 	static struct settings s;
 	int errors = arg_parse(argc, argv, table);
 
--- a/src/daemon/out_peer.c
+++ b/src/daemon/out_peer.c
@@ -43,7 +43,7 @@
 static void
 send_pull(struct out_peer *p)
 {
-	struct wire_pull m = {p->pull_after, p->pull_full_next};
+	struct wire_pull m = { p->pull.after, p->pull.full, p->pull.number };
 
 	p->pull_wanted = 0;
 	p->pull_xid = peer_send_pull(p->conn, &m);
@@ -174,6 +174,7 @@
 	b->complete = m->complete;
 	b->more = !!(m->flags & WIRE_STATE_MORE);
 	b->full = !!(m->flags & WIRE_STATE_FULL);
+	b->number = m->number;
 	b->nobject = m->nobject;
 	b->object = g_new0(struct config_object, m->nobject + 1);
 	for (i = 0; i < m->nobject; i++) {
@@ -207,8 +208,7 @@
 	uint64_t incarnation;
 	char ip[IP_TEXT_MAX];
 	int port;
-	uint64_t after;
-	int full_next;
+	struct config_pull pull;
 };
 
 static void
@@ -221,8 +221,7 @@
 	if (!p)
 		p = out_peer_new(d, o->incarnation, o->ip, o->port);
 	p->pull_wanted = 1;
-	p->pull_after = o->after;
-	p->pull_full_next = o->full_next;
+	p->pull = o->pull;
 	g_free(o);
 	if (out_peer_connect(p))
 		pull_failed(p);
@@ -232,7 +231,7 @@
 
 void
 data_pull(struct data *d, uint64_t incarnation, const char *ip, int port,
-    uint64_t after, int full_next)
+    const struct config_pull *pull_next)
 {
 	struct pull_order *o = g_new0(struct pull_order, 1);
 
@@ -240,7 +239,6 @@
 	o->incarnation = incarnation;
 	g_strlcpy(o->ip, ip, sizeof o->ip);
 	o->port = port;
-	o->after = after;
-	o->full_next = full_next;
+	o->pull = *pull_next;
 	task_post(&d->task, pull, d, o);
 }
--- a/src/daemon/outbound_answer.c
+++ b/src/daemon/outbound_answer.c
@@ -18,8 +18,8 @@
 outbound_refuse(struct out_call *c, int status, const char *outcome,
     const char *reason, const char *text)
 {
-	struct http_field f[OWN_FIELDS_MAX] = {{FIELD_OUTCOME, outcome},
-	    {FIELD_REASON, reason}, {"Content-Type", "text/plain"}};
+	struct http_field f[OWN_FIELDS_MAX] = { { FIELD_OUTCOME, outcome },
+		{ FIELD_REASON, reason }, { "Content-Type", "text/plain" } };
 	struct http_exchange *x = c->exchange;
 	struct counters *n = &c->data->counters;
 	int nf = 3, i;
@@ -35,7 +35,7 @@
 	else
 		n->bad++;
 	if (c->id[0])
-		f[nf++] = (struct http_field){FIELD_REQUEST_ID, c->id};
+		f[nf++] = (struct http_field){ FIELD_REQUEST_ID, c->id };
 	http_exchange_head(x, status, f, nf, strlen(text));
 	http_exchange_write(x, text, strlen(text));
 	c->exchange = NULL;
--- a/src/daemon/outbound_call.c
+++ b/src/daemon/outbound_call.c
@@ -138,10 +138,10 @@
 }
 
 const struct http_server_ops outbound_server_ops = {
-    .request = outbound_request,
-    .body = request_body,
-    .end = request_end,
-    .drained = outbound_drained,
-    .gone = caller_gone,
-    .bad = bad_message,
+	.request = outbound_request,
+	.body = request_body,
+	.end = request_end,
+	.drained = outbound_drained,
+	.gone = caller_gone,
+	.bad = bad_message,
 };
--- a/src/daemon/outbound_reply.c
+++ b/src/daemon/outbound_reply.c
@@ -42,7 +42,7 @@
 static void
 give_credit(struct out_call *c, struct out_attempt *a)
 {
-	struct wire_credit m = {a->xid, WIRE_BODY_ANSWER, c->answer_owed};
+	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, c->answer_owed };
 
 	if (!c->answer_owed || !a->peer->conn)
 		return;
@@ -72,9 +72,9 @@
 
 	memcpy(f, m->field, n * sizeof *f);
 	if (c->id[0])
-		f[n++] = (struct http_field){FIELD_REQUEST_ID, c->id};
+		f[n++] = (struct http_field){ FIELD_REQUEST_ID, c->id };
 	if (m->outcome == WIRE_KEPT)
-		f[n++] = (struct http_field){FIELD_OUTCOME, "kept"};
+		f[n++] = (struct http_field){ FIELD_OUTCOME, "kept" };
 	c->state = OUT_ANSWERING;
 	c->winner = a;
 	http_exchange_head(c->exchange, m->status, f, n, m->length);
--- a/src/daemon/outbound_request.c
+++ b/src/daemon/outbound_request.c
@@ -11,8 +11,8 @@
 answer_bad(struct http_exchange *x, int status, const char *reason,
     const char *text)
 {
-	struct http_field f[] = {{FIELD_OUTCOME, "not-run"},
-	    {FIELD_REASON, reason}, {"Content-Type", "text/plain"}};
+	struct http_field f[] = { { FIELD_OUTCOME, "not-run" },
+		{ FIELD_REASON, reason }, { "Content-Type", "text/plain" } };
 
 	http_exchange_set_ctx(x, NULL);
 	http_exchange_head(x, status, f, 3, strlen(text));
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -164,10 +164,11 @@
 	unsigned char nonce[WIRE_NONCE_LEN];
 };
 
-/** struct wire_pull - arguments of WIRE_PULL: what comes after a version */
+/** struct wire_pull - arguments of WIRE_PULL: struct config_pull */
 struct wire_pull {
 	uint64_t after;
-	uint32_t full_next; /* on a later page of a full list */
+	uint32_t full;
+	uint32_t number;
 };
 
 #define WIRE_PULL_OBJECTS_MAX 512
@@ -190,6 +191,7 @@
 	uint64_t upto;
 	uint64_t complete;
 	uint32_t flags;
+	uint32_t number;
 	uint32_t nobject;
 	struct wire_object object[WIRE_PULL_OBJECTS_MAX];
 };
--- a/src/tool/command_publish.c
+++ b/src/tool/command_publish.c
@@ -40,8 +40,8 @@
 int
 command_check(struct tool *t, int argc, char **argv)
 {
-	struct arg_file *file = arg_filen(NULL, NULL, "FILE", 1, 64,
-	    "service files");
+	struct arg_file *file =
+	    arg_filen(NULL, NULL, "FILE", 1, 64, "service files");
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { file, help, end };
@@ -109,8 +109,8 @@
 int
 command_publish(struct tool *t, int argc, char **argv)
 {
-	struct arg_file *file = arg_filen(NULL, NULL, "FILE", 1, 64,
-	    "service files");
+	struct arg_file *file =
+	    arg_filen(NULL, NULL, "FILE", 1, 64, "service files");
 	struct arg_str *id = arg_str0(NULL, "publication", "ID",
 	    "settle or repeat that publication");
 	struct arg_str *expect = arg_str0(NULL, "expect", "VERSION",
@@ -146,8 +146,8 @@
 int
 command_dc(struct tool *t, int argc, char **argv)
 {
-	struct arg_str *what = arg_str1(NULL, NULL, "in|out",
-	    "take it out or bring it back");
+	struct arg_str *what =
+	    arg_str1(NULL, NULL, "in|out", "take it out or bring it back");
 	struct arg_str *name = arg_str1(NULL, NULL, "NAME", "data centre");
 	struct arg_str *region = arg_str0(NULL, "region", "NAME", "its region");
 	struct arg_int *ramp = arg_int0(NULL, "ramp-ms", "N",
--- a/src/tool/common.c
+++ b/src/tool/common.c
@@ -31,9 +31,8 @@
 int
 tool_no_daemon(void)
 {
-	fprintf(stderr,
-	    "kumquatrock: name a daemon's operator port with "
-	    "--daemon IP:PORT or KUMQUATROCK_DAEMON\n");
+	fprintf(stderr, "kumquatrock: name a daemon's operator port with "
+			"--daemon IP:PORT or KUMQUATROCK_DAEMON\n");
 	return EXIT_USAGE;
 }
 
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -41,10 +41,9 @@
 	    WAIT_DEFAULT_MS);
 	for (i = 0; i < sizeof commands / sizeof *commands; i++)
 		fprintf(f, "  %-10s %s\n", commands[i].name, commands[i].help);
-	fprintf(f,
-	    "\nexit: 0 done, 1 could not be done, 2 usage, 3 bad file, "
-	    "5 conflict,\n      6 undecided, 7 not in force in time\n"
-	    "kumquatrock COMMAND --help tells more.\n");
+	fprintf(f, "\nexit: 0 done, 1 could not be done, 2 usage, 3 bad file, "
+		   "5 conflict,\n      6 undecided, 7 not in force in time\n"
+		   "kumquatrock COMMAND --help tells more.\n");
 	return code;
 }
 
@@ -54,7 +53,7 @@
 	if (t->ndaemon == DAEMONS_MAX)
 		return -1;
 	return tool_address(text, &t->daemon[t->ndaemon]) ? -1
-	     : (t->ndaemon++, 0);
+							  : (t->ndaemon++, 0);
 }
 
 static int
@@ -80,10 +79,10 @@
 		else if (!strncmp(argv[i], "--wait=", 7))
 			t->wait_ms = g_ascii_strtoull(argv[i] + 7, NULL, 10);
 		else if (!strcmp(argv[i], "--platform") && i + 1 < argc &&
-		    !tool_address(argv[i + 1], &t->platform))
+			 !tool_address(argv[i + 1], &t->platform))
 			i++;
 		else if (!strcmp(argv[i], "--daemon") && i + 1 < argc &&
-		    !add_daemon(t, argv[i + 1]))
+			 !add_daemon(t, argv[i + 1]))
 			i++;
 		else
 			return -1;
@@ -124,8 +123,9 @@
 	for (i = 0; i < sizeof commands / sizeof *commands; i++)
 		if (!strcmp(commands[i].name, argv[at]))
 			return commands[i].run(&t, argc - at, argv + at);
-	fprintf(stderr, "kumquatrock: no command \"%s\"; see: kumquatrock "
-			"--help\n",
+	fprintf(stderr,
+	    "kumquatrock: no command \"%s\"; see: kumquatrock "
+	    "--help\n",
 	    argv[at]);
 	return EXIT_USAGE;
 }
--- a/src/tool/report.c
+++ b/src/tool/report.c
@@ -92,8 +92,8 @@
 	int n = 0;
 
 	for (i = 0; i < members->len; i++)
-		n += in_force_at(
-		    &g_array_index(members, struct settings_address, i),
+		n += in_force_at(&g_array_index(members,
+				     struct settings_address, i),
 		    version);
 	return n;
 }
--- a/src/tool/tool.h
+++ b/src/tool/tool.h
@@ -53,8 +53,8 @@
 void tool_error(const struct kq_error *);
 /** tool_get() - GET from a daemon's operator port; text to free with g_free()
  * or NULL with the error */
-char *tool_get(const struct settings_address *, const char *path,
-    struct kq_error *);
+char *
+tool_get(const struct settings_address *, const char *path, struct kq_error *);
 /** tool_post() - POST to a daemon's operator port; 0 or -1 */
 int tool_post(const struct settings_address *, const char *path,
     const char *body, struct kq_error *);
@@ -91,8 +91,8 @@
 void tool_publish(struct tool *, struct publication *);
 /** tool_publish_report() - print the outcome, hand the accepted version to
  * daemons and wait until it is in force; returns an exit code */
-int tool_publish_report(struct tool *, struct publication *,
-    const char *settle);
+int
+tool_publish_report(struct tool *, struct publication *, const char *settle);
 
 /** struct answer - a platform request made to wait for its result */
 struct answer {
--- a/tests/fake/platform/main.c
+++ b/tests/fake/platform/main.c
@@ -45,7 +45,7 @@
 	struct arg_str *file =
 	    arg_str0(NULL, "history", "FILE", "append history lines");
 	struct arg_end *end = arg_end(5);
-	void *table[] = {ip, port, writes, reads, file, end};
+	void *table[] = { ip, port, writes, reads, file, end };
 	static struct platform p;
 	struct kq_error e;
 
--- a/tests/fake/platform/serve.c
+++ b/tests/fake/platform/serve.c
@@ -208,8 +208,8 @@
 static void
 counts(struct platform *p, SoupServerMessage *msg)
 {
-	static const char *const name[] = {"reads", "writes", "watches",
-	    "refusals"};
+	static const char *const name[] = { "reads", "writes", "watches",
+		"refusals" };
 	GString *t = g_string_new(NULL);
 	int i;
 
--- a/tests/fake/target/announce.c
+++ b/tests/fake/target/announce.c
@@ -59,10 +59,10 @@
 }
 
 static const struct http_call_ops ops = {
-    .head = on_head,
-    .body = on_body,
-    .done = on_done,
-    .failed = on_failed,
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.failed = on_failed,
 };
 
 static void
@@ -83,7 +83,7 @@
 send_announcement(struct announcer *a)
 {
 	struct target *t = a->target;
-	struct http_field json = {"Content-Type", "application/json"};
+	struct http_field json = { "Content-Type", "application/json" };
 	struct kq_error e;
 	char b[512];
 	int n = 0;
--- a/tests/fake/target/conn.c
+++ b/tests/fake/target/conn.c
@@ -31,7 +31,7 @@
 void
 conn_reset(struct conn *c)
 {
-	struct linger l = {1, 0};
+	struct linger l = { 1, 0 };
 
 	setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
 	conn_free(c);
--- a/tests/fake/target/parse.c
+++ b/tests/fake/target/parse.c
@@ -96,13 +96,13 @@
 }
 
 static const http_parser_settings settings = {
-    .on_message_begin = on_begin,
-    .on_url = on_url,
-    .on_header_field = on_field,
-    .on_header_value = on_value,
-    .on_headers_complete = on_head,
-    .on_body = on_body,
-    .on_message_complete = on_complete,
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
 };
 
 void
--- a/tests/unit/admit.c
+++ b/tests/unit/admit.c
@@ -13,12 +13,12 @@
 #define RUNS_MAX 64
 
 enum turn {
-	TURN_START,    /* restart that is announced */
-	TURN_RESET,    /* restart that only cuts connections */
-	TURN_IDLE,     /* cold after a long pause */
-	TURN_LATENCY,  /* slow with no sign */
+	TURN_START, /* restart that is announced */
+	TURN_RESET, /* restart that only cuts connections */
+	TURN_IDLE, /* cold after a long pause */
+	TURN_LATENCY, /* slow with no sign */
 	TURN_FAILURES, /* fails fast, then cold */
-	TURN_HANG,     /* nothing completes for a while, then cold */
+	TURN_HANG, /* nothing completes for a while, then cold */
 	TURNS
 };
 
@@ -56,8 +56,8 @@
 	uint32_t next_tag;
 };
 
-static const struct admit_config config = {
-    SLOTS, 260, COLD, 20 * MS, 500 * MS, 32};
+static const struct admit_config config = { SLOTS, 260, COLD, 20 * MS, 500 * MS,
+	32 };
 
 static struct fake fake;
 
@@ -246,7 +246,7 @@
 static void
 reset(struct fake *f, uint64_t seed)
 {
-	*f = (struct fake){.sign = 0, .cold = 1};
+	*f = (struct fake){ .sign = 0, .cold = 1 };
 	rng_seed(&f->rng, seed);
 	f->admit = admit_new(&config, 0);
 	ck_assert_ptr_nonnull(f->admit);
@@ -335,7 +335,7 @@
 
 START_TEST(goodput_through_overload)
 {
-	static const double times[] = {0.8, 1, 1.2, 2, 4};
+	static const double times[] = { 0.8, 1, 1.2, 2, 4 };
 	double rate[5];
 	double peak = 0;
 	int i;
@@ -358,8 +358,8 @@
 	load(&fake, 7500 * MS, SECOND, 3000);
 	printf("half load 0.5 s after four times: %d of %d in time\n",
 	    (int)fake.good_in_time, (int)fake.asked);
-	ck_assert_double_ge(
-	    (double)fake.good_in_time, 0.99 * (double)fake.asked);
+	ck_assert_double_ge((double)fake.good_in_time,
+	    0.99 * (double)fake.asked);
 	admit_free(fake.admit);
 }
 END_TEST
--- a/tests/unit/admit_rules.c
+++ b/tests/unit/admit_rules.c
@@ -7,12 +7,12 @@
 #define SECOND 1000000
 #define COLD 3
 
-static const struct admit_config config = {
-    12, 260, COLD, 20 * MS, 500 * MS, 32};
+static const struct admit_config config = { 12, 260, COLD, 20 * MS, 500 * MS,
+	32 };
 
 START_TEST(queue_by_deadline_and_reasons)
 {
-	struct admit_config c = {1, 9, 1, 20 * MS, 0, 2};
+	struct admit_config c = { 1, 9, 1, 20 * MS, 0, 2 };
 	struct admit *a = admit_new(&c, 0);
 	struct admit_run run;
 	struct admit_item item;
--- a/tests/unit/budget.c
+++ b/tests/unit/budget.c
@@ -62,11 +62,11 @@
 	return (double)(now - begin) / SECOND;
 }
 
-static const double rates[] = {0.1, 1, 7, 33.3, 400};
+static const double rates[] = { 0.1, 1, 7, 33.3, 400 };
 
 START_TEST(never_over_the_budget)
 {
-	static const int askers[] = {1, 10, 100};
+	static const int askers[] = { 1, 10, 100 };
 	int i = _i % 3;
 	double rate = rates[_i / 3];
 	uint64_t seed;
@@ -90,7 +90,7 @@
 
 START_TEST(zero_is_never)
 {
-	static const double none[] = {0, -1, 1e-300};
+	static const double none[] = { 0, -1, 1e-300 };
 	size_t i;
 
 	for (i = 0; i < sizeof none / sizeof *none; i++) {
--- a/tests/unit/histogram.c
+++ b/tests/unit/histogram.c
@@ -32,7 +32,7 @@
 
 START_TEST(quantiles_match_sorted_values)
 {
-	static const double q[] = {0, 0.01, 0.25, 0.5, 0.9, 0.99, 0.999, 1};
+	static const double q[] = { 0, 0.01, 0.25, 0.5, 0.9, 0.99, 0.999, 1 };
 	static struct histogram h;
 	enum { N = 20000 };
 	static int64_t v[N];
--- a/tests/unit/http.c
+++ b/tests/unit/http.c
@@ -106,7 +106,7 @@
 START_TEST(refused_connect_was_not_sent)
 {
 	struct http_limits limits = HTTP_LIMITS_DEFAULT;
-	struct sockaddr_in a = {.sin_family = AF_INET};
+	struct sockaddr_in a = { .sin_family = AF_INET };
 	int fd = socket(AF_INET, SOCK_STREAM, 0); /* bound, not listening */
 	struct http_pool *p;
 	struct reply r;
--- a/tests/unit/http_bad.c
+++ b/tests/unit/http_bad.c
@@ -15,35 +15,39 @@
 };
 
 static const struct bad_case bad_cases[] = {
-    {"GET / HTTP/2.0\r\n\r\n", "400"},
-    {"GET / HTTP/0.9\r\n\r\n", "400"},
-    {"GET /\r\n\r\n", "400"},
-    {"FETCH / HTTP/1.1\r\n\r\n", "400"},
-    {"CONNECT a:1 HTTP/1.1\r\n\r\n", "400"},
-    {"POST / HTTP/1.1\r\nContent-Length: 1\r\n"
-     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-	"400"},
-    {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
-     "Content-Length: 1\r\n\r\n0\r\n\r\n",
-	"400"},
-    {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-	"400"},
-    {"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400"},
-    {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400"},
-    {"POST / HTTP/1.1\r\nContent-Length:\r\n\r\n", "400"},
-    {"POST / HTTP/1.1\r\nContent-Length : 1\r\n\r\na", "400"},
-    {"POST / HTTP/1.1\r\nContent-Length: 9000000000000000\r\n\r\n", "413"},
-    {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", "400"},
-    {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", "400"},
-    {"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
-    {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
-    {"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", "400"},
-    {"GET / HTTP/1.1\r\nA:\r\n\tc\r\n\r\n", "400"},
-    {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400"},
-    {"GET / HTTP/1.1\r\nA\x01: b\r\n\r\n", "400"},
-    {"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", "400"},
-    {"GET / HTTP/1.1\r\nA: b", "400"},
-    {"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc", "400"},
+	{ "GET / HTTP/2.0\r\n\r\n", "400" },
+	{ "GET / HTTP/0.9\r\n\r\n", "400" },
+	{ "GET /\r\n\r\n", "400" },
+	{ "FETCH / HTTP/1.1\r\n\r\n", "400" },
+	{ "CONNECT a:1 HTTP/1.1\r\n\r\n", "400" },
+	{ "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+	  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	    "400" },
+	{ "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+	  "Content-Length: 1\r\n\r\n0\r\n\r\n",
+	    "400" },
+	{ "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+	    "400" },
+	{ "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400" },
+	{ "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400" },
+	{ "POST / HTTP/1.1\r\nContent-Length:\r\n\r\n", "400" },
+	{ "POST / HTTP/1.1\r\nContent-Length : 1\r\n\r\na", "400" },
+	{ "POST / HTTP/1.1\r\nContent-Length: 9000000000000000\r\n\r\n",
+	    "413" },
+	{ "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", "400" },
+	{ "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+	    "400" },
+	{ "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	    "400" },
+	{ "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	    "400" },
+	{ "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", "400" },
+	{ "GET / HTTP/1.1\r\nA:\r\n\tc\r\n\r\n", "400" },
+	{ "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400" },
+	{ "GET / HTTP/1.1\r\nA\x01: b\r\n\r\n", "400" },
+	{ "GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", "400" },
+	{ "GET / HTTP/1.1\r\nA: b", "400" },
+	{ "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc", "400" },
 };
 
 START_TEST(broken_requests_are_answered_and_not_run)
@@ -106,18 +110,19 @@
 };
 
 static const struct slow_case slow_cases[] = {
-    {"GET / HT", "408", 0},
-    {"GET / HTTP/1.1\r\nA: b\r\n", "408", 0},
-    {"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc", "408", 1},
-    {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "408", 1},
-    {"", NULL, 0},
-    {"\r\n", NULL, 0},
+	{ "GET / HT", "408", 0 },
+	{ "GET / HTTP/1.1\r\nA: b\r\n", "408", 0 },
+	{ "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc", "408", 1 },
+	{ "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "408",
+	    1 },
+	{ "", NULL, 0 },
+	{ "\r\n", NULL, 0 },
 };
 
 START_TEST(slow_senders_are_timed_out)
 {
 	const struct slow_case *b = &slow_cases[_i];
-	struct http_limits limits = {16384, 10, 50, 100};
+	struct http_limits limits = { 16384, 10, 50, 100 };
 	char *got;
 
 	http_server_free(bed.server);
@@ -205,7 +210,7 @@
 
 START_TEST(connections_over_the_limit_are_refused)
 {
-	struct http_limits limits = {16384, 2, 5000, 60000};
+	struct http_limits limits = { 16384, 2, 5000, 60000 };
 	int64_t until = bed_bound();
 	int fd[2], i;
 	char *got;
--- a/tests/unit/http_bed.h
+++ b/tests/unit/http_bed.h
@@ -71,7 +71,7 @@
 static inline void
 bed_answer(struct http_exchange *x)
 {
-	static const struct http_field f = {"X-Kind", "echo"};
+	static const struct http_field f = { "X-Kind", "echo" };
 	GString *body = http_exchange_ctx(x);
 
 	http_exchange_head(x, 200, &f, 1, (int64_t)body->len);
@@ -129,17 +129,17 @@
 }
 
 static const struct http_server_ops bed_ops = {
-    .request = bed_request,
-    .body = bed_body,
-    .end = bed_end,
-    .gone = bed_gone,
-    .bad = bed_bad,
+	.request = bed_request,
+	.body = bed_body,
+	.end = bed_end,
+	.gone = bed_gone,
+	.bad = bed_bad,
 };
 
 static inline int
 bound_port(int fd)
 {
-	struct sockaddr_in a = {0};
+	struct sockaddr_in a = { 0 };
 	socklen_t n = sizeof a;
 
 	ck_assert_int_ge(fd, 0);
@@ -257,10 +257,10 @@
 }
 
 static const struct http_call_ops reply_ops = {
-    .head = reply_head,
-    .body = reply_body,
-    .done = reply_done,
-    .failed = reply_failed,
+	.head = reply_head,
+	.body = reply_body,
+	.done = reply_done,
+	.failed = reply_failed,
 };
 
 static inline struct http_call *
@@ -312,7 +312,7 @@
 static inline void
 peer_hang_up(struct peer *p, int reset)
 {
-	struct linger l = {1, 0};
+	struct linger l = { 1, 0 };
 
 	if (reset)
 		setsockopt(peer_fd(p), SOL_SOCKET, SO_LINGER, &l, sizeof l);
--- a/tests/unit/http_client.c
+++ b/tests/unit/http_client.c
@@ -59,7 +59,7 @@
 		peer_hang_up(&peer, e == RESET);
 }
 
-static const char *const methods[] = {"GET", "POST", "PUT", "DELETE"};
+static const char *const methods[] = { "GET", "POST", "PUT", "DELETE" };
 
 /* Each ending, for each method, on a new and on a used connection. */
 START_TEST(lost_request_is_reported_once_and_never_sent_again)
@@ -98,7 +98,8 @@
 
 	ck_assert_ptr_nonnull(reply_start(p, "POST", 0, 0, &r));
 	peer_accept(&peer, 1);
-	while (recv(peer_fd(&peer), &(char){0}, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
+	while (
+	    recv(peer_fd(&peer), &(char){ 0 }, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
 		bed_step(bed_bound());
 	peer_hang_up(&peer, 0);
 	reply_wait(&r);
@@ -226,46 +227,48 @@
 };
 
 static const struct answer_case answers[] = {
-    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde", 1, "abcde"},
-    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcd", 0, NULL},
-    {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1, ""},
-    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-     "2\r\nab\r\n0\r\nT: u\r\n\r\n",
-	1, "ab"},
-    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-     "2\r\nab\r\n0\r\n",
-	0, NULL},
-    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", 0,
-	NULL},
-    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", 0, NULL},
-    {"HTTP/1.1 200 OK\r\n\r\nuntil close", 1, "until close"},
-    {"HTTP/1.0 200 OK\r\n\r\n", 1, ""},
-    {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nab", 1, "ab"},
-    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\n"
-     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
-	1, "a"},
-    {"HTTP/1.1 100 Continue\r\n\r\n", 0, NULL},
-    {"HTTP/1.1 204 No\r\nContent-Length: 9\r\n\r\n", 1, ""},
-    {"HTTP/1.1 304 Same\r\nContent-Length: 9\r\n\r\n", 1, ""},
-    {"HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", 0,
-	NULL},
-    {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
-     "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
-	0, NULL},
-    {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 0,
-	NULL},
-    {"HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 0\r\n\r\n", 0, NULL},
-    {"HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", 0, NULL},
-    {"HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n", 0, NULL},
-    {"nonsense\r\n\r\n", 0, NULL},
-    {"HTTP/1.1 200", 0, NULL},
-    {"", 0, NULL},
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde", 1, "abcde" },
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcd", 0, NULL },
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1, "" },
+	{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nab\r\n0\r\nT: u\r\n\r\n",
+	    1, "ab" },
+	{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nab\r\n0\r\n",
+	    0, NULL },
+	{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", 0,
+	    NULL },
+	{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", 0,
+	    NULL },
+	{ "HTTP/1.1 200 OK\r\n\r\nuntil close", 1, "until close" },
+	{ "HTTP/1.0 200 OK\r\n\r\n", 1, "" },
+	{ "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nab", 1, "ab" },
+	{ "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\n"
+	  "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+	    1, "a" },
+	{ "HTTP/1.1 100 Continue\r\n\r\n", 0, NULL },
+	{ "HTTP/1.1 204 No\r\nContent-Length: 9\r\n\r\n", 1, "" },
+	{ "HTTP/1.1 304 Same\r\nContent-Length: 9\r\n\r\n", 1, "" },
+	{ "HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", 0,
+	    NULL },
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+	  "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+	    0, NULL },
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+	    0, NULL },
+	{ "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 0\r\n\r\n", 0,
+	    NULL },
+	{ "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", 0, NULL },
+	{ "HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n", 0, NULL },
+	{ "nonsense\r\n\r\n", 0, NULL },
+	{ "HTTP/1.1 200", 0, NULL },
+	{ "", 0, NULL },
 };
 
 static void
 send_slowly(const char *text, int by_byte)
 {
-	char one[2] = {0};
+	char one[2] = { 0 };
 
 	if (!by_byte) {
 		peer_send(&peer, text);
@@ -328,7 +331,7 @@
 START_TEST(cancel_says_whether_anything_was_sent)
 {
 	struct http_pool *p = pool(1, 0);
-	struct kq_error err = {0};
+	struct kq_error err = { 0 };
 	struct reply r, over;
 	struct http_call *c;
 
@@ -381,7 +384,7 @@
 
 START_TEST(silent_peer_times_out)
 {
-	struct http_limits quick = {16384, 10, 100, 100};
+	struct http_limits quick = { 16384, 10, 100, 100 };
 	struct http_pool *p =
 	    http_pool_new(bed.loop, "127.0.0.1", peer.port, 4, 0, &quick);
 	struct reply r;
--- a/tests/unit/http_flow.c
+++ b/tests/unit/http_flow.c
@@ -79,11 +79,11 @@
 }
 
 static const struct http_server_ops echo_ops = {
-    .request = echo_request,
-    .body = echo_body,
-    .end = echo_end,
-    .drained = echo_drained,
-    .gone = echo_gone,
+	.request = echo_request,
+	.body = echo_body,
+	.end = echo_end,
+	.drained = echo_drained,
+	.gone = echo_gone,
 };
 
 /* ---- client ---- */
@@ -166,11 +166,11 @@
 }
 
 static const struct http_call_ops flow_ops = {
-    .head = flow_head,
-    .body = flow_body,
-    .done = flow_done,
-    .failed = flow_failed,
-    .drained = flow_drained,
+	.head = flow_head,
+	.body = flow_body,
+	.done = flow_done,
+	.failed = flow_failed,
+	.drained = flow_drained,
 };
 
 static void
--- a/tests/unit/json.c
+++ b/tests/unit/json.c
@@ -10,37 +10,37 @@
 	int line;
 	int column;
 } bad[] = {
-    {"", JSON_E_SYNTAX, 1, 1},
-    {"  // only this\n", JSON_E_SYNTAX, 2, 1},
-    {"{\"a\":1,}", JSON_E_SYNTAX, 1, 8},
-    {"{\"a\":1,,\"b\":2}", JSON_E_SYNTAX, 1, 8},
-    {"{\"a\" 1}", JSON_E_SYNTAX, 1, 6},
-    {"{\n  \"a\": tru\n}", JSON_E_SYNTAX, 2, 8},
-    {"{\n\"a\": 01}", JSON_E_SYNTAX, 2, 7},
-    {"{\"a\": 1.}", JSON_E_SYNTAX, 1, 7},
-    {"{\"a\": \"b\n\"}", JSON_E_SYNTAX, 1, 7},
-    {"{\"a\": 'b'}", JSON_E_SYNTAX, 1, 7},
-    {"{a: 1}", JSON_E_SYNTAX, 1, 2},
-    {"[1, 2", JSON_E_SYNTAX, 1, 6},
-    {"{} {}", JSON_E_SYNTAX, 1, 4},
-    {"{}\nx", JSON_E_SYNTAX, 2, 1},
-    {"{} /* open", JSON_E_SYNTAX, 1, 4},
-    {"/* open {}", JSON_E_SYNTAX, 1, 1},
-    {"{\"a\": 1 / 2}", JSON_E_SYNTAX, 1, 9},
-    {"[\"\\x\"]", JSON_E_SYNTAX, 1, 2},
-    {"{\"a\":1,\n \"b\":{\"a\":1},\n \"a\":2}", JSON_E_EQUAL_KEYS, 3, 2},
-    {"{\"a\":1, \"\\u0061\":2}", JSON_E_EQUAL_KEYS, 1, 9},
-    {"[[[[[[[[[[[[[[[[\n[]]]]]]]]]]]]]]]]]", JSON_E_DEPTH, 2, 1},
-    {"{\"a\": 9223372036854775808}", JSON_E_NUMBER, 1, 7},
-    {"[-9223372036854775809]", JSON_E_NUMBER, 1, 2},
-    {"[\n1e400]", JSON_E_NUMBER, 2, 1},
-    {"[\"ab\xff\"]", JSON_E_UTF8, 1, 5},
-    {"[\"\xc0\xaf\"]", JSON_E_UTF8, 1, 3},
-    {"// \xed\xa0\x80\n[]", JSON_E_UTF8, 1, 4},
-    {"[\"a\\u0000\"]", JSON_E_UTF8, 1, 4},
-    {"[\"\\\\\\ud800\"]", JSON_E_UTF8, 1, 5},
-    {"[\"\\ud800\\u0041\"]", JSON_E_UTF8, 1, 3},
-    {"[\"\\udc00\"]", JSON_E_UTF8, 1, 3},
+	{ "", JSON_E_SYNTAX, 1, 1 },
+	{ "  // only this\n", JSON_E_SYNTAX, 2, 1 },
+	{ "{\"a\":1,}", JSON_E_SYNTAX, 1, 8 },
+	{ "{\"a\":1,,\"b\":2}", JSON_E_SYNTAX, 1, 8 },
+	{ "{\"a\" 1}", JSON_E_SYNTAX, 1, 6 },
+	{ "{\n  \"a\": tru\n}", JSON_E_SYNTAX, 2, 8 },
+	{ "{\n\"a\": 01}", JSON_E_SYNTAX, 2, 7 },
+	{ "{\"a\": 1.}", JSON_E_SYNTAX, 1, 7 },
+	{ "{\"a\": \"b\n\"}", JSON_E_SYNTAX, 1, 7 },
+	{ "{\"a\": 'b'}", JSON_E_SYNTAX, 1, 7 },
+	{ "{a: 1}", JSON_E_SYNTAX, 1, 2 },
+	{ "[1, 2", JSON_E_SYNTAX, 1, 6 },
+	{ "{} {}", JSON_E_SYNTAX, 1, 4 },
+	{ "{}\nx", JSON_E_SYNTAX, 2, 1 },
+	{ "{} /* open", JSON_E_SYNTAX, 1, 4 },
+	{ "/* open {}", JSON_E_SYNTAX, 1, 1 },
+	{ "{\"a\": 1 / 2}", JSON_E_SYNTAX, 1, 9 },
+	{ "[\"\\x\"]", JSON_E_SYNTAX, 1, 2 },
+	{ "{\"a\":1,\n \"b\":{\"a\":1},\n \"a\":2}", JSON_E_EQUAL_KEYS, 3, 2 },
+	{ "{\"a\":1, \"\\u0061\":2}", JSON_E_EQUAL_KEYS, 1, 9 },
+	{ "[[[[[[[[[[[[[[[[\n[]]]]]]]]]]]]]]]]]", JSON_E_DEPTH, 2, 1 },
+	{ "{\"a\": 9223372036854775808}", JSON_E_NUMBER, 1, 7 },
+	{ "[-9223372036854775809]", JSON_E_NUMBER, 1, 2 },
+	{ "[\n1e400]", JSON_E_NUMBER, 2, 1 },
+	{ "[\"ab\xff\"]", JSON_E_UTF8, 1, 5 },
+	{ "[\"\xc0\xaf\"]", JSON_E_UTF8, 1, 3 },
+	{ "// \xed\xa0\x80\n[]", JSON_E_UTF8, 1, 4 },
+	{ "[\"a\\u0000\"]", JSON_E_UTF8, 1, 4 },
+	{ "[\"\\\\\\ud800\"]", JSON_E_UTF8, 1, 5 },
+	{ "[\"\\ud800\\u0041\"]", JSON_E_UTF8, 1, 3 },
+	{ "[\"\\udc00\"]", JSON_E_UTF8, 1, 3 },
 };
 
 START_TEST(refuses_with_place)
@@ -107,21 +107,21 @@
 	int column;
 	const char *says;
 } wrong[] = {
-    {"{\"count\": \"5\"}", JSON_E_TYPE, 1, 11, "integer, not a string"},
-    {"{\"count\": 5.0}", JSON_E_TYPE, 1, 11, "integer, not a number"},
-    {"{\"count\":\n 101}", JSON_E_RANGE, 2, 2, "from 1 to 100"},
-    {"{\"ratio\": 1.5}", JSON_E_RANGE, 1, 11, "from 0 to 1"},
-    {"{\"name\": \"\"}", JSON_E_RANGE, 1, 10, "1 to 7 bytes"},
-    {"{\"name\": \"12345678\"}", JSON_E_RANGE, 1, 10, "1 to 7 bytes"},
-    {"{\"flag\": 1}", JSON_E_TYPE, 1, 10, "true or false"},
-    {"{\n \"Count\": 1}", JSON_E_UNKNOWN, 2, 2, "nearest is \"count\""},
-    {"{\"something_else\": 1}", JSON_E_UNKNOWN, 1, 2,
-	"unknown key \"something_else\""},
+	{ "{\"count\": \"5\"}", JSON_E_TYPE, 1, 11, "integer, not a string" },
+	{ "{\"count\": 5.0}", JSON_E_TYPE, 1, 11, "integer, not a number" },
+	{ "{\"count\":\n 101}", JSON_E_RANGE, 2, 2, "from 1 to 100" },
+	{ "{\"ratio\": 1.5}", JSON_E_RANGE, 1, 11, "from 0 to 1" },
+	{ "{\"name\": \"\"}", JSON_E_RANGE, 1, 10, "1 to 7 bytes" },
+	{ "{\"name\": \"12345678\"}", JSON_E_RANGE, 1, 10, "1 to 7 bytes" },
+	{ "{\"flag\": 1}", JSON_E_TYPE, 1, 10, "true or false" },
+	{ "{\n \"Count\": 1}", JSON_E_UNKNOWN, 2, 2, "nearest is \"count\"" },
+	{ "{\"something_else\": 1}", JSON_E_UNKNOWN, 1, 2,
+	    "unknown key \"something_else\"" },
 };
 
 START_TEST(getters_refuse)
 {
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 	struct json *j = json_read(wrong[_i].text, strlen(wrong[_i].text), &e);
 	int64_t count;
 	double ratio;
--- a/tests/unit/peer.c
+++ b/tests/unit/peer.c
@@ -75,8 +75,8 @@
 	uint32_t i;
 
 	for (i = 0; i < m->body_len; i++)
-		s->bad_bytes += p[i] != (unsigned char)((s->body_bytes + i) *
-					    7);
+		s->bad_bytes +=
+		    p[i] != (unsigned char)((s->body_bytes + i) * 7);
 	s->body_bytes += m->body_len;
 }
 
@@ -258,8 +258,7 @@
 	sa.sin_addr.s_addr = inet_addr(IP);
 	for (i = 0; i < sizeof garbage / sizeof *garbage; i++) {
 		fd = socket(AF_INET, SOCK_STREAM, 0);
-		ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa,
-				     sizeof sa),
+		ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa, sizeof sa),
 		    0);
 		ck_assert_int_gt(send(fd, garbage[i], i ? 68 : 18, 0), 0);
 		ck_assert(step(&a, &b, &a.closed, ++n));
--- a/tests/unit/retry.c
+++ b/tests/unit/retry.c
@@ -60,9 +60,9 @@
 static struct reply
 attempt(struct tree *t, int level, int carried)
 {
-	static const enum retry_cause causes[] = {RETRY_NOT_RUN, RETRY_FAILED,
-	    RETRY_LOST};
-	struct reply p = {1, 0, RETRY_FAILED};
+	static const enum retry_cause causes[] = { RETRY_NOT_RUN, RETRY_FAILED,
+		RETRY_LOST };
+	struct reply p = { 1, 0, RETRY_FAILED };
 	int i;
 
 	t->calls++;
@@ -76,7 +76,7 @@
 		p.ok = 0;
 		p.cause = causes[rng_below(&t->rng, 3)];
 	} else if (t->lossy && rng_unit(&t->rng) < FAIL) {
-		p = (struct reply){0, 0, RETRY_LOST};
+		p = (struct reply){ 0, 0, RETRY_LOST };
 	}
 	return p;
 }
@@ -107,7 +107,7 @@
  * level; levels 1..27 are called. */
 START_TEST(chain_of_28_within_1_2)
 {
-	static const double ratios[] = {0, 0.1, 0.2};
+	static const double ratios[] = { 0, 0.1, 0.2 };
 	static struct tree t;
 	int good;
 	double cost = run(&t, LEVELS, 1, 0, ratios[_i], CALLS, &good);
@@ -151,7 +151,7 @@
 
 START_TEST(never_over_the_share_of_successes)
 {
-	static const double ratios[] = {0, 0.05, 0.1, 0.5};
+	static const double ratios[] = { 0, 0.05, 0.1, 0.5 };
 	struct retry r;
 	struct rng g;
 	uint64_t good = 0;
--- a/tests/unit/settings.c
+++ b/tests/unit/settings.c
@@ -76,48 +76,51 @@
 	int column;
 	const char *says;
 } bad[] = {
-    {"{}", JSON_E_MISSING, 1, 1, "\"name\""},
-    {HEAD PORTS "," KEYS "}", JSON_E_MISSING, 1, 1, "\"platform\""},
-    {HEAD PORTS "," PLATFORM "}", JSON_E_MISSING, 1, 1, "fleet_key_file"},
-    {HEAD "\"caller_port\":1,\"peer_port\":1,\"operator_port\":2," PLATFORM
-	  "," KEYS "}",
-	JSON_E_VALUE, 2, 29, "are equal"},
-    {HEAD "\"caller_port\":1,\"peer_port\":2,\"operator_port\":2," PLATFORM
-	  "," KEYS "}",
-	JSON_E_VALUE, 2, 47, "equals"},
-    {HEAD PORTS ",\"platform\":{\"ip\":\"127.0.0.1\"},\n" KEYS "}",
-	JSON_E_MISSING, 2, 69, "\"port\""},
-    {WITH("\"idle_ms\":5"), JSON_E_UNKNOWN, 3, 1, "unknown key"},
-    {WITH("\"limits\":{\"idle_s\":5}"), JSON_E_UNKNOWN, 3, 11,
-	"nearest is \"idle_ms\""},
-    {WITH("\"limits\":{\"head_bytes\":1}"), JSON_E_RANGE, 3, 24, "1024"},
-    {WITH("\"limits\":{\"head_bytes\":\"16k\"}"), JSON_E_TYPE, 3, 24,
-	"integer"},
-    {WITH("\"limits\":[]"), JSON_E_TYPE, 3, 10, "an object"},
-    {WITH("\"peers\":[{\"ip\":\"127.0.0.1\"}]"), JSON_E_MISSING, 3, 10,
-	"\"port\""},
-    {WITH("\"peers\":[{\"ip\":\"localhost\",\"port\":1}]"), JSON_E_VALUE, 3, 16,
-	"IPv4"},
-    {WITH("\"peers\":[{\"ip\":\"127.0.0.1\",\"port\":1},"
-	  "{\"ip\":\"127.0.0.1\",\"port\":1}]"),
-	JSON_E_VALUE, 3, 38, "twice"},
-    {WITH("\"trace\":{\"port\":1}"), JSON_E_MISSING, 3, 9, "both"},
-    {WITH("\"trace\":{\"sample_ratio\":2}"), JSON_E_RANGE, 3, 25, "0 to 1"},
-    {WITH("\"log\":{\"level\":\"loud\"}"), JSON_E_VALUE, 3, 16, "\"debug\""},
-    {WITH("\"fleet_key_file\":\"/x\""), JSON_E_VALUE, 3, 1, "contradicts"},
-    {HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[]}", JSON_E_RANGE, 3, 14,
-	"1 or 2"},
-    {HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "0\"]}", JSON_E_VALUE,
-	3, 15, "64 hex"},
-    {HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "\",\"" K1 "\"]}",
-	JSON_E_VALUE, 3, 82, "equal"},
-    {HEAD PORTS "," PLATFORM ",\n\"fleet_key_file\":\"/nonexistent\"}",
-	JSON_E_VALUE, 3, 18, "can't read"},
+	{ "{}", JSON_E_MISSING, 1, 1, "\"name\"" },
+	{ HEAD PORTS "," KEYS "}", JSON_E_MISSING, 1, 1, "\"platform\"" },
+	{ HEAD PORTS "," PLATFORM "}", JSON_E_MISSING, 1, 1, "fleet_key_file" },
+	{ HEAD "\"caller_port\":1,\"peer_port\":1,\"operator_port\":2," PLATFORM
+	       "," KEYS "}",
+	    JSON_E_VALUE, 2, 29, "are equal" },
+	{ HEAD "\"caller_port\":1,\"peer_port\":2,\"operator_port\":2," PLATFORM
+	       "," KEYS "}",
+	    JSON_E_VALUE, 2, 47, "equals" },
+	{ HEAD PORTS ",\"platform\":{\"ip\":\"127.0.0.1\"},\n" KEYS "}",
+	    JSON_E_MISSING, 2, 69, "\"port\"" },
+	{ WITH("\"idle_ms\":5"), JSON_E_UNKNOWN, 3, 1, "unknown key" },
+	{ WITH("\"limits\":{\"idle_s\":5}"), JSON_E_UNKNOWN, 3, 11,
+	    "nearest is \"idle_ms\"" },
+	{ WITH("\"limits\":{\"head_bytes\":1}"), JSON_E_RANGE, 3, 24, "1024" },
+	{ WITH("\"limits\":{\"head_bytes\":\"16k\"}"), JSON_E_TYPE, 3, 24,
+	    "integer" },
+	{ WITH("\"limits\":[]"), JSON_E_TYPE, 3, 10, "an object" },
+	{ WITH("\"peers\":[{\"ip\":\"127.0.0.1\"}]"), JSON_E_MISSING, 3, 10,
+	    "\"port\"" },
+	{ WITH("\"peers\":[{\"ip\":\"localhost\",\"port\":1}]"), JSON_E_VALUE,
+	    3, 16, "IPv4" },
+	{ WITH("\"peers\":[{\"ip\":\"127.0.0.1\",\"port\":1},"
+	       "{\"ip\":\"127.0.0.1\",\"port\":1}]"),
+	    JSON_E_VALUE, 3, 38, "twice" },
+	{ WITH("\"trace\":{\"port\":1}"), JSON_E_MISSING, 3, 9, "both" },
+	{ WITH("\"trace\":{\"sample_ratio\":2}"), JSON_E_RANGE, 3, 25,
+	    "0 to 1" },
+	{ WITH("\"log\":{\"level\":\"loud\"}"), JSON_E_VALUE, 3, 16,
+	    "\"debug\"" },
+	{ WITH("\"fleet_key_file\":\"/x\""), JSON_E_VALUE, 3, 1,
+	    "contradicts" },
+	{ HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[]}", JSON_E_RANGE, 3, 14,
+	    "1 or 2" },
+	{ HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "0\"]}",
+	    JSON_E_VALUE, 3, 15, "64 hex" },
+	{ HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "\",\"" K1 "\"]}",
+	    JSON_E_VALUE, 3, 82, "equal" },
+	{ HEAD PORTS "," PLATFORM ",\n\"fleet_key_file\":\"/nonexistent\"}",
+	    JSON_E_VALUE, 3, 18, "can't read" },
 };
 
 START_TEST(refuses_with_place)
 {
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 	struct settings s;
 	const char *t = bad[_i].text;
 
@@ -134,14 +137,14 @@
 	const char *file;
 	int keys; /* 0 when refused */
 } key_files[] = {
-    {K1 "\n", 1},
-    {"\n" K1 "\r\n" K2, 2},
-    {"", 0},
-    {"\n\n", 0},
-    {K1 "\n" K1 "\n", 0},
-    {K1 "\n" K2 "\n" K1, 0},
-    {"# " K1, 0},
-    {K1 K2, 0},
+	{ K1 "\n", 1 },
+	{ "\n" K1 "\r\n" K2, 2 },
+	{ "", 0 },
+	{ "\n\n", 0 },
+	{ K1 "\n" K1 "\n", 0 },
+	{ K1 "\n" K2 "\n" K1, 0 },
+	{ "# " K1, 0 },
+	{ K1 K2, 0 },
 };
 
 START_TEST(reads_key_file)
