Table of every object in force, ordered by the platform's versions

A table's complete version rises only by a batch from at or below it, and is a promise: what lives at or below it is what the platform had at it.

--- /dev/null
+++ b/src/core/config/changes.c
@@ -0,0 +1,91 @@
+#include "core/config/table_impl.h"
+
+#include <string.h>
+
+/* First place whose version is above @after. */
+static GSequenceIter *
+seek(const struct config_table *t, uint64_t after)
+{
+	struct config_entry key = {
+	    .object = {.version = after + 1, .kind = -1}};
+
+	if (after == UINT64_MAX)
+		return g_sequence_get_end_iter(t->order);
+	return g_sequence_search(t->order, &key, config_order, NULL);
+}
+
+static size_t
+object_bytes(const struct config_object *o)
+{
+	return sizeof o->version + strlen(o->name) +
+	       (o->value ? g_bytes_get_size(o->value) : 0);
+}
+
+static void
+append(GArray *list, const struct config_object *o)
+{
+	struct config_object copy = *o;
+
+	if (copy.value)
+		g_bytes_ref(copy.value);
+	g_array_append_val(list, copy);
+}
+
+/* Fills in everything but the objects; an asker from before the floor starts
+ * over with a full list. */
+static void
+begin(const struct config_table *t, uint64_t source,
+    const struct config_pull *pull, struct config_batch *b)
+{
+	memset(b, 0, sizeof *b);
+	b->source = source;
+	b->complete = t->complete;
+	b->full = pull->full;
+	if (!pull->full && pull->after < t->floor) {
+		b->full = 1;
+		return;
+	}
+	b->number = pull->number;
+	b->after = b->upto = pull->after;
+}
+
+void
+config_changes(const struct config_table *t, uint64_t source,
+    const struct config_pull *pull, size_t bytes, struct config_batch *b)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct config_object));
+	GSequenceIter *i;
+	size_t used = 0;
+
+	begin(t, source, pull, b);
+	i = seek(t, b->after);
+	for (; !g_sequence_iter_is_end(i); i = g_sequence_iter_next(i)) {
+		const struct config_entry *n = g_sequence_get(i);
+
+		used += object_bytes(&n->object);
+		if (used > bytes && list->len > 0 &&
+		    n->object.version != b->upto) {
+			b->more = 1;
+			break;
+		}
+		append(list, &n->object);
+		b->upto = n->object.version;
+	}
+	if (!b->more)
+		b->upto = MAX(b->upto, b->complete);
+	b->nobject = (int)list->len;
+	b->object = (struct config_object *)(void *)g_array_free(list, FALSE);
+}
+
+void
+config_batch_clear(struct config_batch *b)
+{
+	int i;
+
+	for (i = 0; i < b->nobject; i++) {
+		if (b->object[i].value)
+			g_bytes_unref(b->object[i].value);
+	}
+	g_free(b->object);
+	memset(b, 0, sizeof *b);
+}
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -19,8 +19,9 @@
  * What moves the complete version is a batch that says "everything after A
  * up to B" with A not above it. A batch may be cut into pages. Since an object
  * that changes meanwhile moves behind the cursor of its old version, the
- * pages of one batch must come from one source, and the complete version
- * moves with the last page, to what the source held complete at the first.
+ * pages of one batch must come from one source, each asked for after the one
+ * before it arrived, and the complete version moves with the last page, to
+ * what the source held complete at the first.
  */
 
 #define CONFIG_NAME_MAX 64	   /* bytes with the final NUL */
@@ -43,12 +44,24 @@
  */
 struct config_object {
 	int kind; /* enum config_kind */
-	char name[CONFIG_NAME_MAX];
-	uint64_t version;
 	int removed;
+	uint64_t version;
+	char name[CONFIG_NAME_MAX];
 	GBytes *value;
 };
 
+/**
+ * struct config_pull - what to ask a source for
+ * @after: version to go on after
+ * @full: nonzero on a later page of a full list
+ * @number: names the batch on its later pages, 0 on the first
+ */
+struct config_pull {
+	uint64_t after;
+	int full;
+	uint32_t number;
+};
+
 /**
  * struct config_batch - objects in order of version, from one source
  * @source: CONFIG_SOURCE_PLATFORM or the incarnation of a daemon
@@ -59,6 +72,7 @@
  *            objects that are not part of a batch
  * @more: more pages follow, to be asked for with after = @upto
  * @full: list of all objects from the beginning; what it lacks is removed
+ * @number: as asked for, 0 on a first page
  */
 struct config_batch {
 	uint64_t source;
@@ -67,6 +81,7 @@
 	uint64_t complete;
 	int more;
 	int full;
+	uint32_t number;
 	int nobject;
 	struct config_object *object;
 };
@@ -107,8 +122,9 @@
 uint64_t config_complete(const struct config_table *);
 /** config_highest() - highest version of any object held */
 uint64_t config_highest(const struct config_table *);
-/** config_cursor() - version to ask a source for what comes after */
-uint64_t config_cursor(const struct config_table *, uint64_t source);
+/** config_next() - what to ask a source for next */
+void
+config_next(const struct config_table *, uint64_t source, struct config_pull *);
 /** config_find() - object in force or its tombstone, or NULL; lasts until the
  * next config_apply() */
 const struct config_object *
@@ -117,16 +133,16 @@
 
 /**
  * config_changes() - page of what comes after a version
- * @after: cursor of the asker; one below the oldest tombstone that was dropped
- *         is answered with a full list
- * @full_next: nonzero when the asker is on a later page of a full list
+ * @source: our own incarnation
+ * @pull: what was asked for; one below the oldest version whose removals are
+ *        all known is answered with the first page of a full list
  * @bytes: bound on the names and values of the page; at least one version is
  *         always in it
  *
  * Objects of one version are never parted. Free with config_batch_clear().
  */
 void config_changes(const struct config_table *, uint64_t source,
-    uint64_t after, int full_next, size_t bytes, struct config_batch *);
+    const struct config_pull *pull, size_t bytes, struct config_batch *);
 void config_batch_clear(struct config_batch *);
 
 /** struct config_snapshot - immutable copy, in order of kind and name, without
