--- /dev/null
+++ b/src/adapter/trace/context.c
@@ -0,0 +1,76 @@
+#include <sodium.h>
+#include <string.h>
+
+#include "trace.h"
+
+static int
+hex(uint8_t *out, size_t n, const char *text)
+{
+	size_t i;
+	int hi, lo;
+
+	for (i = 0; i < n; i++) {
+		hi = g_ascii_xdigit_value(text[2 * i]);
+		lo = g_ascii_xdigit_value(text[2 * i + 1]);
+		if (hi < 0 || lo < 0)
+			return -1;
+		out[i] = hi << 4 | lo;
+	}
+	return 0;
+}
+
+static int
+all_zero(const uint8_t *p, size_t n)
+{
+	while (n--)
+		if (*p++)
+			return 0;
+	return 1;
+}
+
+int
+trace_parse(struct trace_context *c, const char *t)
+{
+	uint8_t flags;
+
+	memset(c, 0, sizeof *c);
+	if (strlen(t) != TRACEPARENT_LEN || strncmp(t, "00-", 3) ||
+	    t[35] != '-' || t[52] != '-')
+		return -1;
+	if (hex(c->trace, sizeof c->trace, t + 3) ||
+	    hex(c->span, sizeof c->span, t + 36) || hex(&flags, 1, t + 53))
+		return -1;
+	if (all_zero(c->trace, sizeof c->trace) ||
+	    all_zero(c->span, sizeof c->span))
+		return -1;
+	c->sampled = flags & 1;
+	return 0;
+}
+
+void
+trace_format(const struct trace_context *c, char out[TRACEPARENT_LEN + 1])
+{
+	char trace[33], span[17];
+
+	sodium_bin2hex(trace, sizeof trace, c->trace, sizeof c->trace);
+	sodium_bin2hex(span, sizeof span, c->span, sizeof c->span);
+	g_snprintf(out, TRACEPARENT_LEN + 1, "00-%s-%s-%02x", trace, span,
+	    c->sampled ? 1 : 0);
+}
+
+void
+trace_root(struct trace_context *c, int sampled)
+{
+	memset(c, 0, sizeof *c);
+	randombytes_buf(c->trace, sizeof c->trace);
+	randombytes_buf(c->span, sizeof c->span);
+	c->sampled = sampled;
+}
+
+void
+trace_child(struct trace_context *c, const struct trace_context *above)
+{
+	*c = *above;
+	memcpy(c->parent, above->span, sizeof c->parent);
+	randombytes_buf(c->span, sizeof c->span);
+}
--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -6,8 +6,8 @@
 /* What a batch or page is to the table. */
 enum role {
 	ROLE_OBJECTS, /* moves nothing */
-	ROLE_FIRST,   /* first page of a batch, perhaps its only one */
-	ROLE_NEXT     /* next page of the batch that is being read */
+	ROLE_FIRST, /* first page of a batch, perhaps its only one */
+	ROLE_NEXT /* next page of the batch that is being read */
 };
 
 static int
@@ -138,8 +138,8 @@
 }
 
 enum config_outcome
-config_apply(
-    struct config_table *t, const struct config_batch *b, struct kq_error *e)
+config_apply(struct config_table *t, const struct config_batch *b,
+    struct kq_error *e)
 {
 	enum role role;
 	int i, taken = 0, conflict = 0;
--- a/src/core/config/changes.c
+++ b/src/core/config/changes.c
@@ -6,8 +6,8 @@
 static GSequenceIter *
 seek(const struct config_table *t, uint64_t after)
 {
-	struct config_entry key = {
-	    .object = {.version = after + 1, .kind = -1}};
+	struct config_entry key = { .object = { .version = after + 1,
+					.kind = -1 } };
 
 	if (after == UINT64_MAX)
 		return g_sequence_get_end_iter(t->order);
--- a/src/core/config/kind.c
+++ b/src/core/config/kind.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-static const char *const names[CONFIG_KINDS] = {
-    "service", "datacentre", "instance"};
+static const char *const names[CONFIG_KINDS] = { "service", "datacentre",
+	"instance" };
 
 const char *
 config_kind_name(int kind)
--- a/src/core/config/snapshot.c
+++ b/src/core/config/snapshot.c
@@ -48,12 +48,12 @@
 }
 
 const struct config_object *
-config_snapshot_find(
-    const struct config_snapshot *s, int kind, const char *name)
+config_snapshot_find(const struct config_snapshot *s, int kind,
+    const char *name)
 {
-	struct config_object key = {.kind = kind};
+	struct config_object key = { .kind = kind };
 
 	g_strlcpy(key.name, name, sizeof key.name);
-	return bsearch(
-	    &key, s->object, (size_t)s->nobject, sizeof *s->object, by_name);
+	return bsearch(&key, s->object, (size_t)s->nobject, sizeof *s->object,
+	    by_name);
 }
--- a/src/core/config/table.c
+++ b/src/core/config/table.c
@@ -69,7 +69,7 @@
 struct config_entry *
 config_entry_find(const struct config_table *t, int kind, const char *name)
 {
-	struct config_object o = {.kind = kind};
+	struct config_object o = { .kind = kind };
 
 	g_strlcpy(o.name, name, sizeof o.name);
 	return g_hash_table_lookup(t->by_name, &o);
@@ -122,8 +122,8 @@
 }
 
 void
-config_next(
-    const struct config_table *t, uint64_t source, struct config_pull *pull)
+config_next(const struct config_table *t, uint64_t source,
+    struct config_pull *pull)
 {
 	const struct config_chain *c = &t->chain;
 
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -127,12 +127,21 @@
 	task_post(&c->task, target_idle, c, NULL);
 }
 
+static void
+on_spans(void *ctx, GString *text)
+{
+	struct control *c = ctx;
+
+	task_post(&c->task, control_send_spans, c, text);
+}
+
 const struct data_events control_data_events = {
 	.behind = on_behind,
 	.pull = on_pull,
 	.page = on_page,
 	.drained = on_drained,
 	.target_idle = on_target_idle,
+	.spans = on_spans,
 };
 
 static void
@@ -193,6 +202,8 @@
 	}
 	if (c->platform)
 		platform_free(c->platform);
+	if (c->trace_session)
+		g_object_unref(c->trace_session);
 	while (g_main_context_iteration(c->task.context, FALSE))
 		;
 	g_main_context_pop_thread_default(c->task.context);
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -69,6 +69,8 @@
 	void (*leave_done)(void *ctx);
 	void *leave_ctx;
 
+	SoupSession *trace_session;
+	uint64_t spans_lost; /* batches that could not be sent */
 	SoupServer *operators;
 	GPtrArray
 	    *leave_waiting; /* messages answered when the target is idle */
@@ -114,6 +116,9 @@
 void control_register_soon(struct control *);
 void control_unregister(struct control *);
 
+/* traces */
+void control_send_spans(void *ctx, void *message);
+
 /* operators */
 int control_open_operators(struct control *, struct kq_error *);
 void control_target_idle(struct control *);
--- a/src/daemon/data.c
+++ b/src/daemon/data.c
@@ -170,6 +170,7 @@
 	rng_seed(&d->rng, incarnation);
 	task_init(&d->task, "data");
 	make_tables(d);
+	data_trace_start(d);
 	if (open_ports(d, e)) {
 		data_stop(d);
 		return NULL;
@@ -228,6 +229,8 @@
 	g_hash_table_unref(d->conns);
 	g_hash_table_unref(d->in_calls);
 	g_string_free(d->measure_body, TRUE);
+	io_timer_clear(d->task.loop, &d->trace_timer);
+	trace_sink_clear(&d->traces);
 	view_free(d->view);
 	task_clear(&d->task);
 	g_free(d);
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -37,6 +37,7 @@
  *        pull failed; the receiver frees it with config_batch_clear() and
  *        g_free()
  * @drained: nothing is in flight any more after data_drain()
+ * @spans: spans as one OTLP request; the receiver frees it
  * @target_idle: nothing is at the target any more after data_drain_target()
  */
 struct config_batch;
@@ -49,6 +50,7 @@
 	    *page)(void *ctx, uint64_t incarnation, struct config_batch *page);
 	void (*drained)(void *ctx);
 	void (*target_idle)(void *ctx);
+	void (*spans)(void *ctx, GString *otlp);
 };
 
 struct data *data_new(const struct settings *, uint64_t incarnation,
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -11,9 +11,9 @@
 #include "pick.h"
 #include "retry.h"
 #include "rng.h"
+#include "trace.h"
 
 #define REQUEST_ID_MAX 64 /* bytes with the final NUL */
-#define TRACE_MAX 64 /* bytes of a traceparent with the final NUL */
 #define ATTEMPTS_MAX 8 /* targets tried for one call */
 #define ATTEMPTS_OPEN_MAX 2 /* at the same time */
 #define BODY_KEEP_MAX 65536 /* bytes of a request kept for another attempt */
@@ -88,6 +88,7 @@
 	size_t sent; /* bytes of the body */
 	int last_sent;
 	size_t credit;
+	struct trace_context trace;
 };
 
 enum out_state { OUT_READING, OUT_TRYING, OUT_ANSWERING };
@@ -103,7 +104,9 @@
 	int idempotent;
 	int repeat;
 	char id[REQUEST_ID_MAX];
-	char trace[TRACE_MAX];
+	struct trace_context trace;
+	int status; /* of the answer */
+	const char *outcome;
 	GByteArray *body;
 	size_t body_base; /* bytes no longer kept before those in body */
 	int body_whole;
@@ -154,7 +157,10 @@
 	uint32_t retries_left;
 	uint32_t depth;
 	char id[REQUEST_ID_MAX];
-	char trace[TRACE_MAX];
+	struct trace_context trace;
+	struct trace_context target_trace;
+	int64_t target_started;
+	uint32_t outcome; /* told to the caller side */
 	GByteArray *body; /* came before the target took it */
 	int body_last;
 	size_t body_owed; /* credit not yet given */
@@ -233,9 +239,20 @@
 	struct http_call *measure_call;
 	GString *measure_body;
 	struct counters counters;
+	struct trace_sink traces;
+	struct io_timer trace_timer;
 };
 
 int64_t data_now(const struct data *);
+void data_trace_start(struct data *);
+/* Write the span of a call, attempt, inbound call or target request. */
+void outbound_trace_begin(struct out_call *, const char *traceparent);
+void outbound_trace_call(struct out_call *);
+void
+outbound_trace_attempt(struct out_attempt *, const char *outcome, int status);
+void inbound_trace_begin(struct in_call *, const char *traceparent);
+void inbound_trace_call(struct in_call *);
+void inbound_trace_target(struct in_call *, const char *outcome);
 
 void head_copy(struct head_copy *, const char *method, const char *path,
     int64_t length, const struct http_field *, int nfield);
--- a/src/daemon/inbound_answer.c
+++ b/src/daemon/inbound_answer.c
@@ -11,6 +11,7 @@
 	m->clock = data_now(d);
 	m->used = c->answer_used;
 	m->outcome = outcome;
+	c->outcome = outcome;
 	m->config_version = d->view->rules_version;
 	inbound_report(d, &m->load);
 	m->status = c->answer_status;
--- a/src/daemon/inbound_call.c
+++ b/src/daemon/inbound_call.c
@@ -36,7 +36,7 @@
 	c->retries_left = m->retry_budget;
 	c->depth = m->depth;
 	g_strlcpy(c->id, m->id, sizeof c->id);
-	g_strlcpy(c->trace, m->trace, sizeof c->trace);
+	inbound_trace_begin(c, m->trace);
 	c->body = g_byte_array_new();
 	g_byte_array_append(c->body, m->body, m->body_len);
 	c->body_last = !(m->flags & WIRE_CALL_MORE);
@@ -52,6 +52,7 @@
 {
 	struct data *d = c->data;
 
+	inbound_trace_call(c);
 	io_timer_clear(d->task.loop, &c->timer);
 	if (c->conn)
 		g_hash_table_remove(conn_calls(c->conn),
@@ -77,6 +78,7 @@
 	memset(&m, 0, G_STRUCT_OFFSET(struct wire_reply, field));
 	m.clock = data_now(d);
 	m.outcome = outcome;
+	c->outcome = outcome;
 	m.reason = reason;
 	m.config_version = d->view->rules_version;
 	m.length = HTTP_LENGTH_NONE;
--- a/src/daemon/inbound_conn.c
+++ b/src/daemon/inbound_conn.c
@@ -103,6 +103,7 @@
 {
 	http_call_cancel(c->target_call);
 	c->target_call = NULL;
+	inbound_trace_target(c, "cancelled");
 	inbound_ended(c, ADMIT_CANCELLED);
 }
 
--- a/src/daemon/inbound_run.c
+++ b/src/daemon/inbound_run.c
@@ -32,6 +32,7 @@
 		c->entry = 0;
 		http_call_cancel(c->target_call);
 		c->target_call = NULL;
+		inbound_trace_target(c, "shed");
 		inbound_ended(c, ADMIT_SHED);
 		return;
 	}
@@ -68,6 +69,7 @@
 	enum admit_outcome o;
 
 	c->target_call = NULL;
+	inbound_trace_target(c, "whole");
 	o = c->answer_status == 500 || c->answer_status == 503 ? ADMIT_FAILED
 							       : ADMIT_GOOD;
 	if (c->entry)
@@ -85,6 +87,7 @@
 	struct data *d = c->data;
 
 	c->target_call = NULL;
+	inbound_trace_target(c, sent ? "lost" : "not-sent");
 	if (c->entry && sent)
 		once_lost(d->once, c->entry);
 	else if (c->entry)
@@ -151,7 +154,7 @@
 
 /* Fields that this program sets anew for the target. */
 static int
-replaced(const char *name)
+replaced(const struct in_call *c, const char *name)
 {
 	static const char *const names[] = { FIELD_TARGET_DEADLINE,
 		FIELD_DEADLINE, FIELD_DEPTH, FIELD_RETRIES, FIELD_REQUEST_ID };
@@ -160,20 +163,26 @@
 	for (i = 0; i < sizeof names / sizeof *names; i++)
 		if (!g_ascii_strcasecmp(name, names[i]))
 			return 1;
-	return 0;
+	return c->trace.sampled && !g_ascii_strcasecmp(name, "traceparent");
 }
 
 static void
 start_target_call(struct in_call *c)
 {
 	struct http_field f[HTTP_FIELDS_MAX + OWN_FIELDS_MAX];
-	char text[3][32];
+	char text[3][32], trace[TRACEPARENT_LEN + 1];
 	int i, n = 0;
 
 	for (i = 0; i < c->head.nfield; i++)
-		if (!replaced(c->head.field[i].name))
+		if (!replaced(c, c->head.field[i].name))
 			f[n++] = c->head.field[i];
 	n += own_fields(c, f + n, text);
+	c->target_started = data_now(c->data);
+	if (c->trace.sampled) {
+		trace_child(&c->target_trace, &c->trace);
+		trace_format(&c->target_trace, trace);
+		f[n++] = (struct http_field){ "traceparent", trace };
+	}
 	c->target_call =
 	    http_call_start(c->data->pool, c->head.method, c->head.path, f, n,
 		c->head.length, !c->idempotent, &target_ops, c, NULL);
--- a/src/daemon/outbound_answer.c
+++ b/src/daemon/outbound_answer.c
@@ -39,6 +39,8 @@
 	http_exchange_head(x, status, f, nf, strlen(text));
 	http_exchange_write(x, text, strlen(text));
 	c->exchange = NULL;
+	c->outcome = outcome;
+	c->status = status;
 	http_exchange_end(x);
 	outbound_call_free(c);
 }
@@ -54,6 +56,7 @@
 
 		c->data->counters.failed++;
 		c->exchange = NULL;
+		c->outcome = "broken";
 		outbound_attempt_cancel(c->winner);
 		http_exchange_abort(x);
 		outbound_call_free(c);
@@ -106,6 +109,7 @@
 	struct out_call *c = a->call;
 
 	c->reason = reason;
+	outbound_trace_attempt(a, wire_reason_name(reason), 0);
 	pick_refused(c->service->pick, a->handle, data_now(c->data), reason,
 	    load);
 	outbound_attempt_clear(a);
@@ -120,6 +124,7 @@
 	struct out_call *c = a->call;
 	int64_t now = data_now(c->data);
 
+	outbound_trace_attempt(a, "lost", 0);
 	pick_done(c->service->pick, a->handle, now, now - a->started,
 	    cause == RETRY_LOST ? PICK_LOST : PICK_FAILED, NULL);
 	c->may_have_run = 1;
--- a/src/daemon/outbound_attempt.c
+++ b/src/daemon/outbound_attempt.c
@@ -122,7 +122,13 @@
 {
 	struct out_call *c = a->call;
 	size_t n = MIN(c->body->len, WIRE_CHUNK_MAX);
+	static char trace[TRACEPARENT_LEN + 1];
 
+	trace[0] = 0;
+	if (c->trace.sampled) {
+		trace_child(&a->trace, &c->trace);
+		trace_format(&a->trace, trace);
+	}
 	memset(m, 0, G_STRUCT_OFFSET(struct wire_call, field));
 	m->config_version = c->data->view->rules_version;
 	m->incarnation = a->peer->incarnation;
@@ -135,7 +141,7 @@
 	m->method = c->head.method;
 	m->path = c->head.path;
 	m->id = c->id;
-	m->trace = c->trace;
+	m->trace = trace;
 	m->length = c->head.length;
 	m->nfield = c->head.nfield;
 	memcpy(m->field, c->head.field, m->nfield * sizeof *m->field);
@@ -250,6 +256,7 @@
 	if (a->state == ATTEMPT_UNUSED)
 		return;
 	now = data_now(c->data);
+	outbound_trace_attempt(a, "cancelled", 0);
 	if (a->state == ATTEMPT_SENT && a->peer->conn)
 		peer_send_cancel(a->peer->conn, a->xid);
 	pick_done(c->service->pick, a->handle, now, now - a->started,
--- a/src/daemon/outbound_call.c
+++ b/src/daemon/outbound_call.c
@@ -124,6 +124,7 @@
 	struct data *d = c->data;
 	int i;
 
+	outbound_trace_call(c);
 	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
 		outbound_attempt_clear(&c->attempt[i]);
 	io_timer_clear(loop, &c->deadline_timer);
--- a/src/daemon/outbound_reply.c
+++ b/src/daemon/outbound_reply.c
@@ -17,12 +17,14 @@
 	struct http_exchange *x = c->exchange;
 	int64_t now = data_now(c->data);
 
+	outbound_trace_attempt(a, "answer", c->status);
 	pick_done(c->service->pick, a->handle, now, now - a->started, outcome,
 	    load);
 	outbound_attempt_clear(a);
 	if (outcome == PICK_GOOD)
 		retry_success(&c->service->retry, now - a->started);
 	c->data->counters.whole++;
+	c->outcome = "whole";
 	c->exchange = NULL;
 	http_exchange_end(x);
 	outbound_call_free(c);
@@ -77,6 +79,7 @@
 		f[n++] = (struct http_field){ FIELD_OUTCOME, "kept" };
 	c->state = OUT_ANSWERING;
 	c->winner = a;
+	c->status = m->status;
 	http_exchange_head(c->exchange, m->status, f, n, m->length);
 }
 
@@ -113,6 +116,7 @@
 		c->data->counters.retries++;
 	}
 	c->may_have_run = 1;
+	outbound_trace_attempt(a, "failed", m->status);
 	pick_done(c->service->pick, a->handle, now, now - a->started,
 	    PICK_FAILED, &m->load);
 	outbound_attempt_clear(a);
--- a/src/daemon/outbound_request.c
+++ b/src/daemon/outbound_request.c
@@ -107,8 +107,7 @@
 	c->idempotent = service_idempotent(&s->conf, h->method, h->path);
 	c->body = g_byte_array_new();
 	head_copy(&c->head, h->method, h->path, h->length, h->field, h->nfield);
-	if (trace)
-		g_strlcpy(c->trace, trace, sizeof c->trace);
+	outbound_trace_begin(c, trace);
 	g_hash_table_add(d->out_calls, c);
 	http_exchange_set_ctx(x, c);
 	return c;
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -8,7 +8,7 @@
 static struct config_object
 object(const char *name, uint64_t version, const char *value)
 {
-	struct config_object o = {.kind = CONFIG_SERVICE, .version = version};
+	struct config_object o = { .kind = CONFIG_SERVICE, .version = version };
 
 	g_strlcpy(o.name, name, sizeof o.name);
 	o.removed = !value;
@@ -21,12 +21,12 @@
 apply(struct config_table *t, uint64_t source, uint64_t after, uint64_t upto,
     struct config_object o)
 {
-	struct config_batch b = {.source = source,
-	    .after = after,
-	    .upto = upto,
-	    .complete = upto,
-	    .nobject = 1,
-	    .object = &o};
+	struct config_batch b = { .source = source,
+		.after = after,
+		.upto = upto,
+		.complete = upto,
+		.nobject = 1,
+		.object = &o };
 	struct kq_error e;
 	enum config_outcome r = config_apply(t, &b, &e);
 
@@ -38,11 +38,11 @@
 static enum config_outcome
 list(struct config_table *t, uint64_t version, struct config_object *o, int n)
 {
-	struct config_batch b = {.upto = version,
-	    .complete = version,
-	    .full = 1,
-	    .nobject = n,
-	    .object = o};
+	struct config_batch b = { .upto = version,
+		.complete = version,
+		.full = 1,
+		.nobject = n,
+		.object = o };
 	struct kq_error e;
 	enum config_outcome r = config_apply(t, &b, &e);
 	int i;
@@ -57,17 +57,17 @@
 	struct config_table *t = config_new(NULL, NULL);
 	struct config_counts c;
 
-	ck_assert_int_eq(
-	    apply(t, 0, 0, 5, object("a", 5, "five")), CONFIG_APPLIED);
+	ck_assert_int_eq(apply(t, 0, 0, 5, object("a", 5, "five")),
+	    CONFIG_APPLIED);
 	ck_assert_int_eq(apply(t, 0, 0, 5, object("a", 5, "five")), CONFIG_OLD);
 	ck_assert_int_eq(apply(t, 7, 0, 3, object("a", 3, "x")), CONFIG_OLD);
 	ck_assert_int_eq(apply(t, 0, 9, 12, object("a", 12, "y")), CONFIG_GAP);
 	ck_assert_uint_eq(config_complete(t), 5);
 	ck_assert_uint_eq(config_highest(t), 12);
-	ck_assert_int_eq(
-	    apply(t, 0, 5, 9, object("b", 9, "z")), CONFIG_APPLIED);
-	ck_assert_int_eq(
-	    apply(t, 0, 9, 12, object("a", 12, "y")), CONFIG_APPLIED);
+	ck_assert_int_eq(apply(t, 0, 5, 9, object("b", 9, "z")),
+	    CONFIG_APPLIED);
+	ck_assert_int_eq(apply(t, 0, 9, 12, object("a", 12, "y")),
+	    CONFIG_APPLIED);
 	ck_assert_uint_eq(config_complete(t), 12);
 	ck_assert_uint_eq(config_find(t, CONFIG_SERVICE, "a")->version, 12);
 	config_counts(t, &c);
@@ -110,12 +110,12 @@
 
 	apply(t, 0, 0, 9, object("a", 9, "nine"));
 	ck_assert_int_eq(list(t, 4, &o, 1), CONFIG_WENT_BACK);
-	ck_assert_int_eq(
-	    apply(t, 0, 9, 4, object("b", 4, "x")), CONFIG_WENT_BACK);
+	ck_assert_int_eq(apply(t, 0, 9, 4, object("b", 4, "x")),
+	    CONFIG_WENT_BACK);
 	ck_assert_ptr_null(config_find(t, CONFIG_SERVICE, "b"));
 	ck_assert_int_eq(config_find(t, CONFIG_SERVICE, "a")->removed, 0);
-	ck_assert_int_eq(
-	    apply(t, 0, 9, 9, object("a", 9, "NINE")), CONFIG_CONFLICT);
+	ck_assert_int_eq(apply(t, 0, 9, 9, object("a", 9, "NINE")),
+	    CONFIG_CONFLICT);
 	config_counts(t, &c);
 	ck_assert_uint_eq(c.went_back, 2);
 	ck_assert_uint_eq(c.conflicts, 1);
@@ -128,7 +128,7 @@
 {
 	struct config_table *t = config_new(NULL, NULL);
 	struct config_object o[2];
-	const struct config_pull from_2 = {.after = 2};
+	const struct config_pull from_2 = { .after = 2 };
 	struct config_batch page;
 	struct kq_error e;
 
@@ -157,7 +157,7 @@
 {
 	struct config_table *t = config_new(NULL, NULL);
 	struct config_object o[4];
-	struct config_batch b = {.upto = 9, .complete = 9, .object = o};
+	struct config_batch b = { .upto = 9, .complete = 9, .object = o };
 	struct config_counts c;
 	struct kq_error e;
 	int i;
@@ -183,7 +183,7 @@
 START_TEST(tombstones_are_bounded)
 {
 	struct config_table *t = config_new(NULL, NULL);
-	struct config_pull pull = {.after = 5};
+	struct config_pull pull = { .after = 5 };
 	struct config_batch page;
 	uint64_t v;
 
@@ -233,7 +233,7 @@
 version_of(const struct world *w, int name, uint64_t version)
 {
 	char text[CONFIG_NAME_MAX];
-	struct config_object o = {.kind = name % CONFIG_KINDS};
+	struct config_object o = { .kind = name % CONFIG_KINDS };
 
 	snprintf(text, sizeof text, "%" G_GUINT64_FORMAT, version);
 	snprintf(o.name, sizeof o.name, "n%d", name);
@@ -258,8 +258,8 @@
 
 /* Watch: every change after; list: what lives now. */
 static void
-ask_platform(
-    const struct world *w, uint64_t after, int full, struct config_batch *b)
+ask_platform(const struct world *w, uint64_t after, int full,
+    struct config_batch *b)
 {
 	GArray *a = g_array_new(FALSE, FALSE, sizeof(struct config_object));
 	uint64_t v, top = w->past.version;
@@ -305,8 +305,8 @@
 		config_changes(w->table[from], source, &pull,
 		    (size_t)g_rand_int_range(w->rand, 1, 120), b);
 	else if (g_rand_int_range(w->rand, 0, 3) == 0)
-		ask_platform(
-		    w, pull.after, g_rand_int_range(w->rand, 0, 4) == 0, b);
+		ask_platform(w, pull.after,
+		    g_rand_int_range(w->rand, 0, 4) == 0, b);
 }
 
 /* What lives at or below the complete version must be just what the platform
@@ -329,9 +329,9 @@
 		if (want.value)
 			g_bytes_unref(want.value);
 		if (lives)
-			ck_assert_uint_eq(
-			    strtoull(
-				g_bytes_get_data(o->value, NULL), NULL, 10),
+			ck_assert_uint_eq(strtoull(g_bytes_get_data(o->value,
+						       NULL),
+					      NULL, 10),
 			    o->version);
 		if (o && o->version > complete)
 			continue;
@@ -380,8 +380,8 @@
 		ask_platform(w, config_complete(w->table[i]), 0, &b);
 		config_apply(w->table[i], &b, &e);
 		config_batch_clear(&b);
-		ck_assert_uint_eq(
-		    config_complete(w->table[i]), w->past.version);
+		ck_assert_uint_eq(config_complete(w->table[i]),
+		    w->past.version);
 		check_table(w, i);
 		config_free(w->table[i]);
 	}
