--- a/tests/fake/platform/serve.c
+++ b/tests/fake/platform/serve.c
@@ -5,6 +5,7 @@
 #include <yajl/yajl_tree.h>
 
 #define OBJECTS "/v1/objects"
+#define LOGGED_VALUE_MAX 256 /* bytes of a value in the history */
 #define ETAG_MAX 24 /* bytes with the final NUL */
 #define STATUS_TOO_MANY_REQUESTS 429
 
@@ -85,6 +86,19 @@
 	return SOUP_STATUS_OK;
 }
 
+static void
+log_write(struct platform *p, const char *key, int status, uint64_t version,
+    const char *value)
+{
+	char b[LOGGED_VALUE_MAX];
+
+	g_strlcpy(b, value ? value : "null", sizeof b);
+	g_strdelimit(b, " \t\r\n", '_');
+	history_line(&p->history, g_get_monotonic_time(),
+	    "write name=%s status=%d version=%" G_GUINT64_FORMAT " value=%s",
+	    key, status, version, b);
+}
+
 static void
 write_object(struct platform *p, SoupServerMessage *msg, const char *key,
     int removal)
@@ -105,10 +119,8 @@
 		v = store_put(&p->store, key, value);
 	else if (o)
 		v = o->version;
+	log_write(p, key, status, v, value);
 	g_free(value);
-	history_line(&p->history, g_get_monotonic_time(),
-	    "write name=%s status=%d version=%" G_GUINT64_FORMAT " removal=%d",
-	    key, status, v, removal);
 	soup_server_message_set_status(msg, status, NULL);
 	if (v)
 		set_etag(msg, v);
