--- a/tests/golden/verdict.sh
+++ b/tests/golden/verdict.sh
@@ -7,7 +7,7 @@
 failed=0
 for h in good bad; do
 	{
-		awk -v timeout_ms=1000 -v measure_per_s=2 -v measure_burst=2 \
+		awk -v timeout_ms=1000 -v measure='s=2' \
 			-v settle_s=3 -v straight=load9 \
 			-f ../../history/verdict.awk $h.history 2>&1
 		echo "exit $?"
--- a/tests/history/verdict.awk
+++ b/tests/history/verdict.awk
@@ -2,11 +2,19 @@
 # always hold held. Prints a table; exit 1 when something was broken.
 #
 # -v timeout_ms=N        deadline of the calls
-# -v measure_per_s=N     budget of measuring a target
-# -v measure_burst=N     measuring requests that may come at once
+# -v measure="SERVICE=N ..."  measuring requests a second that a target of the
+#                        service bears; the burst is that of one second
 # -v settle_s=N          time in which a target or data centre must fall quiet
 # -v straight=WHO        load tool that went straight to a target
 
+BEGIN {
+	n = split(measure, pair, " ")
+	for (i = 1; i <= n; i++) {
+		split(pair[i], part, "=")
+		per_s[part[1]] = part[2]
+	}
+}
+
 function field(name,    i) {
 	for (i = 4; i <= NF; i++)
 		if (index($i, name "=") == 1)
@@ -96,7 +104,6 @@
 	dc = field("dc")
 	if (out[dc] && $1 > out[dc] + settle_s * 1000000)
 		broke("data centre that is out gets no new work", $0)
-	last[$2] = $1
 }
 
 $3 == "leave" {
@@ -109,18 +116,16 @@
 
 $3 == "start" {
 	began[$2] = $1
-	service[$2] = field("service")
 }
 
 $3 == "measure" {
 	measured[$2]++
+	budget = per_s[field("service")]
+	burst = budget < 1 ? 1 : budget
 	# token bucket: what is above the budget must fit into the burst
-	if ($2 in tokens)
-		tokens[$2] += ($1 - at[$2]) / 1000000 * measure_per_s
-	else
-		tokens[$2] = measure_burst
-	if (tokens[$2] > measure_burst)
-		tokens[$2] = measure_burst
+	tokens[$2] += $2 in at ? ($1 - at[$2]) / 1000000 * budget : burst
+	if (tokens[$2] > burst)
+		tokens[$2] = burst
 	at[$2] = $1
 	if (--tokens[$2] < -0.05)
 		broke("measuring stays in its budget", $0)
