Stand-ins: nothing leaks at exit; their check has an address of its own

Cause: under the address sanitizer the stand-ins ended with leaks of their options; and a check whose output was cut off left its processes behind, so that the next run met them on the same port. Addresses now come from the script's process id, and SIGPIPE and SIGHUP stop what was started too.

--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -37,7 +37,7 @@
 	double seconds;
 	int fixed;
 	guint32 seed;
-	const char *service;
+	char *service;
 	int timeout_ms;
 	int body_bytes;
 	int straight;
@@ -49,7 +49,7 @@
 	int nto;
 	char *to_ip[DAEMONS_MAX];
 	int to_port[DAEMONS_MAX];
-	const char *history;
+	char *history;
 };
 
 /** enum outcome - what a call came to
--- a/bench/load/options.c
+++ b/bench/load/options.c
@@ -94,23 +94,27 @@
 	void *table[] = {to, mix, service, rate, seconds, seed, timeout, bytes,
 	    conns, fixed, straight, again, figures, file, end};
 
+	int r = -1;
+
 	memset(o, 0, sizeof *o);
 	if (arg_parse(argc, argv, table) > 0) {
 		arg_print_errors(stderr, end, argv[0]);
 		arg_print_glossary(stderr, table, NULL);
-		return -1;
+	} else {
+		o->service = g_strdup(service->sval[0]);
+		o->rate = rate->dval[0];
+		o->seconds = seconds->dval[0];
+		o->seed = (guint32)number(seed, 1);
+		o->timeout_ms = number(timeout, 1000);
+		o->body_bytes = number(bytes, 64);
+		o->connections = number(conns, 256);
+		o->fixed = fixed->count;
+		o->straight = straight->count;
+		o->repeat_unknown = again->count;
+		o->figures = figures->count;
+		o->history = file->count ? g_strdup(file->sval[0]) : NULL;
+		r = parse_lists(o, to, mix);
 	}
-	o->service = service->sval[0];
-	o->rate = rate->dval[0];
-	o->seconds = seconds->dval[0];
-	o->seed = (guint32)number(seed, 1);
-	o->timeout_ms = number(timeout, 1000);
-	o->body_bytes = number(bytes, 64);
-	o->connections = number(conns, 256);
-	o->fixed = fixed->count;
-	o->straight = straight->count;
-	o->repeat_unknown = again->count;
-	o->figures = figures->count;
-	o->history = file->count ? file->sval[0] : NULL;
-	return parse_lists(o, to, mix);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return r;
 }
--- a/tests/fake/platform/main.c
+++ b/tests/fake/platform/main.c
@@ -48,6 +48,7 @@
 	void *table[] = {ip, port, writes, reads, file, end};
 	static struct platform p;
 	struct kq_error e;
+	int r;
 
 	writes->dval[0] = WRITES_PER_S;
 	reads->dval[0] = READS_PER_S;
@@ -64,5 +65,7 @@
 		fprintf(stderr, "fake-platform: %s\n", e.text);
 		return EXIT_FAILURE;
 	}
-	return run(&p, ip->sval[0], port->ival[0]);
+	r = run(&p, ip->sval[0], port->ival[0]);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return r;
 }
--- a/tests/fake/target/main.c
+++ b/tests/fake/target/main.c
@@ -6,18 +6,22 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#define OPTIONS 7 /* besides the knobs */
+#define KNOBS_MAX 64
+#define NAME_MAX_BYTES 32
+
 /** struct options - command line; one number for each knob */
 struct options {
 	struct arg_str *ip, *service, *dc, *announce, *history;
 	struct arg_int *port;
 	struct arg_end *end;
 	void **table;
+	char name[KNOBS_MAX][NAME_MAX_BYTES];
 };
 
 static void
 options_init(struct options *o)
 {
-	char *name;
 	int i, n = 0;
 
 	o->ip = arg_str1(NULL, "ip", "IP", "address to listen on");
@@ -28,11 +32,12 @@
 	    "operator port of the daemon beside it");
 	o->history = arg_str0(NULL, "history", "FILE", "append history lines");
 	o->end = arg_end(5);
-	o->table = g_new0(void *, knob_count + 7);
+	o->table = g_new0(void *, knob_count + OPTIONS);
 	for (i = 0; i < knob_count; i++) {
-		name = g_strdelimit(g_strdup(knob_table[i].name), "_", '-');
+		g_strlcpy(o->name[i], knob_table[i].name, sizeof o->name[i]);
+		g_strdelimit(o->name[i], "_", '-');
 		o->table[n++] =
-		    arg_int0(NULL, name, "N", knob_table[i].glossary);
+		    arg_int0(NULL, o->name[i], "N", knob_table[i].glossary);
 	}
 	o->table[n++] = o->ip;
 	o->table[n++] = o->port;
@@ -117,5 +122,6 @@
 	g_unix_signal_add(SIGTERM, on_term, &t);
 	g_unix_signal_add(SIGINT, on_term, &t);
 	g_main_loop_run(t.main);
+	arg_freetable(o.table, knob_count + OPTIONS);
 	return EXIT_SUCCESS;
 }
--- a/tests/system/fakes.sh
+++ b/tests/system/fakes.sh
@@ -6,9 +6,11 @@
 dir=$(mktemp -d)
 pids=
 failed=0
-P=127.0.0.9:20100
-T=127.0.0.9:20101
-B=127.0.0.9:20102
+# an address of its own, so that two runs on one machine do not meet
+ip=127.99.$(($$ / 250 % 250)).$(($$ % 250 + 1))
+P=$ip:20100
+T=$ip:20101
+B=$ip:20102
 
 stop_all() {
 	for p in $pids; do
@@ -17,14 +19,14 @@
 	rm -rf "$dir"
 }
 trap stop_all EXIT
-trap 'exit 1' INT TERM
+trap 'exit 1' HUP INT PIPE TERM
 
 # same NAME EXPECTED ACTUAL
 same() {
 	if [ "$2" = "$3" ]; then
 		echo "ok $1"
 	else
-		echo "FAILED $1: expected '$2', got '$3'"
+		echo "FAILED $1: expected '$2', got '$(echo "$3" | cut -c 1-200)'"
 		failed=1
 	fi
 }
@@ -73,7 +75,7 @@
 
 # ---- platform ----
 
-"$o/fake-platform" --ip 127.0.0.9 --port 20100 --writes 20 --reads 200 \
+"$o/fake-platform" --ip $ip --port 20100 --writes 20 --reads 200 \
 	--history "$dir/platform" &
 platform=$!
 pids=$platform
@@ -151,7 +153,7 @@
 wait $platform
 same platform-stops 0 $?
 
-"$o/fake-platform" --ip 127.0.0.9 --port 20100 --writes 1e6 &
+"$o/fake-platform" --ip $ip --port 20100 --writes 1e6 &
 platform=$!
 pids=$platform
 ready $P
@@ -162,11 +164,11 @@
 
 # ---- target ----
 
-"$o/fake-target" --ip 127.0.0.9 --port 20102 --service s --dc a &
+"$o/fake-target" --ip $ip --port 20102 --service s --dc a &
 beside=$!
 pids="$pids $beside"
 ready $B
-"$o/fake-target" --ip 127.0.0.9 --port 20101 --service s --dc a --fixed 1 \
+"$o/fake-target" --ip $ip --port 20101 --service s --dc a --fixed 1 \
 	--service-us 1000 --connect-us 0 --announce $B \
 	--history "$dir/target" &
 target=$!
