--- a/tests/system/fakes.sh
+++ b/tests/system/fakes.sh
@@ -301,6 +301,9 @@
 set_target straggle=300
 load --seed 7 --timeout-ms 200 --connections 2
 holds load-waits "$(value timeouts)" -ge 100
+set_target straggle=10
+load --seed 9 --connections 1
+holds load-counts-queueing "$(value p50 | cut -d. -f1)" -ge 200
 set_target 'straggle=1&wrong=1'
 load --seed 8
 same load-wrong-exit 1 $?
