--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -275,6 +275,9 @@
 };
 
 struct http_link *link_new(struct http_pool *, struct kq_error *);
+/** link_adopt() - take over a socket, closed on error */
+struct http_link *
+link_adopt(struct http_pool *, int fd, int connected, struct kq_error *);
 /** link_close() - close at once; the memory lasts until the next iteration */
 void link_close(struct http_link *);
 void link_reap(struct http_pool *);
--- a/src/adapter/http/link.c
+++ b/src/adapter/http/link.c
@@ -53,24 +53,18 @@
 }
 
 struct http_link *
-link_new(struct http_pool *p, struct kq_error *err)
+link_adopt(struct http_pool *p, int fd, int connected, struct kq_error *err)
 {
-	struct http_link *l;
-	int fd = io_connect_tcp(p->ip, p->port);
+	struct http_link *l = g_new0(struct http_link, 1);
 
-	if (fd < 0) {
-		kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_CONNECT,
-		    "connect to %s port %d: %s", p->ip, p->port,
-		    strerror(errno));
-		return NULL;
-	}
-	l = g_new0(struct http_link, 1);
 	l->pool = p;
 	l->fd = fd;
+	l->connected = connected;
 	l->last = io_now(p->loop);
 	l->timer.fire = on_timer;
 	l->timer.ctx = l;
-	if (io_watch_add(p->loop, &l->watch, fd, IO_WRITE, on_ready, l) < 0) {
+	if (io_watch_add(p->loop, &l->watch, fd, connected ? IO_READ : IO_WRITE,
+		on_ready, l) < 0) {
 		kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_SOCKET, "watch: %s",
 		    strerror(errno));
 		close(fd);
@@ -84,6 +78,18 @@
 	return l;
 }
 
+struct http_link *
+link_new(struct http_pool *p, struct kq_error *err)
+{
+	int fd = io_connect_tcp(p->ip, p->port);
+
+	if (fd >= 0)
+		return link_adopt(p, fd, 0, err);
+	kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_CONNECT,
+	    "connect to %s port %d: %s", p->ip, p->port, strerror(errno));
+	return NULL;
+}
+
 void
 link_close(struct http_link *l)
 {
