Loop: no wake-ups of GLib by itself; what the HTTP adapter promises

GLib blocks a source while it is dispatched; for one with a descriptor this takes the descriptor out of the poll set and puts it back, and each step wakes the context: two writes, one read and one poll more for each dispatch. A source that may recurse is not blocked. The loop's callbacks must not iterate the context, which the headers now say.

--- a/src/adapter/io/loop.c
+++ b/src/adapter/io/loop.c
@@ -92,6 +92,9 @@
 		return NULL;
 	}
 	l->tag = g_source_add_unix_fd(s, l->epoll, G_IO_IN);
+	/* else GLib takes the descriptor out of its set for each dispatch and
+	 * wakes itself up twice; no callback may iterate the context */
+	g_source_set_can_recurse(s, TRUE);
 	g_source_set_name(s, "io_loop");
 	g_source_attach(s, ctx);
 	return l;
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -15,6 +15,20 @@
  * redirects and says for each request whether any byte of it was given to
  * the kernel, since the promise "not run" rests on that.
  *
+ * Refused besides what the parser refuses: both length forms or either one
+ * twice, a transfer coding other than chunked, chunked in HTTP/1.0, folded
+ * fields, two Host fields, versions other than 1.0 and 1.1, CONNECT. Requests
+ * to upgrade are read as plain requests.
+ *
+ * A caller that closes its sending side after a whole request still gets its
+ * answer. Since a caller that went away looks the same at first, the server
+ * then sends an HTTP/1.1 caller one "100 Continue": a closed socket answers it
+ * with a reset, upon which the exchange is gone. An HTTP/1.0 caller that went
+ * away is found out when the response is written.
+ *
+ * A user may end, abort or cancel anything from within any callback, but may
+ * not free the server, the pool or the loop there, nor iterate the context.
+ *
  * Back pressure: http_*_write() accepts everything and returns how many bytes
  * wait unsent; above the caller's own bound it stops its source and waits for
  * the drained callback. Reading is stopped by http_*_pause().
@@ -110,6 +124,7 @@
 void http_server_stop(struct http_server *);
 /** http_server_open() - connections open now */
 int http_server_open(const struct http_server *);
+/** http_server_free() - close everything; open exchanges get no callback */
 void http_server_free(struct http_server *);
 
 void http_exchange_set_ctx(struct http_exchange *, void *);
@@ -121,7 +136,10 @@
     const struct http_field *field, int nfield, int64_t length);
 /** http_exchange_write() - body bytes; returns bytes waiting unsent */
 size_t http_exchange_write(struct http_exchange *, const void *, size_t);
-/** http_exchange_end() - response is complete; the exchange is invalid after */
+/** http_exchange_end() - response is complete; the exchange is invalid after.
+ * One without head or with fewer bytes than announced is aborted. A request
+ * body that is still to come is read and dropped, a long one ends the
+ * connection. */
 void http_exchange_end(struct http_exchange *);
 /** http_exchange_abort() - cut the connection so that the caller sees a broken
  * answer; the exchange is invalid after */
@@ -157,6 +175,7 @@
  */
 struct http_pool *http_pool_new(struct io_loop *, const char *ip, int port,
     int max, int spare, const struct http_limits *);
+/** http_pool_free() - close everything; calls get no callback */
 void http_pool_free(struct http_pool *);
 /** http_pool_open() - connections open now; http_pool_busy() - with a call */
 int http_pool_open(const struct http_pool *);
@@ -177,6 +196,8 @@
     const char *path, const struct http_field *, int nfield, int64_t length,
     int fresh, const struct http_call_ops *, void *ctx, struct kq_error *);
 size_t http_call_write(struct http_call *, const void *, size_t);
+/** http_call_end() - request is complete; not needed without a body. With
+ * fewer bytes than announced the call fails */
 void http_call_end(struct http_call *);
 /** http_call_cancel() - close the connection; no callback follows. Returns
  * nonzero if any byte may have reached the other side */
--- a/tests/unit/io.c
+++ b/tests/unit/io.c
@@ -178,6 +178,7 @@
 	SRunner *r = srunner_create(s);
 	int failed;
 
+	tcase_set_timeout(c, 60);
 	tcase_add_checked_fixture(c, setup, teardown);
 	tcase_add_test(c, timers_fire_in_order_and_cleared_ones_never);
 	tcase_add_test(c, timer_set_by_itself_waits_for_the_next_iteration);
