--- a/src/adapter/io/io_impl.h
+++ b/src/adapter/io/io_impl.h
@@ -5,9 +5,7 @@
 
 #include <stddef.h>
 
-#define IO_DISARMED (-1)
-#define IO_UNKNOWN (-2)
-#define IO_TIMER_DATA UINT64_MAX /* epoll data of the timerfd */
+#define IO_CLOCK UINT64_MAX /* epoll data of the clock */
 
 struct io_slot {
 	struct io_watch *watch; /* NULL when free */
@@ -19,8 +17,8 @@
 	GSource source; /* first, GLib allocates the whole */
 	gpointer tag;
 	int epoll;
-	int timer; /* timerfd, due with the first timer */
-	int64_t armed; /* what it is set to, IO_DISARMED or IO_UNKNOWN */
+	int clock; /* timer descriptor: poll() rounds up to milliseconds */
+	int64_t armed; /* when clock fires, 0 is never */
 	int dispatching;
 	int64_t now;
 	struct io_slot *slot;
@@ -33,8 +31,10 @@
 
 /** io_timers_run() - fire what is due at @now */
 void io_timers_run(struct io_loop *, int64_t now);
-/** io_timers_arm() - wake when the next timer is due; GLib's own timeouts
- * are whole milliseconds */
+/** io_clock_open() - the descriptor for timers; 0 or -1 */
+int io_clock_open(struct io_loop *);
+void io_clock_fired(struct io_loop *);
+/** io_timers_arm() - wake up when the next timer is due */
 void io_timers_arm(struct io_loop *);
 
 #endif
--- a/src/adapter/io/loop.c
+++ b/src/adapter/io/loop.c
@@ -27,8 +27,8 @@
 	uint32_t generation = (uint32_t)(e->data.u64 >> 32);
 	struct io_watch *w;
 
-	if (e->data.u64 == IO_TIMER_DATA) {
-		l->armed = IO_UNKNOWN;
+	if (e->data.u64 == IO_CLOCK) {
+		io_clock_fired(l);
 		return;
 	}
 	w = l->slot[i].watch;
@@ -72,8 +72,8 @@
 
 	if (l->epoll >= 0)
 		close(l->epoll);
-	if (l->timer >= 0)
-		close(l->timer);
+	if (l->clock >= 0)
+		close(l->clock);
 	g_free(l->slot);
 	g_free((void *)l->heap);
 }
@@ -87,15 +87,16 @@
 	struct io_loop *l = (struct io_loop *)s;
 	struct epoll_event e = { .events = EPOLLIN, .data.u64 = IO_TIMER_DATA };
 
+	l->clock = -1;
 	l->epoll = epoll_create1(EPOLL_CLOEXEC);
-	l->timer = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
-	l->armed = IO_DISARMED;
-	if (l->epoll < 0 || l->timer < 0 ||
-	    epoll_ctl(l->epoll, EPOLL_CTL_ADD, l->timer, &e) < 0) {
+	if (l->epoll < 0 || io_clock_open(l) < 0) {
 		g_source_unref(s);
 		return NULL;
 	}
 	l->tag = g_source_add_unix_fd(s, l->epoll, G_IO_IN);
+	/* else GLib takes the descriptor out of its set for each dispatch and
+	 * wakes itself up twice; no callback may iterate the context */
+	g_source_set_can_recurse(s, TRUE);
 	g_source_set_name(s, "io_loop");
 	g_source_attach(s, ctx);
 	return l;
--- a/src/adapter/io/timer.c
+++ b/src/adapter/io/timer.c
@@ -55,22 +55,6 @@
 		sift_down(l, i, t);
 }
 
-void
-io_timers_arm(struct io_loop *l)
-{
-	int64_t due = l->ntimer ? MAX(l->heap[0]->due, 1) : IO_DISARMED;
-	struct itimerspec t = { 0 };
-
-	if (l->dispatching || due == l->armed)
-		return;
-	if (due != IO_DISARMED) {
-		t.it_value.tv_sec = due / G_USEC_PER_SEC;
-		t.it_value.tv_nsec = due % G_USEC_PER_SEC * 1000;
-	}
-	timerfd_settime(l->timer, TFD_TIMER_ABSTIME, &t, NULL);
-	l->armed = due;
-}
-
 void
 io_timer_set(struct io_loop *l, struct io_timer *t, int64_t due)
 {
