--- /dev/null
+++ b/src/core/once/arrive.c
@@ -0,0 +1,77 @@
+#include "core/once/table.h"
+
+const char *
+once_outcome_name(enum once_outcome outcome)
+{
+	static const char *const names[] = {"run", "wait", "answer", "ran",
+	    "not-run", "unknown", "busy", "elsewhere", "bad-id"};
+
+	return names[outcome];
+}
+
+enum once_outcome
+once_said(const struct entry *e, const struct once_answer **answer)
+{
+	if (e->fate == FATE_NOT_RUN)
+		return ONCE_NOT_RUN;
+	if (e->fate != FATE_DONE)
+		return ONCE_UNKNOWN;
+	if (!e->kept)
+		return ONCE_RAN;
+	if (answer)
+		*answer = &e->kept->answer;
+	return ONCE_ANSWER;
+}
+
+static enum once_outcome
+arrive_again(struct once *o, struct entry *e, const struct once_request *r,
+    int64_t now, uint64_t *handle, const struct once_answer **answer)
+{
+	if (e->fate > FATE_SENT)
+		return once_said(e, answer);
+	if (now >= r->deadline)
+		return ONCE_BUSY;
+	*handle = once_wait(o, e, r->deadline, r->arg);
+	return *handle ? ONCE_WAIT : ONCE_BUSY;
+}
+
+static enum once_outcome
+arrive_first(struct once *o, const struct once_id *id,
+    const struct once_request *r, int64_t now, uint64_t *handle)
+{
+	struct entry *e;
+
+	if ((int64_t)id->birth > (now + o->limits.ahead_us) / 1000)
+		return ONCE_BAD_ID;
+	if (o->stats.ids_evicted && id->birth <= o->stats.horizon)
+		return ONCE_UNKNOWN;
+	e = once_remember(o, id);
+	if (!e)
+		return ONCE_NOT_RUN;
+	e->deadline = r->deadline;
+	if (now >= r->deadline) {
+		once_finish(o, e, FATE_NOT_RUN);
+		return ONCE_NOT_RUN;
+	}
+	*handle = once_handle(e->generation, (uint32_t)(e - o->entry));
+	return ONCE_RUN;
+}
+
+enum once_outcome
+once_arrive(struct once *o, const struct once_request *r, int64_t now,
+    uint64_t *handle, const struct once_answer **answer)
+{
+	struct once_id id;
+	struct entry *found;
+
+	*handle = 0;
+	*answer = NULL;
+	if (once_id_parse(&id, r->id))
+		return ONCE_BAD_ID;
+	if (id.incarnation != o->incarnation)
+		return ONCE_ELSEWHERE;
+	found = once_find(o, &id);
+	if (found)
+		return arrive_again(o, found, r, now, handle, answer);
+	return arrive_first(o, &id, r, now, handle);
+}
--- /dev/null
+++ b/src/core/once/heap.c
@@ -0,0 +1,42 @@
+#include "core/once/table.h"
+
+static int
+before(const struct once *o, uint32_t a, uint32_t b)
+{
+	return o->entry[a].id.birth < o->entry[b].id.birth;
+}
+
+void
+once_heap_push(struct once *o, uint32_t slot)
+{
+	uint32_t i = o->nheap++, up;
+
+	for (; i > 0; i = up) {
+		up = (i - 1) / 2;
+		if (!before(o, slot, o->heap[up]))
+			break;
+		o->heap[i] = o->heap[up];
+	}
+	o->heap[i] = slot;
+}
+
+uint32_t
+once_heap_pop(struct once *o)
+{
+	uint32_t top = o->heap[0], last = o->heap[--o->nheap];
+	uint32_t i = 0, down;
+
+	for (;; i = down) {
+		down = 2 * i + 1;
+		if (down >= o->nheap)
+			break;
+		if (down + 1 < o->nheap &&
+		    before(o, o->heap[down + 1], o->heap[down]))
+			down++;
+		if (!before(o, o->heap[down], last))
+			break;
+		o->heap[i] = o->heap[down];
+	}
+	o->heap[i] = last;
+	return top;
+}
