--- a/bench/hop-http/main.c
+++ b/bench/hop-http/main.c
@@ -25,9 +25,9 @@
 static int
 is_forwarded(const char *name)
 {
-	static const char *const hop_by_hop[] = {"Connection", "Content-Length",
-	    "Expect", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
-	    "Transfer-Encoding", "Upgrade"};
+	static const char *const hop_by_hop[] = { "Connection",
+		"Content-Length", "Expect", "Keep-Alive", "Proxy-Connection",
+		"TE", "Trailer", "Transfer-Encoding", "Upgrade" };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(hop_by_hop); i++)
@@ -119,11 +119,11 @@
 }
 
 static const struct http_call_ops call_ops = {
-    .head = on_head,
-    .body = on_answer,
-    .done = on_done,
-    .failed = on_failed,
-    .drained = on_call_drained,
+	.head = on_head,
+	.body = on_answer,
+	.done = on_done,
+	.failed = on_failed,
+	.drained = on_call_drained,
 };
 
 /* ---- request of the caller ---- */
@@ -189,11 +189,11 @@
 }
 
 static const struct http_server_ops server_ops = {
-    .request = on_request,
-    .body = on_body,
-    .end = on_end,
-    .drained = on_drained,
-    .gone = on_gone,
+	.request = on_request,
+	.body = on_body,
+	.end = on_end,
+	.drained = on_drained,
+	.gone = on_gone,
 };
 
 int
--- a/bench/hop-soup/main.c
+++ b/bench/hop-soup/main.c
@@ -21,9 +21,9 @@
 static gboolean
 is_forwarded(const char *name)
 {
-	static const char *const hop_by_hop[] = {"Connection", "Content-Length",
-	    "Expect", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
-	    "Transfer-Encoding", "Upgrade"};
+	static const char *const hop_by_hop[] = { "Connection",
+		"Content-Length", "Expect", "Keep-Alive", "Proxy-Connection",
+		"TE", "Trailer", "Transfer-Encoding", "Upgrade" };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(hop_by_hop); i++)
--- a/src/adapter/io/clock.c
+++ b/src/adapter/io/clock.c
@@ -9,7 +9,7 @@
 int
 io_clock_open(struct io_loop *l)
 {
-	struct epoll_event e = {.events = EPOLLIN, .data.u64 = IO_CLOCK};
+	struct epoll_event e = { .events = EPOLLIN, .data.u64 = IO_CLOCK };
 
 	l->clock = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
 	if (l->clock < 0)
@@ -20,7 +20,7 @@
 static void
 set_clock(struct io_loop *l, int64_t due)
 {
-	struct itimerspec t = {0};
+	struct itimerspec t = { 0 };
 
 	l->armed = due;
 	t.it_value.tv_sec = due / US_PER_S;
--- a/src/adapter/io/loop.c
+++ b/src/adapter/io/loop.c
@@ -1,7 +1,6 @@
 #include "io_impl.h"
 
 #include <sys/epoll.h>
-#include <sys/timerfd.h>
 #include <unistd.h>
 
 #define IO_BATCH 128 /* events taken in one iteration */
@@ -85,7 +84,6 @@
 {
 	GSource *s = g_source_new(&loop_funcs, sizeof(struct io_loop));
 	struct io_loop *l = (struct io_loop *)s;
-	struct epoll_event e = { .events = EPOLLIN, .data.u64 = IO_TIMER_DATA };
 
 	l->clock = -1;
 	l->epoll = epoll_create1(EPOLL_CLOEXEC);
--- a/src/adapter/io/timer.c
+++ b/src/adapter/io/timer.c
@@ -1,7 +1,5 @@
 #include "io_impl.h"
 
-#include <sys/timerfd.h>
-
 #define HEAP_FIRST 64
 
 static void
--- a/src/adapter/trace/sink.c
+++ b/src/adapter/trace/sink.c
@@ -54,8 +54,8 @@
 static void
 append_attribute(GString *t, const char *key, const char *value)
 {
-	g_string_append_printf(t, "{\"key\":\"%s\",\"value\":{\"stringValue\":",
-	    key);
+	g_string_append_printf(t,
+	    "{\"key\":\"%s\",\"value\":{\"stringValue\":", key);
 	json_quote(t, value ? value : "");
 	g_string_append(t, "}}");
 }
--- a/src/core/once/arrive.c
+++ b/src/core/once/arrive.c
@@ -3,8 +3,8 @@
 const char *
 once_outcome_name(enum once_outcome outcome)
 {
-	static const char *const names[] = {"run", "wait", "answer", "ran",
-	    "not-run", "unknown", "busy", "elsewhere", "bad-id"};
+	static const char *const names[] = { "run", "wait", "answer", "ran",
+		"not-run", "unknown", "busy", "elsewhere", "bad-id" };
 
 	return names[outcome];
 }
--- a/src/core/once/table.h
+++ b/src/core/once/table.h
@@ -47,10 +47,10 @@
 	once_reply_fn *reply;
 	void *ctx;
 	struct entry *entry;
-	uint32_t nentry;   /* slots ever used */
-	GArray *unused;	   /* slots free again */
+	uint32_t nentry; /* slots ever used */
+	GArray *unused; /* slots free again */
 	GHashTable *by_id; /* struct once_id in the entry, to the entry */
-	uint32_t *heap;	   /* slots with a final fate, lowest birth first */
+	uint32_t *heap; /* slots with a final fate, lowest birth first */
 	uint32_t nheap;
 	struct waiter *waiter;
 	struct kept *oldest; /* of the complete answers */
--- a/src/daemon/control_trace.c
+++ b/src/daemon/control_trace.c
@@ -32,10 +32,9 @@
 	    c->settings.trace.ip, c->settings.trace.port);
 	msg = soup_message_new("POST", url);
 	body = g_string_free_to_bytes(message);
-	soup_message_set_request_body_from_bytes(msg, "application/json",
-	    body);
+	soup_message_set_request_body_from_bytes(msg, "application/json", body);
 	g_bytes_unref(body);
-	soup_session_send_and_read_async(c->trace_session, msg,
-	    G_PRIORITY_LOW, NULL, sent, c);
+	soup_session_send_and_read_async(c->trace_session, msg, G_PRIORITY_LOW,
+	    NULL, sent, c);
 	g_object_unref(msg);
 }
--- a/src/daemon/data_trace.c
+++ b/src/daemon/data_trace.c
@@ -6,8 +6,8 @@
 flush(void *ctx, int64_t now)
 {
 	struct data *d = ctx;
-	GString *t = trace_take(&d->traces, d->settings.name,
-	    d->settings.datacentre);
+	GString *t =
+	    trace_take(&d->traces, d->settings.name, d->settings.datacentre);
 
 	if (t)
 		d->events->spans(d->events_ctx, t);
--- a/src/internal/trace.h
+++ b/src/internal/trace.h
@@ -66,7 +66,7 @@
 /** trace_write() - keep a span if it is sampled and the rate allows it */
 void trace_write(struct trace_sink *, const struct trace_span *, int64_t now);
 /** trace_take() - the spans kept so far as one OTLP request, or NULL */
-GString *trace_take(struct trace_sink *, const char *instance,
-    const char *datacentre);
+GString *
+trace_take(struct trace_sink *, const char *instance, const char *datacentre);
 
 #endif
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -65,6 +65,14 @@
 	return EXIT_USAGE;
 }
 
+static int
+address_option(struct tool *t, const char *option, const char *value)
+{
+	if (!strcmp(option, "--platform"))
+		return tool_address(value, &t->platform);
+	return strcmp(option, "--daemon") ? -1 : add_daemon(t, value);
+}
+
 /* Options before the command; the index of the command or -1. */
 static int
 read_options(struct tool *t, int argc, char **argv)
@@ -78,11 +86,8 @@
 			t->wait_ms = WAIT_DEFAULT_MS;
 		else if (!strncmp(argv[i], "--wait=", 7))
 			t->wait_ms = g_ascii_strtoull(argv[i] + 7, NULL, 10);
-		else if (!strcmp(argv[i], "--platform") && i + 1 < argc &&
-			 !tool_address(argv[i + 1], &t->platform))
-			i++;
-		else if (!strcmp(argv[i], "--daemon") && i + 1 < argc &&
-			 !add_daemon(t, argv[i + 1]))
+		else if (i + 1 < argc &&
+		    !address_option(t, argv[i], argv[i + 1]))
 			i++;
 		else
 			return -1;
--- a/tests/fuzz/http.c
+++ b/tests/fuzz/http.c
@@ -118,11 +118,11 @@
 }
 
 static const struct http_server_ops server_ops = {
-    .request = on_request,
-    .body = on_body,
-    .end = on_end,
-    .gone = on_gone,
-    .bad = on_bad,
+	.request = on_request,
+	.body = on_body,
+	.end = on_end,
+	.gone = on_gone,
+	.bad = on_bad,
 };
 
 /* ---- client ---- */
@@ -165,10 +165,10 @@
 }
 
 static const struct http_call_ops call_ops = {
-    .head = on_head,
-    .body = on_answer,
-    .done = on_done,
-    .failed = on_failed,
+	.head = on_head,
+	.body = on_answer,
+	.done = on_done,
+	.failed = on_failed,
 };
 
 /* ---- both ---- */
--- a/tests/unit/once.c
+++ b/tests/unit/once.c
@@ -52,8 +52,8 @@
 }
 
 static void
-on_reply(
-    void *ctx, void *arg, enum once_outcome said, const struct once_answer *a)
+on_reply(void *ctx, void *arg, enum once_outcome said,
+    const struct once_answer *a)
 {
 	struct world *w = ctx;
 	struct call *c = arg;
@@ -67,7 +67,7 @@
 static void
 mint(struct world *w)
 {
-	struct once_clock clock = {0};
+	struct once_clock clock = { 0 };
 	uint8_t random[ONCE_RANDOM_LEN];
 	struct call *c;
 	struct once_id id;
@@ -107,7 +107,7 @@
 arrive(struct world *w, struct call *c)
 {
 	int64_t deadline = w->now + g_rand_int_range(w->rand, -20, 300) * MS;
-	struct once_request r = {c->id, deadline, c};
+	struct once_request r = { c->id, deadline, c };
 	const struct once_answer *a;
 	struct once_stats s;
 	enum once_outcome said;
@@ -153,7 +153,7 @@
 static void
 answer(struct world *w, struct call *c)
 {
-	const struct once_field f[] = {{"Kind", "x"}, {"Id", c->id}};
+	const struct once_field f[] = { { "Kind", "x" }, { "Id", c->id } };
 	int i, n = g_rand_int_range(w->rand, 1, 12);
 
 	if (g_rand_int_range(w->rand, 0, 10))
@@ -235,10 +235,10 @@
 START_TEST(random_orders)
 {
 	struct world *w = g_new0(struct world, 1);
-	static const uint32_t entries[] = {6, 12, 64, 1000};
-	static const size_t bytes[] = {500, 700, 3000, 3000};
-	struct once_limits limits = {
-	    entries[_i % 4], bytes[_i % 4], 500, 6, 3, 5 * MS};
+	static const uint32_t entries[] = { 6, 12, 64, 1000 };
+	static const size_t bytes[] = { 500, 700, 3000, 3000 };
+	struct once_limits limits = { entries[_i % 4], bytes[_i % 4], 500, 6, 3,
+		5 * MS };
 	struct once_stats s;
 	int i;
 
@@ -268,7 +268,7 @@
 static enum once_outcome
 arrive_at(struct once *o, const char *id, int64_t now, uint64_t *h)
 {
-	struct once_request r = {id, 1000 * MS, NULL};
+	struct once_request r = { id, 1000 * MS, NULL };
 	const struct once_answer *a;
 
 	return once_arrive(o, &r, now, h, &a);
@@ -285,18 +285,18 @@
 	    arrive_at(o, "000000000000feed-00000000000000000000000000000000x",
 		0, &h));
 	ck_assert_int_eq(ONCE_BAD_ID,
-	    arrive_at(
-		o, "000000000000FEED-00000000000000000000000000000000", 0, &h));
+	    arrive_at(o, "000000000000FEED-00000000000000000000000000000000", 0,
+		&h));
 	/* Born 2001 ms ahead. */
 	ck_assert_int_eq(ONCE_BAD_ID,
-	    arrive_at(
-		o, "000000000000feed-0000000007d100000000000000000000", 0, &h));
+	    arrive_at(o, "000000000000feed-0000000007d100000000000000000000", 0,
+		&h));
 	ck_assert_int_eq(ONCE_RUN,
-	    arrive_at(
-		o, "000000000000feed-0000000007d000000000000000000000", 0, &h));
+	    arrive_at(o, "000000000000feed-0000000007d000000000000000000000", 0,
+		&h));
 	ck_assert_int_eq(ONCE_ELSEWHERE,
-	    arrive_at(
-		o, "000000000000feee-00000000000000000000000000000000", 0, &h));
+	    arrive_at(o, "000000000000feee-00000000000000000000000000000000", 0,
+		&h));
 	once_free(o);
 }
 END_TEST
@@ -308,8 +308,8 @@
 	uint64_t h;
 
 	ck_assert_int_eq(ONCE_RUN,
-	    arrive_at(
-		o, "000000000000feed-00000000000100000000000000000000", 0, &h));
+	    arrive_at(o, "000000000000feed-00000000000100000000000000000000", 0,
+		&h));
 	ck_assert(once_may_send(o, h, 0));
 	ck_assert(!once_may_send(o, h, 0));
 	ck_assert_int_eq(once_not_run(o, h), ONCE_UNKNOWN);
@@ -328,8 +328,8 @@
 	int failed;
 
 	tcase_set_timeout(c, 60);
-	tcase_add_loop_test(
-	    c, random_orders, 0, seeds ? (int)strtol(seeds, NULL, 10) : SEEDS);
+	tcase_add_loop_test(c, random_orders, 0,
+	    seeds ? (int)strtol(seeds, NULL, 10) : SEEDS);
 	tcase_add_test(c, ids_that_are_not_run);
 	tcase_add_test(c, only_one_send);
 	suite_add_tcase(s, c);
