Failure detector among daemons, with a fleet of them in virtual time

A suspect is now pinged by each holder of the suspicion until it counts as dead, and a member that is told that it is held suspect or dead answers with its state, whether or not it refuted before.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CFLAGS = -O2 -g -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wno-unused-parameter -Werror
 CPPFLAGS := -D_GNU_SOURCE -Isrc/internal -Isrc \
-	-I. $(shell pkg-config --cflags $(PKGS))
+	-I. -Itests/lib $(shell pkg-config --cflags $(PKGS))
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -lhttp_parser -largtable2 -lm
 CHECK_LIBS := $(shell pkg-config --libs check)
 O = build
@@ -18,6 +18,10 @@
 LIB_SRC := $(CORE_SRC) $(ADAPTER_SRC)
 LIB_OBJ := $(LIB_SRC:%.c=$(O)/%.o)
 
+# Code that several tests and benches share.
+TEST_SRC := $(wildcard tests/lib/*.c)
+TEST_OBJ := $(TEST_SRC:%.c=$(O)/%.o)
+
 # Programs with several files each have a directory: bench/NAME, tests/fake/NAME.
 BENCH := $(notdir $(patsubst %/,%,$(wildcard bench/*/)))
 FAKES := $(notdir $(patsubst %/,%,$(wildcard tests/fake/*/)))
@@ -37,6 +41,10 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+$(O)/libtest.a: $(TEST_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
 $(O)/kumquatrockd: $(DAEMON_SRC:%.c=$(O)/%.o) $(O)/libkumquatrock.a
 	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
 
@@ -44,13 +52,13 @@
 	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
 
 define multi_prog
-$(O)/$(1)-$(2): $$(patsubst %.c,$(O)/%.o,$$(wildcard $(3)/$(2)/*.c)) $(O)/libkumquatrock.a
+$(O)/$(1)-$(2): $$(patsubst %.c,$(O)/%.o,$$(wildcard $(3)/$(2)/*.c)) $(O)/libtest.a $(O)/libkumquatrock.a
 	$$(CC) $$(SAN) -o $$@ $$^ $$(LDLIBS)
 endef
 $(foreach b,$(BENCH),$(eval $(call multi_prog,bench,$(b),bench)))
 $(foreach f,$(FAKES),$(eval $(call multi_prog,fake,$(f),tests/fake)))
 
-$(O)/unit-%: $(O)/tests/unit/%.o $(O)/libkumquatrock.a
+$(O)/unit-%: $(O)/tests/unit/%.o $(O)/libtest.a $(O)/libkumquatrock.a
 	$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
 check: all $(UNIT_PROGS)
--- /dev/null
+++ b/src/core/member/gossip.c
@@ -0,0 +1,52 @@
+#include "core/member/impl.h"
+
+static int
+send_round(struct member_table *t)
+{
+	int handle[MEMBER_WATCHERS_MAX];
+	int i, n = MIN(t->limits.fanout, MEMBER_WATCHERS_MAX);
+
+	n = member_pick(t, 0, n, handle);
+	for (i = 0; i < n; i++)
+		member_gossip_to(t, handle[i]);
+	return n;
+}
+
+void
+member_gossip_step(struct member_table *t, int64_t now)
+{
+	if (now < t->gossip_at)
+		return;
+	t->gossip_at = now + t->limits.gossip_period;
+	if (t->queue->len == 0 && t->notify_rounds == 0)
+		return;
+	if (send_round(t) > 0 && t->notify_rounds > 0)
+		t->notify_rounds--;
+}
+
+void
+member_set_digest(struct member_table *t, uint64_t digest, int64_t now)
+{
+	if (digest <= t->digest)
+		return;
+	t->digest = digest;
+	t->notify_rounds = NOTIFY_ROUNDS;
+	t->gossip_at = MIN(t->gossip_at, now);
+	member_gossip_step(t, now);
+	t->due = MIN(t->due, t->gossip_at);
+}
+
+void
+member_leave(struct member_table *t, int64_t now)
+{
+	struct row *self = member_row(t, 0);
+
+	if (t->leaving)
+		return;
+	t->leaving = 1;
+	self->m.state = MEMBER_LEFT;
+	self->m.since = now;
+	member_enqueue(t, 0, 0);
+	t->gossip_at = now;
+	member_gossip_step(t, now);
+}
--- /dev/null
+++ b/src/core/member/merge.c
@@ -0,0 +1,73 @@
+#include "core/member/impl.h"
+
+void
+member_refute(struct member_table *t, uint32_t number)
+{
+	struct row *self = member_row(t, 0);
+
+	if (t->leaving || number == UINT32_MAX)
+		return;
+	self->m.number = MAX(self->m.number, number) + 1;
+	t->counts.refuted++;
+	t->health = MIN(t->health + 1, HEALTH_MAX);
+	member_enqueue(t, 0, 0);
+}
+
+static void
+merge_self(struct member_table *t, const struct member_update *u)
+{
+	const struct row *self = member_row(t, 0);
+
+	if (u->state == MEMBER_LEFT && !t->leaving && !t->evicted) {
+		t->evicted = 1;
+		t->ops->event(t->ctx, 0, MEMBER_EVENT_LEFT);
+	} else if (u->state != MEMBER_ALIVE && u->number >= self->m.number) {
+		member_refute(t, u->number);
+	}
+}
+
+int
+member_overrides(const struct member_update *u, const struct row *r)
+{
+	if (r->m.state == MEMBER_LEFT)
+		return 0;
+	if (u->state == MEMBER_LEFT)
+		return 1;
+	return u->number > r->m.number ||
+	       (u->number == r->m.number && u->state > r->m.state);
+}
+
+static void
+merge_new(struct member_table *t, const struct member_update *u, int64_t now)
+{
+	int handle;
+
+	if (!u->has_info || u->state == MEMBER_DEAD || u->state == MEMBER_LEFT)
+		return;
+	handle = member_add(t, &u->info, u->state, u->number, now);
+	if (handle == MEMBER_NONE)
+		return;
+	member_row(t, handle)->m.confirmed = 1;
+	member_enqueue(t, handle, 1);
+}
+
+void
+member_merge(struct member_table *t, const struct member_update *u, int64_t now)
+{
+	int handle = member_find(t, u->info.id);
+	struct row *r = member_row(t, handle);
+
+	if (!r) {
+		merge_new(t, u, now);
+		return;
+	}
+	if (handle == 0) {
+		merge_self(t, u);
+		return;
+	}
+	r->m.confirmed = 1;
+	if (!member_overrides(u, r))
+		return;
+	member_change(t, handle, u->state, u->number, now);
+	member_enqueue(t, handle, 0);
+}
--- /dev/null
+++ b/src/core/member/message.c
@@ -0,0 +1,53 @@
+#include "core/member/impl.h"
+
+#include <string.h>
+
+struct member_message *
+member_begin(struct member_table *t, enum member_kind kind, uint64_t to)
+{
+	struct member_message *msg = &t->out;
+	const struct row *r = member_row(t, member_find(t, to));
+
+	memset(msg, 0, offsetof(struct member_message, update));
+	msg->kind = kind;
+	msg->from = member_row(t, 0)->m.info.id;
+	msg->to = to;
+	msg->digest = t->digest;
+	msg->view_state = r ? r->m.state : MEMBER_ALIVE;
+	msg->view_number = r ? r->m.number : MEMBER_VIEW_NONE;
+	return msg;
+}
+
+void
+member_send(struct member_table *t, const struct member_address *to,
+    const struct member_message *msg)
+{
+	t->ops->send(t->ctx, to, msg);
+}
+
+void
+member_send_to(struct member_table *t, int handle, struct member_message *msg,
+    size_t bytes)
+{
+	member_piggyback(t, msg, bytes);
+	member_send(t, &member_row(t, handle)->m.info.address, msg);
+}
+
+void
+member_ping(struct member_table *t, int handle, uint32_t seq)
+{
+	struct member_message *msg =
+	    member_begin(t, MEMBER_PING, member_row(t, handle)->m.info.id);
+
+	msg->seq = seq;
+	member_send_to(t, handle, msg, PIGGYBACK_BYTES);
+}
+
+void
+member_gossip_to(struct member_table *t, int handle)
+{
+	struct member_message *msg =
+	    member_begin(t, MEMBER_GOSSIP, member_row(t, handle)->m.info.id);
+
+	member_send_to(t, handle, msg, (size_t)t->limits.datagram_bytes);
+}
--- /dev/null
+++ b/src/core/member/queue.c
@@ -0,0 +1,88 @@
+#include "core/member/impl.h"
+
+#include <math.h>
+
+void
+member_enqueue(struct member_table *t, int handle, int announce)
+{
+	struct row *r = member_row(t, handle);
+
+	r->sends = 0;
+	r->announce = announce;
+	if (r->queued)
+		return;
+	r->queued = 1;
+	g_array_append_val(t->queue, handle);
+}
+
+int
+member_append(struct member_table *t, struct member_message *msg, int handle,
+    int with_info, size_t bytes)
+{
+	const struct row *r = member_row(t, handle);
+	struct member_update *u = &msg->update[msg->nupdate];
+
+	if (msg->nupdate == MEMBER_UPDATES_MAX)
+		return 0;
+	u->state = r->m.state;
+	u->number = r->m.number;
+	u->has_info = with_info;
+	u->info = r->m.info;
+	msg->nupdate++;
+	if (member_message_size(msg) <= bytes)
+		return 1;
+	msg->nupdate--;
+	return 0;
+}
+
+/* Times that each update is sent before it leaves the queue. */
+static int
+send_limit(const struct member_table *t)
+{
+	return (int)ceil(SEND_FACTOR * member_power(t));
+}
+
+static void
+drop_sent(struct member_table *t, int limit)
+{
+	guint i = 0;
+
+	while (i < t->queue->len) {
+		struct row *r = member_row(t, g_array_index(t->queue, int, i));
+
+		if (r->sends < limit) {
+			i++;
+			continue;
+		}
+		r->queued = 0;
+		g_array_remove_index_fast(t->queue, i);
+	}
+}
+
+void
+member_piggyback(
+    struct member_table *t, struct member_message *msg, size_t bytes)
+{
+	int level, limit = send_limit(t);
+	guint i, n = t->queue->len;
+	int full = 0;
+
+	for (level = 0; level < limit && n > 0 && !full; level++) {
+		for (i = 0; i < n && !full; i++) {
+			int h = g_array_index(t->queue, int, i);
+			struct row *r = member_row(t, h);
+
+			if (r->sends != level || r->picked)
+				continue;
+			if (!member_append(t, msg, h, r->announce, bytes)) {
+				full = 1;
+				break;
+			}
+			r->sends++;
+			r->picked = 1;
+		}
+	}
+	for (i = 0; i < n; i++)
+		member_row(t, g_array_index(t->queue, int, i))->picked = 0;
+	drop_sent(t, limit);
+}
--- /dev/null
+++ b/src/core/member/random.c
@@ -0,0 +1,53 @@
+#include "core/member/impl.h"
+
+#define PICK_MAX 16
+#define PICK_TRIES 8 /* draws for each member wanted */
+
+/* SplitMix64 (Steele, Lea, Flood, 2014). */
+uint64_t
+member_random(struct member_table *t)
+{
+	uint64_t z = t->random += 0x9e3779b97f4a7c15u;
+
+	z = (z ^ z >> 30) * 0xbf58476d1ce4e5b9u;
+	z = (z ^ z >> 27) * 0x94d049bb133111ebu;
+	return z ^ z >> 31;
+}
+
+uint32_t
+member_random_below(struct member_table *t, uint32_t n)
+{
+	return (uint32_t)((member_random(t) >> 32) * n >> 32);
+}
+
+void
+member_shuffle(struct member_table *t, GArray *handles)
+{
+	guint i;
+
+	for (i = handles->len; i > 1; i--) {
+		guint k = member_random_below(t, i);
+		int h = g_array_index(handles, int, i - 1);
+
+		g_array_index(handles, int, i - 1) =
+		    g_array_index(handles, int, k);
+		g_array_index(handles, int, k) = h;
+	}
+}
+
+int
+member_pick(struct member_table *t, int except, int k, int *handle)
+{
+	int i, n = 0, tries = k * PICK_TRIES;
+
+	while (n < k && tries-- > 0 && t->live->len > 0) {
+		int h = g_array_index(
+		    t->live, int, member_random_below(t, t->live->len));
+
+		for (i = 0; i < n && handle[i] != h; i++)
+			;
+		if (i == n && h != except)
+			handle[n++] = h;
+	}
+	return n;
+}
--- /dev/null
+++ b/src/core/member/relay.c
@@ -0,0 +1,75 @@
+#include "core/member/impl.h"
+
+#include <string.h>
+
+#define RELAY_TIMEOUTS 2 /* probe timeouts until a relay refuses */
+
+void
+member_relay_start(
+    struct member_table *t, const struct member_message *msg, int64_t now)
+{
+	struct member_message *ping;
+	struct relay *r = NULL;
+	int i;
+
+	for (i = 0; i < RELAYS_MAX && !r; i++) {
+		if (t->relay[i].id == 0)
+			r = &t->relay[i];
+	}
+	if (!r || msg->target == 0)
+		return;
+	r->id = msg->from;
+	r->target = msg->target;
+	r->asked_seq = msg->seq;
+	r->seq = ++t->seq;
+	r->address = msg->source;
+	r->until = now + RELAY_TIMEOUTS * t->limits.probe_timeout;
+	ping = member_begin(t, MEMBER_PING, msg->target);
+	ping->seq = r->seq;
+	member_piggyback(t, ping, PIGGYBACK_BYTES);
+	member_send(t, &msg->target_address, ping);
+}
+
+static void
+answer(struct member_table *t, struct relay *r, enum member_kind kind)
+{
+	struct member_message *msg = member_begin(t, kind, r->id);
+
+	msg->seq = r->asked_seq;
+	msg->target = r->target;
+	member_piggyback(t, msg, PIGGYBACK_BYTES);
+	member_send(t, &r->address, msg);
+	r->id = 0;
+}
+
+void
+member_relay_answer(struct member_table *t, const struct member_message *msg)
+{
+	int i;
+
+	for (i = 0; i < RELAYS_MAX; i++) {
+		struct relay *r = &t->relay[i];
+
+		if (r->id != 0 && r->seq == msg->seq && r->target == msg->from)
+			answer(t, r, MEMBER_ACK);
+	}
+}
+
+int64_t
+member_relay_expire(struct member_table *t, int64_t now)
+{
+	int64_t next = INT64_MAX;
+	int i;
+
+	for (i = 0; i < RELAYS_MAX; i++) {
+		struct relay *r = &t->relay[i];
+
+		if (r->id == 0)
+			continue;
+		if (now >= r->until)
+			answer(t, r, MEMBER_NACK);
+		else
+			next = MIN(next, r->until);
+	}
+	return next;
+}
--- /dev/null
+++ b/src/core/member/size.c
@@ -0,0 +1,38 @@
+#include "member.h"
+
+#include <string.h>
+
+#include "core/member/impl.h"
+
+#define FRAME_BYTES 44	 /* version, key id, counter and tag */
+#define HEAD_BYTES 68	 /* fixed part of a message */
+#define UPDATE_BYTES 16	 /* id, state, number */
+#define ADDRESS_BYTES 16 /* IP number and three ports */
+#define WANT_BYTES 8
+
+/* Length and bytes of an XDR string, in words of 4 bytes. */
+static size_t
+string_bytes(const char *s)
+{
+	return 4 + (strlen(s) + 3) / 4 * 4;
+}
+
+static size_t
+update_bytes(const struct member_update *u)
+{
+	if (!u->has_info)
+		return UPDATE_BYTES;
+	return UPDATE_BYTES + ADDRESS_BYTES + string_bytes(u->info.datacentre) +
+	       string_bytes(u->info.region);
+}
+
+size_t
+member_message_size(const struct member_message *msg)
+{
+	size_t n = FRAME_BYTES + HEAD_BYTES;
+	int i;
+
+	for (i = 0; i < msg->nupdate; i++)
+		n += update_bytes(&msg->update[i]);
+	return n + (size_t)msg->nwant * WANT_BYTES;
+}
--- /dev/null
+++ b/src/core/member/suspect.c
@@ -0,0 +1,51 @@
+#include "core/member/impl.h"
+
+void
+member_suspect(struct member_table *t, int handle, int64_t now)
+{
+	const struct row *r = member_row(t, handle);
+
+	if (r->m.state != MEMBER_ALIVE)
+		return;
+	member_change(t, handle, MEMBER_SUSPECT, r->m.number, now);
+	member_enqueue(t, handle, 0);
+	/* Tells the suspect itself, so that it can refute (Lifeguard). */
+	member_gossip_to(t, handle);
+}
+
+/* A refutation may have been lost on its way to us: the suspect answers with
+ * it when it sees what we hold it to be. */
+static void
+check(struct member_table *t, int handle, int64_t now)
+{
+	struct row *r = member_row(t, handle);
+
+	if (now < r->check_at)
+		return;
+	r->check_at = now + (r->dead_at - r->m.since) / SUSPECT_CHECKS;
+	member_ping(t, handle, ++t->seq);
+}
+
+int64_t
+member_suspects_expire(struct member_table *t, int64_t now)
+{
+	int64_t next = INT64_MAX;
+	guint i = 0;
+
+	if (t->paused)
+		return next;
+	while (i < t->suspects->len) {
+		int h = g_array_index(t->suspects, int, i);
+		const struct row *r = member_row(t, h);
+
+		if (now < r->dead_at) {
+			check(t, h, now);
+			next = MIN(next, MIN(r->dead_at, r->check_at));
+			i++;
+			continue;
+		}
+		member_change(t, h, MEMBER_DEAD, r->m.number, now);
+		member_enqueue(t, h, 0);
+	}
+	return next;
+}
--- /dev/null
+++ b/src/core/member/watchers.c
@@ -0,0 +1,56 @@
+#include "core/member/impl.h"
+
+#include <string.h>
+
+/* FNV-1a over the name, then the finalizer of SplitMix64 with the id. */
+static uint64_t
+weight(const char *datacentre, uint64_t id)
+{
+	uint64_t z = 0xcbf29ce484222325u;
+	const char *p;
+
+	for (p = datacentre; *p; p++)
+		z = (z ^ (unsigned char)*p) * 0x100000001b3u;
+	z ^= id;
+	z = (z ^ z >> 30) * 0xbf58476d1ce4e5b9u;
+	z = (z ^ z >> 27) * 0x94d049bb133111ebu;
+	return z ^ z >> 31;
+}
+
+/* Puts a handle in its place among the @n heaviest so far. */
+static int
+insert(const struct member_table *t, const char *datacentre, int k, int n,
+    int *handle, int h)
+{
+	uint64_t w = weight(datacentre, member_row(t, h)->m.info.id);
+	int i;
+
+	if (n < k)
+		n++;
+	else if (weight(datacentre, member_row(t, handle[n - 1])->m.info.id) >=
+		 w)
+		return n;
+	for (i = n - 1;
+	     i > 0 &&
+	     weight(datacentre, member_row(t, handle[i - 1])->m.info.id) < w;
+	     i--)
+		handle[i] = handle[i - 1];
+	handle[i] = h;
+	return n;
+}
+
+int
+member_watchers(
+    const struct member_table *t, const char *datacentre, int k, int *handle)
+{
+	int h, n = 0;
+
+	for (h = 0; k > 0 && h < member_top(t); h++) {
+		const struct row *r = member_row(t, h);
+
+		if (r && r->m.state == MEMBER_ALIVE &&
+		    strcmp(r->m.info.datacentre, datacentre) == 0)
+			n = insert(t, datacentre, k, n, handle, h);
+	}
+	return n;
+}
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -36,6 +36,8 @@
 #define MEMBER_UPDATES_MAX 64 /* updates in one message */
 #define MEMBER_WANTS_MAX 32   /* incarnations asked for in one message */
 #define MEMBER_WATCHERS_MAX 8
+/* View of a sender that does not know the receiver. */
+#define MEMBER_VIEW_NONE UINT32_MAX
 
 /** struct member_address - where datagrams go */
 struct member_address {
@@ -66,6 +68,7 @@
 	struct member_info info;
 	enum member_state state;
 	uint32_t number; /* SWIM's incarnation number */
+	int confirmed;	 /* heard of from a member, not only learned */
 	int64_t since;	 /* time of the last change of state */
 	uint64_t digest; /* highest configuration version it has told */
 };
@@ -102,7 +105,7 @@
  * @target_address: where to reach it
  * @digest: configuration version the sender is complete to
  * @view_state: what the sender holds the receiver to be, @view_number at
- *              which number
+ *              which number, or MEMBER_VIEW_NONE
  * @source: address the datagram came from, filled in by the adapter
  */
 struct member_message {
@@ -116,11 +119,11 @@
 	enum member_state view_state;
 	uint32_t view_number;
 	uint32_t cursor;
-	int nupdate;
-	struct member_update update[MEMBER_UPDATES_MAX];
+	struct member_address source;
 	int nwant;
 	uint64_t want[MEMBER_WANTS_MAX];
-	struct member_address source;
+	int nupdate;
+	struct member_update update[MEMBER_UPDATES_MAX];
 };
 
 enum member_event {
@@ -134,10 +137,13 @@
 
 /**
  * struct member_ops - what a table does to the world; @ctx is the table's
- * @send: give a message to the network; it may not call the table
- * @event: state of a member changed
+ * @send: give a message to the network; it lasts until this returns
+ * @event: state of a member changed; LEFT at handle 0 means that others hold
+ *         us to have left for good, so that we need a new incarnation
  * @behind: a member has a higher configuration version than ours. Called for
  *          each such datagram; the caller keeps one pull in flight.
+ *
+ * None of these may call a function that changes the table.
  */
 struct member_ops {
 	void (*send)(void *ctx, const struct member_address *to,
@@ -146,21 +152,36 @@
 	void (*behind)(void *ctx, int handle, uint64_t digest);
 };
 
-/** struct member_limits - periods in microseconds; bytes without IP headers */
+/**
+ * struct member_limits - bounds and periods, in microseconds
+ * @period: between two probes, longer while our own health is bad
+ * @probe_timeout: until a ping is repeated and others are asked to probe
+ * @gossip_period: between two sendings of fresh changes
+ * @sync_period: between two pushes of a page of the table
+ * @late: a tick this late means that we were paused
+ * @keep: time that a dead or left member stays in the table
+ * @suspicion: time from suspect to dead, in periods, for each power of ten of
+ *             the fleet's size
+ * @indirect: members asked to probe
+ * @fanout: members that a fresh change is sent to at once
+ * @datagram_bytes: largest datagram
+ */
 struct member_limits {
-	int64_t period;	       /* between two probes */
-	int64_t probe_timeout; /* until a ping is repeated and others asked */
-	int64_t gossip_period; /* between two sendings of fresh changes */
-	int64_t sync_period;   /* between two pushes of a page */
-	int64_t late;	       /* a tick this late means we were paused */
-	int64_t keep;	       /* time a dead or left member stays a row */
-	int indirect;	       /* members asked to probe */
-	int fanout;	       /* members a fresh change is sent to at once */
-	int datagram_bytes;    /* largest datagram */
+	int64_t period;
+	int64_t probe_timeout;
+	int64_t gossip_period;
+	int64_t sync_period;
+	int64_t late;
+	int64_t keep;
+	int suspicion;
+	int indirect;
+	int fanout;
+	int datagram_bytes;
 };
-#define MEMBER_LIMITS_DEFAULT                                                  \
-	{                                                                      \
-		500000, 100000, 100000, 5000000, 1000000, 60000000, 3, 3, 1200 \
+#define MEMBER_LIMITS_DEFAULT                                                \
+	{                                                                    \
+		500000, 100000, 100000, 5000000, 1000000, 60000000, 2, 3, 3, \
+		    1200                                                     \
 	}
 
 /** struct member_counts - totals since the table was made */
@@ -183,7 +204,8 @@
     uint64_t seed, const struct member_ops *, void *ctx, int64_t now);
 void member_free(struct member_table *);
 
-/** member_tick() - do what is due; returns when it is to be called next */
+/** member_tick() - do what is due; returns when it is to be called next, at
+ * most a gossip period later */
 int64_t member_tick(struct member_table *, int64_t now);
 void member_receive(
     struct member_table *, const struct member_message *, int64_t now);
@@ -192,8 +214,8 @@
  * random order, a bounded number at a time */
 void member_join(struct member_table *, const struct member_address *seed,
     int nseed, int64_t now);
-/** member_learn() - an instance object names this incarnation; a member heard
- * of only here is probed before it counts as confirmed */
+/** member_learn() - an instance object names this incarnation. It counts as
+ * alive from now on, but as confirmed only once a member has told of it. */
 void
 member_learn(struct member_table *, const struct member_info *, int64_t now);
 /** member_unlearn() - its instance object was removed: it has left */
