--- a/src/internal/io.h
+++ b/src/internal/io.h
@@ -12,7 +12,8 @@
  * and a binary heap for all its timers, so that the cost of an iteration
  * follows what is ready, not what is open. Timers are exact to microseconds:
  * a timer descriptor wakes the loop, since GLib rounds up to milliseconds. All
- * functions must be called from the owning task.
+ * functions must be called from the owning task. No callback may iterate the
+ * context.
  */
 
 struct io_loop;
--- a/tests/unit/http.c
+++ b/tests/unit/http.c
@@ -45,6 +45,44 @@
 }
 END_TEST
 
+struct framing_case {
+	const char *method;
+	const char *version;
+	int status;
+	int chunked;
+	const char *answer; /* after the first field */
+};
+
+static const struct framing_case framing_cases[] = {
+    {"POST", "1.1", 200, 0, "Content-Length: 2\r\n\r\nab"},
+    {"POST", "1.1", 200, 1,
+	"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"},
+    {"POST", "1.0", 200, 0, "Content-Length: 2\r\nConnection: close\r\n\r\nab"},
+    {"POST", "1.0", 200, 1, "Connection: close\r\n\r\nab"},
+    {"HEAD", "1.1", 200, 0, "Content-Length: 2\r\n\r\n"},
+    {"HEAD", "1.1", 200, 1, "Transfer-Encoding: chunked\r\n\r\n"},
+    {"POST", "1.1", 204, 0, "\r\n"},
+    {"POST", "1.1", 304, 1, "\r\n"},
+};
+
+START_TEST(answers_are_framed_as_the_request_allows)
+{
+	const struct framing_case *f = &framing_cases[_i];
+	char *text, *got, *rest;
+
+	bed.status = f->status;
+	bed.chunked = f->chunked;
+	text = g_strdup_printf("%s / HTTP/%s\r\nContent-Length: 2\r\n\r\nab",
+	    f->method, f->version);
+	got = bed_talk(text, strlen(text), SIZE_MAX, 1);
+	rest = strstr(got, "X-Kind: echo\r\n");
+	ck_assert_ptr_nonnull(rest);
+	ck_assert_str_eq(rest + strlen("X-Kind: echo\r\n"), f->answer);
+	g_free(got);
+	g_free(text);
+}
+END_TEST
+
 START_TEST(caller_that_closes_is_gone)
 {
 	const char *text = "GET /h HTTP/1.1\r\n\r\n";
@@ -170,6 +208,34 @@
 }
 END_TEST
 
+START_TEST(stopping_server_answers_what_has_arrived)
+{
+	static const char text[] = "GET /h HTTP/1.1\r\n\r\n";
+	int64_t until = bed_bound();
+	int fd[2], i;
+	char buf[512] = "";
+
+	for (i = 0; i < 2; i++)
+		fd[i] = io_connect_tcp("127.0.0.1", bed.port);
+	while (http_server_open(bed.server) < 2)
+		bed_step(until);
+	/* sent, but not yet read by the server */
+	ck_assert_int_eq(send(fd[1], text, sizeof text - 1, MSG_NOSIGNAL),
+	    (ssize_t)sizeof text - 1);
+	http_server_stop(bed.server);
+	while (recv(fd[0], buf, 1, MSG_DONTWAIT) < 0)
+		bed_step(until);
+	ck_assert_str_eq(buf, "");
+	while (recv(fd[1], buf, sizeof buf - 1, MSG_DONTWAIT) < 0)
+		bed_step(until);
+	ck_assert_ptr_nonnull(strstr(buf, "200 OK"));
+	ck_assert_ptr_nonnull(strstr(buf, "Connection: close"));
+	for (i = 0; i < 2; i++)
+		close(fd[i]);
+	bed_wait_closed();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -184,5 +250,8 @@
 	tcase_add_test(c, refused_connect_was_not_sent);
 	tcase_add_test(c, short_request_body_fails);
 	tcase_add_test(c, stopping_server_answers_and_closes);
+	tcase_add_test(c, stopping_server_answers_what_has_arrived);
+	tcase_add_loop_test(c, answers_are_framed_as_the_request_allows, 0,
+	    sizeof framing_cases / sizeof *framing_cases);
 	return bed_run("http", c);
 }
--- a/tests/unit/http_bed.h
+++ b/tests/unit/http_bed.h
@@ -26,6 +26,8 @@
 	int ngone;
 	int nbad;
 	int bad_code;
+	int status; /* of answers, 200 if 0 */
+	int chunked;
 	int hold; /* keep the exchange in held instead of answering */
 	struct http_exchange *held;
 	GString *path;
@@ -74,7 +76,8 @@
 	static const struct http_field f = {"X-Kind", "echo"};
 	GString *body = http_exchange_ctx(x);
 
-	http_exchange_head(x, 200, &f, 1, (int64_t)body->len);
+	http_exchange_head(x, bed.status ? bed.status : 200, &f, 1,
+	    bed.chunked ? HTTP_LENGTH_CHUNKED : (int64_t)body->len);
 	http_exchange_write(x, body->str, body->len);
 	http_exchange_end(x);
 	g_string_free(body, TRUE);
--- a/tests/unit/http_client.c
+++ b/tests/unit/http_client.c
@@ -379,6 +379,18 @@
 }
 END_TEST
 
+START_TEST(lost_spare_connection_is_opened_again)
+{
+	struct http_pool *p = pool(3, 1);
+
+	peer_accept(&peer, 1);
+	peer_hang_up(&peer, 0);
+	peer_accept(&peer, 2);
+	ck_assert_int_eq(http_pool_open(p), 1);
+	http_pool_free(p);
+}
+END_TEST
+
 START_TEST(silent_peer_times_out)
 {
 	struct http_limits quick = {16384, 10, 100, 100};
@@ -416,6 +428,7 @@
 	tcase_add_test(c, answer_that_ends_at_close_fails_on_reset);
 	tcase_add_test(c, cancel_says_whether_anything_was_sent);
 	tcase_add_test(c, fresh_call_never_meets_a_used_connection);
+	tcase_add_test(c, lost_spare_connection_is_opened_again);
 	tcase_add_test(c, silent_peer_times_out);
 	return bed_run("http_client", c);
 }
