--- a/src/adapter/io/loop.c
+++ b/src/adapter/io/loop.c
@@ -77,7 +77,7 @@
 	g_free((void *)l->heap);
 }
 
-static GSourceFuncs loop_funcs = {NULL, NULL, dispatch, finalize, NULL, NULL};
+static GSourceFuncs loop_funcs = { NULL, NULL, dispatch, finalize, NULL, NULL };
 
 struct io_loop *
 io_loop_new(GMainContext *ctx)
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -74,15 +74,14 @@
 }
 
 static void
-on_pull(void *ctx, uint64_t conn, uint32_t xid, uint64_t after, int full_next)
+on_pull(void *ctx, uint64_t conn, uint32_t xid, const struct config_pull *pull)
 {
 	struct pull_message *m = g_new(struct pull_message, 1);
 	struct control *c = ctx;
 
 	m->conn = conn;
 	m->xid = xid;
-	m->after = after;
-	m->full_next = full_next;
+	m->pull = *pull;
 	task_post(&c->task, control_serve_pull, c, m);
 }
 
@@ -128,12 +127,21 @@
 	task_post(&c->task, target_idle, c, NULL);
 }
 
+static void
+on_spans(void *ctx, GString *text)
+{
+	struct control *c = ctx;
+
+	task_post(&c->task, control_send_spans, c, text);
+}
+
 const struct data_events control_data_events = {
-    .behind = on_behind,
-    .pull = on_pull,
-    .page = on_page,
-    .drained = on_drained,
-    .target_idle = on_target_idle,
+	.behind = on_behind,
+	.pull = on_pull,
+	.page = on_page,
+	.drained = on_drained,
+	.target_idle = on_target_idle,
+	.spans = on_spans,
 };
 
 static void
@@ -194,6 +202,8 @@
 	}
 	if (c->platform)
 		platform_free(c->platform);
+	if (c->trace_session)
+		g_object_unref(c->trace_session);
 	while (g_main_context_iteration(c->task.context, FALSE))
 		;
 	g_main_context_pop_thread_default(c->task.context);
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -58,7 +58,6 @@
 
 	int pulling;
 	uint64_t pull_from;
-	int pull_full_next;
 	struct io_timer pull_timer;
 
 	struct data_target target;
@@ -70,6 +69,8 @@
 	void (*leave_done)(void *ctx);
 	void *leave_ctx;
 
+	SoupSession *trace_session;
+	uint64_t spans_lost; /* batches that could not be sent */
 	SoupServer *operators;
 	GPtrArray
 	    *leave_waiting; /* messages answered when the target is idle */
@@ -93,8 +94,7 @@
 struct pull_message {
 	uint64_t conn;
 	uint32_t xid;
-	uint64_t after;
-	int full_next;
+	struct config_pull pull;
 };
 struct behind_message {
 	uint64_t version;
@@ -116,6 +116,9 @@
 void control_register_soon(struct control *);
 void control_unregister(struct control *);
 
+/* traces */
+void control_send_spans(void *ctx, void *message);
+
 /* operators */
 int control_open_operators(struct control *, struct kq_error *);
 void control_target_idle(struct control *);
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -3,6 +3,7 @@
 
 #include "admit.h"
 #include "budget.h"
+#include "config.h"
 #include "data.h"
 #include "http.h"
 #include "once.h"
@@ -10,9 +11,9 @@
 #include "pick.h"
 #include "retry.h"
 #include "rng.h"
+#include "trace.h"
 
 #define REQUEST_ID_MAX 64 /* bytes with the final NUL */
-#define TRACE_MAX 64 /* bytes of a traceparent with the final NUL */
 #define ATTEMPTS_MAX 8 /* targets tried for one call */
 #define ATTEMPTS_OPEN_MAX 2 /* at the same time */
 #define BODY_KEEP_MAX 65536 /* bytes of a request kept for another attempt */
@@ -71,8 +72,7 @@
 	GHashTable *probes; /* xids of probes in flight */
 	int seen; /* mark while a view is taken in */
 	int pull_wanted;
-	uint64_t pull_after;
-	int pull_full_next;
+	struct config_pull pull;
 	uint32_t pull_xid;
 };
 
@@ -88,6 +88,7 @@
 	size_t sent; /* bytes of the body */
 	int last_sent;
 	size_t credit;
+	struct trace_context trace;
 };
 
 enum out_state { OUT_READING, OUT_TRYING, OUT_ANSWERING };
@@ -103,7 +104,9 @@
 	int idempotent;
 	int repeat;
 	char id[REQUEST_ID_MAX];
-	char trace[TRACE_MAX];
+	struct trace_context trace;
+	int status; /* of the answer */
+	const char *outcome;
 	GByteArray *body;
 	size_t body_base; /* bytes no longer kept before those in body */
 	int body_whole;
@@ -154,7 +157,10 @@
 	uint32_t retries_left;
 	uint32_t depth;
 	char id[REQUEST_ID_MAX];
-	char trace[TRACE_MAX];
+	struct trace_context trace;
+	struct trace_context target_trace;
+	int64_t target_started;
+	uint32_t outcome; /* told to the caller side */
 	GByteArray *body; /* came before the target took it */
 	int body_last;
 	size_t body_owed; /* credit not yet given */
@@ -209,6 +215,8 @@
 	GHashTable *services; /* name to struct out_service */
 	GHashTable *peers; /* incarnation to struct out_peer */
 	GHashTable *out_calls; /* set of struct out_call */
+	GHashTable *ramps; /* data centre name to struct ramp */
+	struct io_timer ramp_timer;
 
 	struct peer_node *node;
 	GHashTable *conns; /* id to struct in_conn */
@@ -219,6 +227,7 @@
 	int has_target;
 	struct data_target next_target; /* once the present one is idle */
 	int has_next_target;
+	int tell_idle; /* somebody waits for the target to be idle */
 	int target_draining;
 	struct http_pool *pool;
 	struct admit *admit;
@@ -230,9 +239,20 @@
 	struct http_call *measure_call;
 	GString *measure_body;
 	struct counters counters;
+	struct trace_sink traces;
+	struct io_timer trace_timer;
 };
 
 int64_t data_now(const struct data *);
+void data_trace_start(struct data *);
+/* Write the span of a call, attempt, inbound call or target request. */
+void outbound_trace_begin(struct out_call *, const char *traceparent);
+void outbound_trace_call(struct out_call *);
+void
+outbound_trace_attempt(struct out_attempt *, const char *outcome, int status);
+void inbound_trace_begin(struct in_call *, const char *traceparent);
+void inbound_trace_call(struct in_call *);
+void inbound_trace_target(struct in_call *, const char *outcome);
 
 void head_copy(struct head_copy *, const char *method, const char *path,
     int64_t length, const struct http_field *, int nfield);
@@ -268,6 +288,9 @@
     const struct wire_state *);
 void outbound_drained(void *ctx, struct http_exchange *);
 void outbound_take_view(struct data *);
+void outbound_ramp_view(struct data *);
+/* Part of a full share that targets of a data centre get now. */
+double outbound_share(struct data *, const char *datacentre);
 struct out_peer *
 out_peer_new(struct data *, uint64_t incarnation, const char *ip, int port);
 int out_peer_connect(struct out_peer *);
@@ -284,8 +307,8 @@
 void inbound_refuse(struct in_call *, uint32_t outcome, uint32_t reason);
 void inbound_reply_head(struct in_call *, uint32_t outcome, const void *body,
     size_t len, int more);
-void inbound_answer_body(struct in_call *, const void *, size_t, int last,
-    int cut);
+void
+inbound_answer_body(struct in_call *, const void *, size_t, int last, int cut);
 void inbound_answer_pump(struct in_call *);
 void inbound_free(struct in_call *);
 void inbound_body(struct peer_conn *, const struct wire_body *);
--- a/src/daemon/inbound_answer.c
+++ b/src/daemon/inbound_answer.c
@@ -11,6 +11,7 @@
 	m->clock = data_now(d);
 	m->used = c->answer_used;
 	m->outcome = outcome;
+	c->outcome = outcome;
 	m->config_version = d->view->rules_version;
 	inbound_report(d, &m->load);
 	m->status = c->answer_status;
@@ -40,7 +41,7 @@
 static int
 send_chunk(struct in_call *c, const void *p, size_t n, int flags)
 {
-	struct wire_body m = {c->xid, flags | WIRE_BODY_ANSWER, p, n};
+	struct wire_body m = { c->xid, flags | WIRE_BODY_ANSWER, p, n };
 
 	c->answer_credit -= n;
 	return peer_send_body(c->conn, &m);
--- a/src/daemon/inbound_conn.c
+++ b/src/daemon/inbound_conn.c
@@ -11,7 +11,7 @@
 static void
 owe_credit(struct in_call *c, size_t n)
 {
-	struct wire_credit m = {c->xid, 0, 0};
+	struct wire_credit m = { c->xid, 0, 0 };
 
 	c->body_owed += n;
 	if (c->body_owed < WIRE_WINDOW / 4 || !c->conn)
@@ -103,6 +103,7 @@
 {
 	http_call_cancel(c->target_call);
 	c->target_call = NULL;
+	inbound_trace_target(c, "cancelled");
 	inbound_ended(c, ADMIT_CANCELLED);
 }
 
--- a/src/daemon/outbound_reply.c
+++ b/src/daemon/outbound_reply.c
@@ -17,12 +17,14 @@
 	struct http_exchange *x = c->exchange;
 	int64_t now = data_now(c->data);
 
+	outbound_trace_attempt(a, "answer", c->status);
 	pick_done(c->service->pick, a->handle, now, now - a->started, outcome,
 	    load);
 	outbound_attempt_clear(a);
 	if (outcome == PICK_GOOD)
 		retry_success(&c->service->retry, now - a->started);
 	c->data->counters.whole++;
+	c->outcome = "whole";
 	c->exchange = NULL;
 	http_exchange_end(x);
 	outbound_call_free(c);
@@ -42,7 +44,7 @@
 static void
 give_credit(struct out_call *c, struct out_attempt *a)
 {
-	struct wire_credit m = {a->xid, WIRE_BODY_ANSWER, c->answer_owed};
+	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, c->answer_owed };
 
 	if (!c->answer_owed || !a->peer->conn)
 		return;
@@ -72,11 +74,12 @@
 
 	memcpy(f, m->field, n * sizeof *f);
 	if (c->id[0])
-		f[n++] = (struct http_field){FIELD_REQUEST_ID, c->id};
+		f[n++] = (struct http_field){ FIELD_REQUEST_ID, c->id };
 	if (m->outcome == WIRE_KEPT)
-		f[n++] = (struct http_field){FIELD_OUTCOME, "kept"};
+		f[n++] = (struct http_field){ FIELD_OUTCOME, "kept" };
 	c->state = OUT_ANSWERING;
 	c->winner = a;
+	c->status = m->status;
 	http_exchange_head(c->exchange, m->status, f, n, m->length);
 }
 
@@ -113,6 +116,7 @@
 		c->data->counters.retries++;
 	}
 	c->may_have_run = 1;
+	outbound_trace_attempt(a, "failed", m->status);
 	pick_done(c->service->pick, a->handle, now, now - a->started,
 	    PICK_FAILED, &m->load);
 	outbound_attempt_clear(a);
--- a/tests/fake/platform/main.c
+++ b/tests/fake/platform/main.c
@@ -45,9 +45,10 @@
 	struct arg_str *file =
 	    arg_str0(NULL, "history", "FILE", "append history lines");
 	struct arg_end *end = arg_end(5);
-	void *table[] = {ip, port, writes, reads, file, end};
+	void *table[] = { ip, port, writes, reads, file, end };
 	static struct platform p;
 	struct kq_error e;
+	int r;
 
 	writes->dval[0] = WRITES_PER_S;
 	reads->dval[0] = READS_PER_S;
@@ -64,5 +65,7 @@
 		fprintf(stderr, "fake-platform: %s\n", e.text);
 		return EXIT_FAILURE;
 	}
-	return run(&p, ip->sval[0], port->ival[0]);
+	r = run(&p, ip->sval[0], port->ival[0]);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return r;
 }
--- a/tests/fake/target/announce.c
+++ b/tests/fake/target/announce.c
@@ -59,10 +59,10 @@
 }
 
 static const struct http_call_ops ops = {
-    .head = on_head,
-    .body = on_body,
-    .done = on_done,
-    .failed = on_failed,
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.failed = on_failed,
 };
 
 static void
@@ -83,7 +83,7 @@
 send_announcement(struct announcer *a)
 {
 	struct target *t = a->target;
-	struct http_field json = {"Content-Type", "application/json"};
+	struct http_field json = { "Content-Type", "application/json" };
 	struct kq_error e;
 	char b[512];
 	int n = 0;
@@ -131,8 +131,8 @@
 		    "--announce %s: not IP:PORT", to);
 	}
 	*colon = '\0';
-	a->pool = http_pool_new(
-	    t->loop, ip, (int)strtol(colon + 1, NULL, 10), 2, 0, &limits);
+	a->pool = http_pool_new(t->loop, ip, (int)strtol(colon + 1, NULL, 10),
+	    2, 0, &limits);
 	g_free(ip);
 	send_announcement(a);
 	return 0;
--- a/tests/system/fakes.sh
+++ b/tests/system/fakes.sh
@@ -6,9 +6,11 @@
 dir=$(mktemp -d)
 pids=
 failed=0
-P=127.0.0.9:20100
-T=127.0.0.9:20101
-B=127.0.0.9:20102
+# an address of its own, so that two runs on one machine do not meet
+ip=127.99.$(($$ / 250 % 250)).$(($$ % 250 + 1))
+P=$ip:20100
+T=$ip:20101
+B=$ip:20102
 
 stop_all() {
 	for p in $pids; do
@@ -17,14 +19,14 @@
 	rm -rf "$dir"
 }
 trap stop_all EXIT
-trap 'exit 1' INT TERM
+trap 'exit 1' HUP INT PIPE TERM
 
 # same NAME EXPECTED ACTUAL
 same() {
 	if [ "$2" = "$3" ]; then
 		echo "ok $1"
 	else
-		echo "FAILED $1: expected '$2', got '$3'"
+		echo "FAILED $1: expected '$2', got '$(echo "$3" | cut -c 1-200)'"
 		failed=1
 	fi
 }
@@ -73,7 +75,7 @@
 
 # ---- platform ----
 
-"$o/fake-platform" --ip 127.0.0.9 --port 20100 --writes 20 --reads 200 \
+"$o/fake-platform" --ip $ip --port 20100 --writes 20 --reads 200 \
 	--history "$dir/platform" &
 platform=$!
 pids=$platform
@@ -151,7 +153,7 @@
 wait $platform
 same platform-stops 0 $?
 
-"$o/fake-platform" --ip 127.0.0.9 --port 20100 --writes 1e6 &
+"$o/fake-platform" --ip $ip --port 20100 --writes 1e6 &
 platform=$!
 pids=$platform
 ready $P
@@ -162,14 +164,15 @@
 
 # ---- target ----
 
-"$o/fake-target" --ip 127.0.0.9 --port 20102 --service s --dc a &
+"$o/fake-target" --ip $ip --port 20102 --service s --dc a &
 beside=$!
-"$o/fake-target" --ip 127.0.0.9 --port 20101 --service s --dc a --fixed 1 \
+pids="$pids $beside"
+ready $B
+"$o/fake-target" --ip $ip --port 20101 --service s --dc a --fixed 1 \
 	--service-us 1000 --connect-us 0 --announce $B \
 	--history "$dir/target" &
 target=$!
-pids="$pids $beside $target"
-ready $B
+pids="$pids $target"
 ready $T
 sleep 0.2
 same announced 1 "$(count $B runs)"
@@ -298,6 +301,9 @@
 set_target straggle=300
 load --seed 7 --timeout-ms 200 --connections 2
 holds load-waits "$(value timeouts)" -ge 100
+set_target straggle=10
+load --seed 9 --connections 1
+holds load-counts-queueing "$(value p50 | cut -d. -f1)" -ge 200
 set_target 'straggle=1&wrong=1'
 load --seed 8
 same load-wrong-exit 1 $?
