--- a/bench/member/main.c
+++ b/bench/member/main.c
@@ -118,14 +118,14 @@
 		back += live >= member_count(f->node[0].table) - 1;
 		acts += member_may_act(f->node[node].table);
 	}
-	snprintf(
-	    name, sizeof name, "pause_%.1fs_died", (double)time / SECOND_US);
+	snprintf(name, sizeof name, "pause_%.1fs_died",
+	    (double)time / SECOND_US);
 	report(f->n, name, (double)died / PAUSES, "share");
-	snprintf(
-	    name, sizeof name, "pause_%.1fs_back", (double)time / SECOND_US);
+	snprintf(name, sizeof name, "pause_%.1fs_back",
+	    (double)time / SECOND_US);
 	report(f->n, name, (double)back / PAUSES, "share");
-	snprintf(
-	    name, sizeof name, "pause_%.1fs_may_act", (double)time / SECOND_US);
+	snprintf(name, sizeof name, "pause_%.1fs_may_act",
+	    (double)time / SECOND_US);
 	report(f->n, name, (double)acts / PAUSES, "share");
 	snprintf(name, sizeof name, "pause_%.1fs_others_died",
 	    (double)time / SECOND_US);
@@ -158,8 +158,8 @@
 static void
 bench_size(int n)
 {
-	static const int64_t pauses[] = {
-	    100000, 500000, 1000000, 2000000, 5000000, 10000000};
+	static const int64_t pauses[] = { 100000, 500000, 1000000, 2000000,
+		5000000, 10000000 };
 	struct fleet *f = fleet_new(n, LOSS, (guint32)n, 1);
 	size_t i;
 
@@ -174,7 +174,7 @@
 int
 main(int argc, char **argv)
 {
-	static const int sizes[] = {10, 50, 200, 990};
+	static const int sizes[] = { 10, 50, 200, 990 };
 	size_t i;
 
 	if (argc > 1)
--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -5,15 +5,15 @@
 
 #include "member.h"
 
-#define HEALTH_MAX 8	    /* worst local health score (Lifeguard) */
-#define SEND_FACTOR 4	    /* times an update is sent, for each power of ten */
+#define HEALTH_MAX 8 /* worst local health score (Lifeguard) */
+#define SEND_FACTOR 4 /* times an update is sent, for each power of ten */
 #define PIGGYBACK_BYTES 512 /* largest datagram of a probe */
-#define NOTIFY_ROUNDS 3	    /* times a new digest is sent to a few members */
-#define SUSPECT_CHECKS 4    /* a suspect is pinged this often, less one */
-#define RELAYS_MAX 256	    /* probes on behalf of others at once */
-#define JOIN_TRIES 3	    /* requests without an answer until the next seed */
-#define JOIN_RETRY_US 300000   /* between two requests of a newcomer */
-#define JOIN_AT_ONCE 2	       /* seeds asked at once */
+#define NOTIFY_ROUNDS 3 /* times a new digest is sent to a few members */
+#define SUSPECT_CHECKS 4 /* a suspect is pinged this often, less one */
+#define RELAYS_MAX 256 /* probes on behalf of others at once */
+#define JOIN_TRIES 3 /* requests without an answer until the next seed */
+#define JOIN_RETRY_US 300000 /* between two requests of a newcomer */
+#define JOIN_AT_ONCE 2 /* seeds asked at once */
 #define CONFIRM_MAX_US 2000000 /* longest time between two attempts */
 
 /**
@@ -163,16 +163,16 @@
 void member_send(struct member_table *, const struct member_address *,
     const struct member_message *);
 /** member_send_to() - add piggybacked updates and send to a row */
-void member_send_to(
-    struct member_table *, int handle, struct member_message *, size_t bytes);
+void member_send_to(struct member_table *, int handle, struct member_message *,
+    size_t bytes);
 void member_ping(struct member_table *, int handle, uint32_t seq);
 void member_gossip_to(struct member_table *, int handle);
 
 /* probe.c, relay.c */
 void member_probe_step(struct member_table *, int64_t now);
 void member_probe_answer(struct member_table *, const struct member_message *);
-void member_relay_start(
-    struct member_table *, const struct member_message *, int64_t now);
+void member_relay_start(struct member_table *, const struct member_message *,
+    int64_t now);
 void member_relay_answer(struct member_table *, const struct member_message *);
 /** member_relay_expire() - refuse what is overdue; returns the next due time */
 int64_t member_relay_expire(struct member_table *, int64_t now);
@@ -189,10 +189,10 @@
 void member_sync_answer(struct member_table *, const struct member_message *);
 void member_want_answer(struct member_table *, const struct member_message *);
 void member_join_step(struct member_table *, int64_t now);
-void member_join_welcome(
-    struct member_table *, const struct member_message *, int64_t now);
-void member_join_page(
-    struct member_table *, const struct member_message *, int64_t now);
+void member_join_welcome(struct member_table *, const struct member_message *,
+    int64_t now);
+void member_join_page(struct member_table *, const struct member_message *,
+    int64_t now);
 void member_pull_answer(struct member_table *, const struct member_message *);
 /** member_note_time() - find out that we were paused */
 void member_note_time(struct member_table *, int64_t now);
--- a/src/core/member/join.c
+++ b/src/core/member/join.c
@@ -71,8 +71,8 @@
 }
 
 void
-member_join_welcome(
-    struct member_table *t, const struct member_message *msg, int64_t now)
+member_join_welcome(struct member_table *t, const struct member_message *msg,
+    int64_t now)
 {
 	struct join *j = &t->join;
 
@@ -86,8 +86,8 @@
 }
 
 void
-member_join_page(
-    struct member_table *t, const struct member_message *msg, int64_t now)
+member_join_page(struct member_table *t, const struct member_message *msg,
+    int64_t now)
 {
 	struct join *j = &t->join;
 
--- a/src/core/member/probe.c
+++ b/src/core/member/probe.c
@@ -58,8 +58,8 @@
 
 	n = member_pick(t, target, n, handle);
 	for (i = 0; i < n; i++) {
-		struct member_message *msg = member_begin(
-		    t, MEMBER_PING_REQ, member_row(t, handle[i])->m.info.id);
+		struct member_message *msg = member_begin(t, MEMBER_PING_REQ,
+		    member_row(t, handle[i])->m.info.id);
 
 		msg->seq = p->seq;
 		msg->target = p->id;
--- a/src/core/member/queue.c
+++ b/src/core/member/queue.c
@@ -60,8 +60,8 @@
 }
 
 void
-member_piggyback(
-    struct member_table *t, struct member_message *msg, size_t bytes)
+member_piggyback(struct member_table *t, struct member_message *msg,
+    size_t bytes)
 {
 	int level, limit = send_limit(t);
 	guint i, n = t->queue->len;
--- a/src/core/member/random.c
+++ b/src/core/member/random.c
@@ -41,8 +41,8 @@
 	int i, n = 0, tries = k * PICK_TRIES;
 
 	while (n < k && tries-- > 0 && t->live->len > 0) {
-		int h = g_array_index(
-		    t->live, int, member_random_below(t, t->live->len));
+		int h = g_array_index(t->live, int,
+		    member_random_below(t, t->live->len));
 
 		for (i = 0; i < n && handle[i] != h; i++)
 			;
--- a/src/core/member/receive.c
+++ b/src/core/member/receive.c
@@ -29,8 +29,8 @@
 	if (t->leaving || !holds_us_gone(msg))
 		return;
 	if (msg->view_state == MEMBER_LEFT) {
-		struct member_update u = {
-		    .state = MEMBER_LEFT, .info.id = self->m.info.id};
+		struct member_update u = { .state = MEMBER_LEFT,
+			.info.id = self->m.info.id };
 
 		member_merge(t, &u, 0);
 		return;
@@ -113,8 +113,8 @@
 }
 
 void
-member_receive(
-    struct member_table *t, const struct member_message *msg, int64_t now)
+member_receive(struct member_table *t, const struct member_message *msg,
+    int64_t now)
 {
 	uint64_t self = member_row(t, 0)->m.info.id;
 	int i;
--- a/src/core/member/relay.c
+++ b/src/core/member/relay.c
@@ -5,8 +5,8 @@
 #define RELAY_TIMEOUTS 2 /* probe timeouts until a relay refuses */
 
 void
-member_relay_start(
-    struct member_table *t, const struct member_message *msg, int64_t now)
+member_relay_start(struct member_table *t, const struct member_message *msg,
+    int64_t now)
 {
 	struct member_message *ping;
 	struct relay *r = NULL;
--- a/src/core/member/row.c
+++ b/src/core/member/row.c
@@ -143,8 +143,8 @@
 member_change(struct member_table *t, int handle, enum member_state state,
     uint32_t number, int64_t now)
 {
-	static const enum member_event events[] = {MEMBER_EVENT_ALIVE,
-	    MEMBER_EVENT_SUSPECTED, MEMBER_EVENT_DEAD, MEMBER_EVENT_LEFT};
+	static const enum member_event events[] = { MEMBER_EVENT_ALIVE,
+		MEMBER_EVENT_SUSPECTED, MEMBER_EVENT_DEAD, MEMBER_EVENT_LEFT };
 	struct row *r = member_row(t, handle);
 	enum member_state before = r->m.state;
 
--- a/src/core/member/size.c
+++ b/src/core/member/size.c
@@ -4,9 +4,9 @@
 
 #include "core/member/impl.h"
 
-#define FRAME_BYTES 44	 /* version, key id, counter and tag */
-#define HEAD_BYTES 68	 /* fixed part of a message */
-#define UPDATE_BYTES 16	 /* id, state, number */
+#define FRAME_BYTES 44 /* version, key id, counter and tag */
+#define HEAD_BYTES 68 /* fixed part of a message */
+#define UPDATE_BYTES 16 /* id, state, number */
 #define ADDRESS_BYTES 16 /* IP number and three ports */
 #define WANT_BYTES 8
 
--- a/src/core/member/sync.c
+++ b/src/core/member/sync.c
@@ -90,8 +90,8 @@
 	int i;
 
 	for (i = 0; i < n; i++)
-		member_append(
-		    t, msg, handle[i], 0, (size_t)t->limits.datagram_bytes);
+		member_append(t, msg, handle[i], 0,
+		    (size_t)t->limits.datagram_bytes);
 	member_send(t, &page->source, msg);
 }
 
@@ -131,8 +131,8 @@
 		int h = member_find(t, want->want[i]);
 
 		if (h != MEMBER_NONE)
-			member_append(
-			    t, msg, h, 1, (size_t)t->limits.datagram_bytes);
+			member_append(t, msg, h, 1,
+			    (size_t)t->limits.datagram_bytes);
 	}
 	if (msg->nupdate > 0)
 		member_send(t, &want->source, msg);
--- a/src/core/member/table.c
+++ b/src/core/member/table.c
@@ -81,8 +81,8 @@
 }
 
 void
-member_learn(
-    struct member_table *t, const struct member_info *info, int64_t now)
+member_learn(struct member_table *t, const struct member_info *info,
+    int64_t now)
 {
 	if (info->id != 0 && member_find(t, info->id) == MEMBER_NONE)
 		member_add(t, info, MEMBER_ALIVE, 0, now);
@@ -91,7 +91,7 @@
 void
 member_unlearn(struct member_table *t, uint64_t id, int64_t now)
 {
-	struct member_update u = {.state = MEMBER_LEFT, .info.id = id};
+	struct member_update u = { .state = MEMBER_LEFT, .info.id = id };
 
 	member_merge(t, &u, now);
 }
--- a/src/core/member/watchers.c
+++ b/src/core/member/watchers.c
@@ -40,8 +40,8 @@
 }
 
 int
-member_watchers(
-    const struct member_table *t, const char *datacentre, int k, int *handle)
+member_watchers(const struct member_table *t, const char *datacentre, int k,
+    int *handle)
 {
 	int h, n = 0;
 
--- a/src/daemon/inbound_run.c
+++ b/src/daemon/inbound_run.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "data_impl.h"
+#include "log.h"
 
 /* The target's answer to a request that it did not start. */
 static int
@@ -87,6 +88,8 @@
 	struct data *d = c->data;
 
 	c->target_call = NULL;
+	log_event(EVENT_TARGET_LOST, G_LOG_LEVEL_INFO, data_now(d),
+	    "target gave no whole answer sent=%d error=\"%s\"", sent, e->text);
 	inbound_trace_target(c, sent ? "lost" : "not-sent");
 	if (c->entry && sent)
 		once_lost(d->once, c->entry);
--- a/src/daemon/outbound_answer.c
+++ b/src/daemon/outbound_answer.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "data_impl.h"
+#include "log.h"
 
 static int
 other_open(const struct out_call *c)
@@ -72,6 +73,11 @@
 		    "the request failed on each target tried\n");
 		return;
 	}
+	if (!c->idempotent)
+		log_event(EVENT_OUTCOME_UNKNOWN, G_LOG_LEVEL_WARNING,
+		    data_now(c->data),
+		    "outcome unknown service=%s request_id=%s reason=%s",
+		    c->service->conf.name, c->id, reason);
 	outbound_refuse(c, 504, "unknown", reason,
 	    "no whole answer came; the request may have run\n");
 }
--- a/src/internal/log.h
+++ b/src/internal/log.h
@@ -36,7 +36,9 @@
 	EVENT_MEMBER_DEAD = 403,
 	EVENT_MEMBER_LEFT = 404,
 	EVENT_PAUSED = 410,
-	EVENT_DATAGRAM_REFUSED = 420
+	EVENT_DATAGRAM_REFUSED = 420,
+	EVENT_OUTCOME_UNKNOWN = 500,
+	EVENT_TARGET_LOST = 501
 };
 
 /** log_event() - write one event; @now in monotonic microseconds bounds its
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -68,8 +68,8 @@
 	struct member_info info;
 	enum member_state state;
 	uint32_t number; /* SWIM's incarnation number */
-	int confirmed;	 /* heard of from a member, not only learned */
-	int64_t since;	 /* time of the last change of state */
+	int confirmed; /* heard of from a member, not only learned */
+	int64_t since; /* time of the last change of state */
 	uint64_t digest; /* highest configuration version it has told */
 };
 
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -87,7 +87,7 @@
 		else if (!strncmp(argv[i], "--wait=", 7))
 			t->wait_ms = g_ascii_strtoull(argv[i] + 7, NULL, 10);
 		else if (i + 1 < argc &&
-		    !address_option(t, argv[i], argv[i + 1]))
+			 !address_option(t, argv[i], argv[i + 1]))
 			i++;
 		else
 			return -1;
--- a/tests/lib/fleet.c
+++ b/tests/lib/fleet.c
@@ -134,13 +134,13 @@
 	event_insert(f, e);
 }
 
-static const struct member_ops ops = {on_send, on_event, on_behind};
+static const struct member_ops ops = { on_send, on_event, on_behind };
 
 static void
 node_init(struct fleet *f, int i)
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
-	static const char *const names[] = {"luzon-a", "luzon-b", "luzon-c"};
+	static const char *const names[] = { "luzon-a", "luzon-b", "luzon-c" };
 	struct fleet_node *node = &f->node[i];
 	struct fleet_ctx *c = &f->ctx[i];
 
@@ -150,11 +150,11 @@
 	node->left_at = g_new0(int64_t, f->n);
 	node->info.id = FIRST_ID + (uint64_t)i;
 	node->info.address.ip = (uint32_t)i;
-	g_strlcpy(
-	    node->info.datacentre, names[i % 3], sizeof node->info.datacentre);
+	g_strlcpy(node->info.datacentre, names[i % 3],
+	    sizeof node->info.datacentre);
 	g_strlcpy(node->info.region, "luzon", sizeof node->info.region);
-	node->table = member_new(
-	    &node->info, &limits, g_rand_int(f->rand), &ops, c, f->now);
+	node->table = member_new(&node->info, &limits, g_rand_int(f->rand),
+	    &ops, c, f->now);
 	event_insert(f, event_add(f, EVENT_TICK, i, f->now));
 }
 
@@ -175,8 +175,8 @@
 		node_init(f, i);
 	for (i = 0; i < n && acquainted; i++) {
 		for (k = 0; k < n; k++)
-			member_learn(
-			    f->node[i].table, &f->node[k].info, f->now);
+			member_learn(f->node[i].table, &f->node[k].info,
+			    f->now);
 	}
 	return f;
 }
@@ -207,8 +207,8 @@
 	const struct member_message *m = e->message;
 
 	memcpy(&msg, m, offsetof(struct member_message, update));
-	memcpy(
-	    msg.update, m->update, (size_t)m->nupdate * sizeof msg.update[0]);
+	memcpy(msg.update, m->update,
+	    (size_t)m->nupdate * sizeof msg.update[0]);
 	msg.source.ip = f->node[node_of(m->from)].info.address.ip;
 	msg.source.port = 0;
 	member_receive(f->node[e->node].table, &msg, f->now);
@@ -223,8 +223,8 @@
 	switch (e->kind) {
 	case EVENT_TICK:
 		due = member_tick(node->table, f->now);
-		event_insert(
-		    f, event_add(f, EVENT_TICK, e->node, MAX(due, f->now + 1)));
+		event_insert(f,
+		    event_add(f, EVENT_TICK, e->node, MAX(due, f->now + 1)));
 		break;
 	case EVENT_MESSAGE:
 		deliver(f, e);
--- a/tests/lib/fleet.h
+++ b/tests/lib/fleet.h
@@ -45,7 +45,7 @@
 	struct fleet_ctx *ctx;
 	GSequence *events;
 	uint64_t serial;
-	uint64_t deaths;       /* events of declaring a node dead */
+	uint64_t deaths; /* events of declaring a node dead */
 	uint64_t false_deaths; /* of one that was neither dead nor paused */
 	uint64_t suspicions;
 };
