Leave some of a target's connections to the target

Cause: the pool opened as many connections as the target accepts. The target counts a closed one until it has read that far, so a new one could be one too many: it was cut with a non-idempotent request on it, whose outcome is then unknown. Ruled out: spare connections closed by idleness (the alive check peeks before sending), cold targets falling over (no such event).

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,7 +4,8 @@
 #   fleet_platform                 the platform's stand-in at $fleet_platform_at
 #   fleet_instance DC N SERVICE [TARGET-OPTION]...
 #                                  a daemon and its target at 127.0.DC.N
-#   fleet_ready SERVICE...         wait until a call to each service is answered
+#   fleet_ready SERVICE...         wait until a call to each service is answered at
+#                                  the daemon $fleet_first
 #   fleet_close                    stop all that was started, in order
 #
 # Ports on each address: caller 8400, peer 8410, operator 8420, target 9001.
@@ -18,6 +19,7 @@
 	fleet_pids=
 	fleet_daemons=
 	fleet_targets=
+	fleet_first=127.0.1.1:8400
 }
 
 # Runs a program in the background; its process id is in $!.
@@ -53,7 +55,7 @@
 	"datacentre": "dc$1", "region": "r1",
 	"caller_port": 8400, "peer_port": 8410, "operator_port": 8420,
 	"platform": { "ip": "${fleet_platform_at%:*}", "port": ${fleet_platform_at#*:} },
-	"peers": [ { "ip": "127.0.1.1", "port": 8410 }, { "ip": "127.0.2.1", "port": 8410 } ],
+	"peers": [ { "ip": "${fleet_first%:*}", "port": 8410 }, { "ip": "127.0.2.1", "port": 8410 } ],
 	"fleet_keys": [ "$fleet_key" ]
 }
 EOF
@@ -90,7 +92,7 @@
 	for fleet_s in "$@"; do
 		fleet_i=0
 		until [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' -H "Host: $fleet_s" \
-			http://127.0.1.1:8400/fleet-ready)" = 200 ]; do
+			"http://$fleet_first/fleet-ready")" = 200 ]; do
 			fleet_i=$((fleet_i + 1))
 			[ $fleet_i -lt 150 ] || return 1
 			sleep 0.1
@@ -118,5 +120,5 @@
 }
 
 fleet_tool() {
-	"$fleet_build/kumquatrock" --platform "$fleet_platform_at" --daemon 127.0.1.1:8420 "$@"
+	"$fleet_build/kumquatrock" --platform "$fleet_platform_at" --daemon "${fleet_first%:*}:8420" "$@"
 }
--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -13,6 +13,7 @@
 #define HTTP_LINGER_US 2000000 /* wait for the peer to close */
 #define HTTP_ACCEPT_RETRY_US 100000 /* after a failed accept */
 #define HTTP_SPARE_RETRY_US 1000000 /* after a spare connection was lost */
+#define HTTP_IDLE_MAX 64 /* used connections kept without a call */
 #define HTTP_REFUSED_MAX 64 /* refused connections being closed */
 #define HTTP_US_PER_MS 1000
 
--- a/src/daemon/inbound_target.c
+++ b/src/daemon/inbound_target.c
@@ -3,13 +3,26 @@
 #include "data_impl.h"
 
 #define TARGET_SPARE_CONNECTIONS 4 /* kept open ahead */
+#define TARGET_MARGIN_LEAST 2 /* connections left to the target */
+#define TARGET_MARGIN_PART 16 /* one of so many is left to it */
+
+/* Connections that may be open here. The target sees a closed one as open
+ * until it has read that far, so some are left to it: one above its limit
+ * would be cut, with a request on it. */
+static int
+usable_connections(const struct data_target *t)
+{
+	int margin = TARGET_MARGIN_LEAST + t->connections / TARGET_MARGIN_PART;
+
+	return MAX(1, t->connections - margin);
+}
 
 static void
 admit_settings(const struct data *d, const struct service *s,
     struct admit_config *a)
 {
 	a->slots = d->target.slots;
-	a->connections = d->target.connections;
+	a->connections = MAX(1, usable_connections(&d->target) - 1);
 	a->cold_limit = s ? s->cold_limit : 1;
 	a->cold_good_us = (s ? s->cold_good_ms : 100) * (int64_t)1000;
 	a->cold_idle_us = (s ? s->cold_idle_ms : 0) * (int64_t)1000;
@@ -43,7 +56,7 @@
 	if (d->pool)
 		http_pool_free(d->pool);
 	d->pool = http_pool_new(d->task.loop, d->target.ip, d->target.port,
-	    d->target.connections, TARGET_SPARE_CONNECTIONS, &limits);
+	    usable_connections(&d->target), TARGET_SPARE_CONNECTIONS, &limits);
 	budget_init(&d->measure_budget, s ? s->measure_per_s : 0, data_now(d));
 	inbound_measure_start(d);
 }
