--- a/src/adapter/log/log_event.c
+++ b/src/adapter/log/log_event.c
@@ -60,9 +60,23 @@
 	    left_out ? " (lines left out before)" : "");
 }
 
+static int
+own_event(const GLogField *f, gsize n)
+{
+	gsize i;
+
+	for (i = 0; i < n; i++)
+		if (!g_strcmp0(f[i].key, "EVENT"))
+			return 1;
+	return 0;
+}
+
 static GLogWriterOutput
 writer(GLogLevelFlags level, const GLogField *f, gsize n, gpointer ctx)
 {
+	/* Libraries' chatter below a warning is not ours to print. */
+	if (level > G_LOG_LEVEL_WARNING && !own_event(f, n))
+		return G_LOG_WRITER_HANDLED;
 	return g_log_writer_standard_streams(level, f, n, NULL);
 }
 
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -214,6 +214,7 @@
 	struct http_server *server;
 	GHashTable *services; /* name to struct out_service */
 	GHashTable *peers; /* incarnation to struct out_peer */
+	int64_t body_bytes; /* of request bodies held for callers */
 	GHashTable *out_calls; /* set of struct out_call */
 	GHashTable *ramps; /* data centre name to struct ramp */
 	struct io_timer ramp_timer;
@@ -265,7 +266,6 @@
 void
 outbound_request(void *ctx, struct http_exchange *, const struct http_head *);
 void outbound_start(struct out_call *);
-void outbound_try(struct out_call *);
 int outbound_attempt(struct out_call *);
 int outbound_attempt_send(struct out_attempt *);
 void outbound_pump(struct out_attempt *);
--- a/src/daemon/outbound_attempt.c
+++ b/src/daemon/outbound_attempt.c
@@ -189,6 +189,7 @@
 	if (low == SIZE_MAX || low <= c->body_base)
 		return;
 	g_byte_array_remove_range(c->body, 0, low - c->body_base);
+	c->data->body_bytes -= low - c->body_base;
 	c->body_base = low;
 	if (c->paused && c->body->len <= WIRE_WINDOW / 2) {
 		c->paused = 0;
--- a/src/daemon/outbound_call.c
+++ b/src/daemon/outbound_call.c
@@ -37,24 +37,24 @@
 	c->hedge_timer.ctx = c;
 }
 
-/* Begins with the first attempt once enough of the body is there. */
-void
-outbound_try(struct out_call *c)
+/* Begins with the first attempt once enough of the body is there; -1 when the
+ * call ended for want of a target. */
+static int
+begin(struct out_call *c)
 {
 	int64_t delay;
 
-	if (c->state != OUT_READING)
-		return;
 	c->state = OUT_TRYING;
 	if (outbound_attempt(c)) {
 		c->reason = WIRE_REASON_NO_TARGET;
 		outbound_give_up(c);
-		return;
+		return -1;
 	}
 	delay = retry_hedge_delay(&c->service->retry, &c->retry);
 	if (delay >= 0 && c->body_whole)
 		io_timer_set(c->data->task.loop, &c->hedge_timer,
 		    data_now(c->data) + delay);
+	return 0;
 }
 
 static void
@@ -66,8 +66,16 @@
 	if (!c)
 		return;
 	g_byte_array_append(c->body, p, n);
-	if (c->state == OUT_READING && c->body->len >= WIRE_CHUNK_MAX)
-		outbound_try(c);
+	c->data->body_bytes += n;
+	if (c->data->body_bytes > c->data->settings.body_in_flight_bytes &&
+	    c->state == OUT_READING) {
+		outbound_refuse(c, 503, "not-run", "body-in-flight",
+		    "too many bytes of request bodies are in flight\n");
+		return;
+	}
+	if (c->state == OUT_READING && c->body->len >= WIRE_CHUNK_MAX &&
+	    begin(c))
+		return;
 	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
 		if (c->attempt[i].state == ATTEMPT_SENT)
 			outbound_pump(&c->attempt[i]);
@@ -87,7 +95,7 @@
 		return;
 	c->body_whole = 1;
 	if (c->state == OUT_READING) {
-		outbound_try(c);
+		begin(c);
 		return;
 	}
 	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
@@ -132,6 +140,7 @@
 	if (c->retry.deadline)
 		retry_end(&c->service->retry, &c->retry);
 	head_copy_clear(&c->head);
+	d->body_bytes -= c->body->len;
 	g_byte_array_unref(c->body);
 	g_hash_table_remove(d->out_calls, c);
 	g_free(c);
