--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -127,6 +127,15 @@
 	task_post(&c->task, target_idle, c, NULL);
 }
 
+static void
+on_paused(void *ctx, uint32_t number)
+{
+	struct control *c = ctx;
+
+	task_post(&c->task, control_paused, c,
+	    g_memdup2(&number, sizeof number));
+}
+
 static void
 on_spans(void *ctx, GString *text)
 {
@@ -141,6 +150,7 @@
 	.page = on_page,
 	.drained = on_drained,
 	.target_idle = on_target_idle,
+	.paused = on_paused,
 	.spans = on_spans,
 };
 
--- a/src/daemon/control_config.c
+++ b/src/daemon/control_config.c
@@ -68,6 +68,7 @@
 	v->complete = config_complete(c->config);
 	v->rules_version = c->rules_version;
 	v->may_act = c->may_act;
+	v->pause = c->data_pause;
 	v->service = g_new0(struct service, s->nobject + 1);
 	v->datacentre = g_new0(struct datacentre, s->nobject + 1);
 	v->instance = g_new0(struct view_instance, s->nobject + 1);
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -43,6 +43,8 @@
 	struct member_address platform_seed;
 	GHashTable *forgotten; /* incarnations held for dead and forgotten */
 	int may_act;
+	uint32_t data_pause; /* number of the data task's last pause */
+	uint64_t behind; /* highest version that another daemon told of */
 
 	struct platform *platform;
 	int platform_down;
@@ -86,6 +88,7 @@
 void control_page(void *ctx, void *message);
 void control_serve_pull(void *ctx, void *message);
 void control_behind(void *ctx, void *message);
+void control_paused(void *ctx, void *message);
 
 struct page_message {
 	uint64_t incarnation;
--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -75,6 +75,7 @@
 	struct control *c = ctx;
 	const struct member *m = member_at(c->members, handle);
 
+	c->behind = MAX(c->behind, digest);
 	if (digest > config_complete(c->config))
 		control_pull_from(c, m->info.id);
 }
@@ -85,7 +86,8 @@
 	.behind = on_behind,
 };
 
-/* After a pause nothing is decided until another member has acknowledged us. */
+/* After a pause nothing is decided until another member has acknowledged us
+ * and what it told of is in force here. */
 static void
 check_pause(struct control *c)
 {
@@ -93,6 +95,8 @@
 
 	if (member_count(c->members) <= 1)
 		may = 1;
+	if (c->behind > config_complete(c->config) && !c->may_act)
+		may = 0;
 	if (may == c->may_act)
 		return;
 	c->may_act = may;
@@ -103,6 +107,19 @@
 		    "member has acknowledged it");
 }
 
+/* The data task was paused. This task was too, or is about to find out; its
+ * tick says whether it may act. */
+void
+control_paused(void *ctx, void *message)
+{
+	struct control *c = ctx;
+
+	c->data_pause = *(uint32_t *)message;
+	g_free(message);
+	c->config_dirty = 1;
+	control_member_arm(c);
+}
+
 static void
 member_changed(struct control *c)
 {
--- a/src/daemon/data.c
+++ b/src/daemon/data.c
@@ -181,6 +181,7 @@
 void
 data_start(struct data *d)
 {
+	inbound_beat_start(d);
 	task_start(&d->task);
 }
 
@@ -217,6 +218,7 @@
 	io_timer_clear(d->task.loop, &d->admit_timer);
 	io_timer_clear(d->task.loop, &d->once_timer);
 	io_timer_clear(d->task.loop, &d->ramp_timer);
+	io_timer_clear(d->task.loop, &d->beat_timer);
 	if (d->pool)
 		http_pool_free(d->pool);
 	if (d->admit)
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -37,6 +37,8 @@
  *        pull failed; the receiver frees it with config_batch_clear() and
  *        g_free()
  * @drained: nothing is in flight any more after data_drain()
+ * @paused: the data task did not run for long; it takes no work until a view
+ *          with this number comes that may act
  * @spans: spans as one OTLP request; the receiver frees it
  * @target_idle: nothing is at the target any more after data_drain_target()
  */
@@ -50,6 +52,7 @@
 	    *page)(void *ctx, uint64_t incarnation, struct config_batch *page);
 	void (*drained)(void *ctx);
 	void (*target_idle)(void *ctx);
+	void (*paused)(void *ctx, uint32_t number);
 	void (*spans)(void *ctx, GString *otlp);
 };
 
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -207,6 +207,10 @@
 	void *events_ctx;
 	struct view *view;
 	struct rng rng;
+	int64_t last_beat;
+	struct io_timer beat_timer;
+	uint32_t pause; /* number of the last pause */
+	int suspended; /* paused and not caught up since */
 	int draining;
 	int drained_told;
 	int stopped;
@@ -300,6 +304,10 @@
 void out_peer_probe(struct out_service *);
 
 /* inbound */
+/* Whether this task was paused and has not caught up since. */
+int inbound_suspended(struct data *);
+void inbound_beat_start(struct data *);
+void inbound_resume(struct data *);
 void inbound_call(void *ctx, struct peer_conn *, uint32_t xid,
     const struct wire_call *);
 void inbound_admit(struct in_call *);
--- a/src/daemon/data_messages.c
+++ b/src/daemon/data_messages.c
@@ -8,6 +8,7 @@
 {
 	struct data *d = ctx;
 
+	inbound_suspended(d);
 	view_free(d->view);
 	d->view = message;
 	outbound_take_view(d);
--- a/src/daemon/inbound_call.c
+++ b/src/daemon/inbound_call.c
@@ -216,7 +216,7 @@
 		inbound_refuse(c, WIRE_GONE, WIRE_REASON_NO_TARGET);
 		return;
 	}
-	if (!d->view->may_act && !c->repeat) {
+	if ((inbound_suspended(d) || !d->view->may_act) && !c->repeat) {
 		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_PAUSED);
 		return;
 	}
@@ -263,6 +263,7 @@
 {
 	const struct service *s;
 
+	inbound_resume(d);
 	if (d->admit) {
 		admit_set_out(d->admit,
 		    view_out(d->view, d->settings.datacentre));
--- a/src/daemon/inbound_run.c
+++ b/src/daemon/inbound_run.c
@@ -207,6 +207,14 @@
 		inbound_pop(d);
 		return;
 	}
+	if (inbound_suspended(d)) {
+		if (c->entry)
+			once_shed(d->once, c->entry);
+		c->entry = 0;
+		admit_done(d->admit, now, &c->run, ADMIT_CANCELLED);
+		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_PAUSED);
+		return;
+	}
 	start_target_call(c);
 	if (!c->target_call) {
 		/* Nothing was written, so the fate is known for certain. */
--- a/src/daemon/view.h
+++ b/src/daemon/view.h
@@ -26,11 +26,13 @@
  * @rules_version: highest version of a service or data centre in it, the one
  *                 that calls are picked under
  * @may_act: 0 while this daemon may have been paused and not caught up
+ * @pause: number of the data task's last pause that was taken into account
  */
 struct view {
 	uint64_t complete;
 	uint64_t rules_version;
 	int may_act;
+	uint32_t pause;
 	int nservice;
 	struct service *service;
 	int ndatacentre;
