--- a/bench/pick/caller.c
+++ b/bench/pick/caller.c
@@ -2,6 +2,7 @@
 #include "sim.h"
 
 #define RETRY_RATIO 0.1
+#define STAGES 4
 
 int
 caller_init(struct sim *s, int i, uint64_t seed)
@@ -98,7 +99,6 @@
 		return 0;
 	c->tried[c->ntried++] = who->handle[t];
 	c->out++;
-	retry_sent(&c->retry);
 	pick_sent(who->pick, who->handle[t], s->now);
 	attempt = attempt_new(s);
 	a = &s->attempt[attempt];
@@ -106,6 +106,8 @@
 	a->caller = c->caller;
 	a->target = (uint8_t)t;
 	a->sent = s->now;
+	a->movable = (uint8_t)retry_movable(&c->retry);
+	retry_sent(&c->retry);
 	s->target[t].on_way++;
 	s->result.attempts++;
 	heap_push(&s->heap, s->now + NETWORK_US, EVENT_REACH, attempt);
@@ -123,6 +125,18 @@
 		s->latency[s->nlatency++] = latency;
 }
 
+/** Erlang, of STAGES stages. */
+static double
+service_time(struct rng *r)
+{
+	double product = 1;
+	int i;
+
+	for (i = 0; i < STAGES; i++)
+		product *= 1 - rng_unit(r);
+	return -SERVICE_US / STAGES * __builtin_log(product);
+}
+
 void
 caller_arrive(struct sim *s)
 {
@@ -132,8 +146,9 @@
 	int64_t delay;
 
 	*c = (struct call){.arrived = s->now};
-	c->caller = (uint16_t)rng_below(&s->arrivals, CALLERS);
-	c->work = -SERVICE_US * __builtin_log(1 - rng_unit(&s->arrivals));
+	c->caller =
+	    (uint16_t)rng_below(&s->arrivals, (uint32_t)s->scenario->callers);
+	c->work = service_time(&s->arrivals);
 	who = &s->caller[c->caller];
 	retry_start(&who->retry, &c->retry, 0, 0, 1, s->now + DEADLINE_US);
 	send(s, id);
--- a/bench/pick/cost.c
+++ b/bench/pick/cost.c
@@ -16,41 +16,54 @@
 	return (double)t.tv_sec + (double)t.tv_nsec * 1e-9;
 }
 
-/** One call at a table of @n candidates: choose, sent, done with a report. */
-static void
-cost_choose(enum pick_policy policy, uint32_t n)
+/** A table of @n candidates, one in three local, that each sent a report. */
+static struct pick *
+table(enum pick_policy policy, uint32_t n, const struct load_report *l)
 {
 	struct pick_config config = {policy, n, 60, 1, 1};
 	struct pick *p = pick_new(&config);
-	struct load_report l = {3, 0, 12, 2000, 0, 0, 500};
-	int64_t now = 0;
-	double begin;
-	double chosen = 0;
 	uint32_t i;
 
 	if (!p)
 		abort();
-	for (i = 0; i < n; i++)
-		pick_add(p, 0, i % 3 == 0, 1);
+	for (i = 0; i < n; i++) {
+		uint32_t h = pick_add(p, 0, i % 3 == 0, 1);
+
+		pick_sent(p, h, 0);
+		pick_done(p, h, 2000, 2000, PICK_GOOD, l);
+	}
+	return p;
+}
+
+static void
+cost_pick(enum pick_policy policy, uint32_t n)
+{
+	struct load_report l = {3, 0, 12, 2000, 0, 0, 500};
+	struct pick *p = table(policy, n, &l);
+	int64_t now = 2000;
+	double begin = seconds();
+	double chosen;
+	uint32_t i;
+
+	for (i = 0; i < ROUNDS; i++)
+		pick_choose(p, now += 100, NULL, 0);
+	chosen = seconds() - begin;
 	begin = seconds();
 	for (i = 0; i < ROUNDS; i++) {
-		double t = seconds();
 		uint32_t h = pick_choose(p, now, NULL, 0);
 
-		chosen += seconds() - t;
 		pick_sent(p, h, now);
+		now += 100;
 		l.in_flight = i % 12;
-		pick_done(p, h, now + 2000, 2000, PICK_GOOD, &l);
+		pick_done(p, h, now, 2000, PICK_GOOD, &l);
 		h = pick_probe(p, now);
 		if (h)
 			pick_probe_reply(p, h, now, &l);
-		now += 3000;
 	}
-	begin = seconds() - begin;
 	printf("choose_%s_%u %.0f ns\n", pick_policy_name(policy), n,
 	    chosen / ROUNDS * 1e9);
 	printf("call_%s_%u %.0f ns\n", pick_policy_name(policy), n,
-	    begin / ROUNDS * 1e9);
+	    (seconds() - begin) / ROUNDS * 1e9);
 	pick_free(p);
 }
 
@@ -90,11 +103,11 @@
 	static const uint32_t sizes[] = {19, 990};
 	int i;
 
-	for (i = 0; i < 2; i++) {
-		cost_choose(PICK_LEAST_OF_TWO, sizes[i]);
-		cost_choose(PICK_PROBE_POOL, sizes[i]);
-		cost_choose(PICK_EXPECTED, sizes[i]);
-	}
+	int policy;
+
+	for (i = 0; i < 2; i++)
+		for (policy = 0; policy < PICK_POLICIES; policy++)
+			cost_pick((enum pick_policy)policy, sizes[i]);
 	cost_admit(0);
 	cost_admit(32);
 }
--- a/bench/pick/sim.c
+++ b/bench/pick/sim.c
@@ -142,7 +142,7 @@
 		return -1;
 	for (i = 0; i < TARGETS; i++)
 		target_init(s, i);
-	for (i = 0; i < CALLERS; i++)
+	for (i = 0; i < s->scenario->callers; i++)
 		if (caller_init(s, i, seed + 2) < 0)
 			return -1;
 	return 0;
@@ -153,7 +153,7 @@
 {
 	int i;
 
-	for (i = 0; i < CALLERS; i++)
+	for (i = 0; i < s->scenario->callers; i++)
 		pick_free(s->caller[i].pick);
 	free(s->call);
 	free(s->attempt);
--- a/bench/pick/sim.h
+++ b/bench/pick/sim.h
@@ -16,7 +16,7 @@
 
 #define TARGETS 10
 #define SLOTS 12
-#define CALLERS 100
+#define CALLERS_MAX 1000
 #define SERVICE_US 2000.0
 #define NETWORK_US 500
 #define CAPACITY_PER_S (TARGETS * SLOTS / SERVICE_US * 1e6)
@@ -27,12 +27,14 @@
 /**
  * struct scenario - what happens in one run
  * @load: share of CAPACITY_PER_S
- * @straggler: targets that take ten times as long
+ * @straggler: targets that take ten times as long from a third of the run
+ *	on
  * @noisy: nonzero if speeds are drawn anew each 5 ms
  * @stale_ms: age of reports, not told
  * @liars: targets that report to be idle and quick
  * @cold: nonzero if target 0 returns cold after a third of the run
  * @burst: nonzero if the load triples for 100 ms in each second
+ * @callers: at most CALLERS_MAX
  */
 struct scenario {
 	const char *name;
@@ -43,12 +45,14 @@
 	int liars;
 	int cold;
 	int burst;
+	int callers;
 };
 
 /**
  * struct way - one way of choosing
  * @oracle: nonzero to choose by the true state
- * @queue_max: requests that may wait at a target; more are refused
+ * @crowded: requests waiting at a target above which it refuses one that can
+ *	still pay for another attempt
  * @hedge: nonzero to hedge
  */
 struct way {
@@ -57,7 +61,7 @@
 	double probe_per_call;
 	enum pick_policy policy;
 	int oracle;
-	int queue_max;
+	int crowded;
 	int hedge;
 };
 
@@ -105,6 +109,7 @@
 	struct load_report report;
 	uint16_t caller;
 	uint8_t target;
+	uint8_t movable; /* the call can pay for another attempt */
 	uint8_t refused;
 };
 
@@ -149,7 +154,7 @@
 	struct rng arrivals;
 	struct rng world;
 	struct target target[TARGETS];
-	struct caller caller[CALLERS];
+	struct caller caller[CALLERS_MAX];
 	struct call *call;
 	struct attempt *attempt;
 	uint32_t ncall;
--- a/bench/pick/target.c
+++ b/bench/pick/target.c
@@ -15,7 +15,7 @@
 	struct target *t = &s->target[i];
 
 	*t = (struct target){.limit = SLOTS, .first = NONE, .last = NONE};
-	t->speed = i < s->scenario->straggler ? STRAGGLER_SPEED : 1;
+	t->speed = 1;
 	t->lies = i < s->scenario->liars;
 }
 
@@ -70,7 +70,7 @@
 		start(s, id);
 		return;
 	}
-	if (t->queued >= s->way->queue_max) {
+	if (a->movable && t->queued >= s->way->crowded) {
 		a->refused = 1;
 		answer(s, id);
 		return;
@@ -167,7 +167,7 @@
 
 	t->cold = 1;
 	t->limit = COLD_LIMIT;
-	for (i = 0; i < CALLERS; i++)
+	for (i = 0; i < s->scenario->callers; i++)
 		s->caller[i].handle[0] =
 		    pick_add(s->caller[i].pick, s->now, 1, 1);
 }
@@ -183,6 +183,8 @@
 			s->target[i].speed = rng_below(&s->world, NOISE_ONE_IN)
 						 ? 1
 						 : NOISE_SPEED;
+		if (i < s->scenario->straggler && s->now >= s->end / 3)
+			s->target[i].speed = STRAGGLER_SPEED;
 		record(&s->target[i], ms);
 	}
 	if (s->scenario->cold && !s->caller[0].handle[0] &&
--- a/src/core/admit/request.c
+++ b/src/core/admit/request.c
@@ -75,6 +75,16 @@
 	return ADMIT_WAIT;
 }
 
+int
+admit_crowded(struct admit *a, int64_t now)
+{
+	admit_settle(a, now);
+	if (2 * a->queue.n < admit_limit(a, now) || !a->queue.n)
+		return 0;
+	a->counters.crowded++;
+	return 1;
+}
+
 int
 admit_cancel(struct admit *a, uint32_t handle)
 {
--- a/src/core/pick/impl.h
+++ b/src/core/pick/impl.h
@@ -5,7 +5,8 @@
 #include "rng.h"
 
 #define INDEX_NONE UINT32_MAX
-#define POOL_MAX 16 /* probes kept */
+#define LIMIT_UNKNOWN 8 /* assumed without a report */
+#define POOL_MAX 16	/* probes kept */
 
 enum group { GROUP_LOCAL, GROUP_OTHER, GROUPS };
 
@@ -25,6 +26,7 @@
  * @unseen: own requests sent since that are not in it
  * @avoid_until: not chosen before, if there is another
  * @fails: failures since the last good reply
+ * @turn: virtual time of its last turn
  */
 struct candidate {
 	uint16_t gen;
@@ -46,6 +48,7 @@
 	uint32_t unseen;
 	int64_t avoid_until;
 	uint32_t fails;
+	double turn;
 };
 
 struct list {
@@ -85,7 +88,11 @@
  * struct pick - one table
  * @turn: for round robin
  * @use: smoothed load over limit of all reports
- * @service_us: smoothed latency over all reports
+ * @service_us: smoothed latency over all reports on replies
+ * @rate_sum, @rate_n: sum and number of the inverses of candidates' latencies;
+ *	their harmonic mean is little moved by a few slow ones
+ * @limit: smoothed limit over all reports
+ * @turn_now: virtual time of the last choice
  * @bias: smoothed latency over what was expected, over all replies
  * @credit: probes earned by choices
  */
@@ -100,6 +107,10 @@
 	struct pressure pressure;
 	double use;
 	double service_us;
+	double rate_sum;
+	uint32_t rate_n;
+	double limit;
+	double turn_now;
 	double bias;
 	double credit;
 	int64_t next_probe;
@@ -122,10 +133,13 @@
 pick_policy_fn pick_latency_of_two;
 pick_policy_fn pick_probe_pool;
 pick_policy_fn pick_expected;
+pick_policy_fn pick_weighted;
 
 /** pick_find() - index of a handle's candidate, or INDEX_NONE */
 uint32_t pick_find(const struct pick *, uint32_t handle);
 uint32_t pick_handle(const struct pick *, uint32_t index);
+/** pick_allowed() - whether a candidate may be chosen, ramp aside */
+int pick_allowed(const struct pick *, const struct query *, uint32_t index);
 /** pick_usable() - whether a candidate may be chosen; draws for its ramp */
 int pick_usable(struct pick *, const struct query *, uint32_t index);
 /** pick_sample() - random usable candidate other than @not, or INDEX_NONE */
--- a/src/core/pick/note.c
+++ b/src/core/pick/note.c
@@ -33,8 +33,7 @@
 	c->draining = l->draining;
 	c->unseen = unseen;
 	p->use += SHARED_GAIN * (c->load / c->limit - p->use);
-	if (c->service_us > 0)
-		mix(&p->service_us, c->service_us, SHARED_GAIN);
+	mix(&p->limit, c->limit, SHARED_GAIN);
 }
 
 void
@@ -46,7 +45,8 @@
 	if (index == INDEX_NONE)
 		return;
 	c = &p->candidate[index];
-	mix(&c->predicted_us, pick_estimate(p, c, now), GAIN);
+	if (p->config.policy == PICK_EXPECTED)
+		mix(&c->predicted_us, pick_estimate(p, c, now), GAIN);
 	c->in_flight++;
 	c->unseen++;
 	c->started += (double)now;
@@ -84,6 +84,19 @@
 	avoid(c, now + ((int64_t)AVOID_FAILED_US << n));
 }
 
+static void
+set_latency(struct pick *p, struct candidate *c, double us)
+{
+	if (us < 1)
+		us = 1;
+	if (c->latency_us > 0)
+		p->rate_sum -= 1 / c->latency_us;
+	else
+		p->rate_n++;
+	mix(&c->latency_us, us, GAIN);
+	p->rate_sum += 1 / c->latency_us;
+}
+
 void
 pick_done(struct pick *p, uint32_t handle, int64_t now, int64_t latency_us,
     enum pick_outcome outcome, const struct load_report *l)
@@ -108,7 +121,9 @@
 	if (outcome != PICK_GOOD &&
 	    (outcome != PICK_CANCELLED || us < c->latency_us))
 		return;
-	mix(&c->latency_us, us, GAIN);
+	set_latency(p, c, us);
+	if (c->service_us > 0)
+		mix(&p->service_us, c->service_us, SHARED_GAIN);
 	c->latency_at = now;
 	if (c->predicted_us > 0)
 		p->bias += SHARED_GAIN * (us / c->predicted_us - p->bias);
--- a/src/core/pick/pool.c
+++ b/src/core/pick/pool.c
@@ -40,12 +40,14 @@
 {
 	struct pool *o = &p->pool;
 	double load = l->in_flight + l->queued;
+	double full = l->limit ? (load + 1) / l->limit : 1;
+	double latency_us = l->latency_us * (full > 1 ? full : 1);
 
 	learn_hot(o, load);
 	if (o->n == POOL_MAX)
 		drop(o, oldest(o));
 	o->probe[o->n++] = (struct pooled){
-	    handle, load, l->latency_us, now - l->age_us, POOL_USES};
+	    handle, load, latency_us, now - l->age_us, POOL_USES};
 }
 
 static int
--- a/src/core/pick/sample.c
+++ b/src/core/pick/sample.c
@@ -3,7 +3,7 @@
 #define RANDOM_TRIES 4
 
 int
-pick_usable(struct pick *p, const struct query *q, uint32_t index)
+pick_allowed(const struct pick *p, const struct query *q, uint32_t index)
 {
 	const struct candidate *c = &p->candidate[index];
 	uint32_t i;
@@ -15,9 +15,17 @@
 			return 0;
 	if (!q->strict)
 		return 1;
-	if (c->draining || c->avoid_until > q->now)
+	return !c->draining && c->avoid_until <= q->now;
+}
+
+int
+pick_usable(struct pick *p, const struct query *q, uint32_t index)
+{
+	double share = p->candidate[index].share;
+
+	if (!pick_allowed(p, q, index))
 		return 0;
-	return c->share >= 1 || rng_unit(&p->rng) < c->share;
+	return !q->strict || share >= 1 || rng_unit(&p->rng) < share;
 }
 
 uint32_t
--- a/src/core/retry/call.c
+++ b/src/core/retry/call.c
@@ -31,6 +31,12 @@
 	return c->left;
 }
 
+int
+retry_movable(const struct retry_call *c)
+{
+	return c->left > 1;
+}
+
 void
 retry_reply(struct retry_call *c, int used)
 {
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -101,6 +101,7 @@
 	uint64_t run;	    /* given to the target */
 	uint64_t waited;    /* of these, after the queue */
 	uint64_t queued;    /* put into the queue */
+	uint64_t crowded;   /* admit_crowded() said yes */
 	uint64_t cancelled; /* left the queue by admit_cancel() */
 	uint64_t refused[ADMIT_REASONS];
 	uint64_t fell[ADMIT_FALLS];
@@ -125,6 +126,15 @@
 enum admit_verdict
 admit_request(struct admit *, int64_t now, int64_t deadline, uint32_t tag,
     struct admit_run *run, uint32_t *handle, enum admit_reason *reason);
+/**
+ * admit_crowded() - whether a request that can still pay for another attempt
+ * is better off at another target
+ *
+ * The queue is then longer than half the limit. The caller may refuse such a
+ * request as not run, with ADMIT_FULL, in place of admit_request(); one that
+ * has no attempt left is given to admit_request() all the same.
+ */
+int admit_crowded(struct admit *, int64_t now);
 /** admit_done() - a request in flight has ended */
 void admit_done(
     struct admit *, int64_t now, const struct admit_run *, enum admit_outcome);
--- a/src/internal/pick.h
+++ b/src/internal/pick.h
@@ -30,6 +30,7 @@
 	PICK_LATENCY_OF_TWO, /* lower smoothed latency times own load of two */
 	PICK_PROBE_POOL,     /* Prequal's hot/cold rule over pooled probes */
 	PICK_EXPECTED,	     /* least expected wait, from all signals */
+	PICK_WEIGHTED,	     /* turns in proportion to limits and latencies */
 	PICK_POLICIES
 };
 
@@ -54,9 +55,9 @@
 	uint64_t seed;
 };
 
-#define PICK_CONFIG_DEFAULT                     \
-	{                                       \
-		PICK_EXPECTED, 1024, 60, 0.5, 1 \
+#define PICK_CONFIG_DEFAULT                    \
+	{                                      \
+		PICK_WEIGHTED, 1024, 2, 0.1, 1 \
 	}
 
 /** pick_new() - empty table; all memory is allocated here */
--- a/src/internal/retry.h
+++ b/src/internal/retry.h
@@ -94,6 +94,10 @@
 /** retry_sent() - an attempt goes out. Return: extra attempts to write into
  * it; its depth is @depth + 1 */
 int retry_sent(struct retry_call *);
+/** retry_movable() - whether the next attempt may be refused by a target that
+ * is only crowded; the last extra attempt is kept for failures. Ask before
+ * retry_sent() and write the answer into the attempt. */
+int retry_movable(const struct retry_call *);
 /** retry_reply() - a reply, good or bad, says @used extra attempts were made
  * below; call it before retry_ask() */
 void retry_reply(struct retry_call *, int used);
--- a/tests/unit/admit_rules.c
+++ b/tests/unit/admit_rules.c
@@ -111,6 +111,29 @@
 }
 END_TEST
 
+START_TEST(crowded_from_half_the_limit)
+{
+	struct admit_config c = {4, 9, 4, 20 * MS, 0, 9};
+	struct admit *a = admit_new(&c, 0);
+	struct admit_run run;
+	enum admit_reason why;
+	uint32_t h;
+	int i;
+
+	for (i = 0; i < 5; i++) {
+		ck_assert(!admit_crowded(a, 0));
+		admit_request(a, 0, SECOND, 0, &run, &h, &why);
+	}
+	ck_assert_int_eq(admit_queued(a), 1);
+	ck_assert(!admit_crowded(a, 0));
+	admit_request(a, 0, SECOND, 0, &run, &h, &why);
+	ck_assert(admit_crowded(a, 0));
+	ck_assert_uint_eq(admit_counters(a)->crowded, 1);
+	ck_assert(admit_request(a, 0, SECOND, 0, &run, &h, &why) == ADMIT_WAIT);
+	admit_free(a);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -122,6 +145,7 @@
 	tcase_add_test(c, queue_by_deadline_and_reasons);
 	tcase_add_test(c, work_begun_before_a_fall_does_not_warm);
 	tcase_add_test(c, a_hanging_target_is_cold);
+	tcase_add_test(c, crowded_from_half_the_limit);
 	suite_add_tcase(s, c);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
--- a/tests/unit/retry.c
+++ b/tests/unit/retry.c
@@ -193,7 +193,9 @@
 	ck_assert_int_eq(retry_hedge(&r, &c, 0), RETRY_NO_ONCE);
 	ck_assert_int_eq(retry_hedge_delay(&r, &c), -1);
 	ck_assert_int_eq(retry_ask(&r, &c, RETRY_FINAL, 0), RETRY_NO_FINAL);
+	ck_assert(retry_movable(&c));
 	ck_assert_int_eq(retry_ask(&r, &c, RETRY_NOT_RUN, 0), RETRY_GO);
+	ck_assert(!retry_movable(&c));
 	retry_end(&r, &c);
 }
 END_TEST
