--- a/src/core/pick/weighted.c
+++ b/src/core/pick/weighted.c
@@ -6,7 +6,6 @@
 #define SLOW 1.5	   /* times the usual latency that cost no weight */
 #define SLOW_POWER 4	   /* how steeply weight falls above */
 #define FORGET_US 10000000 /* after this a slow candidate is tried again */
-#define LOAD_GAIN 0.3	   /* weight lost for a full limit above the mean */
 #define WEIGHT_MIN 1e-6
 
 /** Latency over the usual one: of own replies, of own requests still out, or
@@ -34,8 +33,6 @@
 
 	if (slow > 1)
 		w /= pow(slow, SLOW_POWER);
-	if (c->limit)
-		w *= 1 - LOAD_GAIN * fmin(1, c->load / c->limit - p->use);
 	return fmax(w, WEIGHT_MIN);
 }
 
