--- a/src/core/pick/pool.c
+++ b/src/core/pick/pool.c
@@ -2,7 +2,8 @@
 
 #define POOL_LEAST 2	    /* fewer probes say nothing */
 #define POOL_AGE_US 1000000 /* a probe older than this is dropped */
-#define POOL_USES 3
+#define POOL_USES 1
+#define POOL_PART 3 /* at most one in so many candidates is in the pool */
 #define HOT_QUANTILE 0.84
 #define HOT_STEP 0.2 /* requests by which the quantile's estimate moves */
 
@@ -24,6 +25,17 @@
 	return best;
 }
 
+/** With all candidates in every pool, all callers would choose the same. */
+static int
+most(const struct pick *p)
+{
+	uint32_t n = pick_count(p) / POOL_PART;
+
+	if (n < POOL_LEAST)
+		return POOL_LEAST;
+	return n < POOL_MAX ? (int)n : POOL_MAX;
+}
+
 /** Quantile of requests in flight, by stochastic approximation. */
 static void
 learn_hot(struct pool *o, double load)
@@ -44,7 +56,7 @@
 	double latency_us = l->latency_us * (full > 1 ? full : 1);
 
 	learn_hot(o, load);
-	if (o->n == POOL_MAX)
+	while (o->n >= most(p))
 		drop(o, oldest(o));
 	o->probe[o->n++] = (struct pooled){
 	    handle, load, latency_us, now - l->age_us, POOL_USES};
