No pause after a refusal for want of room

Cause: a target that refused was passed over for 3 ms. With five callers that takes a fifth of its calls away at once and crowds the others.

The call that was refused still excludes the target.

--- a/src/core/pick/note.c
+++ b/src/core/pick/note.c
@@ -6,7 +6,6 @@
 #define SHARED_GAIN 0.02 /* of averages over all candidates */
 #define AVOID_LEAVING_US 1000000
 #define AVOID_COLD_US 20000
-#define AVOID_FULL_US 3000
 #define AVOID_FAILED_US 10000 /* doubled with each further failure */
 #define AVOID_DOUBLE_MAX 7
 #define FAILED_FREE 3 /* answered failures in a row that are let pass */
@@ -148,5 +147,6 @@
 		return;
 	}
 	p->pressure.refused += c->group == GROUP_LOCAL;
-	avoid(c, now + (reason == ADMIT_COLD ? AVOID_COLD_US : AVOID_FULL_US));
+	if (reason == ADMIT_COLD)
+		avoid(c, now + AVOID_COLD_US);
 }
