Admission: limit found by trial of throughput in place of the gradient

Cause: the gradient limit did nothing. Ruled out: a usual latency that rises slowly, since a target that is slower for another reason (noise, other work) would lose its limit with no gain.

Cold turns as before: none over after a sign.

--- a/src/core/admit/admit.c
+++ b/src/core/admit/admit.c
@@ -14,6 +14,7 @@
 		return NULL;
 	}
 	a->config = *config;
+	trial_init(a);
 	a->idle_since = now;
 	a->progress = now;
 	admit_fall(a, ADMIT_FALL_NEW);
@@ -33,8 +34,9 @@
 admit_configure(struct admit *a, const struct admit_config *config)
 {
 	a->config = *config;
-	if (a->limit > admit_most(a))
-		a->limit = admit_most(a);
+	trial_init(a);
+	if (a->limit > a->ceiling)
+		a->limit = a->ceiling;
 	if (a->limit < admit_cold_limit(a) || a->cold)
 		a->limit = admit_cold_limit(a);
 }
--- a/src/core/admit/cold.c
+++ b/src/core/admit/cold.c
@@ -57,7 +57,7 @@
 	a->failed = 0;
 	a->window_n = 0;
 	a->window_us = 0;
-	a->window_peak = 0;
+	trial_stop(a);
 }
 
 void
@@ -76,7 +76,7 @@
 {
 	if (a->suspect || idle(a, now) || stalled(a, now, 1))
 		return admit_cold_limit(a);
-	return (int)a->limit;
+	return a->trial.limit ? a->trial.limit : (int)a->limit;
 }
 
 int
@@ -90,5 +90,6 @@
 {
 	(void)now;
 	a->usual_us = 0;
+	trial_init(a);
 	admit_fall(a, ADMIT_FALL_START);
 }
--- a/src/core/admit/done.c
+++ b/src/core/admit/done.c
@@ -8,8 +8,9 @@
 #define SHED_SHARE 0.9 /* of the limit left after the target shed */
 
 static void
-good(struct admit *a, double us)
+good(struct admit *a, int64_t now, const struct admit_run *run)
 {
+	double us = (double)(now - run->started);
 	int slow = us > admit_slow_us(a);
 
 	a->recent_us +=
@@ -21,6 +22,7 @@
 		admit_fall(a, ADMIT_FALL_LATENCY);
 		return;
 	}
+	trial_learn(a, now, run);
 	if (!slow)
 		admit_learn(a, us);
 }
@@ -57,7 +59,7 @@
 		return;
 	switch (outcome) {
 	case ADMIT_GOOD:
-		good(a, (double)(now - run->started));
+		good(a, now, run);
 		break;
 	case ADMIT_FAILED:
 		failed(a);
--- a/src/core/admit/impl.h
+++ b/src/core/admit/impl.h
@@ -27,6 +27,40 @@
 	uint16_t *spare;
 };
 
+enum trial_kind { TRIAL_DOWN, TRIAL_UP, TRIAL_KINDS };
+
+struct sample {
+	int n;
+	double us;
+};
+
+/**
+ * struct trial - search for the limit with the best throughput
+ *
+ * While requests wait, one window of completions in many runs with another
+ * limit. If that gave more throughput over several windows, it is kept. Both
+ * limits are tried in turns, so noise strikes both alike.
+ *
+ * @limit: limit of this window, 0 if it is the usual one
+ * @spacing: windows at the usual limit before one at another; doubled when a
+ *	trial is lost
+ * @windows: windows at the usual limit since the last one at another
+ * @begun: when this window began, INT64_MAX if there is none
+ * @n, @us: completions in this window and the sum of their latencies
+ * @base, @tried: sums over windows at the usual limit and at the other
+ */
+struct trial {
+	enum trial_kind kind;
+	int limit;
+	int spacing[TRIAL_KINDS];
+	int windows;
+	int64_t begun;
+	int n;
+	double us;
+	struct sample base;
+	struct sample tried;
+};
+
 /**
  * struct admit - one target
  * @limit: requests in flight allowed while nothing speaks against it
@@ -38,8 +72,10 @@
  * @recent_us: quick average of latency
  * @slow: one bit for each recent completion, set if it was slow
  * @failed: the same for failures
- * @window_n, @window_us, @window_peak: completions since the limit was last
- *	set, their latencies' sum, and the most requests in flight
+ * @window_n, @window_us: completions since @usual_us was last set, and the sum
+ *	of their latencies
+ * @ceiling: requests in flight at which throughput is best, as far as known
+ * @pressed: a request had to wait or was refused since the last completion
  */
 struct admit {
 	struct admit_config config;
@@ -60,7 +96,9 @@
 	uint32_t failed;
 	int window_n;
 	double window_us;
-	int window_peak;
+	double ceiling;
+	int pressed;
+	struct trial trial;
 };
 
 int queue_init(struct queue *, int capacity);
@@ -83,8 +121,14 @@
 void admit_fall(struct admit *, enum admit_fall);
 /** admit_settle() - fall if the time that passed says so */
 void admit_settle(struct admit *, int64_t now);
-/** admit_learn() - set the limit after a whole answer */
+/** admit_learn() - set the limit after a whole answer in good time */
 void admit_learn(struct admit *, double latency_us);
+/** trial_learn() - count a whole answer towards the search for the ceiling */
+void trial_learn(struct admit *, int64_t now, const struct admit_run *);
+/** trial_init() - start from slots and connections */
+void trial_init(struct admit *);
+/** trial_stop() - drop the window that is under way */
+void trial_stop(struct admit *);
 /** admit_late() - whether a request can't be done if sent at @at */
 int admit_late(const struct admit *, int64_t at, int64_t deadline);
 /** admit_begin() - count a request as given to the target */
--- a/src/core/admit/request.c
+++ b/src/core/admit/request.c
@@ -16,8 +16,6 @@
 {
 	if (a->in_flight++ == 0)
 		a->progress = now;
-	if (a->in_flight > a->window_peak)
-		a->window_peak = a->in_flight;
 	a->counters.run++;
 	run->started = now;
 	run->epoch = a->epoch;
@@ -62,6 +60,7 @@
 	admit_settle(a, now);
 	limit = admit_limit(a, now);
 	*reason = check(a, now, deadline, limit);
+	a->pressed |= a->in_flight >= limit;
 	if (*reason != ADMIT_OK) {
 		a->counters.refused[*reason]++;
 		return ADMIT_REFUSE;
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -10,14 +10,16 @@
  *
  * The number of requests in flight is exact and never above the limit at the
  * moment a request is let through. The limit is the least of slots,
- * connections and an adaptive limit that follows the ratio of the usual to
- * the present latency (gradient limits; the idea is that of TCP Vegas,
- * Brakmo and Peterson 1995). A cold target starts at the cold limit of its
- * service file; the limit then rises by one for each limit's worth of requests
+ * connections and an adaptive limit: while requests wait, another limit is
+ * tried now and then, and kept if latency fell by more than in proportion,
+ * which by Little's law is more throughput (hill climbing; Hellerstein,
+ * Morrison and Eilebrecht, "Applying control theory in the real world", ACM
+ * SIGMETRICS PER 2009). A cold target starts at the cold limit of its service
+ * file; the limit then rises by one for each limit's worth of requests
  * completed in good time. Requests above the limit wait in a bounded queue
  * ordered by deadline, or are refused before any byte of them was sent.
  *
- * After each call of admit_done(), admit_cancel() or any call that may raise
+ After each call of admit_done(), admit_cancel() or any call that may raise
  * the limit, and at admit_timer(), call admit_pop() until it says
  * ADMIT_POP_NONE.
  */
