--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -10,14 +10,16 @@
  *
  * The number of requests in flight is exact and never above the limit at the
  * moment a request is let through. The limit is the least of slots,
- * connections and an adaptive limit that follows the ratio of the usual to
- * the present latency (gradient limits; the idea is that of TCP Vegas,
- * Brakmo and Peterson 1995). A cold target starts at the cold limit of its
- * service file; the limit then rises by one for each limit's worth of requests
+ * connections and an adaptive limit: while requests wait, another limit is
+ * tried now and then, and kept if latency fell by more than in proportion,
+ * which by Little's law is more throughput (hill climbing; Hellerstein,
+ * Morrison and Eilebrecht, "Applying control theory in the real world", ACM
+ * SIGMETRICS PER 2009). A cold target starts at the cold limit of its service
+ * file; the limit then rises by one for each limit's worth of requests
  * completed in good time. Requests above the limit wait in a bounded queue
  * ordered by deadline, or are refused before any byte of them was sent.
  *
- * After each call of admit_done(), admit_cancel() or any call that may raise
+ After each call of admit_done(), admit_cancel() or any call that may raise
  * the limit, and at admit_timer(), call admit_pop() until it says
  * ADMIT_POP_NONE.
  */
@@ -98,9 +100,10 @@
 
 /** struct admit_counters - sums since the start */
 struct admit_counters {
-	uint64_t run; /* given to the target */
-	uint64_t waited; /* of these, after the queue */
-	uint64_t queued; /* put into the queue */
+	uint64_t run;	    /* given to the target */
+	uint64_t waited;    /* of these, after the queue */
+	uint64_t queued;    /* put into the queue */
+	uint64_t crowded;   /* admit_crowded() said yes */
 	uint64_t cancelled; /* left the queue by admit_cancel() */
 	uint64_t refused[ADMIT_REASONS];
 	uint64_t fell[ADMIT_FALLS];
@@ -125,6 +128,15 @@
 enum admit_verdict
 admit_request(struct admit *, int64_t now, int64_t deadline, uint32_t tag,
     struct admit_run *run, uint32_t *handle, enum admit_reason *reason);
+/**
+ * admit_crowded() - whether a request that can still pay for another attempt
+ * is better off at another target
+ *
+ * The queue is then longer than half the limit. The caller may refuse such a
+ * request as not run, with ADMIT_FULL, in place of admit_request(); one that
+ * has no attempt left is given to admit_request() all the same.
+ */
+int admit_crowded(struct admit *, int64_t now);
 /** admit_done() - a request in flight has ended */
 void admit_done(struct admit *, int64_t now, const struct admit_run *,
     enum admit_outcome);
