--- a/bench/pick/caller.c
+++ b/bench/pick/caller.c
@@ -145,7 +145,7 @@
 	struct caller *who;
 	int64_t delay;
 
-	*c = (struct call){.arrived = s->now};
+	*c = (struct call){ .arrived = s->now };
 	c->caller =
 	    (uint16_t)rng_below(&s->arrivals, (uint32_t)s->scenario->callers);
 	c->work = service_time(&s->arrivals);
--- a/bench/pick/main.c
+++ b/bench/pick/main.c
@@ -6,31 +6,31 @@
 #include "sim.h"
 
 static const struct scenario scenarios[] = {
-    {"steady-50", 0.5, 0, 0, 0, 0, 0, 0, 100},
-    {"steady-75", 0.75, 0, 0, 0, 0, 0, 0, 100},
-    {"steady-90", 0.9, 0, 0, 0, 0, 0, 0, 100},
-    {"five-callers", 0.9, 0, 0, 0, 0, 0, 0, 5},
-    {"straggler", 0.5, 1, 0, 0, 0, 0, 0, 100},
-    {"straggler-1000", 0.5, 1, 0, 0, 0, 0, 0, 1000},
-    {"noisy", 0.5, 0, 1, 0, 0, 0, 0, 100},
-    {"stale", 0.75, 0, 0, 100, 0, 0, 0, 100},
-    {"lying", 0.75, 0, 0, 0, 2, 0, 0, 100},
-    {"cold", 0.75, 0, 0, 0, 0, 1, 0, 100},
-    {"burst", 0.5, 0, 0, 0, 0, 0, 1, 100},
+	{ "steady-50", 0.5, 0, 0, 0, 0, 0, 0, 100 },
+	{ "steady-75", 0.75, 0, 0, 0, 0, 0, 0, 100 },
+	{ "steady-90", 0.9, 0, 0, 0, 0, 0, 0, 100 },
+	{ "five-callers", 0.9, 0, 0, 0, 0, 0, 0, 5 },
+	{ "straggler", 0.5, 1, 0, 0, 0, 0, 0, 100 },
+	{ "straggler-1000", 0.5, 1, 0, 0, 0, 0, 0, 1000 },
+	{ "noisy", 0.5, 0, 1, 0, 0, 0, 0, 100 },
+	{ "stale", 0.75, 0, 0, 100, 0, 0, 0, 100 },
+	{ "lying", 0.75, 0, 0, 0, 2, 0, 0, 100 },
+	{ "cold", 0.75, 0, 0, 0, 0, 1, 0, 100 },
+	{ "burst", 0.5, 0, 0, 0, 0, 0, 1, 100 },
 };
 
 static const struct way ways[] = {
-    {"random", 0, 0, PICK_RANDOM, 0, INT_MAX, 0},
-    {"round-robin", 0, 0, PICK_ROUND_ROBIN, 0, INT_MAX, 0},
-    {"least-of-two", 0, 0, PICK_LEAST_OF_TWO, 0, INT_MAX, 0},
-    {"latency-of-two", 0, 0, PICK_LATENCY_OF_TWO, 0, INT_MAX, 0},
-    {"probe-pool", 60, 1, PICK_PROBE_POOL, 0, INT_MAX, 0},
-    {"probe-pool-3", 1e9, 3, PICK_PROBE_POOL, 0, INT_MAX, 0},
-    {"expected", 60, 1, PICK_EXPECTED, 0, INT_MAX, 0},
-    {"weighted", 2, 0.1, PICK_WEIGHTED, 0, INT_MAX, 0},
-    {"weighted-crowded", 2, 0.1, PICK_WEIGHTED, 0, SLOTS / 2, 0},
-    {"weighted-hedged", 2, 0.1, PICK_WEIGHTED, 0, SLOTS / 2, 1},
-    {"oracle", 0, 0, PICK_RANDOM, 1, INT_MAX, 0},
+	{ "random", 0, 0, PICK_RANDOM, 0, INT_MAX, 0 },
+	{ "round-robin", 0, 0, PICK_ROUND_ROBIN, 0, INT_MAX, 0 },
+	{ "least-of-two", 0, 0, PICK_LEAST_OF_TWO, 0, INT_MAX, 0 },
+	{ "latency-of-two", 0, 0, PICK_LATENCY_OF_TWO, 0, INT_MAX, 0 },
+	{ "probe-pool", 60, 1, PICK_PROBE_POOL, 0, INT_MAX, 0 },
+	{ "probe-pool-3", 1e9, 3, PICK_PROBE_POOL, 0, INT_MAX, 0 },
+	{ "expected", 60, 1, PICK_EXPECTED, 0, INT_MAX, 0 },
+	{ "weighted", 2, 0.1, PICK_WEIGHTED, 0, INT_MAX, 0 },
+	{ "weighted-crowded", 2, 0.1, PICK_WEIGHTED, 0, SLOTS / 2, 0 },
+	{ "weighted-hedged", 2, 0.1, PICK_WEIGHTED, 0, SLOTS / 2, 1 },
+	{ "oracle", 0, 0, PICK_RANDOM, 1, INT_MAX, 0 },
 };
 
 #define COUNT(a) (sizeof(a) / sizeof *(a))
--- a/bench/pick/target.c
+++ b/bench/pick/target.c
@@ -14,7 +14,7 @@
 {
 	struct target *t = &s->target[i];
 
-	*t = (struct target){.limit = SLOTS, .first = NONE, .last = NONE};
+	*t = (struct target){ .limit = SLOTS, .first = NONE, .last = NONE };
 	t->speed = 1;
 	t->lies = i < s->scenario->liars;
 }
--- a/src/adapter/objects/service_read.c
+++ b/src/adapter/objects/service_read.c
@@ -13,6 +13,7 @@
 read_cold(struct json *j, int object, struct service *s, struct kq_error *e)
 {
 	static const struct int_field limit = { "limit", 1, COUNT_MAX };
+	static const struct int_field calls = { "calls", 0, COUNT_MAX };
 	static const struct int_field idle = { "idle_ms", 1, IDLE_MS_MAX };
 	const struct int_field good = { "good_ms", 1, s->timeout_ms };
 	int node, r = json_get_object(j, object, "cold", &node, e);
@@ -20,6 +21,7 @@
 	if (r != 1)
 		return r;
 	if (fields_int(j, node, &limit, &s->cold_limit, e) == -1 ||
+	    fields_int(j, node, &calls, &s->cold_calls, e) == -1 ||
 	    fields_int(j, node, &good, &s->cold_good_ms, e) == -1 ||
 	    fields_int(j, node, &idle, &s->cold_idle_ms, e) == -1)
 		return -1;
@@ -64,6 +66,7 @@
 	s->timeout_ms = SERVICE_TIMEOUT_MS;
 	s->measure_per_s = SERVICE_MEASURE_PER_S;
 	s->cold_limit = SERVICE_COLD_LIMIT;
+	s->cold_calls = SERVICE_COLD_CALLS;
 	s->cold_idle_ms = SERVICE_COLD_IDLE_MS;
 	s->queue_max = SERVICE_QUEUE_MAX;
 	s->retry_ratio = SERVICE_RETRY_RATIO;
--- a/src/adapter/objects/write.c
+++ b/src/adapter/objects/write.c
@@ -54,8 +54,8 @@
 	g_string_append_printf(s, "\"timeout_ms\":%d,", v->timeout_ms);
 	put_real(s, "measure_per_s", v->measure_per_s);
 	g_string_append_printf(s,
-	    "\"cold\":{\"limit\":%d,\"good_ms\":%d,\"idle_ms\":%d},",
-	    v->cold_limit, v->cold_good_ms, v->cold_idle_ms);
+	    "\"cold\":{\"limit\":%d,\"calls\":%d,\"good_ms\":%d,\"idle_ms\":%d},",
+	    v->cold_limit, v->cold_calls, v->cold_good_ms, v->cold_idle_ms);
 	g_string_append_printf(s, "\"queue_max\":%d,", v->queue_max);
 	put_real(s, "retry_ratio", v->retry_ratio);
 	g_string_append_printf(s, "\"hedge\":%s}", v->hedge ? "true" : "false");
--- a/src/core/admit/cold.c
+++ b/src/core/admit/cold.c
@@ -53,6 +53,7 @@
 	a->limit = admit_cold_limit(a);
 	a->cold = 1;
 	a->suspect = 0;
+	a->good = 0;
 	a->slow = 0;
 	a->failed = 0;
 	a->window_n = 0;
--- a/src/core/admit/impl.h
+++ b/src/core/admit/impl.h
@@ -70,6 +70,7 @@
  * @progress: when a request last completed, or the first one was sent
  * @usual_us: slow average of latency while warm; 0 when not known
  * @recent_us: quick average of latency
+ * @good: completions in good time since it was last taken for cold
  * @slow: one bit for each recent completion, set if it was slow
  * @failed: the same for failures
  * @window_n, @window_us: completions since @usual_us was last set, and the sum
@@ -92,6 +93,7 @@
 	int64_t progress;
 	double usual_us;
 	double recent_us;
+	int good;
 	uint32_t slow;
 	uint32_t failed;
 	int window_n;
--- a/src/core/admit/limit.c
+++ b/src/core/admit/limit.c
@@ -25,10 +25,15 @@
 }
 
 /** One more request in flight for each limit's worth of good completions,
- * as long as at least half the limit is in use. */
+ * as long as at least half the limit is in use; none before the target has
+ * completed as many as its service file asks for. */
 static void
 warm_up(struct admit *a)
 {
+	if (a->good < a->config.cold_calls) {
+		a->good++;
+		return;
+	}
 	if (2 * (a->in_flight + 1) >= (int)a->limit)
 		a->limit += 1 / a->limit;
 	if (a->limit > a->ceiling)
--- a/src/core/admit/trial.c
+++ b/src/core/admit/trial.c
@@ -1,11 +1,11 @@
 #include "impl.h"
 
-#define WINDOW 24     /* completions of one window */
+#define WINDOW 24 /* completions of one window */
 #define SPACING_MIN 8 /* windows at the ceiling before one of a trial */
 #define SPACING_MAX 64
 #define TRIAL_WINDOWS 4 /* of one kind, before it is judged */
-#define STEP 0.25	/* of the ceiling */
-#define GAIN 1.05	/* times the throughput that speaks for a change */
+#define STEP 0.25 /* of the ceiling */
+#define GAIN 1.05 /* times the throughput that speaks for a change */
 
 static int
 stepped(const struct admit *a, enum trial_kind kind)
@@ -25,15 +25,15 @@
 trial_init(struct admit *a)
 {
 	a->ceiling = admit_most(a);
-	a->trial = (struct trial){.spacing = {SPACING_MIN, SPACING_MIN}};
+	a->trial = (struct trial){ .spacing = { SPACING_MIN, SPACING_MIN } };
 	trial_stop(a);
 }
 
 static void
 clear(struct trial *t)
 {
-	t->base = (struct sample){0, 0};
-	t->tried = (struct sample){0, 0};
+	t->base = (struct sample){ 0, 0 };
+	t->tried = (struct sample){ 0, 0 };
 }
 
 void
--- a/src/core/pick/choose.c
+++ b/src/core/pick/choose.c
@@ -1,15 +1,15 @@
 #include "impl.h"
 
-static pick_policy_fn *const policies[PICK_POLICIES] = {pick_random,
-    pick_round_robin, pick_least_of_two, pick_latency_of_two, pick_probe_pool,
-    pick_expected, pick_weighted};
+static pick_policy_fn *const policies[PICK_POLICIES] = { pick_random,
+	pick_round_robin, pick_least_of_two, pick_latency_of_two,
+	pick_probe_pool, pick_expected, pick_weighted };
 
 const char *
 pick_policy_name(enum pick_policy policy)
 {
-	static const char *const names[PICK_POLICIES] = {"random",
-	    "round-robin", "least-of-two", "latency-of-two", "probe-pool",
-	    "expected", "weighted"};
+	static const char *const names[PICK_POLICIES] = { "random",
+		"round-robin", "least-of-two", "latency-of-two", "probe-pool",
+		"expected", "weighted" };
 
 	return names[policy];
 }
--- a/src/core/pick/expected.c
+++ b/src/core/pick/expected.c
@@ -5,7 +5,7 @@
 #define CHOICES 2
 #define TRUST_US 30000.0 /* age at which a report counts half */
 #define FORGET_US 5000000 /* after this a slow candidate is tried again */
-#define BIAS_FREE 1.5	  /* latency over the expected one that is noise */
+#define BIAS_FREE 1.5 /* latency over the expected one that is noise */
 
 /** Load that a report of this age lets expect, with own requests since. */
 static double
--- a/src/core/pick/impl.h
+++ b/src/core/pick/impl.h
@@ -6,7 +6,7 @@
 
 #define INDEX_NONE UINT32_MAX
 #define LIMIT_UNKNOWN 8 /* assumed without a report */
-#define POOL_MAX 16	/* probes kept */
+#define POOL_MAX 16 /* probes kept */
 
 enum group { GROUP_LOCAL, GROUP_OTHER, GROUPS };
 
--- a/src/core/pick/pool.c
+++ b/src/core/pick/pool.c
@@ -58,8 +58,8 @@
 	learn_hot(o, load);
 	while (o->n >= most(p))
 		drop(o, oldest(o));
-	o->probe[o->n++] = (struct pooled){
-	    handle, load, latency_us, now - l->age_us, POOL_USES};
+	o->probe[o->n++] = (struct pooled){ handle, load, latency_us,
+		now - l->age_us, POOL_USES };
 }
 
 static int
--- a/src/core/pick/weighted.c
+++ b/src/core/pick/weighted.c
@@ -2,9 +2,9 @@
 
 #include <math.h>
 
-#define SCAN_MAX 32	   /* candidates looked at for one choice */
-#define SLOW 1.5	   /* times the usual latency that cost no weight */
-#define SLOW_POWER 4	   /* how steeply weight falls above */
+#define SCAN_MAX 32 /* candidates looked at for one choice */
+#define SLOW 1.5 /* times the usual latency that cost no weight */
+#define SLOW_POWER 4 /* how steeply weight falls above */
 #define FORGET_US 10000000 /* after this a slow candidate is tried again */
 #define WEIGHT_MIN 1e-6
 
--- a/src/daemon/inbound_target.c
+++ b/src/daemon/inbound_target.c
@@ -24,6 +24,7 @@
 	a->slots = d->target.slots;
 	a->connections = MAX(1, usable_connections(&d->target) - 1);
 	a->cold_limit = s ? s->cold_limit : 1;
+	a->cold_calls = s ? s->cold_calls : 0;
 	a->cold_good_us = (s ? s->cold_good_ms : 100) * (int64_t)1000;
 	a->cold_idle_us = (s ? s->cold_idle_ms : 0) * (int64_t)1000;
 	a->queue_max = s ? s->queue_max : 0;
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -31,6 +31,7 @@
  * @slots: requests the target works on at once
  * @connections: connections the target accepts
  * @cold_limit: requests in flight a cold target bears; at least 1 is used
+ * @cold_calls: completions in good time before the limit rises at all
  * @cold_good_us: a completion at most this slow counts as good
  * @cold_idle_us: idle this long, a target counts as cold; 0 is never
  * @queue_max: requests that may wait
@@ -39,6 +40,7 @@
 	int slots;
 	int connections;
 	int cold_limit;
+	int cold_calls;
 	int64_t cold_good_us;
 	int64_t cold_idle_us;
 	int queue_max;
@@ -100,10 +102,10 @@
 
 /** struct admit_counters - sums since the start */
 struct admit_counters {
-	uint64_t run;	    /* given to the target */
-	uint64_t waited;    /* of these, after the queue */
-	uint64_t queued;    /* put into the queue */
-	uint64_t crowded;   /* admit_crowded() said yes */
+	uint64_t run; /* given to the target */
+	uint64_t waited; /* of these, after the queue */
+	uint64_t queued; /* put into the queue */
+	uint64_t crowded; /* admit_crowded() said yes */
 	uint64_t cancelled; /* left the queue by admit_cancel() */
 	uint64_t refused[ADMIT_REASONS];
 	uint64_t fell[ADMIT_FALLS];
--- a/src/internal/pick.h
+++ b/src/internal/pick.h
@@ -28,9 +28,9 @@
 	PICK_ROUND_ROBIN,
 	PICK_LEAST_OF_TWO, /* fewer own requests in flight of two */
 	PICK_LATENCY_OF_TWO, /* lower smoothed latency times own load of two */
-	PICK_PROBE_POOL,     /* Prequal's hot/cold rule over pooled probes */
-	PICK_EXPECTED,	     /* least expected wait, from all signals */
-	PICK_WEIGHTED,	     /* turns in proportion to limits and latencies */
+	PICK_PROBE_POOL, /* Prequal's hot/cold rule over pooled probes */
+	PICK_EXPECTED, /* least expected wait, from all signals */
+	PICK_WEIGHTED, /* turns in proportion to limits and latencies */
 	PICK_POLICIES
 };
 
--- a/src/internal/service.h
+++ b/src/internal/service.h
@@ -36,6 +36,7 @@
 	double
 	    measure_per_s; /* health, load and probe requests a target bears */
 	int cold_limit; /* requests in flight a cold target bears */
+	int cold_calls; /* good completions until it bears more */
 	int cold_good_ms; /* a completion at most this slow counts as good */
 	int cold_idle_ms; /* idle this long, a target counts as cold */
 	int queue_max; /* requests that may wait at a target */
