--- a/tests/lib/fleet.c
+++ b/tests/lib/fleet.c
@@ -77,6 +77,9 @@
 
 	f->node[c->node].messages++;
 	f->node[c->node].bytes += member_message_size(msg);
+	f->longest = MAX(f->longest, member_message_size(msg));
+	if (f->node[c->node].group != f->node[to->ip].group)
+		return;
 	if (g_rand_double(f->rand) < f->loss)
 		return;
 	e = event_add(f, EVENT_MESSAGE, (int)to->ip,
@@ -105,6 +108,7 @@
 		return;
 	me->dead_at[other] = f->now;
 	f->deaths++;
+	me->deaths++;
 	f->false_deaths += !f->node[other].dead && !f->node[other].last_pause;
 }
 
@@ -294,6 +298,7 @@
 	f->deaths = f->false_deaths = f->suspicions = 0;
 	for (i = 0; i < f->n; i++)
 		f->node[i].messages = f->node[i].bytes = 0;
+	f->longest = 0;
 }
 
 static gint
--- a/tests/lib/fleet.h
+++ b/tests/lib/fleet.h
@@ -19,6 +19,7 @@
 	struct member_table *table;
 	struct member_info info;
 	int dead;
+	int group; /* those of other groups are cut off */
 	int64_t paused_until;
 	int64_t last_pause;
 	uint64_t digest;
@@ -28,6 +29,7 @@
 	uint64_t bytes;
 	int64_t *dead_at; /* by node: when this one declared it dead, or 0 */
 	int64_t *left_at;
+	int deaths; /* how many others it declared dead */
 };
 
 /** struct fleet_ctx - what a table's callbacks get */
@@ -48,6 +50,7 @@
 	uint64_t deaths;       /* events of declaring a node dead */
 	uint64_t false_deaths; /* of one that was neither dead nor paused */
 	uint64_t suspicions;
+	size_t longest; /* largest datagram */
 };
 
 /** fleet_new() - @n members that know each other if @acquainted */
