--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -419,6 +419,63 @@
 }
 END_TEST
 
+/* A suspect from before a pause is not declared dead while we are not
+ * acknowledged, nor at once when we are. */
+START_TEST(suspects_outlive_a_pause)
+{
+	struct log l;
+	struct member_table *t = table_new(&l);
+	struct member_update u = {.state = MEMBER_SUSPECT, .info.id = PEER};
+	const struct member *m = member_at(t, member_find(t, PEER));
+	struct member_message *ack = g_new0(struct member_message, 1);
+	int64_t now;
+
+	tell(t, MEMBER_GOSSIP, PEER, SELF, &u);
+	for (now = 10 * SECOND_US; now < 60 * SECOND_US; now += 50000) {
+		member_tick(t, now);
+		ck_assert_int_eq(member_may_act(t), 0);
+		ck_assert_int_eq(m->state, MEMBER_SUSPECT);
+	}
+	ack->kind = MEMBER_ACK;
+	ack->from = PEER;
+	ack->to = SELF;
+	ack->seq = UINT16_MAX;
+	member_receive(t, ack, now);
+	ck_assert_int_eq(member_may_act(t), 0); /* at our number from before */
+	ack->view_number = 1;
+	member_receive(t, ack, now);
+	ck_assert_int_eq(member_may_act(t), 1);
+	member_free(t);
+	g_free(ack);
+}
+END_TEST
+
+START_TEST(pause_is_added_to_suspicion)
+{
+	struct log l;
+	struct member_table *t = table_new(&l);
+	struct member_update u = {.state = MEMBER_SUSPECT, .info.id = PEER};
+	const struct member *m = member_at(t, member_find(t, PEER));
+	struct member_message *ack = g_new0(struct member_message, 1);
+
+	tell(t, MEMBER_GOSSIP, PEER, SELF, &u);
+	ack->kind = MEMBER_ACK;
+	ack->from = PEER;
+	ack->to = SELF;
+	ack->seq = UINT16_MAX;
+	ack->view_number = 1;
+	member_receive(t, ack, 30 * SECOND_US);
+	ck_assert_int_eq(member_may_act(t), 1);
+	member_tick(t, 30 * SECOND_US + 1);
+	ck_assert_int_eq(m->state, MEMBER_SUSPECT);
+	member_tick(t, 30 * SECOND_US + 900000);
+	member_tick(t, 31 * SECOND_US + 800000);
+	ck_assert_int_eq(m->state, MEMBER_DEAD);
+	member_free(t);
+	g_free(ack);
+}
+END_TEST
+
 START_TEST(table_is_bounded)
 {
 	struct log l;
@@ -464,6 +521,8 @@
 	tcase_add_test(c, refutes_above_what_was_said);
 	tcase_add_test(c, join_alone_is_not_believed);
 	tcase_add_test(c, ignores_what_is_not_for_us);
+	tcase_add_test(c, suspects_outlive_a_pause);
+	tcase_add_test(c, pause_is_added_to_suspicion);
 	tcase_add_test(c, table_is_bounded);
 	return c;
 }
