--- a/tests/fuzz/datagram.c
+++ b/tests/fuzz/datagram.c
@@ -44,9 +44,9 @@
 feed(struct datagram_codec *codec, struct member_message *m)
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
-	static const struct member_ops ops = {on_send, on_event, on_behind};
-	static const struct member_info self = {
-	    .id = SELF, .datacentre = "luzon-a"};
+	static const struct member_ops ops = { on_send, on_event, on_behind };
+	static const struct member_info self = { .id = SELF,
+		.datacentre = "luzon-a" };
 	struct member_table *t = member_new(&self, &limits, 1, &ops, codec, 0);
 	int64_t now;
 
@@ -61,19 +61,18 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t n)
 {
-	static const unsigned char key[1][FLEET_KEY_BYTES] = {{1}};
+	static const unsigned char key[1][FLEET_KEY_BYTES] = { { 1 } };
 	static struct member_message m, again;
 	struct datagram_codec *c = datagram_codec_new(SELF, key, 1);
-	unsigned char buf[DATAGRAM_MAX], twice[DATAGRAM_MAX];
+	unsigned char buf[DATAGRAM_MAX], buf2[DATAGRAM_MAX];
 	size_t used = member_message_decode(&m, data, n);
 
 	if (used > 0 && used <= sizeof buf) {
-		/* Padding may differ, so compare what is written again. */
+		/* Padding may differ, so compare what is written. */
 		if (member_message_encode(&m, buf, sizeof buf) != used ||
 		    member_message_decode(&again, buf, used) != used ||
-		    member_message_encode(&again, twice, sizeof twice) !=
-			used ||
-		    memcmp(buf, twice, used) != 0)
+		    member_message_encode(&again, buf2, sizeof buf2) != used ||
+		    memcmp(buf, buf2, used) != 0)
 			abort();
 		feed(c, &m);
 	}
--- a/tests/fuzz/json.c
+++ b/tests/fuzz/json.c
@@ -23,7 +23,7 @@
 try_service(const char *text, size_t n)
 {
 	struct service a, b;
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 	GString *out, *again;
 
 	if (service_read(&a, text, n, &e) == -1) {
@@ -31,15 +31,15 @@
 		return;
 	}
 	out = g_string_new(NULL);
-	again = g_string_new(NULL);
 	service_write(out, &a);
+	again = g_string_new(NULL);
 	if (service_read(&b, out->str, out->len, &e) == -1)
 		abort();
 	service_write(again, &b);
 	if (!g_string_equal(out, again))
 		abort();
-	g_string_free(out, TRUE);
 	g_string_free(again, TRUE);
+	g_string_free(out, TRUE);
 }
 
 static void
@@ -47,7 +47,7 @@
 {
 	struct datacentre d;
 	struct instance i;
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 
 	if (datacentre_read(&d, text, n, &e) == -1)
 		check_error(&e);
@@ -61,7 +61,7 @@
 {
 	const char *text = (const char *)data;
 	struct settings s;
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 
 	try_service(text, n);
 	try_objects(text, n);
