HTTP server: "not-run" only if the user never saw the request

A request that broke or stalled within its body was answered "not-run" though its head had been handed to the user, who may have passed it on.

Also: a server stopped from within a callback closes that connection, where it stayed open until the idle time; an exchange ended from the drained callback goes on with what is buffered; pause takes any nonzero value.

--- a/src/adapter/http/call.c
+++ b/src/adapter/http/call.c
@@ -164,6 +164,7 @@
 {
 	struct http_link *l = c->link;
 
+	on = on != 0;
 	if (!l || c->paused == on)
 		return;
 	c->paused = on;
--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -68,7 +68,7 @@
 	in_init(&c->in, HTTP_REQUEST, s->limits.head_bytes, &conn_in_ops, c);
 	list_add(c);
 	if (refused)
-		conn_answer(c, 503, "too many connections");
+		conn_answer(c, 503, "too many connections", 0);
 	else
 		conn_timer(c);
 	return c;
@@ -180,7 +180,7 @@
 }
 
 void
-conn_answer(struct http_conn *c, int status, const char *text)
+conn_answer(struct http_conn *c, int status, const char *text, int given)
 {
 	struct http_out *o = &c->out;
 
@@ -188,8 +188,9 @@
 	out_int(o, status);
 	out_text(o, " ");
 	out_text(o, http_status_str((enum http_status)status));
-	out_text(o, "\r\nKumquatrock-Outcome: not-run\r\n"
-		    "Content-Type: text/plain\r\n"
+	out_text(o, "\r\nKumquatrock-Outcome: ");
+	out_text(o, given ? "unknown" : "not-run");
+	out_text(o, "\r\nContent-Type: text/plain\r\n"
 		    "Connection: close\r\nContent-Length: ");
 	out_int(o, (int64_t)strlen(text) + 1);
 	out_text(o, "\r\n\r\n");
@@ -216,6 +217,8 @@
 	}
 	if (!c->running)
 		conn_proceed(c);
+	else if (c->in.rest_len)
+		conn_soon(c);
 }
 
 static int
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -81,7 +81,7 @@
 static void
 broken(struct http_conn *c)
 {
-	int answerable = conn_answerable(c);
+	int answerable = conn_answerable(c), given = c->exchange.open;
 	struct kq_error err = c->in.err;
 	int status = c->in.status;
 
@@ -92,7 +92,7 @@
 		conn_close(c);
 		return;
 	}
-	conn_answer(c, status, err.text);
+	conn_answer(c, status, err.text, given);
 	if (c->server->ops->bad)
 		c->server->ops->bad(c->server->ctx, &err);
 }
@@ -219,6 +219,15 @@
 	take_input(c);
 }
 
+static void
+between(struct http_conn *c)
+{
+	if (c->in.ended)
+		conn_proceed(c);
+	if (c->server->stopping && !in_started(&c->in) && !c->in.rest_len)
+		conn_linger(c);
+}
+
 static void
 leave(struct http_conn *c)
 {
@@ -227,8 +236,8 @@
 	c->running = 0;
 	if (c->dead)
 		return;
-	if (c->state == CONN_OPEN && !c->exchange.open && c->in.ended)
-		conn_proceed(c);
+	if (c->state == CONN_OPEN && !c->exchange.open)
+		between(c);
 	conn_settle(c);
 }
 
--- a/src/adapter/http/conn_time.c
+++ b/src/adapter/http/conn_time.c
@@ -36,7 +36,7 @@
 conn_timeout(struct http_conn *c)
 {
 	struct kq_error err;
-	int answer;
+	int answer, given = c->exchange.open;
 
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_TIMEOUT,
 	    "request took too long");
@@ -49,7 +49,7 @@
 		conn_close(c);
 		return;
 	}
-	conn_answer(c, 408, err.text);
+	conn_answer(c, 408, err.text, given);
 	if (c->server->ops->bad)
 		c->server->ops->bad(c->server->ctx, &err);
 }
--- a/src/adapter/http/exchange.c
+++ b/src/adapter/http/exchange.c
@@ -136,6 +136,7 @@
 {
 	struct http_conn *c = x->conn;
 
+	on = on != 0;
 	if (!x->open || c->paused == on)
 		return;
 	c->paused = on;
--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -190,8 +190,9 @@
 void conn_flush(struct http_conn *);
 /** conn_sent() - account for the result of a send */
 void conn_sent(struct http_conn *, ssize_t);
-/** conn_answer() - answer a broken message from the server itself */
-void conn_answer(struct http_conn *, int status, const char *text);
+/** conn_answer() - answer a broken message from the server itself
+ * @given: the user had the request's head already and may have acted on it */
+void conn_answer(struct http_conn *, int status, const char *text, int given);
 /** conn_finish() - an exchange is over: next request, or close */
 void conn_finish(struct http_conn *);
 /** conn_linger() - no more requests; close once all is sent */
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -20,6 +20,10 @@
  * fields, two Host fields, versions other than 1.0 and 1.1, CONNECT. Requests
  * to upgrade are read as plain requests.
  *
+ * The server's own answers to broken or late requests carry the field
+ * Kumquatrock-Outcome: "not-run" if the user never saw the request, "unknown"
+ * if it was handed over before it broke.
+ *
  * A caller that closes its sending side after a whole request still gets its
  * answer. Since a caller that went away looks the same at first, the server
  * then sends an HTTP/1.1 caller one "100 Continue": a closed socket answers it
--- a/tests/unit/http.c
+++ b/tests/unit/http.c
@@ -237,6 +237,32 @@
 }
 END_TEST
 
+static void
+stop_at_end(void *ctx, struct http_exchange *x)
+{
+	(void)ctx;
+	bed_answer(x);
+	http_server_stop(bed.server);
+}
+
+START_TEST(server_stopped_by_its_own_user_closes)
+{
+	static const char text[] = "GET /h HTTP/1.1\r\n\r\n";
+	struct http_limits limits = HTTP_LIMITS_DEFAULT;
+	struct http_server_ops ops = bed_ops;
+	char *got;
+
+	ops.end = stop_at_end;
+	http_server_free(bed.server);
+	bed.server = NULL;
+	bed_serve(&limits, &ops);
+	got = bed_talk(text, sizeof text - 1, SIZE_MAX, 0);
+	ck_assert_ptr_nonnull(strstr(got, "200 OK"));
+	g_free(got);
+	bed_wait_closed();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -251,6 +277,7 @@
 	tcase_add_test(c, refused_connect_was_not_sent);
 	tcase_add_test(c, short_request_body_fails);
 	tcase_add_test(c, stopping_server_answers_and_closes);
+	tcase_add_test(c, server_stopped_by_its_own_user_closes);
 	tcase_add_test(c, stopping_server_answers_what_has_arrived);
 	tcase_add_loop_test(c, answers_are_framed_as_the_request_allows, 0,
 	    sizeof framing_cases / sizeof *framing_cases);
