--- a/src/core/admit/request.c
+++ b/src/core/admit/request.c
@@ -16,8 +16,6 @@
 {
 	if (a->in_flight++ == 0)
 		a->progress = now;
-	if (a->in_flight > a->window_peak)
-		a->window_peak = a->in_flight;
 	a->counters.run++;
 	run->started = now;
 	run->epoch = a->epoch;
@@ -62,6 +60,7 @@
 	admit_settle(a, now);
 	limit = admit_limit(a, now);
 	*reason = check(a, now, deadline, limit);
+	a->pressed |= a->in_flight >= limit;
 	if (*reason != ADMIT_OK) {
 		a->counters.refused[*reason]++;
 		return ADMIT_REFUSE;
@@ -75,6 +74,16 @@
 	return ADMIT_WAIT;
 }
 
+int
+admit_crowded(struct admit *a, int64_t now)
+{
+	admit_settle(a, now);
+	if (2 * a->queue.n < admit_limit(a, now) || !a->queue.n)
+		return 0;
+	a->counters.crowded++;
+	return 1;
+}
+
 int
 admit_cancel(struct admit *a, uint32_t handle)
 {
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -207,6 +207,10 @@
 	void *events_ctx;
 	struct view *view;
 	struct rng rng;
+	int64_t last_beat;
+	struct io_timer beat_timer;
+	uint32_t pause; /* number of the last pause */
+	int suspended; /* paused and not caught up since */
 	int draining;
 	int drained_told;
 	int stopped;
@@ -214,6 +218,7 @@
 	struct http_server *server;
 	GHashTable *services; /* name to struct out_service */
 	GHashTable *peers; /* incarnation to struct out_peer */
+	int64_t body_bytes; /* of request bodies held for callers */
 	GHashTable *out_calls; /* set of struct out_call */
 	GHashTable *ramps; /* data centre name to struct ramp */
 	struct io_timer ramp_timer;
@@ -265,7 +270,6 @@
 void
 outbound_request(void *ctx, struct http_exchange *, const struct http_head *);
 void outbound_start(struct out_call *);
-void outbound_try(struct out_call *);
 int outbound_attempt(struct out_call *);
 int outbound_attempt_send(struct out_attempt *);
 void outbound_pump(struct out_attempt *);
@@ -300,6 +304,10 @@
 void out_peer_probe(struct out_service *);
 
 /* inbound */
+/* Whether this task was paused and has not caught up since. */
+int inbound_suspended(struct data *);
+void inbound_beat_start(struct data *);
+void inbound_resume(struct data *);
 void inbound_call(void *ctx, struct peer_conn *, uint32_t xid,
     const struct wire_call *);
 void inbound_admit(struct in_call *);
