--- a/bench/path.sh
+++ b/bench/path.sh
@@ -9,7 +9,7 @@
 ROUNDS=3
 ROUND_S=2
 STEP_S=2
-STRAIGHT=127.0.0.11
+STRAIGHT=$fleet_net.0.11
 FIRST_STEP=4000 # calls a second, then a quarter more each
 LAST_STEP=60000
 STEP_P99_MS=20 # a rate counts as carried below this p99
@@ -70,7 +70,7 @@
 	s= t=
 	for i in $(seq $ROUNDS); do
 		load "straight-$1-$i" $STRAIGHT:9001 "$1" $ROUND_S "$i" --straight
-		load "through-$1-$i" 127.0.1.1:8400 "$1" $ROUND_S "$i"
+		load "through-$1-$i" $fleet_net.1.1:8400 "$1" $ROUND_S "$i"
 		s="$s straight-$1-$i" t="$t through-$1-$i"
 	done
 }
@@ -96,7 +96,7 @@
 fleet_run straight "$fleet_build/fake-target" --ip $STRAIGHT --port 9001 \
 	--service path --dc none $target_options
 fleet_ready path || exit 1
-load warm 127.0.1.1:8400 1000 2 99
+load warm $fleet_net.1.1:8400 1000 2 99
 
 rounds 325
 print_added p50 ''
@@ -118,7 +118,7 @@
 best=0
 rate=$FIRST_STEP
 while [ $rate -le $LAST_STEP ]; do
-	load step 127.0.1.1:8400 $rate $STEP_S 7 --connections 512
+	load step $fleet_net.1.1:8400 $rate $STEP_S 7 --connections 512
 	carried=$(awk -v n="$(figure step calls)" -v w="$(figure step whole)" \
 		-v p="$(figure step p99)" -v most=$STEP_P99_MS \
 		'BEGIN { print w == n && p < most }')
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -3,14 +3,15 @@
 #   fleet_open BUILD-DIRECTORY     directory $fleet_dir for settings, logs and history
 #   fleet_platform                 the platform's stand-in at $fleet_platform_at
 #   fleet_instance DC N SERVICE [TARGET-OPTION]...
-#                                  a daemon and its target at 127.0.DC.N
+#                                  a daemon and its target at NET.DC.N
 #   fleet_ready SERVICE...         wait until a call to each service is answered at
 #                                  the daemon $fleet_first
 #   fleet_close                    stop all that was started, in order
 #
-# Ports on each address: caller 8400, peer 8410, operator 8420, target 9001.
+# NET is FLEET_NET, 127.0 if not set. Ports on each address: caller 8400, peer 8410, operator 8420, target 9001.
 
-fleet_platform_at=127.0.0.10:20200
+fleet_net=${FLEET_NET:-127.0} # another one lets two fleets run on one machine
+fleet_platform_at=$fleet_net.0.10:20200
 fleet_key=00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
 
 fleet_open() {
@@ -19,7 +20,7 @@
 	fleet_pids=
 	fleet_daemons=
 	fleet_targets=
-	fleet_first=127.0.1.1:8400
+	fleet_first=$fleet_net.1.1:8400
 }
 
 # Runs a program in the background; its process id is in $!.
@@ -47,15 +48,15 @@
 	done
 }
 
-# fleet_settings DC N: settings of the daemon at 127.0.DC.N
+# fleet_settings DC N: settings of the daemon at NET.DC.N
 fleet_settings() {
 	cat <<EOF
 {
-	"name": "dc$1-$2", "ip": "127.0.$1.$2",
+	"name": "dc$1-$2", "ip": "$fleet_net.$1.$2",
 	"datacentre": "dc$1", "region": "r1",
 	"caller_port": 8400, "peer_port": 8410, "operator_port": 8420,
 	"platform": { "ip": "${fleet_platform_at%:*}", "port": ${fleet_platform_at#*:} },
-	"peers": [ { "ip": "${fleet_first%:*}", "port": 8410 }, { "ip": "127.0.2.1", "port": 8410 } ],
+	"peers": [ { "ip": "${fleet_first%:*}", "port": 8410 }, { "ip": "$fleet_net.2.1", "port": 8410 } ],
 	"fleet_keys": [ "$fleet_key" ]
 }
 EOF
@@ -69,7 +70,7 @@
 }
 
 fleet_target() {
-	fleet_at=127.0.$1.$2
+	fleet_at=$fleet_net.$1.$2
 	fleet_n=$1-$2
 	fleet_var=fleet_target_$1_$2
 	fleet_dc=dc$1
--- a/tests/system/connections.sh
+++ b/tests/system/connections.sh
@@ -8,15 +8,15 @@
 fleet_open "$1"
 trap 'fleet_close; rm -rf "$fleet_dir"' EXIT
 fleet_platform || exit 1
-fleet_first=127.0.4.1:8400
+fleet_first=$fleet_net.4.1:8400
 fleet_instance 4 1 codebook --connections 20 --slots 8 --fixed 1
 fleet_instance 4 2 checkout
 fleet_tool publish examples/codebook.json >/dev/null 2>&1 || exit 1
 fleet_ready codebook || exit 1
-"$1/bench-load" --to 127.0.4.1:8400 --to 127.0.4.2:8400 --service codebook --seed 1 \
+"$1/bench-load" --to $fleet_net.4.1:8400 --to $fleet_net.4.2:8400 --service codebook --seed 1 \
 	--call POST:/pairing:1:once --call GET:/codes:1:repeat --rate 300 --seconds 4 \
 	--figures >"$fleet_dir/figures" || exit 1
-refused=$(curl -s http://127.0.4.1:9001/fake/counts | sed -n "s/^connections_refused //p")
+refused=$(curl -s http://$fleet_net.4.1:9001/fake/counts | sed -n "s/^connections_refused //p")
 unknown=$(sed -n 's/^unknown \([0-9]*\) .*/\1/p' "$fleet_dir/figures")
 whole=$(sed -n 's/^whole \([0-9]*\) .*/\1/p' "$fleet_dir/figures")
 echo "whole=$whole unknown=$unknown refused=$refused"
