Control task makes its tables before its sockets are served

Cause: a datagram that came in before the posted 'begin' ran found no member table: member_row() through a null pointer, SIGSEGV of the daemon at start. Ruled out: publications posted to a starting daemon (5 x 12 posts, no crash). begin now runs before the thread does.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -43,20 +43,16 @@
 	c->data = d;
 }
 
-static void
-begin(void *ctx, void *message)
+/* The tables are made before the thread runs: its sockets are open by then,
+ * and a datagram may be the first thing that it meets. */
+void
+control_start(struct control *c)
 {
-	struct control *c = ctx;
-
+	g_main_context_push_thread_default(c->task.context);
 	control_member_start(c);
 	control_platform_start(c);
 	control_publish_view(c);
-}
-
-void
-control_start(struct control *c)
-{
-	task_post(&c->task, begin, c, NULL);
+	g_main_context_pop_thread_default(c->task.context);
 	task_start(&c->task);
 }
 
