--- /dev/null
+++ b/tests/model/config.sh
@@ -0,0 +1,19 @@
+#!/bin/sh
+# usage: config.sh BUILD-DIRECTORY
+set -u
+cd "$(dirname "$0")/../.."
+. tests/model/model.inc
+FAIR='' FLAGS=-DNFAIR=3 failed=0
+model config "$1"
+build whole
+holds never_reverts
+holds one_outcome_reported_truly
+holds builds_on_what_was_read
+mutant TAKE_ANY never_reverts
+mutant LOST_IS_REFUSED one_outcome_reported_truly
+mutant NEWEST_ID_ONLY one_outcome_reported_truly
+mutant NO_CONDITION builds_on_what_was_read
+FAIR=-f
+holds in_force_everywhere
+mutant NO_PULL in_force_everywhere
+exit $failed
