--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -15,6 +15,20 @@
  * redirects and says for each request whether any byte of it was given to
  * the kernel, since the promise "not run" rests on that.
  *
+ * Refused besides what the parser refuses: both length forms or either one
+ * twice, a transfer coding other than chunked, chunked in HTTP/1.0, folded
+ * fields, two Host fields, versions other than 1.0 and 1.1, CONNECT. Requests
+ * to upgrade are read as plain requests.
+ *
+ * A caller that closes its sending side after a whole request still gets its
+ * answer. Since a caller that went away looks the same at first, the server
+ * then sends an HTTP/1.1 caller one "100 Continue": a closed socket answers it
+ * with a reset, upon which the exchange is gone. An HTTP/1.0 caller that went
+ * away is found out when the response is written.
+ *
+ * A user may end, abort or cancel anything from within any callback, but may
+ * not free the server, the pool or the loop there, nor iterate the context.
+ *
  * Back pressure: http_*_write() accepts everything and returns how many bytes
  * wait unsent; above the caller's own bound it stops its source and waits for
  * the drained callback. Reading is stopped by http_*_pause().
@@ -26,7 +40,7 @@
 };
 
 #define HTTP_FIELDS_MAX 64
-#define HTTP_LENGTH_NONE (-1)	 /* no body */
+#define HTTP_LENGTH_NONE (-1) /* no body */
 #define HTTP_LENGTH_CHUNKED (-2) /* length not known in advance */
 
 /**
@@ -52,21 +66,21 @@
 
 enum http_error_code {
 	HTTP_E_SYNTAX = 1, /* not HTTP/1.x, wrong lengths, both length forms */
-	HTTP_E_HEAD_SIZE,  /* start line and fields over the limit */
-	HTTP_E_FIELDS,	   /* more than HTTP_FIELDS_MAX */
-	HTTP_E_TIMEOUT,	   /* idle or head time over */
-	HTTP_E_CLOSED,	   /* peer closed before the message was whole */
+	HTTP_E_HEAD_SIZE, /* start line and fields over the limit */
+	HTTP_E_FIELDS, /* more than HTTP_FIELDS_MAX */
+	HTTP_E_TIMEOUT, /* idle or head time over */
+	HTTP_E_CLOSED, /* peer closed before the message was whole */
 	HTTP_E_CONNECT,
 	HTTP_E_BIND,
 	HTTP_E_SOCKET
 };
 
 struct http_limits {
-	int head_bytes;	 /* default 16384 */
+	int head_bytes; /* default 16384 */
 	int connections; /* default 1024; more are refused with 503 and closed
 			  */
-	int head_ms;	 /* time to send a whole head, default 5000 */
-	int idle_ms;	 /* without a byte on a connection, default 60000 */
+	int head_ms; /* time to send a whole head, default 5000 */
+	int idle_ms; /* without a byte on a connection, default 60000 */
 };
 #define HTTP_LIMITS_DEFAULT              \
 	{                                \
@@ -92,13 +106,13 @@
  *       by the server itself
  */
 struct http_server_ops {
-	void (*request)(
-	    void *ctx, struct http_exchange *, const struct http_head *);
+	void (*request)(void *ctx, struct http_exchange *,
+	    const struct http_head *);
 	void (*body)(void *ctx, struct http_exchange *, const void *, size_t);
 	void (*end)(void *ctx, struct http_exchange *);
 	void (*drained)(void *ctx, struct http_exchange *);
-	void (*gone)(
-	    void *ctx, struct http_exchange *, const struct kq_error *err);
+	void (*gone)(void *ctx, struct http_exchange *,
+	    const struct kq_error *err);
 	void (*bad)(void *ctx, const struct kq_error *err);
 };
 
@@ -110,6 +124,7 @@
 void http_server_stop(struct http_server *);
 /** http_server_open() - connections open now */
 int http_server_open(const struct http_server *);
+/** http_server_free() - close everything; open exchanges get no callback */
 void http_server_free(struct http_server *);
 
 void http_exchange_set_ctx(struct http_exchange *, void *);
@@ -121,7 +136,10 @@
     const struct http_field *field, int nfield, int64_t length);
 /** http_exchange_write() - body bytes; returns bytes waiting unsent */
 size_t http_exchange_write(struct http_exchange *, const void *, size_t);
-/** http_exchange_end() - response is complete; the exchange is invalid after */
+/** http_exchange_end() - response is complete; the exchange is invalid after.
+ * One without head or with fewer bytes than announced is aborted. A request
+ * body that is still to come is read and dropped, a long one ends the
+ * connection. */
 void http_exchange_end(struct http_exchange *);
 /** http_exchange_abort() - cut the connection so that the caller sees a broken
  * answer; the exchange is invalid after */
@@ -157,6 +175,7 @@
  */
 struct http_pool *http_pool_new(struct io_loop *, const char *ip, int port,
     int max, int spare, const struct http_limits *);
+/** http_pool_free() - close everything; calls get no callback */
 void http_pool_free(struct http_pool *);
 /** http_pool_open() - connections open now; http_pool_busy() - with a call */
 int http_pool_open(const struct http_pool *);
@@ -177,6 +196,8 @@
     const char *path, const struct http_field *, int nfield, int64_t length,
     int fresh, const struct http_call_ops *, void *ctx, struct kq_error *);
 size_t http_call_write(struct http_call *, const void *, size_t);
+/** http_call_end() - request is complete; not needed without a body. With
+ * fewer bytes than announced the call fails */
 void http_call_end(struct http_call *);
 /** http_call_cancel() - close the connection; no callback follows. Returns
  * nonzero if any byte may have reached the other side */
