History check: every line of what must always hold, with windows around breaches

New against the script: failed calls and calls that never ended at planned stops, limits of cold targets, drains, versions that go back or come late.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 UNITS := $(notdir $(basename $(wildcard tests/unit/*.c)))
 
 PROGS := $(if $(DAEMON_SRC),$(O)/kumquatrockd) $(if $(TOOL_SRC),$(O)/kumquatrock) \
-	$(BENCH:%=$(O)/bench-%) $(FAKES:%=$(O)/fake-%)
+	$(BENCH:%=$(O)/bench-%) $(FAKES:%=$(O)/fake-%) $(O)/history-check
 UNIT_PROGS := $(UNITS:%=$(O)/unit-%)
 
 all: $(PROGS)
@@ -58,6 +58,9 @@
 $(foreach b,$(BENCH),$(eval $(call multi_prog,bench,$(b),bench)))
 $(foreach f,$(FAKES),$(eval $(call multi_prog,fake,$(f),tests/fake)))
 
+$(O)/history-check: $(patsubst %.c,$(O)/%.o,$(wildcard tests/history/*.c)) $(O)/libkumquatrock.a
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
 $(O)/unit-%: $(O)/tests/unit/%.o $(O)/libtest.a $(O)/libkumquatrock.a
 	$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
--- /dev/null
+++ b/tests/golden/history-check.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# The history check on small histories: one that holds, one in which most is
+# broken, and one for each property in which its mechanism was off.
+# usage: history-check.sh BUILD-DIRECTORY
+set -u
+check=$(realpath "$1")/history-check
+cd "$(dirname "$0")/history" || exit 1
+failed=0
+for h in *.history; do
+	n=${h%.history}
+	{
+		"$check" --planned --timeout-ms 1000 --measure s=2 --cold s=4 \
+			--grace-ms 3000 --straight load9 "$h" 2>&1
+		echo "exit $?"
+	} | if [ "$n" = good ]; then cat; else sed '/^calls  /,/per target/d; / 0$/d'; fi |
+		diff -u "$n.expected" - || failed=1
+done
+exit $failed
