--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,10 @@
 $(O)/unit-%: $(O)/tests/unit/%.o $(O)/libtest.a $(O)/libkumquatrock.a
 	$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
+# Built by tests/system/fuzz-*.sh with clang and its fuzzer.
+$(O)/fuzz-%: $(O)/tests/fuzz/%.o $(O)/libkumquatrock.a
+	$(CC) $(SAN) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
+
 check: all $(UNIT_PROGS)
 	./scripts/run-tests $(O)
 
