--- a/src/adapter/rpc/member_codec.c
+++ b/src/adapter/rpc/member_codec.c
@@ -26,8 +26,8 @@
 const char *
 datagram_reason_name(enum datagram_reason reason)
 {
-	static const char *const names[DATAGRAM_REASONS] = {"ok", "short",
-	    "version", "key", "forged", "malformed", "other", "replayed"};
+	static const char *const names[DATAGRAM_REASONS] = { "ok", "short",
+		"version", "key", "forged", "malformed", "other", "replayed" };
 
 	return names[reason];
 }
@@ -55,8 +55,8 @@
 }
 
 struct datagram_codec *
-datagram_codec_new(
-    uint64_t self, const unsigned char (*key)[FLEET_KEY_BYTES], int nkey)
+datagram_codec_new(uint64_t self, const unsigned char (*key)[FLEET_KEY_BYTES],
+    int nkey)
 {
 	struct datagram_codec *c;
 
--- a/src/adapter/rpc/member_xdr.c
+++ b/src/adapter/rpc/member_xdr.c
@@ -115,8 +115,8 @@
 }
 
 size_t
-member_message_encode(
-    const struct member_message *m, unsigned char *buf, size_t size)
+member_message_encode(const struct member_message *m, unsigned char *buf,
+    size_t size)
 {
 	XDR x;
 	size_t n = 0;
@@ -130,8 +130,8 @@
 }
 
 size_t
-member_message_decode(
-    struct member_message *m, const unsigned char *buf, size_t n)
+member_message_decode(struct member_message *m, const unsigned char *buf,
+    size_t n)
 {
 	XDR x;
 	size_t used = 0;
--- a/src/internal/member_codec.h
+++ b/src/internal/member_codec.h
@@ -35,8 +35,8 @@
 	DATAGRAM_KEY, /* key id is not known */
 	DATAGRAM_FORGED, /* tag is wrong */
 	DATAGRAM_MALFORMED, /* signed, but the message can't be read */
-	DATAGRAM_OTHER,	    /* for another incarnation */
-	DATAGRAM_REPLAYED   /* counter was seen or is too old */
+	DATAGRAM_OTHER, /* for another incarnation */
+	DATAGRAM_REPLAYED /* counter was seen or is too old */
 };
 #define DATAGRAM_REASONS 8
 
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -10,7 +10,7 @@
 #define IP_BYTES 28 /* headers of IPv4 and UDP */
 #define CONTROL_BYTES_PER_S 15000
 
-static const int sizes[] = {10, 50, 200, 990};
+static const int sizes[] = { 10, 50, 200, 990 };
 
 static const struct member *
 view(const struct fleet *f, int of, int node)
@@ -89,8 +89,8 @@
 static const struct {
 	int64_t time_us;
 	int dies; /* 1: must be declared dead, 0: must not, -1: may */
-} pauses[] = {{100000, 0}, {500000, 0}, {1000000, -1}, {2000000, -1},
-    {5000000, 1}, {10000000, 1}};
+} pauses[] = { { 100000, 0 }, { 500000, 0 }, { 1000000, -1 }, { 2000000, -1 },
+	{ 5000000, 1 }, { 10000000, 1 } };
 
 /* A paused member may not act, and declares no one dead, until it has been
  * acknowledged; then all hold it alive again. */
@@ -217,14 +217,14 @@
 
 	ck_assert_int_eq(member_watchers(f->node[0].table, "luzon-b", 3, a), 3);
 	for (k = 0; k < 3; k++)
-		ck_assert_str_eq(
-		    member_at(f->node[0].table, a[k])->info.datacentre,
+		ck_assert_str_eq(member_at(f->node[0].table, a[k])
+				     ->info.datacentre,
 		    "luzon-b");
 	for (i = 1; i < f->n; i++) {
 		member_watchers(f->node[i].table, "luzon-b", 3, b);
 		for (k = 0; k < 3; k++)
-			ck_assert_uint_eq(
-			    member_at(f->node[i].table, b[k])->info.id,
+			ck_assert_uint_eq(member_at(f->node[i].table, b[k])
+					      ->info.id,
 			    member_at(f->node[0].table, a[k])->info.id);
 	}
 	member_unlearn(f->node[0].table,
@@ -287,8 +287,8 @@
 table_new(struct log *l)
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
-	static const struct member_ops ops = {on_send, on_event, on_behind};
-	struct member_info info = {.id = SELF, .datacentre = "estrie"};
+	static const struct member_ops ops = { on_send, on_event, on_behind };
+	struct member_info info = { .id = SELF, .datacentre = "estrie" };
 	struct member_table *t;
 
 	memset(l, 0, sizeof *l);
@@ -322,26 +322,26 @@
 	uint32_t then_number;
 	int taken;
 } order[] = {
-    {MEMBER_ALIVE, 1, MEMBER_ALIVE, 1, 0},
-    {MEMBER_ALIVE, 1, MEMBER_SUSPECT, 0, 0},
-    {MEMBER_ALIVE, 1, MEMBER_SUSPECT, 1, 1},
-    {MEMBER_SUSPECT, 1, MEMBER_ALIVE, 1, 0},
-    {MEMBER_SUSPECT, 1, MEMBER_ALIVE, 2, 1},
-    {MEMBER_SUSPECT, 1, MEMBER_DEAD, 1, 1},
-    {MEMBER_ALIVE, 2, MEMBER_DEAD, 1, 0},
-    {MEMBER_DEAD, 1, MEMBER_ALIVE, 1, 0},
-    {MEMBER_DEAD, 1, MEMBER_SUSPECT, 1, 0},
-    {MEMBER_DEAD, 1, MEMBER_ALIVE, 2, 1},
-    {MEMBER_DEAD, 9, MEMBER_LEFT, 0, 1},
-    {MEMBER_LEFT, 0, MEMBER_ALIVE, 99, 0},
-    {MEMBER_LEFT, 0, MEMBER_DEAD, 99, 0},
+	{ MEMBER_ALIVE, 1, MEMBER_ALIVE, 1, 0 },
+	{ MEMBER_ALIVE, 1, MEMBER_SUSPECT, 0, 0 },
+	{ MEMBER_ALIVE, 1, MEMBER_SUSPECT, 1, 1 },
+	{ MEMBER_SUSPECT, 1, MEMBER_ALIVE, 1, 0 },
+	{ MEMBER_SUSPECT, 1, MEMBER_ALIVE, 2, 1 },
+	{ MEMBER_SUSPECT, 1, MEMBER_DEAD, 1, 1 },
+	{ MEMBER_ALIVE, 2, MEMBER_DEAD, 1, 0 },
+	{ MEMBER_DEAD, 1, MEMBER_ALIVE, 1, 0 },
+	{ MEMBER_DEAD, 1, MEMBER_SUSPECT, 1, 0 },
+	{ MEMBER_DEAD, 1, MEMBER_ALIVE, 2, 1 },
+	{ MEMBER_DEAD, 9, MEMBER_LEFT, 0, 1 },
+	{ MEMBER_LEFT, 0, MEMBER_ALIVE, 99, 0 },
+	{ MEMBER_LEFT, 0, MEMBER_DEAD, 99, 0 },
 };
 
 START_TEST(later_statements_override)
 {
 	struct log l;
 	struct member_table *t = table_new(&l);
-	struct member_update u = {.info.id = PEER};
+	struct member_update u = { .info.id = PEER };
 	const struct member *m = member_at(t, member_find(t, PEER));
 
 	u.state = order[_i].state;
@@ -351,8 +351,8 @@
 	u.state = order[_i].then;
 	u.number = order[_i].then_number;
 	tell(t, MEMBER_GOSSIP, PEER, SELF, &u);
-	ck_assert_int_eq(
-	    m->state, order[_i].taken ? order[_i].then : order[_i].state);
+	ck_assert_int_eq(m->state,
+	    order[_i].taken ? order[_i].then : order[_i].state);
 	ck_assert_uint_eq(m->number,
 	    order[_i].taken ? order[_i].then_number : order[_i].number);
 	member_free(t);
@@ -363,8 +363,9 @@
 {
 	struct log l;
 	struct member_table *t = table_new(&l);
-	struct member_update u = {
-	    .state = MEMBER_DEAD, .number = 6, .info.id = SELF};
+	struct member_update u = { .state = MEMBER_DEAD,
+		.number = 6,
+		.info.id = SELF };
 
 	tell(t, MEMBER_PING, PEER, SELF, &u);
 	ck_assert_int_eq(l.kind, MEMBER_ACK);
@@ -383,7 +384,7 @@
 {
 	struct log l;
 	struct member_table *t = table_new(&l);
-	struct member_update u = {.has_info = 1, .info.id = 9};
+	struct member_update u = { .has_info = 1, .info.id = 9 };
 
 	tell(t, MEMBER_JOIN, 9, 0, &u);
 	ck_assert_int_eq(l.kind, MEMBER_WELCOME);
@@ -425,7 +426,7 @@
 {
 	struct log l;
 	struct member_table *t = table_new(&l);
-	struct member_update u = {.state = MEMBER_SUSPECT, .info.id = PEER};
+	struct member_update u = { .state = MEMBER_SUSPECT, .info.id = PEER };
 	const struct member *m = member_at(t, member_find(t, PEER));
 	struct member_message *ack = g_new0(struct member_message, 1);
 	int64_t now;
@@ -454,7 +455,7 @@
 {
 	struct log l;
 	struct member_table *t = table_new(&l);
-	struct member_update u = {.state = MEMBER_SUSPECT, .info.id = PEER};
+	struct member_update u = { .state = MEMBER_SUSPECT, .info.id = PEER };
 	const struct member *m = member_at(t, member_find(t, PEER));
 	struct member_message *ack = g_new0(struct member_message, 1);
 
@@ -480,7 +481,7 @@
 {
 	struct log l;
 	struct member_table *t = table_new(&l);
-	struct member_info info = {.id = 0};
+	struct member_info info = { .id = 0 };
 	struct member_counts c;
 
 	for (info.id = 3; info.id < MEMBERS_MAX + 10; info.id++)
--- a/tests/unit/member_codec.c
+++ b/tests/unit/member_codec.c
@@ -8,7 +8,7 @@
 #define SENDER 0x1122334455667788u
 #define RECEIVER 0x99aabbccddeeff00u
 
-static const unsigned char keys[3][FLEET_KEY_BYTES] = {{1}, {2}, {3}};
+static const unsigned char keys[3][FLEET_KEY_BYTES] = { { 1 }, { 2 }, { 3 } };
 
 struct pair {
 	struct datagram_codec *a;
@@ -112,8 +112,8 @@
 
 	random_message(r, &p->message);
 	encode(p);
-	ck_assert_int_eq(
-	    datagram_decode(p->b, p->buf, p->n, back), DATAGRAM_OK);
+	ck_assert_int_eq(datagram_decode(p->b, p->buf, p->n, back),
+	    DATAGRAM_OK);
 	ck_assert_mem_eq(back, &p->message, sizeof *back);
 	g_free(back);
 	g_rand_free(r);
@@ -137,8 +137,8 @@
 	ck_assert_uint_eq(datagram_count(p->b, DATAGRAM_OK), 0);
 	ck_assert_uint_eq(datagram_count(p->b, DATAGRAM_VERSION), 8);
 	ck_assert_uint_eq(datagram_count(p->b, DATAGRAM_KEY), 8);
-	ck_assert_uint_eq(
-	    datagram_count(p->b, DATAGRAM_FORGED), (p->n - 2) * 8);
+	ck_assert_uint_eq(datagram_count(p->b, DATAGRAM_FORGED),
+	    (p->n - 2) * 8);
 	ck_assert_int_eq(decode(p, p->n), DATAGRAM_OK);
 	pair_free(p);
 }
@@ -212,8 +212,10 @@
 /* Old key first, then both in either order, then the new one alone. */
 START_TEST(keys_rotate)
 {
-	static const unsigned char old_new[2][FLEET_KEY_BYTES] = {{1}, {2}};
-	static const unsigned char new_old[2][FLEET_KEY_BYTES] = {{2}, {1}};
+	static const unsigned char old_new[2][FLEET_KEY_BYTES] = { { 1 },
+		{ 2 } };
+	static const unsigned char new_old[2][FLEET_KEY_BYTES] = { { 2 },
+		{ 1 } };
 	struct pair *p = pair_new();
 
 	datagram_codec_keys(p->b, old_new, 2);
@@ -236,17 +238,17 @@
 	size_t offset;
 	unsigned char byte;
 } bad[] = {
-    {7, 0},   /* from no one */
-    {19, 10}, /* kind */
-    {37, 1},  /* port over 65535 */
-    {51, 4},  /* state of the view */
-    {63, 2},  /* more updates than there are */
-    {62, 1},  /* more than may be */
-    {67, 1},  /* wants that are not there */
-    {75, 0},  /* update of no one */
-    {79, 4},  /* state of an update */
-    {78, 2},  /* unknown flag */
-    {78, 1},  /* info that is not there */
+	{ 7, 0 }, /* from no one */
+	{ 19, 10 }, /* kind */
+	{ 37, 1 }, /* port over 65535 */
+	{ 51, 4 }, /* state of the view */
+	{ 63, 2 }, /* more updates than there are */
+	{ 62, 1 }, /* more than may be */
+	{ 67, 1 }, /* wants that are not there */
+	{ 75, 0 }, /* update of no one */
+	{ 79, 4 }, /* state of an update */
+	{ 78, 2 }, /* unknown flag */
+	{ 78, 1 }, /* info that is not there */
 };
 
 START_TEST(malformed_is_refused)
@@ -277,8 +279,9 @@
 		p->message.update[i].info.id = 5;
 		p->message.update[i].has_info = 1;
 	}
-	ck_assert_uint_eq(
-	    datagram_encode(p->a, &p->message, p->buf, sizeof p->buf), 0);
+	ck_assert_uint_eq(datagram_encode(p->a, &p->message, p->buf,
+			      sizeof p->buf),
+	    0);
 	ck_assert_uint_eq(datagram_encode(p->a, &p->message, p->buf, 20), 0);
 	pair_free(p);
 }
