--- a/src/core/pick/pool.c
+++ b/src/core/pick/pool.c
@@ -1,6 +1,6 @@
 #include "impl.h"
 
-#define POOL_LEAST 2	    /* fewer probes say nothing */
+#define POOL_LEAST 2 /* fewer probes say nothing */
 #define POOL_AGE_US 1000000 /* a probe older than this is dropped */
 #define POOL_USES 1
 #define POOL_PART 3 /* at most one in so many candidates is in the pool */
@@ -47,8 +47,8 @@
 }
 
 void
-pool_add(
-    struct pick *p, uint32_t handle, int64_t now, const struct load_report *l)
+pool_add(struct pick *p, uint32_t handle, int64_t now,
+    const struct load_report *l)
 {
 	struct pool *o = &p->pool;
 	double load = l->in_flight + l->queued;
@@ -58,8 +58,8 @@
 	learn_hot(o, load);
 	while (o->n >= most(p))
 		drop(o, oldest(o));
-	o->probe[o->n++] = (struct pooled){
-	    handle, load, latency_us, now - l->age_us, POOL_USES};
+	o->probe[o->n++] = (struct pooled){ handle, load, latency_us,
+		now - l->age_us, POOL_USES };
 }
 
 static int
