--- a/bench/pick/caller.c
+++ b/bench/pick/caller.c
@@ -1,4 +1,3 @@
-#include "admit.h"
 #include "sim.h"
 
 #define RETRY_RATIO 0.1
@@ -121,6 +120,10 @@
 
 	c->over = 1;
 	retry_end(&s->caller[c->caller].retry, &c->retry);
+	if (latency < sim_deadline(s)) {
+		s->result.good[s->now / SLICE_US % SLICES]++;
+		s->result.in_time[c->arrived / SLICE_US % SLICES]++;
+	}
 	if (id >= s->room / 10)
 		s->latency[s->nlatency++] = latency;
 }
@@ -150,10 +153,14 @@
 	    (uint16_t)rng_below(&s->arrivals, (uint32_t)s->scenario->callers);
 	c->work = service_time(&s->arrivals);
 	who = &s->caller[c->caller];
-	retry_start(&who->retry, &c->retry, 0, 0, 1, s->now + DEADLINE_US);
+	retry_start(&who->retry, &c->retry, 0, 0, 1, s->now + sim_deadline(s));
 	send(s, id);
 	if (!s->way->oracle)
 		probe(s, c->caller);
+	s->result.asked[s->now / SLICE_US % SLICES]++;
+	if (s->scenario->deadline_us)
+		heap_push(&s->heap, s->now + sim_deadline(s), EVENT_DEADLINE,
+		    id);
 	delay = retry_hedge_delay(&who->retry, &c->retry);
 	if (delay >= 0)
 		heap_push(&s->heap, s->now + delay, EVENT_HEDGE, id);
@@ -171,13 +178,22 @@
 		send(s, id);
 }
 
+void
+caller_deadline(struct sim *s, uint32_t id)
+{
+	if (s->call[id].over)
+		return;
+	s->result.failed++;
+	over(s, id, sim_deadline(s));
+}
+
 static void
 refused(struct sim *s, uint32_t id, const struct attempt *a)
 {
 	struct call *c = &s->call[id];
 	struct caller *who = &s->caller[c->caller];
 
-	pick_refused(who->pick, who->handle[a->target], s->now, ADMIT_FULL,
+	pick_refused(who->pick, who->handle[a->target], s->now, a->reason,
 	    &a->report);
 	if (c->over)
 		return;
@@ -188,7 +204,7 @@
 	if (c->out)
 		return;
 	s->result.failed++;
-	over(s, id, DEADLINE_US);
+	over(s, id, sim_deadline(s));
 }
 
 void
--- a/bench/pick/main.c
+++ b/bench/pick/main.c
@@ -6,31 +6,68 @@
 #include "sim.h"
 
 static const struct scenario scenarios[] = {
-	{ "steady-50", 0.5, 0, 0, 0, 0, 0, 0, 100 },
-	{ "steady-75", 0.75, 0, 0, 0, 0, 0, 0, 100 },
-	{ "steady-90", 0.9, 0, 0, 0, 0, 0, 0, 100 },
-	{ "five-callers", 0.9, 0, 0, 0, 0, 0, 0, 5 },
-	{ "straggler", 0.5, 1, 0, 0, 0, 0, 0, 100 },
-	{ "straggler-1000", 0.5, 1, 0, 0, 0, 0, 0, 1000 },
-	{ "noisy", 0.5, 0, 1, 0, 0, 0, 0, 100 },
-	{ "stale", 0.75, 0, 0, 100, 0, 0, 0, 100 },
-	{ "lying", 0.75, 0, 0, 0, 2, 0, 0, 100 },
-	{ "cold", 0.75, 0, 0, 0, 0, 1, 0, 100 },
-	{ "burst", 0.5, 0, 0, 0, 0, 0, 1, 100 },
+	{ .name = "steady-50", .load = 0.5, .callers = 100 },
+	{ .name = "steady-75", .load = 0.75, .callers = 100 },
+	{ .name = "steady-90", .load = 0.9, .callers = 100 },
+	{ .name = "five-callers", .load = 0.9, .callers = 5 },
+	{ .name = "straggler", .load = 0.5, .straggler = 1, .callers = 100 },
+	{ .name = "straggler-1000",
+	    .load = 0.5,
+	    .straggler = 1,
+	    .callers = 1000 },
+	{ .name = "noisy", .load = 0.5, .noisy = 1, .callers = 100 },
+	{ .name = "stale", .load = 0.75, .stale_ms = 100, .callers = 100 },
+	{ .name = "lying", .load = 0.75, .liars = 2, .callers = 100 },
+	{ .name = "cold", .load = 0.75, .cold = 1, .callers = 100 },
+	{ .name = "burst", .load = 0.5, .burst = 1, .callers = 100 },
 };
 
 static const struct way ways[] = {
-	{ "random", 0, 0, PICK_RANDOM, 0, INT_MAX, 0 },
-	{ "round-robin", 0, 0, PICK_ROUND_ROBIN, 0, INT_MAX, 0 },
-	{ "least-of-two", 0, 0, PICK_LEAST_OF_TWO, 0, INT_MAX, 0 },
-	{ "latency-of-two", 0, 0, PICK_LATENCY_OF_TWO, 0, INT_MAX, 0 },
-	{ "probe-pool", 60, 1, PICK_PROBE_POOL, 0, INT_MAX, 0 },
-	{ "probe-pool-3", 1e9, 3, PICK_PROBE_POOL, 0, INT_MAX, 0 },
-	{ "expected", 60, 1, PICK_EXPECTED, 0, INT_MAX, 0 },
-	{ "weighted", 2, 0.1, PICK_WEIGHTED, 0, INT_MAX, 0 },
-	{ "weighted-crowded", 2, 0.1, PICK_WEIGHTED, 0, SLOTS / 2, 0 },
-	{ "weighted-hedged", 2, 0.1, PICK_WEIGHTED, 0, SLOTS / 2, 1 },
-	{ "oracle", 0, 0, PICK_RANDOM, 1, INT_MAX, 0 },
+	{ .name = "random", .policy = PICK_RANDOM, .crowded = INT_MAX },
+	{ .name = "round-robin",
+	    .policy = PICK_ROUND_ROBIN,
+	    .crowded = INT_MAX },
+	{ .name = "least-of-two",
+	    .policy = PICK_LEAST_OF_TWO,
+	    .crowded = INT_MAX },
+	{ .name = "latency-of-two",
+	    .policy = PICK_LATENCY_OF_TWO,
+	    .crowded = INT_MAX },
+	{ .name = "probe-pool",
+	    .probe_per_s = 60,
+	    .probe_per_call = 1,
+	    .policy = PICK_PROBE_POOL,
+	    .crowded = INT_MAX },
+	{ .name = "probe-pool-3",
+	    .probe_per_s = 1e9,
+	    .probe_per_call = 3,
+	    .policy = PICK_PROBE_POOL,
+	    .crowded = INT_MAX },
+	{ .name = "expected",
+	    .probe_per_s = 60,
+	    .probe_per_call = 1,
+	    .policy = PICK_EXPECTED,
+	    .crowded = INT_MAX },
+	{ .name = "weighted",
+	    .probe_per_s = 2,
+	    .probe_per_call = 0.1,
+	    .policy = PICK_WEIGHTED,
+	    .crowded = INT_MAX },
+	{ .name = "weighted-crowded",
+	    .probe_per_s = 2,
+	    .probe_per_call = 0.1,
+	    .policy = PICK_WEIGHTED,
+	    .crowded = SLOTS / 2 },
+	{ .name = "weighted-hedged",
+	    .probe_per_s = 2,
+	    .probe_per_call = 0.1,
+	    .policy = PICK_WEIGHTED,
+	    .crowded = SLOTS / 2,
+	    .hedge = 1 },
+	{ .name = "oracle",
+	    .policy = PICK_RANDOM,
+	    .oracle = 1,
+	    .crowded = INT_MAX },
 };
 
 #define COUNT(a) (sizeof(a) / sizeof *(a))
@@ -53,7 +90,8 @@
 	fflush(stdout);
 }
 
-/** usage: bench-pick CALLS SEED [SCENARIO [WAY]], or bench-pick cost */
+/** usage: bench-pick CALLS SEED [SCENARIO [WAY]], or bench-pick cost, or
+ * bench-pick overload SEED */
 int
 main(int argc, char **argv)
 {
@@ -66,6 +104,8 @@
 		cost_run();
 		return 0;
 	}
+	if (argc == 3 && strcmp(argv[1], "overload") == 0)
+		return overload_run(strtoull(argv[2], NULL, 10)) < 0;
 	if (argc < 3) {
 		fprintf(stderr,
 		    "usage: bench-pick CALLS SEED [SCENARIO [WAY]]\n");
--- a/bench/pick/sim.c
+++ b/bench/pick/sim.c
@@ -31,6 +31,13 @@
 	s->free_attempt = id;
 }
 
+int64_t
+sim_deadline(const struct sim *s)
+{
+	return s->scenario->deadline_us ? s->scenario->deadline_us
+					: DEADLINE_US;
+}
+
 static double
 rate(const struct sim *s)
 {
@@ -40,6 +47,9 @@
 			     : 1;
 	double per_s = s->scenario->load * CAPACITY_PER_S * targets;
 
+	if (s->scenario->overload > 0 && s->now >= OVERLOAD_FROM_US &&
+	    s->now < OVERLOAD_TO_US)
+		return s->scenario->overload * CAPACITY_PER_S;
 	if (s->scenario->burst && ms >= BURST_FROM_MS &&
 	    ms < BURST_FROM_MS + BURST_MS)
 		per_s *= 3;
@@ -51,7 +61,8 @@
 {
 	double us;
 
-	if (s->ncall >= s->room)
+	if (s->ncall >= s->room ||
+	    (s->scenario->overload > 0 && s->now >= OVERLOAD_END_US))
 		return;
 	us = -1e6 / rate(s) * __builtin_log(1 - rng_unit(&s->arrivals));
 	heap_push(&s->heap, s->now + (int64_t)us, EVENT_ARRIVE, 0);
@@ -86,9 +97,15 @@
 	case EVENT_HEDGE:
 		caller_hedge(s, e->id);
 		break;
+	case EVENT_DEADLINE:
+		caller_deadline(s, e->id);
+		break;
+	case EVENT_ADMIT:
+		admitted_due(s, (int)e->id);
+		break;
 	case EVENT_TICK:
 		target_tick(s);
-		if (s->nlatency < s->room - s->room / 10)
+		if (s->nlatency < s->room - s->room / 10 && s->heap.n > 0)
 			heap_push(&s->heap, s->now + 1000, EVENT_TICK, 0);
 		break;
 	}
@@ -155,6 +172,8 @@
 
 	for (i = 0; i < s->scenario->callers; i++)
 		pick_free(s->caller[i].pick);
+	for (i = 0; i < TARGETS; i++)
+		admit_free(s->target[i].admit);
 	free(s->call);
 	free(s->attempt);
 	free(s->latency);
--- a/bench/pick/sim.h
+++ b/bench/pick/sim.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "admit.h"
 #include "pick.h"
 #include "retry.h"
 #include "rng.h"
@@ -22,6 +23,11 @@
 #define CAPACITY_PER_S (TARGETS * SLOTS / SERVICE_US * 1e6)
 #define DEADLINE_US 500000
 #define TRIES_MAX 4
+#define OVERLOAD_FROM_US 1000000
+#define OVERLOAD_TO_US 4000000
+#define OVERLOAD_END_US 6000000
+#define SLICE_US 100000
+#define SLICES 64
 #define HISTORY 256 /* ms of loads kept for stale reports */
 
 /**
@@ -35,6 +41,8 @@
  * @cold: nonzero if target 0 returns cold after a third of the run
  * @burst: nonzero if the load triples for 100 ms in each second
  * @callers: at most CALLERS_MAX
+ * @deadline_us: time a call has, 0 for DEADLINE_US
+ * @overload: if not 0, load from OVERLOAD_FROM_US to OVERLOAD_TO_US
  */
 struct scenario {
 	const char *name;
@@ -46,6 +54,8 @@
 	int cold;
 	int burst;
 	int callers;
+	int64_t deadline_us;
+	double overload;
 };
 
 /**
@@ -54,6 +64,7 @@
  * @crowded: requests waiting at a target above which it refuses one that can
  *	still pay for another attempt
  * @hedge: nonzero to hedge
+ * @admit: nonzero for real admission at the targets
  */
 struct way {
 	const char *name;
@@ -63,6 +74,7 @@
 	int oracle;
 	int crowded;
 	int hedge;
+	int admit;
 };
 
 enum event_kind {
@@ -73,7 +85,9 @@
 	EVENT_PROBE,
 	EVENT_PROBE_REPLY,
 	EVENT_HEDGE,
-	EVENT_TICK
+	EVENT_TICK,
+	EVENT_DEADLINE,
+	EVENT_ADMIT
 };
 
 struct event {
@@ -111,6 +125,8 @@
 	uint8_t target;
 	uint8_t movable; /* the call can pay for another attempt */
 	uint8_t refused;
+	uint8_t reason; /* enum admit_reason */
+	struct admit_run run;
 };
 
 struct target {
@@ -125,6 +141,8 @@
 	double latency_us;
 	int cold;
 	int lies;
+	struct admit *admit;
+	int64_t timer;
 	struct load_report history[HISTORY];
 };
 
@@ -139,6 +157,9 @@
 	uint64_t failed;
 	uint64_t attempts;
 	uint64_t probes;
+	uint32_t asked[SLICES]; /* calls that arrived in each SLICE_US */
+	uint32_t in_time[SLICES]; /* of these, answered in time */
+	uint32_t good[SLICES]; /* answers in time in each SLICE_US */
 	double p50_ms;
 	double p99_ms;
 	double p999_ms;
@@ -185,6 +206,17 @@
 void caller_hedge(struct sim *, uint32_t id);
 void caller_probe_reply(struct sim *, uint32_t attempt);
 
+/** admitted_reach() - as target_reach(), by the target's admission table */
+void admitted_reach(struct sim *, uint32_t id);
+void admitted_finish(struct sim *, uint32_t id);
+void admitted_due(struct sim *, int target);
+void target_start(struct sim *, uint32_t id);
+void target_answer(struct sim *, uint32_t id);
+void caller_deadline(struct sim *, uint32_t id);
+int64_t sim_deadline(const struct sim *);
+/** overload_run() - prints goodput through overload */
+int overload_run(uint64_t seed);
+
 /** sim_run() - @calls arrivals; the first tenth is not measured */
 int sim_run(const struct scenario *, const struct way *, uint32_t calls,
     uint64_t seed, struct result *);
--- a/bench/pick/target.c
+++ b/bench/pick/target.c
@@ -9,6 +9,8 @@
 #define NOISE_ONE_IN 4
 #define LATENCY_GAIN 0.125
 
+static const struct admit_config admission = { SLOTS, 260, 3, 20000, 0, 32 };
+
 void
 target_init(struct sim *s, int i)
 {
@@ -17,6 +19,9 @@
 	*t = (struct target){ .limit = SLOTS, .first = NONE, .last = NONE };
 	t->speed = 1;
 	t->lies = i < s->scenario->liars;
+	t->timer = INT64_MAX;
+	if (s->way->admit)
+		t->admit = admit_new(&admission, 0);
 }
 
 static double
@@ -25,8 +30,8 @@
 	return t->cold ? t->speed * COLD_SPEED : t->speed;
 }
 
-static void
-start(struct sim *s, uint32_t id)
+void
+target_start(struct sim *s, uint32_t id)
 {
 	struct attempt *a = &s->attempt[id];
 	struct target *t = &s->target[a->target];
@@ -50,8 +55,8 @@
 	t->queued++;
 }
 
-static void
-answer(struct sim *s, uint32_t id)
+void
+target_answer(struct sim *s, uint32_t id)
 {
 	struct attempt *a = &s->attempt[id];
 
@@ -66,13 +71,18 @@
 	struct target *t = &s->target[a->target];
 
 	t->on_way--;
+	if (t->admit) {
+		admitted_reach(s, id);
+		return;
+	}
 	if (t->running < t->limit) {
-		start(s, id);
+		target_start(s, id);
 		return;
 	}
 	if (a->movable && t->queued >= s->way->crowded) {
 		a->refused = 1;
-		answer(s, id);
+		a->reason = ADMIT_FULL;
+		target_answer(s, id);
 		return;
 	}
 	enqueue(s, t, id);
@@ -103,7 +113,7 @@
 		t->queued--;
 		if (!s->call[s->attempt[id].call].over)
 			return id;
-		answer(s, id);
+		target_answer(s, id);
 	}
 	return NONE;
 }
@@ -115,18 +125,22 @@
 	struct target *t = &s->target[a->target];
 	double us = (double)(s->now - a->started);
 
+	if (t->admit) {
+		admitted_finish(s, id);
+		return;
+	}
 	t->running--;
 	t->latency_us +=
 	    (t->latency_us > 0 ? LATENCY_GAIN : 1) * (us - t->latency_us);
 	if (t->cold)
 		warm_up(t);
-	answer(s, id);
+	target_answer(s, id);
 	while (t->running < t->limit) {
 		uint32_t next = dequeue(s, t);
 
 		if (next == NONE)
 			break;
-		start(s, next);
+		target_start(s, next);
 	}
 }
 
@@ -136,6 +150,11 @@
 	const struct target *t = &s->target[i];
 	int64_t ms = s->now / 1000;
 
+	if (t->admit) {
+		admit_report(t->admit, s->now, l);
+		l->age_us = NETWORK_US;
+		return;
+	}
 	if (s->scenario->stale_ms) {
 		*l = t->history[(ms + HISTORY - s->scenario->stale_ms) %
 				HISTORY];
