Overload through all decisions; arrivals of the bench at their true rate

Cause: the bench cut times between arrivals to whole microseconds, so loads were 1 to 3 per cent above their names (half load gave 49124 a second at 0.8 times 60000 in place of 48000).

--- a/bench/decide.sh
+++ b/bench/decide.sh
@@ -4,6 +4,7 @@
 set -eu
 o=$1
 "$o/bench-pick" cost
+"$o/bench-pick" overload 1
 for s in steady-50 steady-75 steady-90 five-callers straggler straggler-1000 \
 	noisy stale lying cold burst; do
 	"$o/bench-pick" 300000 1 "$s" weighted-hedged
--- a/bench/pick/sim.c
+++ b/bench/pick/sim.c
@@ -59,13 +59,11 @@
 static void
 next_arrival(struct sim *s)
 {
-	double us;
-
 	if (s->ncall >= s->room ||
 	    (s->scenario->overload > 0 && s->now >= OVERLOAD_END_US))
 		return;
-	us = -1e6 / rate(s) * __builtin_log(1 - rng_unit(&s->arrivals));
-	heap_push(&s->heap, s->now + (int64_t)us, EVENT_ARRIVE, 0);
+	s->arrival -= 1e6 / rate(s) * __builtin_log(1 - rng_unit(&s->arrivals));
+	heap_push(&s->heap, (int64_t)s->arrival, EVENT_ARRIVE, 0);
 }
 
 static void
--- a/bench/pick/sim.h
+++ b/bench/pick/sim.h
@@ -173,6 +173,7 @@
 	int64_t end;
 	struct heap heap;
 	struct rng arrivals;
+	double arrival; /* time of the next one */
 	struct rng world;
 	struct target target[TARGETS];
 	struct caller caller[CALLERS_MAX];
