HTTP server: a stop cuts no request that is on its way

http_server_stop() closed idle connections at once and with them requests that callers had just sent, and closing the listening socket reset the connections that waited in its queue. The queue is now accepted first, and idle connections close after one second in which a request is still answered with "Connection: close". What a caller sends in the instant that ends this second is still lost; HTTP/1.1 has no way to tell it before.

Ruled out: closing the receiving side late only, since bytes then arrive and are dropped.

--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -219,15 +219,6 @@
 	take_input(c);
 }
 
-static void
-between(struct http_conn *c)
-{
-	if (c->in.ended)
-		conn_proceed(c);
-	if (c->server->stopping && !in_started(&c->in) && !c->in.rest_len)
-		conn_linger(c);
-}
-
 static void
 leave(struct http_conn *c)
 {
@@ -236,8 +227,8 @@
 	c->running = 0;
 	if (c->dead)
 		return;
-	if (c->state == CONN_OPEN && !c->exchange.open)
-		between(c);
+	if (c->state == CONN_OPEN && !c->exchange.open && c->in.ended)
+		conn_proceed(c);
 	conn_settle(c);
 }
 
--- a/src/adapter/http/conn_time.c
+++ b/src/adapter/http/conn_time.c
@@ -1,5 +1,14 @@
 #include "http_impl.h"
 
+#include <sys/socket.h>
+
+int
+conn_idle(const struct http_conn *c)
+{
+	return c->state == CONN_OPEN && !c->exchange.open &&
+	       !in_started(&c->in) && !c->in.rest_len && !out_pending(&c->out);
+}
+
 /* Time at which the connection has waited for its peer for too long; 0 while
  * it waits for the user of the adapter. */
 int64_t
@@ -16,6 +25,8 @@
 		return c->head_since + (int64_t)m->head_ms * HTTP_US_PER_MS;
 	if (c->exchange.open && (c->in.ended || c->paused))
 		return 0;
+	if (c->server->stopping && conn_idle(c) && c->server->stop_at < idle)
+		return c->server->stop_at;
 	return idle;
 }
 
@@ -32,12 +43,36 @@
 		io_timer_set(c->server->loop, &c->timer, due);
 }
 
+static int
+has_input(int fd)
+{
+	char c;
+
+	return recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* A request that has just arrived is still answered. */
+static void
+close_idle(struct http_conn *c)
+{
+	if (has_input(c->fd))
+		return;
+	if (c->server->stopping)
+		conn_linger(c);
+	else
+		conn_close(c);
+}
+
 void
 conn_timeout(struct http_conn *c)
 {
 	struct kq_error err;
 	int answer, given = c->exchange.open;
 
+	if (conn_idle(c)) {
+		close_idle(c);
+		return;
+	}
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_TIMEOUT,
 	    "request took too long");
 	answer = c->state == CONN_OPEN && !out_pending(&c->out) &&
--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -11,6 +11,7 @@
 #define HTTP_OUT_KEEP_BYTES 65536 /* a larger empty buffer is freed */
 #define HTTP_DISCARD_BYTES 1048576 /* unread request body that is skipped */
 #define HTTP_LINGER_US 2000000 /* wait for the peer to close */
+#define HTTP_STOP_GRACE_US 1000000 /* idle connections outlive a stop */
 #define HTTP_ACCEPT_RETRY_US 100000 /* after a failed accept */
 #define HTTP_SPARE_RETRY_US 1000000 /* after a spare connection was lost */
 #define HTTP_IDLE_MAX 64 /* used connections kept without a call */
@@ -171,6 +172,7 @@
 	void *ctx;
 	int fd;
 	int stopping;
+	int64_t stop_at; /* when idle connections close, once stopping */
 	int nconn;
 	int nrefused;
 	struct io_watch watch;
@@ -209,6 +211,8 @@
 void conn_expire(struct http_conn *, int64_t now);
 int64_t conn_due(const struct http_conn *);
 void conn_timeout(struct http_conn *);
+/** conn_idle() - whether no request is on its way or being answered */
+int conn_idle(const struct http_conn *);
 /** conn_continue() - tell a caller that waits for it to send its body */
 void conn_continue(struct http_conn *);
 /** conn_proceed() - the next request, after an exchange ended */
--- a/src/adapter/http/server.c
+++ b/src/adapter/http/server.c
@@ -10,7 +10,7 @@
 static int
 refuse(const struct http_server *s)
 {
-	return s->nconn >= s->limits.connections || s->stopping;
+	return s->nconn >= s->limits.connections;
 }
 
 static void
@@ -26,26 +26,36 @@
 		close(fd);
 }
 
+/* Accepts up to @max connections; -1 if more could not be accepted. */
+static int
+accept_some(struct http_server *s, int max)
+{
+	int fd;
+
+	while (max-- > 0) {
+		fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd >= 0)
+			accepted(s, fd);
+		else
+			return errno == EAGAIN || errno == EINTR ||
+				       errno == ECONNABORTED
+				   ? 0
+				   : -1;
+	}
+	return 0;
+}
+
 static void
 on_listen(void *ctx, int ready)
 {
 	struct http_server *s = ctx;
-	int i, fd;
 
 	(void)ready;
-	for (i = 0; i < ACCEPT_BATCH; i++) {
-		fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd >= 0) {
-			accepted(s, fd);
-			continue;
-		}
-		if (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED)
-			return;
-		io_watch_events(s->loop, &s->watch, 0);
-		io_timer_set(s->loop, &s->timer,
-		    io_now(s->loop) + HTTP_ACCEPT_RETRY_US);
+	if (accept_some(s, ACCEPT_BATCH) == 0)
 		return;
-	}
+	io_watch_events(s->loop, &s->watch, 0);
+	io_timer_set(s->loop, &s->timer,
+	    io_now(s->loop) + HTTP_ACCEPT_RETRY_US);
 }
 
 static void
@@ -108,30 +118,20 @@
 	s->fd = -1;
 }
 
-static int
-has_input(int fd)
-{
-	char c;
-
-	return recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 void
 http_server_stop(struct http_server *s)
 {
-	struct http_conn *c, *next;
+	struct http_conn *c;
 
+	if (s->stopping)
+		return;
+	/* closing the socket would reset those that wait in its queue */
+	accept_some(s, s->limits.connections);
 	s->stopping = 1;
+	s->stop_at = io_now(s->loop) + HTTP_STOP_GRACE_US;
 	stop_listening(s);
-	for (c = s->conns; c; c = next) {
-		next = c->next;
-		if (c->state != CONN_OPEN || c->exchange.open || c->running)
-			continue;
-		/* a request that is already here is still answered */
-		if (in_started(&c->in) || c->in.rest_len || has_input(c->fd))
-			continue;
-		conn_linger(c);
-	}
+	for (c = s->conns; c; c = c->next)
+		conn_timer(c);
 }
 
 int
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -123,8 +123,10 @@
 struct http_server *http_server_new(struct io_loop *, const char *ip, int port,
     const struct http_limits *, const struct http_server_ops *, void *ctx,
     struct kq_error *);
-/** http_server_stop() - close the listening socket and idle connections; each
- * other connection closes after its response ("Connection: close") */
+/** http_server_stop() - close the listening socket; each connection closes
+ * after its response ("Connection: close"), an idle one after a second in which
+ * a request that was on its way is still answered. The caller has its whole
+ * answer only once http_server_open() is 0 */
 void http_server_stop(struct http_server *);
 /** http_server_open() - connections open now */
 int http_server_open(const struct http_server *);
--- a/tests/unit/http.c
+++ b/tests/unit/http.c
@@ -213,7 +213,7 @@
 {
 	static const char text[] = "GET /h HTTP/1.1\r\n\r\n";
 	int64_t until = bed_bound();
-	int fd[2], i;
+	int fd[3], i;
 	char buf[512] = "";
 
 	for (i = 0; i < 2; i++)
@@ -223,15 +223,22 @@
 	/* sent, but not yet read by the server */
 	ck_assert_int_eq(send(fd[1], text, sizeof text - 1, MSG_NOSIGNAL),
 	    (ssize_t)sizeof text - 1);
+	/* connected, but not yet accepted by the server */
+	fd[2] = io_connect_tcp("127.0.0.1", bed.port);
+	ck_assert_int_eq(send(fd[2], text, sizeof text - 1, MSG_NOSIGNAL),
+	    (ssize_t)sizeof text - 1);
 	http_server_stop(bed.server);
 	while (recv(fd[0], buf, 1, MSG_DONTWAIT) < 0)
 		bed_step(until);
 	ck_assert_str_eq(buf, "");
-	while (recv(fd[1], buf, sizeof buf - 1, MSG_DONTWAIT) < 0)
-		bed_step(until);
-	ck_assert_ptr_nonnull(strstr(buf, "200 OK"));
-	ck_assert_ptr_nonnull(strstr(buf, "Connection: close"));
-	for (i = 0; i < 2; i++)
+	for (i = 1; i < 3; i++) {
+		memset(buf, 0, sizeof buf);
+		while (recv(fd[i], buf, sizeof buf - 1, MSG_DONTWAIT) < 0)
+			bed_step(until);
+		ck_assert_ptr_nonnull(strstr(buf, "200 OK"));
+		ck_assert_ptr_nonnull(strstr(buf, "Connection: close"));
+	}
+	for (i = 0; i < 3; i++)
 		close(fd[i]);
 	bed_wait_closed();
 }
@@ -245,6 +252,28 @@
 	http_server_stop(bed.server);
 }
 
+START_TEST(request_on_an_idle_connection_after_a_stop_is_answered)
+{
+	static const char text[] = "GET /h HTTP/1.1\r\n\r\n";
+	int fd = io_connect_tcp("127.0.0.1", bed.port);
+	int64_t until = bed_bound();
+	char buf[512] = "";
+
+	while (http_server_open(bed.server) < 1)
+		bed_step(until);
+	http_server_stop(bed.server);
+	bed_step(until);
+	ck_assert_int_eq(send(fd, text, sizeof text - 1, MSG_NOSIGNAL),
+	    (ssize_t)sizeof text - 1);
+	while (recv(fd, buf, sizeof buf - 1, MSG_DONTWAIT) < 0)
+		bed_step(until);
+	ck_assert_ptr_nonnull(strstr(buf, "200 OK"));
+	ck_assert_ptr_nonnull(strstr(buf, "Connection: close"));
+	close(fd);
+	bed_wait_closed();
+}
+END_TEST
+
 START_TEST(server_stopped_by_its_own_user_closes)
 {
 	static const char text[] = "GET /h HTTP/1.1\r\n\r\n";
@@ -277,6 +306,8 @@
 	tcase_add_test(c, refused_connect_was_not_sent);
 	tcase_add_test(c, short_request_body_fails);
 	tcase_add_test(c, stopping_server_answers_and_closes);
+	tcase_add_test(c,
+	    request_on_an_idle_connection_after_a_stop_is_answered);
 	tcase_add_test(c, server_stopped_by_its_own_user_closes);
 	tcase_add_test(c, stopping_server_answers_what_has_arrived);
 	tcase_add_loop_test(c, answers_are_framed_as_the_request_allows, 0,
