--- a/src/adapter/settings/document.c
+++ b/src/adapter/settings/document.c
@@ -5,8 +5,9 @@
 static const char *
 type_name(enum setting_type type)
 {
-	static const char *const names[] = {"name", "IPv4 number", "integer",
-	    "integer", "number", "string", "array", "array of strings", "path"};
+	static const char *const names[] = { "name", "IPv4 number", "integer",
+		"integer", "number", "string", "array", "array of strings",
+		"path" };
 
 	return names[type];
 }
@@ -17,8 +18,8 @@
 	if (d->max <= 0)
 		g_string_append(out, "| ");
 	else if (d->type == SETTING_PEERS || d->type == SETTING_KEYS)
-		g_string_append_printf(
-		    out, "| %.0f to %.0f entries ", d->min, d->max);
+		g_string_append_printf(out, "| %.0f to %.0f entries ", d->min,
+		    d->max);
 	else
 		g_string_append_printf(out, "| %.0f to %.0f ", d->min, d->max);
 }
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -34,7 +34,7 @@
 #define MEMBER_NONE (-1)
 #define MEMBER_SEEDS_MAX 32
 #define MEMBER_UPDATES_MAX 64 /* updates in one message */
-#define MEMBER_WANTS_MAX 32   /* incarnations asked for in one message */
+#define MEMBER_WANTS_MAX 32 /* incarnations asked for in one message */
 #define MEMBER_WATCHERS_MAX 8
 /* View of a sender that does not know the receiver. */
 #define MEMBER_VIEW_NONE UINT32_MAX
@@ -60,7 +60,7 @@
 	MEMBER_ALIVE,
 	MEMBER_SUSPECT,
 	MEMBER_DEAD, /* may come back with a higher number */
-	MEMBER_LEFT  /* final, at any number */
+	MEMBER_LEFT /* final, at any number */
 };
 
 /** struct member - row of the table */
@@ -68,8 +68,8 @@
 	struct member_info info;
 	enum member_state state;
 	uint32_t number; /* SWIM's incarnation number */
-	int confirmed;	 /* heard of from a member, not only learned */
-	int64_t since;	 /* time of the last change of state */
+	int confirmed; /* heard of from a member, not only learned */
+	int64_t since; /* time of the last change of state */
 	uint64_t digest; /* highest configuration version it has told */
 };
 
@@ -83,16 +83,16 @@
 };
 
 enum member_kind {
-	MEMBER_PING,	 /* answer with ACK */
+	MEMBER_PING, /* answer with ACK */
 	MEMBER_PING_REQ, /* probe @target for me, answer with ACK or NACK */
 	MEMBER_ACK,
 	MEMBER_NACK, /* @target did not answer me yet */
 	MEMBER_GOSSIP,
-	MEMBER_JOIN,	/* to an address; answer with WELCOME */
+	MEMBER_JOIN, /* to an address; answer with WELCOME */
 	MEMBER_WELCOME, /* tells a newcomer who is there */
-	MEMBER_PULL,	/* send the page at @cursor */
-	MEMBER_PAGE,	/* rows of the table, @cursor of the next or 0 */
-	MEMBER_WANT	/* send what is known about @want */
+	MEMBER_PULL, /* send the page at @cursor */
+	MEMBER_PAGE, /* rows of the table, @cursor of the next or 0 */
+	MEMBER_WANT /* send what is known about @want */
 };
 #define MEMBER_KINDS 10
 
@@ -192,7 +192,7 @@
 	uint64_t refuted; /* by ourselves */
 	uint64_t died;
 	uint64_t pauses;
-	uint64_t full;	  /* members refused since the table was full */
+	uint64_t full; /* members refused since the table was full */
 	uint64_t ignored; /* messages for another incarnation or out of turn */
 };
 
@@ -207,8 +207,8 @@
 /** member_tick() - do what is due; returns when it is to be called next, at
  * most a gossip period later */
 int64_t member_tick(struct member_table *, int64_t now);
-void member_receive(
-    struct member_table *, const struct member_message *, int64_t now);
+void member_receive(struct member_table *, const struct member_message *,
+    int64_t now);
 
 /** member_join() - ask these addresses for the table until one answers, in
  * random order, a bounded number at a time */
@@ -249,8 +249,8 @@
  * Rendezvous hashing (Thaler, Ravishankar, 1998) over members of the data
  * centre that are alive. Return: count, at most @k.
  */
-int member_watchers(
-    const struct member_table *, const char *datacentre, int k, int *handle);
+int member_watchers(const struct member_table *, const char *datacentre, int k,
+    int *handle);
 void member_counts(const struct member_table *, struct member_counts *);
 
 /** member_message_size() - bytes of a message as a datagram */
--- a/src/internal/objects.h
+++ b/src/internal/objects.h
@@ -19,6 +19,7 @@
 #define SERVICE_TIMEOUT_MS 1000
 #define SERVICE_MEASURE_PER_S 2.0
 #define SERVICE_COLD_LIMIT 1
+#define SERVICE_COLD_CALLS 100
 #define SERVICE_COLD_GOOD_MS 100
 #define SERVICE_COLD_IDLE_MS 30000
 #define SERVICE_QUEUE_MAX 32
@@ -27,7 +28,7 @@
 #define DATACENTRE_RAMP_MS 10000
 
 #define PUBLICATION_MAX 40 /* bytes with the final NUL */
-#define IP_TEXT_MAX 16	   /* bytes of an IPv4 number with the final NUL */
+#define IP_TEXT_MAX 16 /* bytes of an IPv4 number with the final NUL */
 
 /**
  * struct instance - one instance object: a daemon and the service beside it
@@ -49,8 +50,8 @@
 int
 service_read(struct service *, const char *text, size_t n, struct kq_error *);
 /** datacentre_read() - read the value of a data centre object; 0 or -1 */
-int datacentre_read(
-    struct datacentre *, const char *text, size_t n, struct kq_error *);
+int datacentre_read(struct datacentre *, const char *text, size_t n,
+    struct kq_error *);
 /** instance_read() - read the value of an instance object; 0 or -1 */
 int
 instance_read(struct instance *, const char *text, size_t n, struct kq_error *);
@@ -71,7 +72,7 @@
 void publication_add(GString *value, const char *id);
 /** publication_read() - publication that a value names, or an empty string; 0
  * or -1 */
-int publication_read(
-    char id[PUBLICATION_MAX], const char *text, size_t n, struct kq_error *);
+int publication_read(char id[PUBLICATION_MAX], const char *text, size_t n,
+    struct kq_error *);
 
 #endif
--- a/tests/unit/settings.c
+++ b/tests/unit/settings.c
@@ -21,8 +21,8 @@
 	struct kq_error e;
 	struct settings s;
 
-	ck_assert_msg(
-	    settings_read(&s, text, strlen(text), &e) == 0, "%s", e.text);
+	ck_assert_msg(settings_read(&s, text, strlen(text), &e) == 0, "%s",
+	    e.text);
 	ck_assert_str_eq(s.name, "cb-1");
 	ck_assert_int_eq(s.peer_port, 8081);
 	ck_assert_int_eq(s.platform.port, 9000);
@@ -54,8 +54,8 @@
 	struct kq_error e;
 	struct settings a, b;
 
-	ck_assert_msg(
-	    settings_read(&a, whole, strlen(whole), &e) == 0, "%s", e.text);
+	ck_assert_msg(settings_read(&a, whole, strlen(whole), &e) == 0, "%s",
+	    e.text);
 	ck_assert_int_eq(a.npeer, 2);
 	ck_assert_int_eq(a.nkey, 2);
 	settings_print(out, &a);
@@ -76,53 +76,56 @@
 	int column;
 	const char *says;
 } bad[] = {
-    {"{}", JSON_E_MISSING, 1, 1, "\"name\""},
-    {HEAD PORTS "," KEYS "}", JSON_E_MISSING, 1, 1, "\"platform\""},
-    {HEAD PORTS "," PLATFORM "}", JSON_E_MISSING, 1, 1, "fleet_key_file"},
-    {HEAD "\"caller_port\":1,\"peer_port\":1,\"operator_port\":2," PLATFORM
-	  "," KEYS "}",
-	JSON_E_VALUE, 2, 29, "are equal"},
-    {HEAD "\"caller_port\":1,\"peer_port\":2,\"operator_port\":2," PLATFORM
-	  "," KEYS "}",
-	JSON_E_VALUE, 2, 47, "equals"},
-    {HEAD PORTS ",\"platform\":{\"ip\":\"127.0.0.1\"},\n" KEYS "}",
-	JSON_E_MISSING, 2, 69, "\"port\""},
-    {WITH("\"idle_ms\":5"), JSON_E_UNKNOWN, 3, 1, "unknown key"},
-    {WITH("\"limits\":{\"idle_s\":5}"), JSON_E_UNKNOWN, 3, 11,
-	"nearest is \"idle_ms\""},
-    {WITH("\"limits\":{\"head_bytes\":1}"), JSON_E_RANGE, 3, 24, "1024"},
-    {WITH("\"limits\":{\"head_bytes\":\"16k\"}"), JSON_E_TYPE, 3, 24,
-	"integer"},
-    {WITH("\"limits\":[]"), JSON_E_TYPE, 3, 10, "an object"},
-    {WITH("\"peers\":[{\"ip\":\"127.0.0.1\"}]"), JSON_E_MISSING, 3, 10,
-	"\"port\""},
-    {WITH("\"peers\":[{\"ip\":\"localhost\",\"port\":1}]"), JSON_E_VALUE, 3, 16,
-	"IPv4"},
-    {WITH("\"peers\":[{\"ip\":\"127.0.0.1\",\"port\":1},"
-	  "{\"ip\":\"127.0.0.1\",\"port\":1}]"),
-	JSON_E_VALUE, 3, 38, "twice"},
-    {WITH("\"trace\":{\"port\":1}"), JSON_E_MISSING, 3, 9, "both"},
-    {WITH("\"trace\":{\"sample_ratio\":2}"), JSON_E_RANGE, 3, 25, "0 to 1"},
-    {WITH("\"log\":{\"level\":\"loud\"}"), JSON_E_VALUE, 3, 16, "\"debug\""},
-    {WITH("\"fleet_key_file\":\"/x\""), JSON_E_VALUE, 3, 1, "contradicts"},
-    {HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[]}", JSON_E_RANGE, 3, 14,
-	"1 or 2"},
-    {HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "0\"]}", JSON_E_VALUE,
-	3, 15, "64 hex"},
-    {HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "\",\"" K1 "\"]}",
-	JSON_E_VALUE, 3, 82, "equal"},
-    {HEAD PORTS "," PLATFORM ",\n\"fleet_key_file\":\"/nonexistent\"}",
-	JSON_E_VALUE, 3, 18, "can't read"},
+	{ "{}", JSON_E_MISSING, 1, 1, "\"name\"" },
+	{ HEAD PORTS "," KEYS "}", JSON_E_MISSING, 1, 1, "\"platform\"" },
+	{ HEAD PORTS "," PLATFORM "}", JSON_E_MISSING, 1, 1, "fleet_key_file" },
+	{ HEAD "\"caller_port\":1,\"peer_port\":1,\"operator_port\":2," PLATFORM
+	       "," KEYS "}",
+	    JSON_E_VALUE, 2, 29, "are equal" },
+	{ HEAD "\"caller_port\":1,\"peer_port\":2,\"operator_port\":2," PLATFORM
+	       "," KEYS "}",
+	    JSON_E_VALUE, 2, 47, "equals" },
+	{ HEAD PORTS ",\"platform\":{\"ip\":\"127.0.0.1\"},\n" KEYS "}",
+	    JSON_E_MISSING, 2, 69, "\"port\"" },
+	{ WITH("\"idle_ms\":5"), JSON_E_UNKNOWN, 3, 1, "unknown key" },
+	{ WITH("\"limits\":{\"idle_s\":5}"), JSON_E_UNKNOWN, 3, 11,
+	    "nearest is \"idle_ms\"" },
+	{ WITH("\"limits\":{\"head_bytes\":1}"), JSON_E_RANGE, 3, 24, "1024" },
+	{ WITH("\"limits\":{\"head_bytes\":\"16k\"}"), JSON_E_TYPE, 3, 24,
+	    "integer" },
+	{ WITH("\"limits\":[]"), JSON_E_TYPE, 3, 10, "an object" },
+	{ WITH("\"peers\":[{\"ip\":\"127.0.0.1\"}]"), JSON_E_MISSING, 3, 10,
+	    "\"port\"" },
+	{ WITH("\"peers\":[{\"ip\":\"localhost\",\"port\":1}]"), JSON_E_VALUE,
+	    3, 16, "IPv4" },
+	{ WITH("\"peers\":[{\"ip\":\"127.0.0.1\",\"port\":1},"
+	       "{\"ip\":\"127.0.0.1\",\"port\":1}]"),
+	    JSON_E_VALUE, 3, 38, "twice" },
+	{ WITH("\"trace\":{\"port\":1}"), JSON_E_MISSING, 3, 9, "both" },
+	{ WITH("\"trace\":{\"sample_ratio\":2}"), JSON_E_RANGE, 3, 25,
+	    "0 to 1" },
+	{ WITH("\"log\":{\"level\":\"loud\"}"), JSON_E_VALUE, 3, 16,
+	    "\"debug\"" },
+	{ WITH("\"fleet_key_file\":\"/x\""), JSON_E_VALUE, 3, 1,
+	    "contradicts" },
+	{ HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[]}", JSON_E_RANGE, 3, 14,
+	    "1 or 2" },
+	{ HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "0\"]}",
+	    JSON_E_VALUE, 3, 15, "64 hex" },
+	{ HEAD PORTS "," PLATFORM ",\n\"fleet_keys\":[\"" K1 "\",\"" K1 "\"]}",
+	    JSON_E_VALUE, 3, 82, "equal" },
+	{ HEAD PORTS "," PLATFORM ",\n\"fleet_key_file\":\"/nonexistent\"}",
+	    JSON_E_VALUE, 3, 18, "can't read" },
 };
 
 START_TEST(refuses_with_place)
 {
-	struct kq_error e = {0};
+	struct kq_error e = { 0 };
 	struct settings s;
 	const char *t = bad[_i].text;
 
-	ck_assert_msg(
-	    settings_read(&s, t, strlen(t), &e) == -1, "taken: %s", t);
+	ck_assert_msg(settings_read(&s, t, strlen(t), &e) == -1, "taken: %s",
+	    t);
 	ck_assert_msg(e.code == bad[_i].code && e.line == bad[_i].line &&
 			  e.column == bad[_i].column &&
 			  strstr(e.text, bad[_i].says),
@@ -134,14 +137,14 @@
 	const char *file;
 	int keys; /* 0 when refused */
 } key_files[] = {
-    {K1 "\n", 1},
-    {"\n" K1 "\r\n" K2, 2},
-    {"", 0},
-    {"\n\n", 0},
-    {K1 "\n" K1 "\n", 0},
-    {K1 "\n" K2 "\n" K1, 0},
-    {"# " K1, 0},
-    {K1 K2, 0},
+	{ K1 "\n", 1 },
+	{ "\n" K1 "\r\n" K2, 2 },
+	{ "", 0 },
+	{ "\n\n", 0 },
+	{ K1 "\n" K1 "\n", 0 },
+	{ K1 "\n" K2 "\n" K1, 0 },
+	{ "# " K1, 0 },
+	{ K1 K2, 0 },
 };
 
 START_TEST(reads_key_file)
@@ -155,8 +158,9 @@
 	ck_assert_ptr_nonnull(g_mkdtemp(dir));
 	path = g_build_filename(dir, "keys", NULL);
 	ck_assert(g_file_set_contents(path, key_files[_i].file, -1, NULL));
-	text = g_strdup_printf(
-	    HEAD PORTS "," PLATFORM ",\"fleet_key_file\":\"%s\"}", path);
+	text = g_strdup_printf(HEAD PORTS "," PLATFORM
+					  ",\"fleet_key_file\":\"%s\"}",
+	    path);
 	r = settings_read(&s, text, strlen(text), &e);
 	g_unlink(path);
 	g_rmdir(dir);
