--- a/bench/path.sh
+++ b/bench/path.sh
@@ -11,7 +11,7 @@
 STEP_S=2
 STRAIGHT=$fleet_net.0.11
 FIRST_STEP=4000 # calls a second, then half more each
-LAST_STEP=60000
+LAST_STEP=110000
 STEP_P99_MS=20 # a rate counts as carried below this p99
 
 fleet_open "$1"
@@ -138,7 +138,9 @@
 	# shellcheck disable=SC2086
 	p99=$(least p99 $steps)
 	# shellcheck disable=SC2086
-	lost=$(least timeouts $steps)
+	lost=$(for f in $steps; do
+		echo $(($(figure "$f" calls) - $(figure "$f" whole)))
+	done | sort -n | head -n 1)
 	echo "step $rate: lost $lost, p99 $p99 ms" >&2
 	awk -v l="$lost" -v p="$p99" -v most=$STEP_P99_MS \
 		'BEGIN { exit !(l == 0 && p > 0 && p < most) }' || break
