--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 UNITS := $(notdir $(basename $(wildcard tests/unit/*.c)))
 
 PROGS := $(if $(DAEMON_SRC),$(O)/kumquatrockd) $(if $(TOOL_SRC),$(O)/kumquatrock) \
-	$(BENCH:%=$(O)/bench-%) $(FAKES:%=$(O)/fake-%) $(O)/history-check
+	$(BENCH:%=$(O)/bench-%) $(FAKES:%=$(O)/fake-%) $(O)/history-check $(O)/script-run
 UNIT_PROGS := $(UNITS:%=$(O)/unit-%)
 
 all: $(PROGS)
@@ -61,6 +61,9 @@
 $(O)/history-check: $(patsubst %.c,$(O)/%.o,$(wildcard tests/history/*.c)) $(O)/libkumquatrock.a
 	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
 
+$(O)/script-run: $(patsubst %.c,$(O)/%.o,$(wildcard tests/script/*.c)) $(O)/libkumquatrock.a
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
 $(O)/unit-%: $(O)/tests/unit/%.o $(O)/libtest.a $(O)/libkumquatrock.a
 	$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
