--- a/src/daemon/control_config.c
+++ b/src/daemon/control_config.c
@@ -76,6 +76,7 @@
 		add_object(c, v, &s->object[i]);
 	config_snapshot_free(s);
 	c->config_dirty = 0;
+	c->counters.views++;
 	data_set_view(c->data, v);
 }
 
@@ -172,6 +173,7 @@
 	if (address_of(c, incarnation, ip, &port))
 		return;
 	c->pulling = 1;
+	c->counters.pulls++;
 	c->pull_from = incarnation;
 	c->pull_timer.fire = pull_late;
 	c->pull_timer.ctx = c;
@@ -210,6 +212,7 @@
 	struct pull_message *m = message;
 	struct control *c = ctx;
 
+	c->counters.pulls_served++;
 	config_changes(c->config, c->incarnation, &m->pull, WIRE_PULL_BYTES, b);
 	data_send_page(c->data, m->conn, m->xid, b);
 	g_free(m);
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -23,6 +23,21 @@
 
 enum registration { REG_NONE, REG_WRITING, REG_DONE, REG_REMOVED };
 
+/* Sums since the start. */
+struct control_counters {
+	uint64_t datagrams_in;
+	uint64_t datagrams_out;
+	uint64_t datagram_bytes_in;
+	uint64_t datagram_bytes_out;
+	uint64_t datagrams_refused;
+	uint64_t platform_calls;
+	uint64_t platform_failures;
+	uint64_t pulls;
+	uint64_t pulls_served;
+	uint64_t views;
+	uint64_t pauses;
+};
+
 struct control {
 	struct task task;
 	struct settings settings;
@@ -71,6 +86,7 @@
 	void (*leave_done)(void *ctx);
 	void *leave_ctx;
 
+	struct control_counters counters;
 	SoupSession *trace_session;
 	uint64_t spans_lost; /* batches that could not be sent */
 	SoupServer *operators;
@@ -123,6 +139,7 @@
 void control_send_spans(void *ctx, void *message);
 
 /* operators */
+void control_write_metrics(struct control *, GString *);
 int control_open_operators(struct control *, struct kq_error *);
 void control_target_idle(struct control *);
 
--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -27,6 +27,8 @@
 
 	if (!n)
 		return;
+	c->counters.datagrams_out++;
+	c->counters.datagram_bytes_out += n;
 	sa.sin_family = AF_INET;
 	sa.sin_addr.s_addr = htonl(to->ip);
 	sa.sin_port = htons(to->port);
@@ -114,6 +116,7 @@
 {
 	struct control *c = ctx;
 
+	c->counters.pauses++;
 	c->data_pause = *(uint32_t *)message;
 	g_free(message);
 	c->config_dirty = 1;
@@ -154,7 +157,10 @@
 	static struct member_message m;
 	enum datagram_reason r = datagram_decode(c->codec, buf, n, &m);
 
+	c->counters.datagrams_in++;
+	c->counters.datagram_bytes_in += n;
 	if (r != DATAGRAM_OK) {
+		c->counters.datagrams_refused++;
 		log_event(EVENT_DATAGRAM_REFUSED, G_LOG_LEVEL_INFO,
 		    control_now(c), "datagram refused reason=%s",
 		    datagram_reason_name(r));
--- a/src/daemon/control_operators.c
+++ b/src/daemon/control_operators.c
@@ -216,6 +216,7 @@
 	struct control *control;
 	SoupServerMessage *msg;
 	const char *type;
+	int metrics;
 	GString *text;
 };
 
@@ -224,6 +225,8 @@
 {
 	struct pending *p = message;
 
+	if (p->metrics)
+		control_write_metrics(p->control, p->text);
 	answer(p->msg, 200, p->type, p->text);
 	soup_server_message_unpause(p->msg);
 	g_object_unref(p->msg);
@@ -248,6 +251,7 @@
 	p->control = c;
 	p->msg = g_object_ref(msg);
 	p->type = type;
+	p->metrics = kind == DATA_METRICS;
 	soup_server_message_pause(msg);
 	data_report(c->data, kind, report_made, p);
 }
--- a/src/daemon/control_platform.c
+++ b/src/daemon/control_platform.c
@@ -18,6 +18,9 @@
 {
 	int down = r->status == PLATFORM_DOWN || r->status == PLATFORM_LIMITED;
 
+	c->counters.platform_calls++;
+	c->counters.platform_failures += down;
+
 	if (!down)
 		c->platform_pause = PLATFORM_PAUSE_MIN_US;
 	if (down == c->platform_down)
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -101,9 +101,9 @@
 	const char *p = getenv("KUMQUATROCK_PLATFORM");
 	const char *d = getenv("KUMQUATROCK_DAEMON");
 
-	if (p && !t->platform.port && tool_address(p, &t->platform))
+	if (p && *p && !t->platform.port && tool_address(p, &t->platform))
 		return bad_option("KUMQUATROCK_PLATFORM");
-	if (d && !t->ndaemon && add_daemon(t, d))
+	if (d && *d && !t->ndaemon && add_daemon(t, d))
 		return bad_option("KUMQUATROCK_DAEMON");
 	return 0;
 }
--- a/tests/system/spread.sh
+++ b/tests/system/spread.sh
@@ -18,7 +18,7 @@
 failed=0
 for dc in 1 2; do
 	for n in 1 2 3 4; do
-		fleet_first=127.0.$dc.$n:8400
+		fleet_first=$fleet_net.$dc.$n:8400
 		fleet_ready codebook || {
 			echo "daemon 127.0.$dc.$n does not serve"
 			failed=1
--- /dev/null
+++ b/tests/system/stop.sh
@@ -0,0 +1,49 @@
+#!/bin/sh
+# Planned stops under load cut nothing: a daemon, then a daemon and its target at
+# once, told twice, while a data centre goes out and returns.
+# usage: stop.sh BUILD-DIRECTORY
+set -u
+cd "$(dirname "$0")/../.."
+. scripts/fleet.sh
+fleet_open "$1"
+trap 'fleet_signal KILL "$fleet_pids"; rm -rf "$fleet_dir"' EXIT
+fleet_platform || exit 1
+fleet_tool publish examples/codebook.json >"$fleet_dir/operators.log" 2>&1 || exit 1
+for dc in 1 2; do
+	fleet_tool dc in dc$dc --region r1 --ramp-ms 500 >>"$fleet_dir/operators.log" 2>&1
+	for n in 1 2 3; do
+		fleet_instance $dc $n codebook --service-us 20000
+	done
+done
+fleet_ready codebook && fleet_targets 6 || exit 1
+# Callers stay away from the daemons that are stopped.
+fleet_run load "$1/bench-load" --service codebook --seed 5 --rate 150 --seconds 9 \
+	--timeout-ms 2000 --history "$fleet_dir/load.history" --call GET:/codes/1:1:repeat \
+	--call POST:/pairing:1:once --to $fleet_net.1.1:8400 --to $fleet_net.2.1:8400
+load=$!
+failed=0
+# ended NAME PID: waits for a planned stop and wants exit code 0
+ended() {
+	wait "$2"
+	code=$?
+	[ $code = 0 ] || {
+		echo "$1 ended with $code"
+		failed=1
+	}
+}
+sleep 2
+# shellcheck disable=SC2154
+kill "$fleet_daemon_1_2"
+ended "daemon 1-2" "$fleet_daemon_1_2"
+fleet_tool dc out dc2 --region r1 >>"$fleet_dir/operators.log" 2>&1
+# shellcheck disable=SC2154
+kill "$fleet_daemon_2_2" "$fleet_target_2_2"
+kill "$fleet_daemon_2_2" "$fleet_target_2_2"
+ended "daemon 2-2" "$fleet_daemon_2_2"
+ended "target 2-2" "$fleet_target_2_2"
+fleet_tool dc in dc2 --region r1 --ramp-ms 500 >>"$fleet_dir/operators.log" 2>&1
+wait $load || failed=1
+"$1/history-check" --planned --timeout-ms 2000 --measure codebook=2 --cold codebook=4 \
+	--grace-ms 4000 "$fleet_dir"/*.history || failed=1
+[ -z "${STOP_KEEP-}" ] || cp -r "$fleet_dir" "$STOP_KEEP"
+exit $failed
