--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -55,6 +56,17 @@
 	    words[ev], m->info.id, m->info.datacentre);
 }
 
+/* Others hold this incarnation gone for good: only a new one can come back, so
+ * this process stops as planned and is to be started again. */
+static void
+evicted(struct control *c)
+{
+	log_event(EVENT_EVICTED, G_LOG_LEVEL_WARNING, control_now(c),
+	    "others hold this incarnation gone for good; stopping to be "
+	    "started again");
+	kill(getpid(), SIGTERM);
+}
+
 static void
 on_event(void *ctx, int handle, enum member_event ev)
 {
@@ -62,10 +74,13 @@
 	const struct member *m = member_at(c->members, handle);
 
 	log_member(c, m, ev);
-	if (ev == MEMBER_EVENT_FORGOTTEN)
+	if (handle == 0 && ev == MEMBER_EVENT_LEFT && !c->leaving)
+		evicted(c);
+	if (ev == MEMBER_EVENT_FORGOTTEN) {
 		g_hash_table_add(c->forgotten,
 		    g_memdup2(&m->info.id, sizeof m->info.id));
-	else if (ev == MEMBER_EVENT_JOINED || ev == MEMBER_EVENT_ALIVE)
+		datagram_forget(c->codec, m->info.id);
+	} else if (ev == MEMBER_EVENT_JOINED || ev == MEMBER_EVENT_ALIVE)
 		g_hash_table_remove(c->forgotten, &m->info.id);
 	if (ev != MEMBER_EVENT_SUSPECTED)
 		c->config_dirty = 1;
--- a/src/daemon/control_metrics.c
+++ b/src/daemon/control_metrics.c
@@ -27,8 +27,10 @@
 	counter(t, "datagrams_refused_total",
 	    "Forged, replayed, cut or misdirected datagrams",
 	    n->datagrams_refused);
-	counter(t, "platform_calls_total", "Calls to the platform answered or "
-	    "failed", n->platform_calls);
+	counter(t, "platform_calls_total",
+	    "Calls to the platform answered or "
+	    "failed",
+	    n->platform_calls);
 	counter(t, "platform_failures_total", "Of these without an answer",
 	    n->platform_failures);
 	counter(t, "pulls_total", "Pulls of configuration from daemons",
--- a/src/daemon/data.c
+++ b/src/daemon/data.c
@@ -218,6 +218,7 @@
 	io_timer_clear(d->task.loop, &d->admit_timer);
 	io_timer_clear(d->task.loop, &d->once_timer);
 	io_timer_clear(d->task.loop, &d->ramp_timer);
+	io_timer_clear(d->task.loop, &d->drain_timer);
 	io_timer_clear(d->task.loop, &d->beat_timer);
 	if (d->pool)
 		http_pool_free(d->pool);
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -214,6 +214,8 @@
 	uint32_t pause; /* number of the last pause */
 	int suspended; /* paused and not caught up since */
 	int draining;
+	int64_t drain_started;
+	struct io_timer drain_timer;
 	int drained_told;
 	int stopped;
 
--- a/src/daemon/data_messages.c
+++ b/src/daemon/data_messages.c
@@ -3,6 +3,9 @@
 #include "config.h"
 #include "data_impl.h"
 
+#define DRAIN_STEP_US 20000
+#define DRAIN_CONNECTIONS_US 5000000 /* for answers on their way to callers */
+
 static void
 set_view(void *ctx, void *message)
 {
@@ -64,6 +67,7 @@
 	if (d->draining)
 		return;
 	d->draining = 1;
+	d->drain_started = data_now(d);
 	drain_target(d, NULL);
 	io_timer_clear(d->task.loop, &d->measure_timer);
 	http_server_stop(d->server);
@@ -76,6 +80,12 @@
 	task_post(&d->task, drain, d, NULL);
 }
 
+static void
+drain_again(void *ctx, int64_t now)
+{
+	data_check_drained(ctx);
+}
+
 /* Takes what waits for the last call to end. */
 void
 data_check_drained(struct data *d)
@@ -94,6 +104,14 @@
 		return;
 	if (g_hash_table_size(d->out_calls) || g_hash_table_size(d->in_calls))
 		return;
+	if (http_server_open(d->server) &&
+	    data_now(d) - d->drain_started < DRAIN_CONNECTIONS_US) {
+		d->drain_timer.fire = drain_again;
+		d->drain_timer.ctx = d;
+		io_timer_set(d->task.loop, &d->drain_timer,
+		    data_now(d) + DRAIN_STEP_US);
+		return;
+	}
 	d->drained_told = 1;
 	d->events->drained(d->events_ctx);
 }
