A repeat is told "not run" only by the incarnation that its id names

Cause: an outbound side that could not reach that incarnation, and an inbound side behind in its configuration, answered a repeat as if it were a first call: 503 not-run. The payment had run; a caller that goes by the answer sends anew and pays twice. Seen with tests/system/repeat.sh: 503 not-run for an id that nobody knows, after kill -9 of the daemon that ran it, at once, after it was declared dead, and at the daemon in its place. Now 504 unknown in all four. Ruled out: the table, which answers right when it is asked.

The same for refusals before a call is begun: stopping, too many bytes in flight, no such service, a bad deadline.

--- a/src/daemon/inbound_call.c
+++ b/src/daemon/inbound_call.c
@@ -185,7 +185,11 @@
 static void
 still_behind(void *ctx, int64_t now)
 {
-	inbound_refuse(ctx, WIRE_NOT_RUN, WIRE_REASON_BEHIND);
+	struct in_call *c = ctx;
+
+	/* The table was not asked yet: a repeat may have run before. */
+	inbound_refuse(c, c->repeat ? WIRE_UNKNOWN : WIRE_NOT_RUN,
+	    WIRE_REASON_BEHIND);
 }
 
 /* The call was picked under rules that are not here yet: catch up first. */
--- a/src/daemon/outbound_call.c
+++ b/src/daemon/outbound_call.c
@@ -69,8 +69,13 @@
 	c->data->body_bytes += n;
 	if (c->data->body_bytes > c->data->settings.body_in_flight_bytes &&
 	    c->state == OUT_READING) {
-		outbound_refuse(c, 503, "not-run", "body-in-flight",
-		    "too many bytes of request bodies are in flight\n");
+		if (c->repeat)
+			outbound_refuse(c, 504, "unknown", "body-in-flight",
+			    "too many bytes of request bodies are in flight; "
+			    "whether it ran before is not known\n");
+		else
+			outbound_refuse(c, 503, "not-run", "body-in-flight",
+			    "too many bytes of request bodies are in flight\n");
 		return;
 	}
 	if (c->state == OUT_READING && c->body->len >= WIRE_CHUNK_MAX &&
--- a/src/daemon/outbound_reply.c
+++ b/src/daemon/outbound_reply.c
@@ -161,6 +161,15 @@
 	outbound_refused(a, WIRE_REASON_NO_TARGET, NULL);
 }
 
+/* Of a repeat only the incarnation that its id names can say so. */
+static void
+not_run(struct out_attempt *a, const struct wire_reply *m)
+{
+	if (a->call->repeat)
+		a->call->may_have_run = 0;
+	outbound_refused(a, m->reason, &m->load);
+}
+
 void
 outbound_reply(void *ctx, struct peer_conn *conn, uint32_t xid,
     const struct wire_reply *m)
@@ -175,7 +184,7 @@
 	if (m->outcome == WIRE_ANSWER || m->outcome == WIRE_KEPT)
 		answer(a, m);
 	else if (m->outcome == WIRE_NOT_RUN)
-		outbound_refused(a, m->reason, &m->load);
+		not_run(a, m);
 	else if (m->outcome == WIRE_GONE)
 		gone(a, m);
 	else
--- a/src/daemon/outbound_request.c
+++ b/src/daemon/outbound_request.c
@@ -7,13 +7,17 @@
 
 #define DEADLINE_MAX_MS 600000
 
+/* A request that brings an id may have run before. */
 static void
-answer_bad(struct http_exchange *x, int status, const char *reason,
-    const char *text)
+answer_bad(struct http_exchange *x, const struct http_head *h, int status,
+    const char *reason, const char *text)
 {
-	struct http_field f[] = { { FIELD_OUTCOME, "not-run" },
+	const char *id = http_head_find(h, FIELD_REQUEST_ID);
+	struct http_field f[] = { { FIELD_OUTCOME, id ? "unknown" : "not-run" },
 		{ FIELD_REASON, reason }, { "Content-Type", "text/plain" } };
 
+	if (id && status == 503)
+		status = 504;
 	http_exchange_set_ctx(x, NULL);
 	http_exchange_head(x, status, f, 3, strlen(text));
 	http_exchange_write(x, text, strlen(text));
@@ -63,13 +67,13 @@
 	char name[SERVICE_NAME_MAX];
 
 	if (service_name(h, name, sizeof name)) {
-		answer_bad(x, 400, "no-service",
+		answer_bad(x, h, 400, "no-service",
 		    "Host or " FIELD_SERVICE " names no service\n");
 		return NULL;
 	}
 	s = g_hash_table_lookup(d->services, name);
 	if (!s || s->conf.removed) {
-		answer_bad(x, 404, "unknown-service",
+		answer_bad(x, h, 404, "unknown-service",
 		    "no service of that name is published; "
 		    "see: kumquatrock status\n");
 		return NULL;
@@ -90,6 +94,7 @@
 		return -1;
 	g_strlcpy(c->id, id, sizeof c->id);
 	c->repeat = 1;
+	c->may_have_run = 1;
 	return 0;
 }
 
@@ -116,18 +121,21 @@
 static int
 bad_request(struct out_call *c, const struct http_head *h, int64_t left_ms)
 {
-	if (left_ms < 0) {
-		outbound_refuse(c, 400, "not-run", "bad-deadline",
-		    FIELD_DEADLINE " is not a number of milliseconds\n");
-		return 1;
-	}
+	const char *outcome;
+
 	if (take_id(c, h)) {
 		outbound_refuse(c, 400, "not-run", "bad-request-id",
 		    FIELD_REQUEST_ID " is not an id that was given out\n");
 		return 1;
 	}
+	outcome = c->repeat ? "unknown" : "not-run";
+	if (left_ms < 0) {
+		outbound_refuse(c, 400, outcome, "bad-deadline",
+		    FIELD_DEADLINE " is not a number of milliseconds\n");
+		return 1;
+	}
 	if (!c->idempotent && http_head_find(h, "Idempotency-Key")) {
-		outbound_refuse(c, 400, "not-run", "caller-key",
+		outbound_refuse(c, 400, outcome, "caller-key",
 		    "Idempotency-Key is not kept for requests that may not "
 		    "be repeated; repeat with the " FIELD_REQUEST_ID
 		    " of the answer\n");
@@ -146,7 +154,8 @@
 
 	d->counters.calls++;
 	if (d->draining) {
-		answer_bad(x, 503, "draining", "this instance is stopping\n");
+		answer_bad(x, h, 503, "draining",
+		    "this instance is stopping\n");
 		return;
 	}
 	s = find_service(d, x, h);
