--- a/tests/unit/peer.c
+++ b/tests/unit/peer.c
@@ -9,7 +9,7 @@
 #include "peer.h"
 
 #define IP "127.0.0.1"
-#define PORT 20950
+#define PORT (21000 + getpid() % 10000) /* another in each test */
 #define STEPS_MAX 2000 /* loop iterations of at most 5 ms */
 
 struct side {
