--- a/tests/docs/readme.sh
+++ b/tests/docs/readme.sh
@@ -1,9 +1,11 @@
 #!/bin/sh
 # Runs the shell commands of README.md but for those that install; fails when
-# one fails. Also each page that README.md links to must be there.
+# one fails. Also each page that README.md links to must be there. With FLEET_NET
+# set, its loopback network stands in place of 127.0.
 # usage: readme.sh BUILD-DIRECTORY
 set -eu
 o=$1
+net=${FLEET_NET:-127.0}
 dir=$(mktemp -d)
 pids= # what the commands left running, the last started first
 end() {
@@ -29,7 +31,9 @@
 done
 # shellcheck disable=SC2016
 grep -vxF -e ./scripts/quickstart -e ./scripts/check "$dir/shown" |
-	sed -e "s,\./build/,$o/," -e 's/ &$/ \& pids="$! $pids"/' >"$dir/commands"
+	sed -e "s,\./build/,$o/," -e "s,127\.0\.50\.,$net.50.,g" \
+		-e "s,examples/instance,$dir/instance," -e 's/ &$/ \& pids="$! $pids"/' >"$dir/commands"
+sed "s,127\.0\.50\.,$net.50.,g" examples/instance.json >"$dir/instance.json"
 grep -q "^$o/kumquatrock check" "$dir/commands"
 set -x
 # shellcheck disable=SC1091
