--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # kumquatrock: one plain Makefile. Every .c file under an area is one object.
 
 CC = cc
+PREFIX = /usr/local
+DESTDIR =
 PKGS = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 yajl libsodium libtirpc
 CFLAGS = -O2 -g -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wno-unused-parameter -Werror
@@ -96,9 +98,20 @@
 sanitize-thread:
 	$(MAKE) O=build/tsan SAN=-fsanitize=thread check
 
+install: $(O)/kumquatrock $(O)/kumquatrockd
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/sbin \
+		$(DESTDIR)$(PREFIX)/share/man/man1 $(DESTDIR)$(PREFIX)/share/man/man8 \
+		$(DESTDIR)$(PREFIX)/share/bash-completion/completions
+	install -m 755 $(O)/kumquatrock $(DESTDIR)$(PREFIX)/bin
+	install -m 755 $(O)/kumquatrockd $(DESTDIR)$(PREFIX)/sbin
+	install -m 644 man/kumquatrock.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/kumquatrockd.8 $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 644 completion/kumquatrock.bash \
+		$(DESTDIR)$(PREFIX)/share/bash-completion/completions/kumquatrock
+
 clean:
 	rm -rf build out
 
-.PHONY: all check bench soak picking lint format sanitize sanitize-thread clean
+.PHONY: all check bench soak picking lint format sanitize sanitize-thread install clean
 .SECONDARY:
 -include $(shell find $(O) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/completion/kumquatrock.bash
@@ -0,0 +1,32 @@
+# Completion of kumquatrock in bash.
+
+_kumquatrock_command() {
+	local i
+	for ((i = 1; i < COMP_CWORD; i++)); do
+		case ${COMP_WORDS[i]} in
+		--platform | --daemon) ((i++)) ;;
+		check | publish | dc | status | targets | members | metrics | settings)
+			echo "${COMP_WORDS[i]}"
+			return
+			;;
+		esac
+	done
+}
+
+_kumquatrock() {
+	local cur=${COMP_WORDS[COMP_CWORD]} prev=${COMP_WORDS[COMP_CWORD - 1]} words=
+	case $(_kumquatrock_command) in
+	'') words='--platform --daemon --wait --json --help
+		check publish dc status targets members metrics settings' ;;
+	check) words=--help ;;
+	publish) words='--publication --expect --help' ;;
+	dc) words='in out --region --ramp-ms --publication --help' ;;
+	status | targets | members | metrics) words=--help ;;
+	esac
+	case $prev in
+	--platform | --daemon | --publication | --expect | --region | --ramp-ms) words= ;;
+	esac
+	mapfile -t COMPREPLY < <(compgen -W "$words" -- "$cur")
+}
+
+complete -o default -F _kumquatrock kumquatrock
