--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -79,6 +79,7 @@
 
 	struct data_target target;
 	int has_target;
+	int held; /* drained by an operator */
 	int leaving;
 	int drained;
 	int64_t leave_started;
--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -233,7 +233,7 @@
 	struct member_address seed[SETTINGS_PEERS_MAX];
 	const struct settings *s = &c->settings;
 	struct member_info self = { 0 };
-	int i;
+	int i, n = 0;
 
 	self.id = c->incarnation;
 	self.address.ip = ip_number(s->ip);
@@ -245,11 +245,14 @@
 	c->members = member_new(&self, &limits, rng_next(&c->rng),
 	    &control_member_ops, c, control_now(c));
 	for (i = 0; i < s->npeer; i++) {
-		seed[i].ip = ip_number(s->peer[i].ip);
-		seed[i].port = s->peer[i].port;
+		if (!strcmp(s->peer[i].ip, s->ip) &&
+		    s->peer[i].port == s->peer_port)
+			continue;
+		seed[n].ip = ip_number(s->peer[i].ip);
+		seed[n++].port = s->peer[i].port;
 	}
-	if (s->npeer)
-		member_join(c->members, seed, s->npeer, control_now(c));
+	if (n)
+		member_join(c->members, seed, n, control_now(c));
 	control_member_arm(c);
 }
 
--- a/src/daemon/control_operators.c
+++ b/src/daemon/control_operators.c
@@ -74,8 +74,10 @@
 		answer_error(msg, 400, &e);
 		return;
 	}
-	if (c->leaving) {
-		kq_error_set(&e, KQ_LAYER_DAEMON, 1, "this daemon is stopping");
+	if (c->leaving || c->held) {
+		kq_error_set(&e, KQ_LAYER_DAEMON, 1,
+		    c->held ? "this target is drained by an operator"
+			    : "this daemon is stopping");
 		answer_error(msg, 503, &e);
 		return;
 	}
@@ -270,6 +272,33 @@
 	ask_data(ctx, msg, DATA_TARGETS, "application/json");
 }
 
+static void
+explain_handler(SoupServer *s, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer ctx)
+{
+	ask_data(ctx, msg, DATA_EXPLAIN, "application/json");
+}
+
+/* Drained until the target is let in again; announcements don't end it. */
+static void
+drain_handler(SoupServer *s, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer ctx)
+{
+	struct control *c = ctx;
+
+	if (strcmp(soup_server_message_get_method(msg), "POST")) {
+		soup_server_message_set_status(msg, 405, NULL);
+		return;
+	}
+	if (!strcmp(path, "/v1/undrain")) {
+		c->held = 0;
+		answer(msg, 200, "application/json", g_string_new("{}\n"));
+		return;
+	}
+	c->held = 1;
+	withdraw(c, msg);
+}
+
 static int
 read_object(struct json *j, struct config_object *o, struct kq_error *e)
 {
@@ -350,6 +379,9 @@
 	soup_server_add_handler(o, "/v1/status", status_handler, c, NULL);
 	soup_server_add_handler(o, "/v1/members", members_handler, c, NULL);
 	soup_server_add_handler(o, "/v1/targets", targets_handler, c, NULL);
+	soup_server_add_handler(o, "/v1/explain", explain_handler, c, NULL);
+	soup_server_add_handler(o, "/v1/drain", drain_handler, c, NULL);
+	soup_server_add_handler(o, "/v1/undrain", drain_handler, c, NULL);
 	soup_server_add_handler(o, "/v1/object", object_handler, c, NULL);
 	soup_server_add_handler(o, "/metrics", metrics_handler, c, NULL);
 	a = g_inet_socket_address_new_from_string(s->ip, s->operator_port);
--- a/src/daemon/data.h
+++ b/src/daemon/data.h
@@ -78,7 +78,7 @@
     struct config_batch *);
 /** data_report_fn - text made by the data task, called there */
 typedef void data_report_fn(void *ctx, GString *text);
-enum data_report { DATA_METRICS, DATA_TARGETS };
+enum data_report { DATA_METRICS, DATA_TARGETS, DATA_EXPLAIN };
 /** data_report() - ask for counters or the table of targets as text */
 void data_report(struct data *, enum data_report, data_report_fn *, void *ctx);
 
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -345,6 +345,7 @@
 void inbound_give_up(struct in_call *);
 void data_write_metrics(struct data *, GString *);
 void data_write_targets(struct data *, GString *);
+void data_write_explain(struct data *, GString *);
 void data_check_drained(struct data *);
 
 #endif
--- a/src/daemon/data_messages.c
+++ b/src/daemon/data_messages.c
@@ -196,8 +196,10 @@
 
 	if (o->kind == DATA_METRICS)
 		data_write_metrics(ctx, text);
-	else
+	else if (o->kind == DATA_TARGETS)
 		data_write_targets(ctx, text);
+	else
+		data_write_explain(ctx, text);
 	o->fn(o->ctx, text);
 	g_free(o);
 }
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -139,6 +139,7 @@
 	struct arg_end *end = arg_end(8);
 	void *table[] = { file, check, print, help, end };
 	static struct settings s;
+	int code = EXIT_SUCCESS, serve = 0;
 	int errors = arg_parse(argc, argv, table);
 
 	if (help->count) {
@@ -154,13 +155,16 @@
 		return EXIT_USAGE;
 	}
 	if (load(file->filename[0], &s))
-		return EXIT_SETTINGS;
-	if (print->count)
-		return print_settings(&s);
-	if (check->count) {
+		code = EXIT_SETTINGS;
+	else if (print->count)
+		code = print_settings(&s);
+	else if (check->count)
 		printf("%s: settings are good\n", file->filename[0]);
-		return EXIT_SUCCESS;
-	}
+	else
+		serve = 1;
+	arg_freetable(table, sizeof table / sizeof *table);
+	if (!serve)
+		return code;
 	if (sodium_init() < 0)
 		return EXIT_FAILURE;
 	log_setup(log_flags(s.log_level));
--- a/src/tool/command_show.c
+++ b/src/tool/command_show.c
@@ -56,6 +56,57 @@
 	    "Prints the counters of the daemons.\n");
 }
 
+int
+command_explain(struct tool *t, int argc, char **argv)
+{
+	return show(t, argc, argv, "/v1/explain",
+	    "usage: kumquatrock explain\n"
+	    "Says why each target is or is not picked by the daemons, and what "
+	    "holds the\nlimit of their own targets, as JSON.\n");
+}
+
+static int
+order(struct tool *t, int argc, char **argv, const char *path,
+    const char *usage)
+{
+	struct kq_error e;
+	int i, bad = 0;
+
+	if (argc > 1) {
+		int help = !strcmp(argv[1], "--help") || !strcmp(argv[1], "-h");
+
+		fputs(usage, help ? stdout : stderr);
+		return help ? EXIT_DONE : EXIT_USAGE;
+	}
+	if (!t->ndaemon)
+		return tool_no_daemon();
+	for (i = 0; i < t->ndaemon; i++) {
+		if (!tool_post(&t->daemon[i], path, "{}", &e))
+			continue;
+		tool_error(&e);
+		bad = 1;
+	}
+	return bad ? EXIT_FAULT : EXIT_DONE;
+}
+
+int
+command_drain(struct tool *t, int argc, char **argv)
+{
+	return order(t, argc, argv, "/v1/drain",
+	    "usage: kumquatrock drain\n"
+	    "The targets of the named daemons get no new work; returns when "
+	    "nothing is in flight.\n");
+}
+
+int
+command_undrain(struct tool *t, int argc, char **argv)
+{
+	return order(t, argc, argv, "/v1/undrain",
+	    "usage: kumquatrock undrain\n"
+	    "Ends a drain: the targets come back when they announce "
+	    "themselves.\n");
+}
+
 static void
 print_status(const char *text)
 {
--- a/src/tool/http.c
+++ b/src/tool/http.c
@@ -3,7 +3,8 @@
 
 #include "tool.h"
 
-#define DAEMON_TIMEOUT_S 3
+#define DAEMON_TIMEOUT_S 3 /* without a byte of an answer */
+#define ORDER_TIMEOUT_S 60 /* the same, while a target finishes its work */
 
 static char *
 request(const char *method, const struct settings_address *a, const char *path,
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -20,6 +20,11 @@
 	{ "status", command_status, "what daemons hold in force" },
 	{ "targets", command_targets, "targets that daemons would pick" },
 	{ "members", command_members, "daemons that are there" },
+	{ "explain", command_explain,
+	    "why targets are picked or not, what holds a limit" },
+	{ "drain", command_drain, "no new work for a target; waits for it" },
+	{ "undrain", command_undrain, "let the target announce itself again" },
+	{ "trace", command_trace, "receive spans and print them" },
 	{ "metrics", command_metrics, "counters of daemons" },
 	{ "settings", command_settings, "page of the daemon's settings" },
 };
--- a/src/tool/tool.h
+++ b/src/tool/tool.h
@@ -46,6 +46,10 @@
 command_fn command_members;
 command_fn command_metrics;
 command_fn command_settings;
+command_fn command_explain;
+command_fn command_drain;
+command_fn command_undrain;
+command_fn command_trace;
 
 /** tool_address() - read IP:PORT; 0 or -1 */
 int tool_address(const char *text, struct settings_address *);
