Only members that were heard of watch the platform or get calls

Cause: a member known only from its registration counted as alive. Test: only_confirmed_members_watch, failed before.

--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -123,6 +123,8 @@
 /* random.c */
 uint64_t member_random(struct member_table *);
 uint32_t member_random_below(struct member_table *, uint32_t n);
+/** member_confirm() - a member was heard of from another */
+void member_confirm(struct member_table *, int handle);
 void member_shuffle(struct member_table *, GArray *handles);
 /** member_pick() - up to @k different live members at random, none of which is
  * @except; returns their count */
--- a/src/core/member/merge.c
+++ b/src/core/member/merge.c
@@ -47,7 +47,7 @@
 	handle = member_add(t, &u->info, u->state, u->number, now);
 	if (handle == MEMBER_NONE)
 		return;
-	member_row(t, handle)->m.confirmed = 1;
+	member_confirm(t, handle);
 	member_enqueue(t, handle, 1);
 }
 
@@ -65,7 +65,7 @@
 		merge_self(t, u);
 		return;
 	}
-	r->m.confirmed = 1;
+	member_confirm(t, handle);
 	if (!member_overrides(u, r))
 		return;
 	member_change(t, handle, u->state, u->number, now);
--- a/src/core/member/receive.c
+++ b/src/core/member/receive.c
@@ -49,7 +49,7 @@
 
 	if (!r)
 		return;
-	r->m.confirmed = 1;
+	member_confirm(t, handle);
 	r->m.digest = MAX(r->m.digest, msg->digest);
 	if (msg->digest > t->digest)
 		t->ops->behind(t->ctx, handle, msg->digest);
--- a/src/core/member/row.c
+++ b/src/core/member/row.c
@@ -162,3 +162,14 @@
 	t->counts.died += state == MEMBER_DEAD;
 	t->ops->event(t->ctx, handle, events[state]);
 }
+
+void
+member_confirm(struct member_table *t, int handle)
+{
+	struct row *r = member_row(t, handle);
+
+	if (r->m.confirmed)
+		return;
+	r->m.confirmed = 1;
+	t->ops->event(t->ctx, handle, MEMBER_EVENT_CONFIRMED);
+}
--- a/src/core/member/watchers.c
+++ b/src/core/member/watchers.c
@@ -48,7 +48,7 @@
 	for (h = 0; k > 0 && h < member_top(t); h++) {
 		const struct row *r = member_row(t, h);
 
-		if (r && r->m.state == MEMBER_ALIVE &&
+		if (r && r->m.state == MEMBER_ALIVE && r->m.confirmed &&
 		    strcmp(r->m.info.datacentre, datacentre) == 0)
 			n = insert(t, datacentre, k, n, handle, h);
 	}
--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -49,7 +49,7 @@
 	static const char *const words[] = { "joined", "suspected", "alive",
 		"dead", "left" };
 
-	if (ev == MEMBER_EVENT_FORGOTTEN)
+	if (ev >= MEMBER_EVENT_CONFIRMED)
 		return;
 	log_event(numbers[ev], G_LOG_LEVEL_INFO, control_now(c),
 	    "member %s incarnation=%016" G_GINT64_MODIFIER "x datacentre=%s",
@@ -289,6 +289,7 @@
 int
 control_live(const struct control *c, uint64_t id)
 {
+	const struct member *m;
 	int h;
 
 	if (id == c->incarnation)
@@ -298,5 +299,6 @@
 	h = member_find(c->members, id);
 	if (h == MEMBER_NONE)
 		return 1;
-	return member_at(c->members, h)->state <= MEMBER_SUSPECT;
+	m = member_at(c->members, h);
+	return m->confirmed && m->state <= MEMBER_SUSPECT;
 }
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -132,6 +132,7 @@
 	MEMBER_EVENT_ALIVE, /* refuted, or came back from the dead */
 	MEMBER_EVENT_DEAD,
 	MEMBER_EVENT_LEFT,
+	MEMBER_EVENT_CONFIRMED, /* heard of from a member for the first time */
 	MEMBER_EVENT_FORGOTTEN /* the handle is free after this */
 };
 
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -477,6 +477,26 @@
 }
 END_TEST
 
+/* Registrations of instances that are gone must not become watchers, or
+ * nobody would watch after a restart of the whole fleet. */
+START_TEST(only_confirmed_members_watch)
+{
+	struct log l;
+	struct member_table *t = table_new(&l);
+	struct member_info info = { .id = 0 };
+	int h[2];
+
+	g_strlcpy(info.datacentre, "d", sizeof info.datacentre);
+	for (info.id = 100; info.id < 200; info.id++)
+		member_learn(t, &info, 0);
+	ck_assert_int_eq(member_watchers(t, "d", 2, h), 0);
+	tell(t, MEMBER_PING, 150, SELF, NULL);
+	ck_assert_int_eq(member_watchers(t, "d", 2, h), 1);
+	ck_assert_uint_eq(member_at(t, h[0])->info.id, 150);
+	member_free(t);
+}
+END_TEST
+
 START_TEST(table_is_bounded)
 {
 	struct log l;
@@ -524,6 +544,7 @@
 	tcase_add_test(c, ignores_what_is_not_for_us);
 	tcase_add_test(c, suspects_outlive_a_pause);
 	tcase_add_test(c, pause_is_added_to_suspicion);
+	tcase_add_test(c, only_confirmed_members_watch);
 	tcase_add_test(c, table_is_bounded);
 	return c;
 }
