--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -13,6 +13,7 @@
 control_new(const struct settings *s, uint64_t incarnation, struct kq_error *e)
 {
 	struct control *c = g_new0(struct control, 1);
+	int i;
 
 	c->settings = *s;
 	c->incarnation = incarnation;
@@ -21,6 +22,9 @@
 	c->platform_pause = PLATFORM_PAUSE_MIN_US;
 	rng_seed(&c->rng, incarnation ^ 1);
 	task_init(&c->task, "control");
+	for (i = 0; i < CONFIG_KINDS; i++)
+		c->parsed[i] = g_hash_table_new_full(g_str_hash, g_str_equal,
+		    g_free, g_free);
 	c->config = config_new(control_changed, c);
 	c->forgotten =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -199,6 +203,7 @@
 control_stop(struct control *c)
 {
 	struct io_loop *loop = c->task.loop;
+	int i;
 
 	task_stop(&c->task);
 	g_main_context_push_thread_default(c->task.context);
@@ -227,6 +232,8 @@
 	if (c->codec)
 		datagram_codec_free(c->codec);
 	config_free(c->config);
+	for (i = 0; i < CONFIG_KINDS; i++)
+		g_hash_table_unref(c->parsed[i]);
 	g_hash_table_unref(c->forgotten);
 	g_ptr_array_unref(c->leave_waiting);
 	task_clear(&c->task);
--- a/src/daemon/control_config.c
+++ b/src/daemon/control_config.c
@@ -8,6 +8,8 @@
 	struct control *c = ctx;
 
 	c->config_dirty = 1;
+	if (o->removed)
+		g_hash_table_remove(c->parsed[o->kind], o->name);
 	if (o->kind != CONFIG_INSTANCE)
 		c->rules_high = MAX(c->rules_high, o->version);
 	else
@@ -24,35 +26,77 @@
 	    config_kind_name(o->kind), o->name, o->version, e->text);
 }
 
+/* An object as it was read at one version, so that a change of one does not
+ * read all the others again. */
+struct parsed {
+	uint64_t version;
+	int bad;
+	union {
+		struct service service;
+		struct datacentre datacentre;
+		struct instance instance;
+	};
+};
+
 static void
-add_object(struct control *c, struct view *v, const struct config_object *o)
+read_object(struct control *c, const struct config_object *o, struct parsed *p)
 {
-	struct view_instance *vi = &v->instance[v->ninstance];
 	struct kq_error e = { 0 };
 	const char *text;
 	gsize n;
-	int bad;
 
 	text = g_bytes_get_data(o->value, &n);
+	if (o->kind == CONFIG_SERVICE)
+		p->bad = service_read(&p->service, text, n, &e);
+	else if (o->kind == CONFIG_DATACENTRE)
+		p->bad = datacentre_read(&p->datacentre, text, n, &e);
+	else
+		p->bad = instance_read(&p->instance, text, n, &e);
+	p->version = o->version;
+	if (o->kind == CONFIG_SERVICE)
+		p->service.version = o->version;
+	else if (o->kind == CONFIG_DATACENTRE)
+		p->datacentre.version = o->version;
+	if (p->bad)
+		bad_object(c, o, &e);
+}
+
+static const struct parsed *
+parsed_object(struct control *c, const struct config_object *o)
+{
+	GHashTable *h = c->parsed[o->kind];
+	struct parsed *p = g_hash_table_lookup(h, o->name);
+
+	if (p && p->version == o->version)
+		return p;
+	if (!p) {
+		p = g_new0(struct parsed, 1);
+		g_hash_table_insert(h, g_strdup(o->name), p);
+	}
+	read_object(c, o, p);
+	return p;
+}
+
+static void
+add_object(struct control *c, struct view *v, const struct config_object *o)
+{
+	const struct parsed *p = parsed_object(c, o);
+	struct view_instance *vi;
+
+	if (p->bad)
+		return;
 	switch (o->kind) {
 	case CONFIG_SERVICE:
-		bad = service_read(&v->service[v->nservice], text, n, &e);
-		v->service[v->nservice].version = o->version;
-		v->nservice += !bad;
+		v->service[v->nservice++] = p->service;
 		break;
 	case CONFIG_DATACENTRE:
-		bad = datacentre_read(&v->datacentre[v->ndatacentre], text, n,
-		    &e);
-		v->datacentre[v->ndatacentre].version = o->version;
-		v->ndatacentre += !bad;
+		v->datacentre[v->ndatacentre++] = p->datacentre;
 		break;
 	default:
-		bad = instance_read(&vi->instance, text, n, &e);
-		vi->live = control_live(c, vi->instance.incarnation);
-		v->ninstance += !bad;
+		vi = &v->instance[v->ninstance++];
+		vi->instance = p->instance;
+		vi->live = control_live(c, p->instance.incarnation);
 	}
-	if (bad)
-		bad_object(c, o, &e);
 }
 
 /* Posts what is in force and who is there to the data task. */
@@ -61,6 +105,7 @@
 {
 	struct config_snapshot *s = config_snapshot_new(c->config);
 	struct view *v = g_new0(struct view, 1);
+	int count[CONFIG_KINDS] = { 0 };
 	int i;
 
 	if (config_complete(c->config) >= c->rules_high)
@@ -69,9 +114,11 @@
 	v->rules_version = c->rules_version;
 	v->may_act = c->may_act;
 	v->pause = c->data_pause;
-	v->service = g_new0(struct service, s->nobject + 1);
-	v->datacentre = g_new0(struct datacentre, s->nobject + 1);
-	v->instance = g_new0(struct view_instance, s->nobject + 1);
+	for (i = 0; i < s->nobject; i++)
+		count[s->object[i].kind]++;
+	v->service = g_new0(struct service, count[CONFIG_SERVICE] + 1);
+	v->datacentre = g_new0(struct datacentre, count[CONFIG_DATACENTRE] + 1);
+	v->instance = g_new0(struct view_instance, count[CONFIG_INSTANCE] + 1);
 	for (i = 0; i < s->nobject; i++)
 		add_object(c, v, &s->object[i]);
 	config_snapshot_free(s);
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -46,6 +46,7 @@
 	struct rng rng;
 
 	struct config_table *config;
+	GHashTable *parsed[CONFIG_KINDS]; /* name to object as last read */
 	uint64_t rules_high; /* highest version of a rule taken */
 	uint64_t rules_version; /* the same, of those that are complete */
 	int config_dirty;
