A run under faults: daemons killed, frozen and replaced, platform down

Cause: the load tool took every answer with an outcome it did not know for a wrong one, and a kept answer has one. It is now held against its key and digests like any other.

--- a/bench/load/judge.c
+++ b/bench/load/judge.c
@@ -27,7 +27,9 @@
 enum outcome
 judge(const struct call *c)
 {
-	if (c->status == 200 && !*c->outcome)
+	int kept = strcmp(c->outcome, "kept") == 0;
+
+	if (c->status == 200 && (kept || !*c->outcome))
 		return own_answer(c) ? OUTCOME_WHOLE : OUTCOME_BAD;
 	if (strcmp(c->outcome, "not-run") == 0)
 		return OUTCOME_NOT_RUN;
