--- a/bench/pick/cost.c
+++ b/bench/pick/cost.c
@@ -70,7 +70,11 @@
 static void
 cost_admit(int queued)
 {
-	struct admit_config config = { 12, 260, 3, 0, 20000, 0, 64 };
+	struct admit_config config = { .slots = 12,
+		.connections = 260,
+		.cold_limit = 3,
+		.cold_good_us = 20000,
+		.queue_max = 64 };
 	struct admit *a = admit_new(&config, 0);
 	struct admit_run run[64] = { { 0, 0 } };
 	struct admit_item item;
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -16,13 +16,28 @@
 #define WATCHERS_PER_DATACENTRE 2
 #define WATCH_WAIT_MS 20000
 #define PLATFORM_PAUSE_MIN_US 500000 /* after a failure, doubled each time */
-#define PLATFORM_PAUSE_MAX_US 16000000
+#define PLATFORM_PAUSE_MAX_US 4000000
 #define PULL_TIMEOUT_US 2000000
 #define LEAVE_TOLD_US 1000000 /* others learn of it before the ports close */
 #define LEAVE_MAX_US 60000000 /* longest wait for what is in flight */
 
 enum registration { REG_NONE, REG_WRITING, REG_DONE, REG_REMOVED };
 
+/* Sums since the start. */
+struct control_counters {
+	uint64_t datagrams_in;
+	uint64_t datagrams_out;
+	uint64_t datagram_bytes_in;
+	uint64_t datagram_bytes_out;
+	uint64_t datagrams_refused;
+	uint64_t platform_calls;
+	uint64_t platform_failures;
+	uint64_t pulls;
+	uint64_t pulls_served;
+	uint64_t views;
+	uint64_t pauses;
+};
+
 struct control {
 	struct task task;
 	struct settings settings;
@@ -64,6 +79,7 @@
 
 	struct data_target target;
 	int has_target;
+	int held; /* drained by an operator */
 	int leaving;
 	int drained;
 	int64_t leave_started;
@@ -71,6 +87,7 @@
 	void (*leave_done)(void *ctx);
 	void *leave_ctx;
 
+	struct control_counters counters;
 	SoupSession *trace_session;
 	uint64_t spans_lost; /* batches that could not be sent */
 	SoupServer *operators;
@@ -123,6 +140,7 @@
 void control_send_spans(void *ctx, void *message);
 
 /* operators */
+void control_write_metrics(struct control *, GString *);
 int control_open_operators(struct control *, struct kq_error *);
 void control_target_idle(struct control *);
 
--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,6 +28,8 @@
 
 	if (!n)
 		return;
+	c->counters.datagrams_out++;
+	c->counters.datagram_bytes_out += n;
 	sa.sin_family = AF_INET;
 	sa.sin_addr.s_addr = htonl(to->ip);
 	sa.sin_port = htons(to->port);
@@ -46,13 +49,24 @@
 	static const char *const words[] = { "joined", "suspected", "alive",
 		"dead", "left" };
 
-	if (ev == MEMBER_EVENT_FORGOTTEN)
+	if (ev >= MEMBER_EVENT_CONFIRMED)
 		return;
 	log_event(numbers[ev], G_LOG_LEVEL_INFO, control_now(c),
 	    "member %s incarnation=%016" G_GINT64_MODIFIER "x datacentre=%s",
 	    words[ev], m->info.id, m->info.datacentre);
 }
 
+/* Others hold this incarnation gone for good: only a new one can come back, so
+ * this process stops as planned and is to be started again. */
+static void
+evicted(struct control *c)
+{
+	log_event(EVENT_EVICTED, G_LOG_LEVEL_WARNING, control_now(c),
+	    "others hold this incarnation gone for good; stopping to be "
+	    "started again");
+	kill(getpid(), SIGTERM);
+}
+
 static void
 on_event(void *ctx, int handle, enum member_event ev)
 {
@@ -60,10 +74,13 @@
 	const struct member *m = member_at(c->members, handle);
 
 	log_member(c, m, ev);
-	if (ev == MEMBER_EVENT_FORGOTTEN)
+	if (handle == 0 && ev == MEMBER_EVENT_LEFT && !c->leaving)
+		evicted(c);
+	if (ev == MEMBER_EVENT_FORGOTTEN) {
 		g_hash_table_add(c->forgotten,
 		    g_memdup2(&m->info.id, sizeof m->info.id));
-	else if (ev == MEMBER_EVENT_JOINED || ev == MEMBER_EVENT_ALIVE)
+		datagram_forget(c->codec, m->info.id);
+	} else if (ev == MEMBER_EVENT_JOINED || ev == MEMBER_EVENT_ALIVE)
 		g_hash_table_remove(c->forgotten, &m->info.id);
 	if (ev != MEMBER_EVENT_SUSPECTED)
 		c->config_dirty = 1;
@@ -114,6 +131,7 @@
 {
 	struct control *c = ctx;
 
+	c->counters.pauses++;
 	c->data_pause = *(uint32_t *)message;
 	g_free(message);
 	c->config_dirty = 1;
@@ -154,7 +172,10 @@
 	static struct member_message m;
 	enum datagram_reason r = datagram_decode(c->codec, buf, n, &m);
 
+	c->counters.datagrams_in++;
+	c->counters.datagram_bytes_in += n;
 	if (r != DATAGRAM_OK) {
+		c->counters.datagrams_refused++;
 		log_event(EVENT_DATAGRAM_REFUSED, G_LOG_LEVEL_INFO,
 		    control_now(c), "datagram refused reason=%s",
 		    datagram_reason_name(r));
@@ -212,7 +233,7 @@
 	struct member_address seed[SETTINGS_PEERS_MAX];
 	const struct settings *s = &c->settings;
 	struct member_info self = { 0 };
-	int i;
+	int i, n = 0;
 
 	self.id = c->incarnation;
 	self.address.ip = ip_number(s->ip);
@@ -224,11 +245,14 @@
 	c->members = member_new(&self, &limits, rng_next(&c->rng),
 	    &control_member_ops, c, control_now(c));
 	for (i = 0; i < s->npeer; i++) {
-		seed[i].ip = ip_number(s->peer[i].ip);
-		seed[i].port = s->peer[i].port;
+		if (!strcmp(s->peer[i].ip, s->ip) &&
+		    s->peer[i].port == s->peer_port)
+			continue;
+		seed[n].ip = ip_number(s->peer[i].ip);
+		seed[n++].port = s->peer[i].port;
 	}
-	if (s->npeer)
-		member_join(c->members, seed, s->npeer, control_now(c));
+	if (n)
+		member_join(c->members, seed, n, control_now(c));
 	control_member_arm(c);
 }
 
@@ -265,6 +289,7 @@
 int
 control_live(const struct control *c, uint64_t id)
 {
+	const struct member *m;
 	int h;
 
 	if (id == c->incarnation)
@@ -274,5 +299,6 @@
 	h = member_find(c->members, id);
 	if (h == MEMBER_NONE)
 		return 1;
-	return member_at(c->members, h)->state <= MEMBER_SUSPECT;
+	m = member_at(c->members, h);
+	return m->confirmed && m->state <= MEMBER_SUSPECT;
 }
--- a/src/daemon/control_operators.c
+++ b/src/daemon/control_operators.c
@@ -74,18 +74,25 @@
 		answer_error(msg, 400, &e);
 		return;
 	}
-	if (c->leaving) {
-		kq_error_set(&e, KQ_LAYER_DAEMON, 1, "this daemon is stopping");
+	if (c->leaving || c->held) {
+		kq_error_set(&e, KQ_LAYER_DAEMON, 1,
+		    c->held ? "this target is drained by an operator"
+			    : "this daemon is stopping");
 		answer_error(msg, 503, &e);
 		return;
 	}
 	data_set_target(c->data, &t);
-	if (!c->has_target || strcmp(t.service, c->target.service) ||
-	    c->registration == REG_NONE) {
-		c->target = t;
+	if (!c->has_target || strcmp(t.service, c->target.service)) {
+		memset(&c->target, 0, sizeof c->target);
+		g_strlcpy(c->target.service, t.service,
+		    sizeof c->target.service);
 		c->has_target = 1;
 		control_register(c);
 	}
+	if (!memcmp(&t, &c->target, sizeof t)) {
+		answer(msg, 200, "application/json", g_string_new("{}\n"));
+		return;
+	}
 	c->target = t;
 	log_event(EVENT_TARGET_ANNOUNCED, G_LOG_LEVEL_INFO, control_now(c),
 	    "target service=%s ip=%s port=%d slots=%d connections=%d start=%s",
@@ -211,6 +218,7 @@
 	struct control *control;
 	SoupServerMessage *msg;
 	const char *type;
+	int metrics;
 	GString *text;
 };
 
@@ -219,6 +227,8 @@
 {
 	struct pending *p = message;
 
+	if (p->metrics)
+		control_write_metrics(p->control, p->text);
 	answer(p->msg, 200, p->type, p->text);
 	soup_server_message_unpause(p->msg);
 	g_object_unref(p->msg);
@@ -243,6 +253,7 @@
 	p->control = c;
 	p->msg = g_object_ref(msg);
 	p->type = type;
+	p->metrics = kind == DATA_METRICS;
 	soup_server_message_pause(msg);
 	data_report(c->data, kind, report_made, p);
 }
@@ -261,6 +272,33 @@
 	ask_data(ctx, msg, DATA_TARGETS, "application/json");
 }
 
+static void
+explain_handler(SoupServer *s, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer ctx)
+{
+	ask_data(ctx, msg, DATA_EXPLAIN, "application/json");
+}
+
+/* Drained until the target is let in again; announcements don't end it. */
+static void
+drain_handler(SoupServer *s, SoupServerMessage *msg, const char *path,
+    GHashTable *query, gpointer ctx)
+{
+	struct control *c = ctx;
+
+	if (strcmp(soup_server_message_get_method(msg), "POST")) {
+		soup_server_message_set_status(msg, 405, NULL);
+		return;
+	}
+	if (!strcmp(path, "/v1/undrain")) {
+		c->held = 0;
+		answer(msg, 200, "application/json", g_string_new("{}\n"));
+		return;
+	}
+	c->held = 1;
+	withdraw(c, msg);
+}
+
 static int
 read_object(struct json *j, struct config_object *o, struct kq_error *e)
 {
@@ -341,6 +379,9 @@
 	soup_server_add_handler(o, "/v1/status", status_handler, c, NULL);
 	soup_server_add_handler(o, "/v1/members", members_handler, c, NULL);
 	soup_server_add_handler(o, "/v1/targets", targets_handler, c, NULL);
+	soup_server_add_handler(o, "/v1/explain", explain_handler, c, NULL);
+	soup_server_add_handler(o, "/v1/drain", drain_handler, c, NULL);
+	soup_server_add_handler(o, "/v1/undrain", drain_handler, c, NULL);
 	soup_server_add_handler(o, "/v1/object", object_handler, c, NULL);
 	soup_server_add_handler(o, "/metrics", metrics_handler, c, NULL);
 	a = g_inet_socket_address_new_from_string(s->ip, s->operator_port);
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -20,6 +20,11 @@
 	{ "status", command_status, "what daemons hold in force" },
 	{ "targets", command_targets, "targets that daemons would pick" },
 	{ "members", command_members, "daemons that are there" },
+	{ "explain", command_explain,
+	    "why targets are picked or not, what holds a limit" },
+	{ "drain", command_drain, "no new work for a target; waits for it" },
+	{ "undrain", command_undrain, "let the target announce itself again" },
+	{ "trace", command_trace, "receive spans and print them" },
 	{ "metrics", command_metrics, "counters of daemons" },
 	{ "settings", command_settings, "page of the daemon's settings" },
 };
@@ -101,9 +106,9 @@
 	const char *p = getenv("KUMQUATROCK_PLATFORM");
 	const char *d = getenv("KUMQUATROCK_DAEMON");
 
-	if (p && !t->platform.port && tool_address(p, &t->platform))
+	if (p && *p && !t->platform.port && tool_address(p, &t->platform))
 		return bad_option("KUMQUATROCK_PLATFORM");
-	if (d && !t->ndaemon && add_daemon(t, d))
+	if (d && *d && !t->ndaemon && add_daemon(t, d))
 		return bad_option("KUMQUATROCK_DAEMON");
 	return 0;
 }
