--- a/completion/kumquatrock.bash
+++ b/completion/kumquatrock.bash
@@ -5,7 +5,8 @@
 	for ((i = 1; i < COMP_CWORD; i++)); do
 		case ${COMP_WORDS[i]} in
 		--platform | --daemon) ((i++)) ;;
-		check | publish | dc | status | targets | members | metrics | settings)
+		check | publish | dc | status | targets | explain | drain | undrain | trace | \
+			members | metrics | settings)
 			echo "${COMP_WORDS[i]}"
 			return
 			;;
@@ -17,11 +18,12 @@
 	local cur=${COMP_WORDS[COMP_CWORD]} prev=${COMP_WORDS[COMP_CWORD - 1]} words=
 	case $(_kumquatrock_command) in
 	'') words='--platform --daemon --wait --json --help
-		check publish dc status targets members metrics settings' ;;
+		check publish dc status targets explain drain undrain trace
+		members metrics settings' ;;
 	check) words=--help ;;
 	publish) words='--publication --expect --help' ;;
 	dc) words='in out --region --ramp-ms --publication --help' ;;
-	status | targets | members | metrics) words=--help ;;
+	status | targets | explain | drain | undrain | trace | members | metrics) words=--help ;;
 	esac
 	case $prev in
 	--platform | --daemon | --publication | --expect | --region | --ramp-ms) words= ;;
--- a/tests/docs/readme.sh
+++ b/tests/docs/readme.sh
@@ -4,6 +4,8 @@
 # set, its loopback network stands in place of 127.0.
 # usage: readme.sh BUILD-DIRECTORY
 set -eu
+: "${LIMIT_S:=120}"
+[ -n "${README_TIMED-}" ] || exec env README_TIMED=1 timeout "$LIMIT_S" sh "$0" "$@"
 o=$1
 net=${FLEET_NET:-127.0}
 dir=$(mktemp -d)
