--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -134,3 +134,34 @@
 fleet_tool() {
 	"$fleet_build/kumquatrock" --platform "$fleet_platform_at" --daemon "${fleet_first%:*}:8420" "$@"
 }
+
+# fleet_fault MODE...: how the platform's stand-in acts from now on
+fleet_fault() {
+	curl -s -m 2 -X POST -o "$fleet_dir/fault" "http://$fleet_platform_at/fake/fault?mode=$1"
+}
+
+# fleet_count NAME: a count of the platform's stand-in
+fleet_count() {
+	curl -s -m 2 "http://$fleet_platform_at/fake/counts" | sed -n "s/^$1 //p"
+}
+
+# fleet_status DC N FIELD: a field of the daemon's status, empty if it is not there
+fleet_status() {
+	curl -s -m 1 "http://$fleet_net.$1.$2:8420/v1/status" |
+		sed -n "s/.*\"$3\":\"*\([^\",}]*\).*/\1/p"
+}
+
+# fleet_metric DC N NAME: a counter of the daemon
+fleet_metric() {
+	curl -s -m 1 "http://$fleet_net.$1.$2:8420/metrics" | sed -n "s/^kumquatrock_$3 //p"
+}
+
+# fleet_until SECONDS COMMAND...: true once the command is
+fleet_until() {
+	fleet_end=$(($(date +%s%3N) + $1 * 1000))
+	shift
+	until "$@"; do
+		[ "$(date +%s%3N)" -lt $fleet_end ] || return 1
+		sleep 0.1
+	done
+}
