A platform that went back is not asked in a loop; broken watches fall back to reads

After the platform's versions went back each watcher asked for a list, refused it, watched from its own version, was told 410 and asked for a list again, without a pause: 1659 and 1855 reads a second at six watchers, the same number of watches. An early batch that moves nothing is now followed by the pause that follows a failure.

While watches were cut and reads were answered, a version accepted by the platform and handed to no daemon was in force nowhere after 4 s: a failed watch was only followed by the next watch. It is now followed by a list.

Ruled out: a daemon that reverts (complete never went down in any run), a lost answer that is written twice, and a daemon that does not register on return.

--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -67,6 +67,8 @@
 	int listing;
 	int watching;
 	int started_listing;
+	int list_next; /* the last watch failed */
+	int64_t asked; /* when the last list or watch began */
 	struct io_timer watch_timer;
 	struct io_timer register_timer;
 	enum registration registration;
--- a/src/daemon/control_platform.c
+++ b/src/daemon/control_platform.c
@@ -51,6 +51,22 @@
 	io_timer_set(c->task.loop, &c->watch_timer, control_now(c) + pause);
 }
 
+/* Takes a batch. One that came early and moved nothing, such as a replay, is
+ * followed by a pause, so that a platform gone back is not asked in a loop. */
+static void
+take_batch(struct control *c, const struct config_batch *b)
+{
+	uint64_t before = config_complete(c->config);
+	int64_t waited = control_now(c) - c->asked;
+
+	control_apply(c, b);
+	if (before && config_complete(c->config) == before &&
+	    waited < WATCH_WAIT_MS * INT64_C(1000) / 2)
+		watch_again(c, pause_after_failure(c));
+	else
+		control_watch(c);
+}
+
 static void
 listed(void *ctx, struct platform_result *r)
 {
@@ -63,8 +79,8 @@
 		return;
 	}
 	c->started_listing = 1;
-	control_apply(c, r->batch);
-	control_watch(c);
+	c->list_next = 0;
+	take_batch(c, r->batch);
 }
 
 static void
@@ -73,6 +89,7 @@
 	if (c->listing)
 		return;
 	c->listing = 1;
+	c->asked = control_now(c);
 	platform_list(c->platform, listed, c);
 }
 
@@ -88,11 +105,12 @@
 		return;
 	}
 	if (r->status != PLATFORM_OK) {
+		/* Reads may be answered while watches are not. */
+		c->list_next = 1;
 		watch_again(c, pause_after_failure(c));
 		return;
 	}
-	control_apply(c, r->batch);
-	control_watch(c);
+	take_batch(c, r->batch);
 }
 
 static int
@@ -122,7 +140,12 @@
 	}
 	if (!is_watcher(c))
 		return;
+	if (c->list_next) {
+		list(c);
+		return;
+	}
 	c->watching = 1;
+	c->asked = control_now(c);
 	platform_watch(c->platform, config_complete(c->config), WATCH_WAIT_MS,
 	    watched, c);
 }
