--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -49,7 +49,7 @@
 	static const char *const words[] = { "joined", "suspected", "alive",
 		"dead", "left" };
 
-	if (ev == MEMBER_EVENT_FORGOTTEN)
+	if (ev >= MEMBER_EVENT_CONFIRMED)
 		return;
 	log_event(numbers[ev], G_LOG_LEVEL_INFO, control_now(c),
 	    "member %s incarnation=%016" G_GINT64_MODIFIER "x datacentre=%s",
@@ -233,7 +233,7 @@
 	struct member_address seed[SETTINGS_PEERS_MAX];
 	const struct settings *s = &c->settings;
 	struct member_info self = { 0 };
-	int i;
+	int i, n = 0;
 
 	self.id = c->incarnation;
 	self.address.ip = ip_number(s->ip);
@@ -245,11 +245,14 @@
 	c->members = member_new(&self, &limits, rng_next(&c->rng),
 	    &control_member_ops, c, control_now(c));
 	for (i = 0; i < s->npeer; i++) {
-		seed[i].ip = ip_number(s->peer[i].ip);
-		seed[i].port = s->peer[i].port;
+		if (!strcmp(s->peer[i].ip, s->ip) &&
+		    s->peer[i].port == s->peer_port)
+			continue;
+		seed[n].ip = ip_number(s->peer[i].ip);
+		seed[n++].port = s->peer[i].port;
 	}
-	if (s->npeer)
-		member_join(c->members, seed, s->npeer, control_now(c));
+	if (n)
+		member_join(c->members, seed, n, control_now(c));
 	control_member_arm(c);
 }
 
@@ -286,6 +289,7 @@
 int
 control_live(const struct control *c, uint64_t id)
 {
+	const struct member *m;
 	int h;
 
 	if (id == c->incarnation)
@@ -295,5 +299,6 @@
 	h = member_find(c->members, id);
 	if (h == MEMBER_NONE)
 		return 1;
-	return member_at(c->members, h)->state <= MEMBER_SUSPECT;
+	m = member_at(c->members, h);
+	return m->confirmed && m->state <= MEMBER_SUSPECT;
 }
