--- a/src/tool/command_publish.c
+++ b/src/tool/command_publish.c
@@ -37,6 +37,24 @@
 	return r;
 }
 
+static int
+check_files(const struct tool *t, const struct arg_file *file)
+{
+	struct service s;
+	int i, bad = 0;
+
+	for (i = 0; i < file->count; i++) {
+		if (read_file(file->filename[i], &s)) {
+			bad = 1;
+			continue;
+		}
+		if (!t->json)
+			printf("%s: service %s, %d rules, good\n",
+			    file->filename[i], s.name, s.nrule);
+	}
+	return bad ? EXIT_BAD_FILE : EXIT_DONE;
+}
+
 int
 command_check(struct tool *t, int argc, char **argv)
 {
@@ -45,26 +63,19 @@
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { file, help, end };
-	struct service s;
-	int i, bad = 0, errors = arg_parse(argc, argv, table);
+	int code, errors = arg_parse(argc, argv, table);
 
 	if (help->count || errors) {
 		fprintf(help->count ? stdout : stderr,
 		    "usage: kumquatrock check FILE...\n"
 		    "Reads service files and says what is wrong, by line and "
 		    "column.\nexit: 0 all good, 2 usage, 3 a file is bad\n");
-		return help->count ? EXIT_DONE : EXIT_USAGE;
-	}
-	for (i = 0; i < file->count; i++) {
-		if (read_file(file->filename[i], &s)) {
-			bad = 1;
-			continue;
-		}
-		if (!t->json)
-			printf("%s: service %s, %d rules, good\n",
-			    file->filename[i], s.name, s.nrule);
+		code = help->count ? EXIT_DONE : EXIT_USAGE;
+	} else {
+		code = check_files(t, file);
 	}
-	return bad ? EXIT_BAD_FILE : EXIT_DONE;
+	arg_freetable(table, sizeof table / sizeof *table);
+	return code;
 }
 
 static void
@@ -106,6 +117,25 @@
 	return r;
 }
 
+static int
+publish_files(struct tool *t, const struct arg_file *file,
+    const struct arg_str *id, const struct arg_str *expect)
+{
+	uint64_t version = PUBLISH_ANY;
+	int i, r, worst = EXIT_DONE;
+
+	if (!t->platform.port)
+		return tool_no_platform();
+	if (expect->count)
+		version = g_ascii_strtoull(expect->sval[0], NULL, 10);
+	for (i = 0; i < file->count; i++) {
+		r = publish(t, file->filename[i],
+		    id->count ? id->sval[0] : NULL, version);
+		worst = MAX(worst, r);
+	}
+	return worst;
+}
+
 int
 command_publish(struct tool *t, int argc, char **argv)
 {
@@ -118,8 +148,7 @@
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { file, id, expect, help, end };
-	int i, r, worst = EXIT_DONE, errors = arg_parse(argc, argv, table);
-	uint64_t version = PUBLISH_ANY;
+	int code, errors = arg_parse(argc, argv, table);
 
 	if (help->count || errors) {
 		fprintf(help->count ? stdout : stderr,
@@ -129,18 +158,52 @@
 		    "exit: 0 accepted, 1 refused, 2 usage, 3 a file is bad, "
 		    "5 conflict,\n      6 undecided, 7 accepted but not in "
 		    "force everywhere within --wait\n");
-		return help->count ? EXIT_DONE : EXIT_USAGE;
+		code = help->count ? EXIT_DONE : EXIT_USAGE;
+	} else {
+		code = publish_files(t, file, id, expect);
 	}
+	arg_freetable(table, sizeof table / sizeof *table);
+	return code;
+}
+
+/* What the arguments of dc say. */
+struct dc_order {
+	struct datacentre dc;
+	const char *way;
+	const char *publication; /* NULL for a new one */
+};
+
+static int
+publish_dc(struct tool *t, struct dc_order *o)
+{
+	struct publication p = { 0 };
+	GString *value;
+	char settle[128];
+	int r;
+
 	if (!t->platform.port)
 		return tool_no_platform();
-	if (expect->count)
-		version = g_ascii_strtoull(expect->sval[0], NULL, 10);
-	for (i = 0; i < file->count; i++) {
-		r = publish(t, file->filename[i],
-		    id->count ? id->sval[0] : NULL, version);
-		worst = MAX(worst, r);
+	if (o->publication)
+		g_strlcpy(p.id, o->publication, sizeof p.id);
+	else
+		random_id(p.id, sizeof p.id);
+	value = g_string_new(NULL);
+	datacentre_write(value, &o->dc);
+	publication_add(value, p.id);
+	if (datacentre_read(&o->dc, value->str, value->len, &p.error)) {
+		tool_error(&p.error);
+		g_string_free(value, TRUE);
+		return EXIT_USAGE;
 	}
-	return worst;
+	p.kind = CONFIG_DATACENTRE;
+	p.name = o->dc.name;
+	p.value = value->str;
+	p.expect = PUBLISH_ANY;
+	tool_publish(t, &p);
+	g_snprintf(settle, sizeof settle, "dc %s %s", o->way, o->dc.name);
+	r = tool_publish_report(t, &p, settle);
+	g_string_free(value, TRUE);
+	return r;
 }
 
 int
@@ -157,11 +220,8 @@
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { what, name, region, ramp, id, help, end };
-	int r, errors = arg_parse(argc, argv, table);
-	struct publication p = { 0 };
-	struct datacentre dc = { 0 };
-	GString *value;
-	char settle[128];
+	int code, errors = arg_parse(argc, argv, table);
+	struct dc_order o = { 0 };
 
 	if (help->count || errors ||
 	    (strcmp(what->sval[0], "in") && strcmp(what->sval[0], "out"))) {
@@ -170,34 +230,19 @@
 		    "[--ramp-ms N] [--publication ID]\n"
 		    "Takes a data centre out, or brings it back on a ramp.\n"
 		    "exit: as of publish\n");
-		return help->count ? EXIT_DONE : EXIT_USAGE;
+		code = help->count ? EXIT_DONE : EXIT_USAGE;
+	} else {
+		o.way = what->sval[0];
+		o.publication = id->count ? id->sval[0] : NULL;
+		g_strlcpy(o.dc.name, name->sval[0], sizeof o.dc.name);
+		g_strlcpy(o.dc.region,
+		    region->count ? region->sval[0] : "default",
+		    sizeof o.dc.region);
+		o.dc.state =
+		    strcmp(o.way, "in") ? DATACENTRE_OUT : DATACENTRE_IN;
+		o.dc.ramp_ms = ramp->count ? ramp->ival[0] : DATACENTRE_RAMP_MS;
+		code = publish_dc(t, &o);
 	}
-	if (!t->platform.port)
-		return tool_no_platform();
-	g_strlcpy(dc.name, name->sval[0], sizeof dc.name);
-	g_strlcpy(dc.region, region->count ? region->sval[0] : "default",
-	    sizeof dc.region);
-	dc.state = strcmp(what->sval[0], "in") ? DATACENTRE_OUT : DATACENTRE_IN;
-	dc.ramp_ms = ramp->count ? ramp->ival[0] : DATACENTRE_RAMP_MS;
-	if (id->count)
-		g_strlcpy(p.id, id->sval[0], sizeof p.id);
-	else
-		random_id(p.id, sizeof p.id);
-	value = g_string_new(NULL);
-	datacentre_write(value, &dc);
-	publication_add(value, p.id);
-	if (datacentre_read(&dc, value->str, value->len, &p.error)) {
-		tool_error(&p.error);
-		g_string_free(value, TRUE);
-		return EXIT_USAGE;
-	}
-	p.kind = CONFIG_DATACENTRE;
-	p.name = dc.name;
-	p.value = value->str;
-	p.expect = PUBLISH_ANY;
-	tool_publish(t, &p);
-	g_snprintf(settle, sizeof settle, "dc %s %s", what->sval[0], dc.name);
-	r = tool_publish_report(t, &p, settle);
-	g_string_free(value, TRUE);
-	return r;
+	arg_freetable(table, sizeof table / sizeof *table);
+	return code;
 }
