--- a/src/adapter/platform/read_batch.c
+++ b/src/adapter/platform/read_batch.c
@@ -1,36 +1,9 @@
 #include <string.h>
 
 #include "json.h"
+#include "objects.h"
 #include "platform_impl.h"
 
-static int
-read_object(struct json *j, int node, struct config_object *o,
-    struct kq_error *e)
-{
-	char kind[CONFIG_NAME_MAX];
-	int64_t version = 0;
-	GString *text;
-	int value;
-
-	if (json_expect(j, node, JSON_OBJECT, e))
-		return -1;
-	if (json_get_string(j, node, "kind", kind, sizeof kind, e) != 1 ||
-	    json_get_string(j, node, "name", o->name, sizeof o->name, e) != 1 ||
-	    json_get_int(j, node, "version", 1, INT64_MAX, &version, e) != 1)
-		return json_fail(j, node, e, JSON_E_MISSING,
-		    "an object needs kind, name and version");
-	o->kind = config_kind_of(kind);
-	o->version = version;
-	value = json_get(j, node, "value");
-	o->removed = value == JSON_NONE || json_type(j, value) == JSON_NULL;
-	if (o->removed)
-		return 0;
-	text = g_string_new(NULL);
-	json_append(text, j, value);
-	o->value = g_string_free_to_bytes(text);
-	return 0;
-}
-
 static int
 by_version(const void *a, const void *b)
 {
@@ -47,7 +20,7 @@
 
 	b->object = g_new0(struct config_object, n + 1);
 	for (i = 0; i < n; i++) {
-		if (read_object(j, json_item(j, list, i),
+		if (object_read(j, json_item(j, list, i),
 			&b->object[b->nobject], e))
 			return -1;
 		/* Kinds that are not ours pass by. */
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -143,6 +143,15 @@
 void control_send_spans(void *ctx, void *message);
 
 /* operators */
+/* Answers a request of the operators' port; takes over the text. */
+void control_answer(SoupServerMessage *, int status, const char *type,
+    GString *text);
+void
+control_answer_error(SoupServerMessage *, int status, const struct kq_error *);
+void control_target_handler(SoupServer *, SoupServerMessage *, const char *path,
+    GHashTable *query, gpointer ctx);
+void control_drain_handler(SoupServer *, SoupServerMessage *, const char *path,
+    GHashTable *query, gpointer ctx);
 void control_write_metrics(struct control *, GString *);
 int control_open_operators(struct control *, struct kq_error *);
 void control_target_idle(struct control *);
--- a/src/internal/objects.h
+++ b/src/internal/objects.h
@@ -5,7 +5,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "config.h"
 #include "error.h"
+#include "json.h"
 #include "service.h"
 
 /**
@@ -46,6 +48,10 @@
 	int operator_port;
 };
 
+/** object_read() - read an object with its kind, name, version and value from a
+ * list, a watch or a hand-over; a kind that is not ours becomes -1. 0 or -1 */
+int
+object_read(struct json *, int node, struct config_object *, struct kq_error *);
 /** service_read() - read a service file; 0 or -1 */
 int
 service_read(struct service *, const char *text, size_t n, struct kq_error *);
--- a/src/tool/command_show.c
+++ b/src/tool/command_show.c
@@ -4,11 +4,15 @@
 #include "json.h"
 #include "tool.h"
 
+/* Does something at one daemon; 0 or -1 with the error. */
+typedef int
+daemon_fn(const struct settings_address *, const char *path, struct kq_error *);
+
 static int
-show(struct tool *t, int argc, char **argv, const char *path, const char *usage)
+each_daemon(struct tool *t, int argc, char **argv, daemon_fn *fn,
+    const char *path, const char *usage)
 {
 	struct kq_error e;
-	char *text;
 	int i, bad = 0;
 
 	if (argc > 1) {
@@ -20,18 +24,40 @@
 	if (!t->ndaemon)
 		return tool_no_daemon();
 	for (i = 0; i < t->ndaemon; i++) {
-		text = tool_get(&t->daemon[i], path, &e);
-		if (!text) {
-			tool_error(&e);
-			bad = 1;
+		if (!fn(&t->daemon[i], path, &e))
 			continue;
-		}
-		fputs(text, stdout);
-		g_free(text);
+		tool_error(&e);
+		bad = 1;
 	}
 	return bad ? EXIT_FAULT : EXIT_DONE;
 }
 
+static int
+print_text(const struct settings_address *a, const char *path,
+    struct kq_error *e)
+{
+	char *text = tool_get(a, path, e);
+
+	if (!text)
+		return -1;
+	fputs(text, stdout);
+	g_free(text);
+	return 0;
+}
+
+static int
+show(struct tool *t, int argc, char **argv, const char *path, const char *usage)
+{
+	return each_daemon(t, argc, argv, print_text, path, usage);
+}
+
+static int
+post_empty(const struct settings_address *a, const char *path,
+    struct kq_error *e)
+{
+	return tool_post(a, path, "{}", e);
+}
+
 int
 command_targets(struct tool *t, int argc, char **argv)
 {
@@ -65,34 +91,10 @@
 	    "holds the\nlimit of their own targets, as JSON.\n");
 }
 
-static int
-order(struct tool *t, int argc, char **argv, const char *path,
-    const char *usage)
-{
-	struct kq_error e;
-	int i, bad = 0;
-
-	if (argc > 1) {
-		int help = !strcmp(argv[1], "--help") || !strcmp(argv[1], "-h");
-
-		fputs(usage, help ? stdout : stderr);
-		return help ? EXIT_DONE : EXIT_USAGE;
-	}
-	if (!t->ndaemon)
-		return tool_no_daemon();
-	for (i = 0; i < t->ndaemon; i++) {
-		if (!tool_post(&t->daemon[i], path, "{}", &e))
-			continue;
-		tool_error(&e);
-		bad = 1;
-	}
-	return bad ? EXIT_FAULT : EXIT_DONE;
-}
-
 int
 command_drain(struct tool *t, int argc, char **argv)
 {
-	return order(t, argc, argv, "/v1/drain",
+	return each_daemon(t, argc, argv, post_empty, "/v1/drain",
 	    "usage: kumquatrock drain\n"
 	    "The targets of the named daemons get no new work; returns when "
 	    "nothing is in flight.\n");
@@ -101,25 +103,32 @@
 int
 command_undrain(struct tool *t, int argc, char **argv)
 {
-	return order(t, argc, argv, "/v1/undrain",
+	return each_daemon(t, argc, argv, post_empty, "/v1/undrain",
 	    "usage: kumquatrock undrain\n"
 	    "Ends a drain: the targets come back when they announce "
 	    "themselves.\n");
 }
 
-static void
-print_status(const char *text)
+static int
+print_status(const struct settings_address *a, const char *path,
+    struct kq_error *e)
 {
 	static const char *const keys[] = { "name", "datacentre", "service",
 		"incarnation", "complete", "rules", "members", "platform",
 		"watching", "registered", "leaving", "may_act" };
-	struct json *j = json_read(text, strlen(text), NULL);
-	GString *out = g_string_new(NULL);
+	char *text = tool_get(a, path, e);
+	struct json *j;
+	GString *out;
 	size_t i;
 	int node;
 
+	if (!text)
+		return -1;
+	j = json_read(text, strlen(text), e);
+	g_free(text);
 	if (!j)
-		return;
+		return -1;
+	out = g_string_new(NULL);
 	for (i = 0; i < sizeof keys / sizeof *keys; i++) {
 		node = json_get(j, json_root(j), keys[i]);
 		if (node == JSON_NONE)
@@ -131,31 +140,16 @@
 	printf("%s\n", out->str);
 	g_string_free(out, TRUE);
 	json_free(j);
+	return 0;
 }
 
 int
 command_status(struct tool *t, int argc, char **argv)
 {
-	struct kq_error e;
-	char *text;
-	int i, bad = 0;
-
-	if (t->json || argc > 1 || !t->ndaemon)
-		return show(t, argc, argv, "/v1/status",
-		    "usage: kumquatrock status\n"
-		    "Says what each named daemon is, holds in force and "
-		    "knows.\n");
-	for (i = 0; i < t->ndaemon; i++) {
-		text = tool_get(&t->daemon[i], "/v1/status", &e);
-		if (!text) {
-			tool_error(&e);
-			bad = 1;
-			continue;
-		}
-		print_status(text);
-		g_free(text);
-	}
-	return bad ? EXIT_FAULT : EXIT_DONE;
+	return each_daemon(t, argc, argv, t->json ? print_text : print_status,
+	    "/v1/status",
+	    "usage: kumquatrock status\n"
+	    "Says what each named daemon is, holds in force and knows.\n");
 }
 
 int
