Histories say what each daemon held in force; watchers' test lets the fleet meet first

The test of watchers asked a fleet that had only learned of itself. Since learned members no longer watch, it runs the fleet for 100 s of virtual time first and then asks for the same agreement.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -7,6 +7,7 @@
 #   fleet_ready SERVICE...         wait until a call to each service is answered at
 #                                  the daemon $fleet_first
 #   fleet_targets N                wait until N targets are known there
+#   fleet_config_history           history lines of what daemons held in force
 #   fleet_close                    stop all that was started, in order
 #
 # NET is FLEET_NET, 127.0 if not set. Ports on each address: caller 8400, peer 8410, operator 8420, target 9001.
@@ -102,6 +103,14 @@
 	done
 }
 
+# Writes what each daemon held in force, and when, as history lines.
+fleet_config_history() {
+	for fleet_f in "$fleet_dir"/daemon-*.log; do
+		fleet_n=${fleet_f##*/}
+		sed -n "s/.*event=320 .*complete=\([0-9]*\) .* us=\([0-9]*\).*/\2 ${fleet_n%.log} config version=\1/p" "$fleet_f"
+	done >"$fleet_dir/config.history"
+}
+
 # Waits until the daemon $fleet_first would pick among N targets, 15 s at most.
 fleet_targets() {
 	fleet_i=0
--- a/src/daemon/control_config.c
+++ b/src/daemon/control_config.c
@@ -159,8 +159,9 @@
 		return;
 	log_event(EVENT_CONFIG_TAKEN, G_LOG_LEVEL_INFO, control_now(c),
 	    "configuration complete=%" G_GUINT64_FORMAT
-	    " source=%016" G_GINT64_MODIFIER "x objects=%d",
-	    config_complete(c->config), b->source, b->nobject);
+	    " source=%016" G_GINT64_MODIFIER "x objects=%d"
+	    " us=%" G_GINT64_FORMAT,
+	    config_complete(c->config), b->source, b->nobject, control_now(c));
 	member_set_digest(c->members, config_complete(c->config),
 	    control_now(c));
 	control_member_arm(c);
--- a/tests/system/stop.sh
+++ b/tests/system/stop.sh
@@ -26,6 +26,8 @@
 ended() {
 	wait "$2"
 	code=$?
+	awk -v n="$1" '{ printf "%.0f %s stop\n", $1 * 1000000, n }' /proc/uptime |
+		sed 's/ \([a-z]*\) \([0-9-]*\) stop/ \1-\2 stop/' >>"$fleet_dir/stop.history"
 	[ $code = 0 ] || {
 		echo "$1 ended with $code"
 		failed=1
@@ -43,6 +45,7 @@
 ended "target 2-2" "$fleet_target_2_2"
 fleet_tool dc in dc2 --region r1 --ramp-ms 500 >>"$fleet_dir/operators.log" 2>&1
 wait $load || failed=1
+fleet_config_history
 "$1/history-check" --planned --timeout-ms 2000 --measure codebook=2 --cold codebook=4 \
 	--grace-ms 4000 "$fleet_dir"/*.history || failed=1
 [ -z "${STOP_KEEP-}" ] || cp -r "$fleet_dir" "$STOP_KEEP"
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -215,6 +215,8 @@
 	struct fleet *f = fleet_new(99, 0, 1, 1);
 	int a[3], b[3], i, k, same = 0;
 
+	/* All have heard of all: those only learned don't watch. */
+	fleet_run(f, 100 * SECOND_US);
 	ck_assert_int_eq(member_watchers(f->node[0].table, "luzon-b", 3, a), 3);
 	for (k = 0; k < 3; k++)
 		ck_assert_str_eq(member_at(f->node[0].table, a[k])
