Members tell which service their target has

Cause: who serves what was known only from the platform's instance objects, so a target that came while the platform was down got no calls until it was back (an hour in the target's terms). Weighed: handing the object from daemon to daemon without a version (nothing orders it), a lease in the platform (down). Now a member's own statement carries its service under an edition that only it raises; what has no edition or info yet is asked for. The datagram grows by 4 bytes an update; the codec's test of malformed ones counts 88.

--- a/src/adapter/rpc/member_xdr.c
+++ b/src/adapter/rpc/member_xdr.c
@@ -37,7 +37,8 @@
 	       xdr_port(x, &i->address.port) && xdr_port(x, &i->caller_port) &&
 	       xdr_port(x, &i->operator_port) &&
 	       xdr_name(x, i->datacentre, sizeof i->datacentre) &&
-	       xdr_name(x, i->region, sizeof i->region);
+	       xdr_name(x, i->region, sizeof i->region) &&
+	       xdr_name(x, i->service, sizeof i->service);
 }
 
 static int
@@ -57,7 +58,8 @@
 	uint32_t flags = u->state | (u->has_info ? INFO_FLAG : 0);
 
 	if (!xdr_uint64_t(x, &u->info.id) || u->info.id == 0 ||
-	    !xdr_uint32_t(x, &flags) || !xdr_uint32_t(x, &u->number))
+	    !xdr_uint32_t(x, &flags) || !xdr_uint32_t(x, &u->number) ||
+	    !xdr_uint32_t(x, &u->info.edition))
 		return 0;
 	if (flags & ~(uint32_t)(STATE_MASK | INFO_FLAG) ||
 	    (flags & STATE_MASK) > MEMBER_LEFT)
--- a/src/core/member/merge.c
+++ b/src/core/member/merge.c
@@ -1,5 +1,7 @@
 #include "core/member/impl.h"
 
+#include <string.h>
+
 void
 member_refute(struct member_table *t, uint32_t number)
 {
@@ -37,6 +39,22 @@
 	       (u->number == r->m.number && u->state > r->m.state);
 }
 
+/* What a member says of its target; a later edition replaces an earlier one,
+ * whatever the order in which they come. */
+static void
+merge_service(struct member_table *t, int handle,
+    const struct member_info *info)
+{
+	struct member_info *known = &member_row(t, handle)->m.info;
+
+	if (info->edition <= known->edition)
+		return;
+	known->edition = info->edition;
+	memcpy(known->service, info->service, sizeof known->service);
+	member_enqueue(t, handle, 1);
+	t->ops->event(t->ctx, handle, MEMBER_EVENT_SERVICE);
+}
+
 static void
 merge_new(struct member_table *t, const struct member_update *u, int64_t now)
 {
@@ -66,6 +84,8 @@
 		return;
 	}
 	member_confirm(t, handle);
+	if (u->has_info)
+		merge_service(t, handle, &u->info);
 	if (!member_overrides(u, r))
 		return;
 	member_change(t, handle, u->state, u->number, now);
--- a/src/core/member/queue.c
+++ b/src/core/member/queue.c
@@ -8,7 +8,7 @@
 	struct row *r = member_row(t, handle);
 
 	r->sends = 0;
-	r->announce = announce;
+	r->announce = announce || (r->queued && r->announce);
 	if (r->queued)
 		return;
 	r->queued = 1;
--- a/src/core/member/size.c
+++ b/src/core/member/size.c
@@ -6,7 +6,7 @@
 
 #define FRAME_BYTES 44 /* version, key id, counter and tag */
 #define HEAD_BYTES 68 /* fixed part of a message */
-#define UPDATE_BYTES 16 /* id, state, number */
+#define UPDATE_BYTES 20 /* id, state, number, edition */
 #define ADDRESS_BYTES 16 /* IP number and three ports */
 #define WANT_BYTES 8
 
@@ -23,7 +23,7 @@
 	if (!u->has_info)
 		return UPDATE_BYTES;
 	return UPDATE_BYTES + ADDRESS_BYTES + string_bytes(u->info.datacentre) +
-	       string_bytes(u->info.region);
+	       string_bytes(u->info.region) + string_bytes(u->info.service);
 }
 
 size_t
--- a/src/core/member/sync.c
+++ b/src/core/member/sync.c
@@ -107,7 +107,8 @@
 		int h = member_find(t, u->info.id);
 		const struct row *r = member_row(t, h);
 
-		if (!r && nwant < MEMBER_WANTS_MAX && !u->has_info &&
+		if ((!r || r->m.info.edition < u->info.edition) && h != 0 &&
+		    nwant < MEMBER_WANTS_MAX && !u->has_info &&
 		    (u->state == MEMBER_ALIVE || u->state == MEMBER_SUSPECT))
 			want[nwant++] = u->info.id;
 		if (r &&
--- a/src/core/member/table.c
+++ b/src/core/member/table.c
@@ -95,3 +95,17 @@
 
 	member_merge(t, &u, now);
 }
+
+void
+member_set_service(struct member_table *t, const char *service, int64_t now)
+{
+	struct member_info *self = &member_row(t, 0)->m.info;
+
+	if (strcmp(self->service, service) == 0)
+		return;
+	g_strlcpy(self->service, service, sizeof self->service);
+	self->edition++;
+	member_row(t, 0)->m.number++;
+	member_enqueue(t, 0, 1);
+	t->gossip_at = MIN(t->gossip_at, now);
+}
--- a/src/daemon/control_config.c
+++ b/src/daemon/control_config.c
@@ -95,10 +95,35 @@
 	default:
 		vi = &v->instance[v->ninstance++];
 		vi->instance = p->instance;
+		control_member_service(c, &vi->instance);
 		vi->live = control_live(c, p->instance.incarnation);
 	}
 }
 
+/* Instances that are there and not, or not yet, registered: they came while the
+ * platform did not answer. */
+static void
+add_members(struct control *c, struct view *v)
+{
+	const struct config_object *o;
+	struct view_instance *vi;
+	char name[17];
+	int h;
+
+	for (h = 0; h < member_top(c->members); h++) {
+		vi = &v->instance[v->ninstance];
+		if (!control_member_instance(c, h, &vi->instance))
+			continue;
+		g_snprintf(name, sizeof name, "%016" G_GINT64_MODIFIER "x",
+		    vi->instance.incarnation);
+		o = config_find(c->config, CONFIG_INSTANCE, name);
+		if (o)
+			continue;
+		vi->live = control_live(c, vi->instance.incarnation);
+		v->ninstance++;
+	}
+}
+
 /* Posts what is in force and who is there to the data task. */
 void
 control_publish_view(struct control *c)
@@ -118,9 +143,11 @@
 		count[s->object[i].kind]++;
 	v->service = g_new0(struct service, count[CONFIG_SERVICE] + 1);
 	v->datacentre = g_new0(struct datacentre, count[CONFIG_DATACENTRE] + 1);
-	v->instance = g_new0(struct view_instance, count[CONFIG_INSTANCE] + 1);
+	v->instance = g_new0(struct view_instance,
+	    count[CONFIG_INSTANCE] + member_top(c->members) + 1);
 	for (i = 0; i < s->nobject; i++)
 		add_object(c, v, &s->object[i]);
+	add_members(c, v);
 	config_snapshot_free(s);
 	c->config_dirty = 0;
 	c->counters.views++;
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -131,6 +131,12 @@
 void control_member_start(struct control *);
 void control_learn(struct control *, const struct config_object *);
 int control_live(const struct control *, uint64_t id);
+/* Tells the members and ourselves which service our target has. */
+void control_tell_service(struct control *);
+/* Takes what a member says of its target, which is newer than its object. */
+void control_member_service(struct control *, struct instance *);
+/* Instance as a member describes itself; 0 if it has no target. */
+int control_member_instance(struct control *, int handle, struct instance *);
 
 /* platform */
 void control_platform_start(struct control *);
--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -49,7 +49,7 @@
 	static const char *const words[] = { "joined", "suspected", "alive",
 		"dead", "left" };
 
-	if (ev >= MEMBER_EVENT_CONFIRMED)
+	if (ev >= MEMBER_EVENT_SERVICE)
 		return;
 	log_event(numbers[ev], G_LOG_LEVEL_INFO, control_now(c),
 	    "member %s incarnation=%016" G_GINT64_MODIFIER "x datacentre=%s",
@@ -286,6 +286,50 @@
 	member_learn(c->members, &info, control_now(c));
 }
 
+void
+control_tell_service(struct control *c)
+{
+	member_set_service(c->members, c->has_target ? c->target.service : "",
+	    control_now(c));
+	c->config_dirty = 1;
+	control_member_arm(c);
+}
+
+void
+control_member_service(struct control *c, struct instance *in)
+{
+	const struct member *m;
+	int h = member_find(c->members, in->incarnation);
+
+	if (h == MEMBER_NONE)
+		return;
+	m = member_at(c->members, h);
+	if (m->info.edition)
+		g_strlcpy(in->service, m->info.service, sizeof in->service);
+}
+
+int
+control_member_instance(struct control *c, int handle, struct instance *in)
+{
+	const struct member *m = member_at(c->members, handle);
+	uint32_t ip;
+
+	if (!m || !m->info.service[0])
+		return 0;
+	memset(in, 0, sizeof *in);
+	ip = m->info.address.ip;
+	in->incarnation = m->info.id;
+	g_strlcpy(in->service, m->info.service, sizeof in->service);
+	g_strlcpy(in->datacentre, m->info.datacentre, sizeof in->datacentre);
+	g_strlcpy(in->region, m->info.region, sizeof in->region);
+	g_snprintf(in->ip, sizeof in->ip, "%u.%u.%u.%u", ip >> 24,
+	    ip >> 16 & 255, ip >> 8 & 255, ip & 255);
+	in->peer_port = m->info.address.port;
+	in->caller_port = m->info.caller_port;
+	in->operator_port = m->info.operator_port;
+	return 1;
+}
+
 int
 control_live(const struct control *c, uint64_t id)
 {
--- a/src/daemon/control_target.c
+++ b/src/daemon/control_target.c
@@ -64,6 +64,7 @@
 		g_strlcpy(c->target.service, t.service,
 		    sizeof c->target.service);
 		c->has_target = 1;
+		control_tell_service(c);
 		control_register(c);
 	}
 	if (!memcmp(&t, &c->target, sizeof t)) {
@@ -86,6 +87,7 @@
 	    "target leaves service=%s", c->target.service);
 	if (c->has_target) {
 		c->has_target = 0;
+		control_tell_service(c);
 		control_register(c);
 	}
 	g_ptr_array_add(c->leave_waiting, g_object_ref(msg));
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -53,6 +53,8 @@
 	uint16_t operator_port;
 	char datacentre[DATACENTRE_NAME_MAX];
 	char region[DATACENTRE_NAME_MAX];
+	uint32_t edition; /* raised with each change of what follows */
+	char service[SERVICE_NAME_MAX]; /* of its target, empty for none */
 };
 
 /** enum member_state - at one number, a later state overrides an earlier */
@@ -74,7 +76,7 @@
 };
 
 /** struct member_update - a statement about one member
- * @has_info: @info is carried along; otherwise only its id counts */
+ * @has_info: @info is carried along; otherwise only its id and edition count */
 struct member_update {
 	enum member_state state;
 	uint32_t number;
@@ -132,6 +134,7 @@
 	MEMBER_EVENT_ALIVE, /* refuted, or came back from the dead */
 	MEMBER_EVENT_DEAD,
 	MEMBER_EVENT_LEFT,
+	MEMBER_EVENT_SERVICE, /* its target came, went or changed */
 	MEMBER_EVENT_CONFIRMED, /* heard of from a member for the first time */
 	MEMBER_EVENT_FORGOTTEN /* the handle is free after this */
 };
@@ -223,6 +226,10 @@
 void member_unlearn(struct member_table *, uint64_t id, int64_t now);
 /** member_leave() - tell others that we leave; keep ticking for a second */
 void member_leave(struct member_table *, int64_t now);
+/** member_set_service() - our target's service, empty when there is none; told
+ * to the others, whether or not the platform answers */
+void
+member_set_service(struct member_table *, const char *service, int64_t now);
 /** member_set_digest() - our configuration is complete to this version; a
  * higher one is told to some members at once */
 void member_set_digest(struct member_table *, uint64_t digest, int64_t now);
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -210,6 +210,24 @@
 }
 END_TEST
 
+/* A target that comes while the platform is down is told by its daemon. */
+START_TEST(service_reaches_all)
+{
+	struct fleet *f = fleet_new(50, LOSS, 3, 1);
+	int i, round;
+
+	for (round = 0; round < 3; round++) {
+		const char *service = round == 1 ? "" : "codebook";
+
+		member_set_service(f->node[7].table, service, f->now);
+		fleet_run(f, f->now + 4 * SECOND_US);
+		for (i = 0; i < f->n; i++)
+			ck_assert_str_eq(view(f, i, 7)->info.service, service);
+	}
+	fleet_free(f);
+}
+END_TEST
+
 START_TEST(watchers_agree_and_move_little)
 {
 	struct fleet *f = fleet_new(99, 0, 1, 1);
@@ -531,6 +549,7 @@
 	tcase_add_test(c, halves_find_each_other);
 	tcase_add_loop_test(c, leaving_is_told, 0, COUNT(sizes));
 	tcase_add_loop_test(c, newcomers_join, 0, 3);
+	tcase_add_test(c, service_reaches_all);
 	tcase_add_test(c, watchers_agree_and_move_little);
 	return c;
 }
--- a/tests/unit/member_codec.c
+++ b/tests/unit/member_codec.c
@@ -72,6 +72,7 @@
 	u->number = g_rand_int(r);
 	u->info.id = g_rand_int(r) | 1u;
 	u->has_info = g_rand_boolean(r);
+	u->info.edition = g_rand_int(r);
 	if (!u->has_info)
 		return;
 	u->info.address.ip = g_rand_int(r);
@@ -80,6 +81,7 @@
 	u->info.operator_port = (uint16_t)g_rand_int(r);
 	random_name(r, u->info.datacentre, DATACENTRE_NAME_MAX);
 	random_name(r, u->info.region, DATACENTRE_NAME_MAX);
+	random_name(r, u->info.service, SERVICE_NAME_MAX);
 }
 
 static void
@@ -261,7 +263,7 @@
 	m->nupdate = 1;
 	m->update[0].info.id = 5;
 	n = member_message_encode(m, buf, sizeof buf);
-	ck_assert_uint_eq(n, 84);
+	ck_assert_uint_eq(n, 88);
 	ck_assert_uint_eq(member_message_decode(m, buf, n), n);
 	buf[bad[_i].offset] = bad[_i].byte;
 	ck_assert_uint_eq(member_message_decode(m, buf, n), 0);
