--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -7,6 +7,7 @@
 #   fleet_ready SERVICE...         wait until a call to each service is answered at
 #                                  the daemon $fleet_first
 #   fleet_targets N                wait until N targets are known there
+#   fleet_config_history           history lines of what daemons held in force
 #   fleet_close                    stop all that was started, in order
 #
 # NET is FLEET_NET, 127.0 if not set. Ports on each address: caller 8400, peer 8410, operator 8420, target 9001.
@@ -102,6 +103,14 @@
 	done
 }
 
+# Writes what each daemon held in force, and when, as history lines.
+fleet_config_history() {
+	for fleet_f in "$fleet_dir"/daemon-*.log; do
+		fleet_n=${fleet_f##*/}
+		sed -n "s/.*event=320 .*complete=\([0-9]*\) .* us=\([0-9]*\).*/\2 ${fleet_n%.log} config version=\1/p" "$fleet_f"
+	done >"$fleet_dir/config.history"
+}
+
 # Waits until the daemon $fleet_first would pick among N targets, 15 s at most.
 fleet_targets() {
 	fleet_i=0
@@ -134,3 +143,34 @@
 fleet_tool() {
 	"$fleet_build/kumquatrock" --platform "$fleet_platform_at" --daemon "${fleet_first%:*}:8420" "$@"
 }
+
+# fleet_fault MODE...: how the platform's stand-in acts from now on
+fleet_fault() {
+	curl -s -m 2 -X POST -o "$fleet_dir/fault" "http://$fleet_platform_at/fake/fault?mode=$1"
+}
+
+# fleet_count NAME: a count of the platform's stand-in
+fleet_count() {
+	curl -s -m 2 "http://$fleet_platform_at/fake/counts" | sed -n "s/^$1 //p"
+}
+
+# fleet_status DC N FIELD: a field of the daemon's status, empty if it is not there
+fleet_status() {
+	curl -s -m 1 "http://$fleet_net.$1.$2:8420/v1/status" |
+		sed -n "s/.*\"$3\":\"*\([^\",}]*\).*/\1/p"
+}
+
+# fleet_metric DC N NAME: a counter of the daemon
+fleet_metric() {
+	curl -s -m 1 "http://$fleet_net.$1.$2:8420/metrics" | sed -n "s/^kumquatrock_$3 //p"
+}
+
+# fleet_until SECONDS COMMAND...: true once the command is
+fleet_until() {
+	fleet_end=$(($(date +%s%3N) + $1 * 1000))
+	shift
+	until "$@"; do
+		[ "$(date +%s%3N)" -lt $fleet_end ] || return 1
+		sleep 0.1
+	done
+}
