--- a/tests/system/keys.sh
+++ b/tests/system/keys.sh
@@ -85,6 +85,11 @@
 
 build=$1
 trap close EXIT
+if [ -n "${KEYS_MIXED-}" ]; then
+	open "$new, $old" "$old, $new" "$old"
+	passes "new key signs beside a daemon without it"
+	exit $failed
+fi
 open "$old" "$old, $new" "$old"
 passes "new key added"
 expect "new key added: datagrams refused" "$(sum datagrams_refused_total)" = 0
