--- a/completion/kumquatrock.bash
+++ b/completion/kumquatrock.bash
@@ -22,7 +22,7 @@
 		members metrics settings' ;;
 	check) words=--help ;;
 	publish) words='--publication --expect --help' ;;
-	dc) words='in out --region --ramp-ms --publication --help' ;;
+	dc) words='in out --region --ramp-ms --publication --expect --help' ;;
 	status | targets | explain | drain | undrain | trace | members | metrics) words=--help ;;
 	esac
 	case $prev in
--- a/src/tool/command_publish.c
+++ b/src/tool/command_publish.c
@@ -97,6 +97,7 @@
 
 	if (read_file(path, &s))
 		return EXIT_BAD_FILE;
+	p.settles = id != NULL;
 	if (id)
 		g_strlcpy(p.id, id, sizeof p.id);
 	else
@@ -171,6 +172,7 @@
 	struct datacentre dc;
 	const char *way;
 	const char *publication; /* NULL for a new one */
+	uint64_t expect;
 };
 
 static int
@@ -183,6 +185,7 @@
 
 	if (!t->platform.port)
 		return tool_no_platform();
+	p.settles = o->publication != NULL;
 	if (o->publication)
 		g_strlcpy(p.id, o->publication, sizeof p.id);
 	else
@@ -198,7 +201,7 @@
 	p.kind = CONFIG_DATACENTRE;
 	p.name = o->dc.name;
 	p.value = value->str;
-	p.expect = PUBLISH_ANY;
+	p.expect = o->expect;
 	tool_publish(t, &p);
 	g_snprintf(settle, sizeof settle, "dc %s %s", o->way, o->dc.name);
 	r = tool_publish_report(t, &p, settle);
@@ -217,9 +220,11 @@
 	    "time from returning to a full share");
 	struct arg_str *id = arg_str0(NULL, "publication", "ID",
 	    "settle or repeat that publication");
+	struct arg_str *expect = arg_str0(NULL, "expect", "VERSION",
+	    "only over this version, 0 for a new one");
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { what, name, region, ramp, id, help, end };
+	void *table[] = { what, name, region, ramp, id, expect, help, end };
 	int code, errors = arg_parse(argc, argv, table);
 	struct dc_order o = { 0 };
 
@@ -227,12 +232,15 @@
 	    (strcmp(what->sval[0], "in") && strcmp(what->sval[0], "out"))) {
 		fprintf(help->count ? stdout : stderr,
 		    "usage: kumquatrock dc in|out NAME [--region NAME] "
-		    "[--ramp-ms N] [--publication ID]\n"
+		    "[--ramp-ms N] [--publication ID] [--expect VERSION]\n"
 		    "Takes a data centre out, or brings it back on a ramp.\n"
 		    "exit: as of publish\n");
 		code = help->count ? EXIT_DONE : EXIT_USAGE;
 	} else {
 		o.way = what->sval[0];
+		o.expect = expect->count
+			       ? g_ascii_strtoull(expect->sval[0], NULL, 10)
+			       : PUBLISH_ANY;
 		o.publication = id->count ? id->sval[0] : NULL;
 		g_strlcpy(o.dc.name, name->sval[0], sizeof o.dc.name);
 		g_strlcpy(o.dc.region,
--- a/src/tool/http.c
+++ b/src/tool/http.c
@@ -10,8 +10,8 @@
 request(const char *method, const struct settings_address *a, const char *path,
     const char *body, struct kq_error *e)
 {
-	SoupSession *s =
-	    soup_session_new_with_options("timeout", DAEMON_TIMEOUT_S, NULL);
+	SoupSession *s = soup_session_new_with_options("timeout",
+	    body ? ORDER_TIMEOUT_S : DAEMON_TIMEOUT_S, NULL);
 	GError *err = NULL;
 	GBytes *out, *in;
 	char url[256], *text = NULL;
--- a/src/tool/publish.c
+++ b/src/tool/publish.c
@@ -162,6 +162,11 @@
 	g_free(value);
 	if (r->p->expect == PUBLISH_ANY || r->p->expect == version)
 		return 0;
+	if (!r->p->settles || r->p->expect > version) {
+		r->p->version = version;
+		r->p->outcome = PUBLISH_CONFLICT;
+		return 1;
+	}
 	r->before = r->p->expect;
 	return settle_conflict(r) ? -1 : 1;
 }
@@ -174,9 +179,11 @@
 	if (found > 0)
 		return;
 	if (found < 0) {
-		r->p->outcome = PUBLISH_UNDECIDED;
+		r->p->version = r->p->expect;
+		r->p->outcome =
+		    r->p->settles ? PUBLISH_UNDECIDED : PUBLISH_REFUSED;
 		kq_error_set(&r->p->error, KQ_LAYER_TOOL, 1,
-		    "the platform does not answer; nothing was written yet");
+		    "the platform does not answer; nothing was written");
 		return;
 	}
 	for (i = 0; i < SETTLE_TRIES; i++) {
--- a/src/tool/report.c
+++ b/src/tool/report.c
@@ -165,8 +165,12 @@
 		tool_error(&p->error);
 		fprintf(stderr,
 		    "kumquatrock: not known whether it took effect; this "
-		    "settles it:\n  kumquatrock %s --publication %s\n",
+		    "settles it:\n  kumquatrock %s --publication %s",
 		    settle, p->id);
+		if (p->version != PUBLISH_ANY)
+			fprintf(stderr, " --expect %" G_GUINT64_FORMAT,
+			    p->version);
+		fprintf(stderr, "\n");
 		return EXIT_UNDECIDED;
 	default:
 		tool_error(&p->error);
--- a/src/tool/tool.h
+++ b/src/tool/tool.h
@@ -77,6 +77,7 @@
  * struct publication - one conditional write and what came of it
  * @id: publication id within the value, by which a write whose answer was
  *      lost is found again
+ * @settles: nonzero if the id is that of an earlier publication
  * @expect: version that the object must have, or PUBLISH_ANY
  * @version: version of the write, or of what is in its way
  */
@@ -85,6 +86,7 @@
 	const char *name;
 	const char *value;
 	char id[64];
+	int settles;
 	uint64_t expect;
 	uint64_t version;
 	enum publish_outcome outcome;
