Forgotten instances are asked after; latency summaries among the metrics

Cause: members that are dead for a minute are forgotten, and nobody asked after them again, so regions apart for an hour would not have met. Every 5 s one registered instance that is not in the table is learned again and probed.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -54,6 +54,7 @@
 {
 	g_main_context_push_thread_default(c->task.context);
 	control_member_start(c);
+	control_relearn_start(c);
 	control_platform_start(c);
 	control_publish_view(c);
 	g_main_context_pop_thread_default(c->task.context);
@@ -219,6 +220,7 @@
 		;
 	g_main_context_pop_thread_default(c->task.context);
 	io_timer_clear(loop, &c->member_timer);
+	io_timer_clear(loop, &c->relearn_timer);
 	io_timer_clear(loop, &c->watch_timer);
 	io_timer_clear(loop, &c->register_timer);
 	io_timer_clear(loop, &c->pull_timer);
--- a/src/daemon/control_impl.h
+++ b/src/daemon/control_impl.h
@@ -18,6 +18,7 @@
 #define PLATFORM_PAUSE_MIN_US 500000 /* after a failure, doubled each time */
 #define PLATFORM_PAUSE_MAX_US 4000000
 #define PULL_TIMEOUT_US 2000000
+#define RELEARN_US 5000000 /* between two looks for forgotten instances */
 #define LEAVE_TOLD_US 1000000 /* others learn of it before the ports close */
 #define LEAVE_MAX_US 60000000 /* longest wait for what is in flight */
 
@@ -56,7 +57,7 @@
 	int udp_fd;
 	struct io_watch udp_watch;
 	struct io_timer member_timer;
-	struct member_address platform_seed;
+	struct io_timer relearn_timer;
 	GHashTable *forgotten; /* incarnations held for dead and forgotten */
 	int may_act;
 	uint32_t data_pause; /* number of the data task's last pause */
@@ -129,6 +130,7 @@
 int control_open_udp(struct control *, struct kq_error *);
 void control_member_arm(struct control *);
 void control_member_start(struct control *);
+void control_relearn_start(struct control *);
 void control_learn(struct control *, const struct config_object *);
 int control_live(const struct control *, uint64_t id);
 /* Tells the members and ourselves which service our target has. */
--- a/src/daemon/control_member.c
+++ b/src/daemon/control_member.c
@@ -256,6 +256,42 @@
 	control_member_arm(c);
 }
 
+/* Asks after one registered instance that the members have forgotten, so that
+ * parts of the fleet that were apart for long meet again. */
+static void
+relearn_due(void *ctx, int64_t now)
+{
+	struct config_snapshot *s;
+	struct control *c = ctx;
+	const struct config_object *o;
+	uint64_t id;
+	int i, n;
+
+	s = config_snapshot_new(c->config);
+	n = s->nobject ? rng_below(&c->rng, s->nobject) : 0;
+	for (i = 0; i < s->nobject; i++) {
+		o = &s->object[(n + i) % s->nobject];
+		id = g_ascii_strtoull(o->name, NULL, 16);
+		if (o->kind != CONFIG_INSTANCE ||
+		    member_find(c->members, id) != MEMBER_NONE)
+			continue;
+		control_learn(c, o);
+		control_member_arm(c);
+		break;
+	}
+	config_snapshot_free(s);
+	io_timer_set(c->task.loop, &c->relearn_timer, now + RELEARN_US);
+}
+
+void
+control_relearn_start(struct control *c)
+{
+	c->relearn_timer.fire = relearn_due;
+	c->relearn_timer.ctx = c;
+	io_timer_set(c->task.loop, &c->relearn_timer,
+	    control_now(c) + RELEARN_US);
+}
+
 /* An instance object came or went. */
 void
 control_learn(struct control *c, const struct config_object *o)
--- a/src/daemon/data_impl.h
+++ b/src/daemon/data_impl.h
@@ -5,6 +5,7 @@
 #include "budget.h"
 #include "config.h"
 #include "data.h"
+#include "histogram.h"
 #include "http.h"
 #include "once.h"
 #include "peer.h"
@@ -248,6 +249,8 @@
 	struct http_call *measure_call;
 	GString *measure_body;
 	struct counters counters;
+	struct histogram whole_us; /* calls with a whole answer */
+	struct histogram target_us; /* requests at the target */
 	struct trace_sink traces;
 	struct io_timer trace_timer;
 };
--- a/src/daemon/data_report.c
+++ b/src/daemon/data_report.c
@@ -18,6 +18,27 @@
 	    name, help, name, name, v);
 }
 
+/* Quantiles with an error of at most 1 per cent, as a summary. */
+static void
+summary(GString *t, const char *name, const char *help,
+    const struct histogram *h)
+{
+	static const double q[] = { 0.5, 0.9, 0.99, 0.999 };
+	size_t i;
+
+	g_string_append_printf(t,
+	    "# HELP kumquatrock_%s %s\n# TYPE kumquatrock_%s summary\n", name,
+	    help, name);
+	for (i = 0; i < sizeof q / sizeof *q; i++)
+		g_string_append_printf(t,
+		    "kumquatrock_%s{quantile=\"%g\"} %.6f\n", name, q[i],
+		    histogram_quantile(h, q[i]) / 1e6);
+	g_string_append_printf(t,
+	    "kumquatrock_%s_sum %.6f\nkumquatrock_%s_count %" G_GUINT64_FORMAT
+	    "\n",
+	    name, h->sum / 1e6, name, h->count);
+}
+
 static void
 refusals(struct data *d, GString *t)
 {
@@ -56,6 +77,10 @@
 	metric(t, "inbound_repeats_total", "Repeats of a known request id",
 	    c->in_repeats);
 	refusals(d, t);
+	summary(t, "call_seconds", "Calls with a whole answer", &d->whole_us);
+	summary(t, "target_seconds", "Requests at the target", &d->target_us);
+	metric(t, "spans_left_out_total", "Spans over the rate",
+	    d->traces.left_out);
 	metric(t, "peer_records_in_total", "Records received", p->records_in);
 	metric(t, "peer_bytes_in_total", "Bytes received", p->bytes_in);
 	metric(t, "peer_bytes_out_total", "Bytes sent", p->bytes_out);
--- a/src/daemon/inbound_run.c
+++ b/src/daemon/inbound_run.c
@@ -80,6 +80,7 @@
 		return;
 	}
 	inbound_trace_target(c, "whole");
+	histogram_add(&d->target_us, data_now(d) - c->target_started);
 	o = c->answer_status == 500 || c->answer_status == 503 ? ADMIT_FAILED
 							       : ADMIT_GOOD;
 	if (c->entry)
--- a/src/daemon/out_peer.c
+++ b/src/daemon/out_peer.c
@@ -204,7 +204,6 @@
 }
 
 struct pull_order {
-	struct data *data;
 	uint64_t incarnation;
 	char ip[IP_TEXT_MAX];
 	int port;
@@ -235,7 +234,6 @@
 {
 	struct pull_order *o = g_new0(struct pull_order, 1);
 
-	o->data = d;
 	o->incarnation = incarnation;
 	g_strlcpy(o->ip, ip, sizeof o->ip);
 	o->port = port;
--- a/src/daemon/outbound_reply.c
+++ b/src/daemon/outbound_reply.c
@@ -24,6 +24,7 @@
 	if (outcome == PICK_GOOD)
 		retry_success(&c->service->retry, now - a->started);
 	c->data->counters.whole++;
+	histogram_add(&c->data->whole_us, now - c->started);
 	c->outcome = "whole";
 	c->exchange = NULL;
 	http_exchange_end(x);
--- a/src/tool/command_trace.c
+++ b/src/tool/command_trace.c
@@ -8,7 +8,6 @@
 struct collector {
 	GMainLoop *loop;
 	int left; /* spans still to be printed, -1 without end */
-	int json;
 };
 
 static void
@@ -125,7 +124,6 @@
 	if (argc < 2 || argc > 3 || tool_address(argv[1], &at))
 		return usage(stderr, EXIT_USAGE);
 	c.left = argc == 3 ? (int)g_ascii_strtoll(argv[2], NULL, 10) : -1;
-	c.json = t->json;
 	c.loop = g_main_loop_new(NULL, FALSE);
 	s = soup_server_new(NULL, NULL);
 	soup_server_add_handler(s, "/v1/traces", received, &c, NULL);
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -210,6 +210,28 @@
 }
 END_TEST
 
+/* Parts of the fleet that were apart for long meet again by one instance
+ * object. */
+START_TEST(one_learned_member_joins_halves)
+{
+	struct fleet *f = fleet_new(20, LOSS, 11, 1);
+	int i;
+
+	for (i = 0; i < 10; i++)
+		f->node[i].group = 1;
+	fleet_run(f, 3600 * SECOND_US); /* each half has forgotten the other */
+	for (i = 0; i < 20; i++)
+		ck_assert_int_eq(member_count(f->node[i].table), 10);
+	for (i = 0; i < 10; i++)
+		f->node[i].group = 0;
+	member_learn(f->node[3].table, &f->node[15].info, f->now);
+	fleet_run(f, 3660 * SECOND_US);
+	for (i = 0; i < 20; i++)
+		ck_assert_int_eq(holders(f, i, MEMBER_ALIVE), 19);
+	fleet_free(f);
+}
+END_TEST
+
 /* A target that comes while the platform is down is told by its daemon. */
 START_TEST(service_reaches_all)
 {
@@ -549,6 +571,7 @@
 	tcase_add_test(c, halves_find_each_other);
 	tcase_add_loop_test(c, leaving_is_told, 0, COUNT(sizes));
 	tcase_add_loop_test(c, newcomers_join, 0, 3);
+	tcase_add_test(c, one_learned_member_joins_halves);
 	tcase_add_test(c, service_reaches_all);
 	tcase_add_test(c, watchers_agree_and_move_little);
 	return c;
