--- /dev/null
+++ b/tests/system/stream.sh
@@ -0,0 +1,64 @@
+#!/bin/sh
+# Bodies of 64 MB pass both ways whole and in bounded memory, to a slow reader
+# too; an answer cut by the target is broken at the caller; a caller that goes
+# away cancels its work; the deadline that the target gets is what is left.
+# usage: stream.sh BUILD-DIRECTORY
+set -u
+cd "$(dirname "$0")/../.."
+. scripts/fleet.sh
+BYTES=67108864
+RSS_MAX_KB=49152
+failed=0
+fleet_open "$1"
+trap 'fleet_signal KILL "$fleet_pids"; rm -rf "$fleet_dir"' EXIT
+fleet_platform || exit 1
+sed 's/"timeout_ms": 1000/"timeout_ms": 30000/; s/"hedge": true/"hedge": false/' examples/codebook.json >"$fleet_dir/codebook.json"
+fleet_tool publish "$fleet_dir/codebook.json" >/dev/null 2>&1 || exit 1
+fleet_instance 1 1 codebook --body-bytes 128 --service-us 1000
+fleet_daemon 1 2
+fleet_ready codebook || exit 1
+at=$fleet_net.1.2:8400
+target=$fleet_net.1.1:9001
+until [ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: codebook' "http://$at/x")" = 200 ]; do sleep 0.1; done
+
+# same NAME EXPECTED ACTUAL
+same() {
+	[ "$2" = "$3" ] && return
+	echo "$1: expected '$2', got '$3'"
+	failed=1
+}
+set_target() { curl -s -o /dev/null -X POST "http://$target/fake/set?$1"; }
+field() { tr -d '\r' <"$fleet_dir/head" | sed -n "s/^$1: //Ip"; }
+# shellcheck disable=SC2154
+rss() { awk '/VmHWM/ { print $2 }' "/proc/$1/status"; }
+
+head -c $BYTES /dev/zero >"$fleet_dir/zeros"
+curl -s -D "$fleet_dir/head" -o /dev/null -H 'Host: codebook' -H 'Expect:' \
+	--data-binary "@$fleet_dir/zeros" "http://$at/pairing"
+same "digest of 64 MB sent" "$(sha256sum <"$fleet_dir/zeros" | cut -d' ' -f1)" "$(field Request-Digest)"
+set_target body_bytes=$BYTES
+curl -s --limit-rate 40M -D "$fleet_dir/head" -o "$fleet_dir/got" -H 'Host: codebook' "http://$at/x"
+same "bytes received" $BYTES "$(wc -c <"$fleet_dir/got")"
+same "digest of 64 MB received" "$(field Body-Digest)" "$(sha256sum <"$fleet_dir/got" | cut -d' ' -f1)"
+# shellcheck disable=SC2154
+for p in "$fleet_daemon_1_1" "$fleet_daemon_1_2"; do
+	[ "$(rss "$p")" -lt $RSS_MAX_KB ] || {
+		echo "a daemon took $(rss "$p") KB"
+		failed=1
+	}
+done
+set_target cut=1
+curl -s -o /dev/null -H 'Host: codebook' "http://$at/x"
+code=$?
+case $code in 18 | 56) ;; *) same "curl's code for a cut answer" "18 or 56" $code ;; esac
+set_target body_bytes=128
+set_target service_us=20000000
+curl -s -m 0.5 -o /dev/null -H 'Call-Key: gone' -H 'Host: codebook' "http://$at/x"
+sleep 0.5
+grep -q "cut .*key=gone" "$fleet_dir/target-1-1.history" || {
+	echo "the work of a caller that went away was not cancelled"
+	failed=1
+}
+same "answer at the deadline" 504 "$(curl -s -m 5 -o /dev/null -w '%{http_code}' \
+	-H 'Kumquatrock-Deadline-Ms: 300' -H 'Host: codebook' "http://$at/x")"
+exit $failed
