What waits is planned: the less urgent and the longest give way

Calls that running requests made were refused as "full" by the only target left (1,467 of them, one attempt each), and 808 requests failed after their work was done. Two reasons in the logs: the queue went by slack and refused when its 32 places were taken by what was late already; and the caller's side let the target send a call away (movable, choosy) although there was no other to go to.

The last target, and the last one that is asked free of charge, is not told that it may send away. A refusal comes early enough for the caller to hear it: 177 answers 504 had reached no target there.

--- a/bench/pick/cost.c
+++ b/bench/pick/cost.c
@@ -79,7 +79,7 @@
 		.cold_good_us = 20000,
 		.queue_max = 64 };
 	struct admit *a = admit_new(&config, 0);
-	struct admit_run run[64] = { { 0, 0 } };
+	struct admit_run run[64] = { { 0 } };
 	struct admit_item item;
 	enum admit_reason why;
 	int64_t now = 1;
--- a/src/core/admit/done.c
+++ b/src/core/admit/done.c
@@ -1,12 +1,26 @@
 #include "impl.h"
 
 #define RECENT_GAIN 0.125
+#define STRETCH_MAX 10.0 /* a single straggler does not decide */
 #define SLOW_RECENT 0xffu /* completions looked back on */
 #define SLOW_FALL 3 /* slow ones of these */
 #define FAILED_RECENT 0xffffu
 #define FAILED_FALL 4
 #define SHED_SHARE 0.9 /* of the limit left after the target shed */
 
+static void
+note_stretch(struct admit *a, double us, int64_t need_us)
+{
+	double x;
+
+	if (need_us <= 0)
+		return;
+	x = us / (double)need_us;
+	if (x > STRETCH_MAX)
+		x = STRETCH_MAX;
+	a->stretch += (a->stretch > 0 ? RECENT_GAIN : 1) * (x - a->stretch);
+}
+
 static void
 good(struct admit *a, int64_t now, const struct admit_run *run)
 {
@@ -15,6 +29,7 @@
 
 	a->recent_us +=
 	    (a->recent_us > 0 ? RECENT_GAIN : 1) * (us - a->recent_us);
+	note_stretch(a, us, run->need_us);
 	a->failed <<= 1;
 	a->slow = a->slow << 1 | (uint32_t)slow;
 	a->suspect = slow;
--- a/src/core/admit/impl.h
+++ b/src/core/admit/impl.h
@@ -4,25 +4,34 @@
 #include "admit.h"
 
 #define LATE_KEY (INT64_C(1) << 60) /* above any time */
+#define DROP_KEY INT64_MIN /* below any time */
+#define DROP_ROOM 4 /* places for entries that are about to be refused */
 #define JUMP 4 /* times the usual latency that count as slow */
 
 /** struct entry - a waiting request, or a free place (next in @pos)
- * @key: order in the heap: the latest start in time, or LATE_KEY and the
- *deadline once that has passed
- * @hopeless: begun later, it can't be answered at all */
+ * @key: the latest start in time; LATE_KEY and the deadline once that can't be
+ *	kept; DROP_KEY when it is to be refused
+ * @came: when it was to join
+ * @hopeless: begun later, it can't be answered at all
+ * @need_us: time that it takes at the target, 0 when not known
+ * @rank: 0 is the most urgent */
 struct entry {
 	int64_t key;
+	int64_t came;
 	int64_t deadline;
 	int64_t hopeless;
+	int64_t need_us;
+	int rank;
+	int elsewhere;
 	uint32_t tag;
 	uint32_t pos; /* place in the heap plus one; 0 when free */
 	uint16_t gen;
 };
 
 /**
- * struct queue - waiting requests, a binary heap by key
+ * struct queue - waiting requests, a binary heap by entry_before()
  * @slot: entries, addressed by handles
- * @heap: indexes of entries, least key first
+ * @heap: indexes of entries, the first to leave first
  * @spare: stack of free indexes
  */
 struct queue {
@@ -76,6 +85,8 @@
  * @progress: when a request last completed, or the first one was sent
  * @usual_us: slow average of latency while warm; 0 when not known
  * @recent_us: quick average of latency
+ * @stretch: quick average of latency over the time that requests were said to
+ *	need; 0 when not known
  * @good: completions in good time since it was last taken for cold
  * @slow: one bit for each recent completion, set if it was slow
  * @failed: the same for failures
@@ -101,6 +112,7 @@
 	int64_t progress;
 	double usual_us;
 	double recent_us;
+	double stretch;
 	int good;
 	uint32_t slow;
 	uint32_t failed;
@@ -123,13 +135,32 @@
 int queue_remove(struct queue *, uint32_t handle);
 /** queue_take() - remove the first entry */
 uint32_t queue_take(struct queue *, uint32_t *tag);
+/** queue_peek() - the first entry; NULL when there is none */
+const struct entry *queue_peek(const struct queue *);
 /** queue_take_hopeless() - remove an entry that can't be answered any more if
  * it is begun at @at; 0 when there is none */
 uint32_t queue_take_hopeless(struct queue *, int64_t at, uint32_t *tag);
 /** queue_first() - earliest time at which an entry becomes hopeless */
 int64_t queue_first(const struct queue *);
-/** queue_before() - entries with a key at most this one */
-int queue_before(const struct queue *, int64_t key);
+/** entry_before() - whether @x leaves the queue before @y */
+int entry_before(const struct entry *x, const struct entry *y);
+/** queue_rekey() - give the entry at @slot another place in the order */
+void queue_rekey(struct queue *, uint16_t slot, int64_t key);
+
+/** enum triage - what becomes of a request that has to wait */
+enum triage {
+	TRIAGE_IN_TIME, /* waits, and is begun in time as far as known */
+	TRIAGE_LATE, /* waits behind those that can be in time */
+	TRIAGE_HOPELESS /* would be begun too late for any answer */
+};
+
+/** admit_triage() - plan what waits, and a request that is to join it, or NULL;
+ * entries that lose their place are put behind, or marked for refusal */
+enum triage
+admit_triage(struct admit *, int64_t now, const struct entry *, int limit);
+/** admit_make_room() - mark one that can't be in time, or is worth less than
+ * the one that joins, for refusal. Return: nonzero if there was one */
+int admit_make_room(struct admit *, const struct entry *joins);
 
 /** admit_next() - earliest time at which cold rate and hold let a request
  * through; at most @now while there is no bound */
@@ -158,7 +189,9 @@
 void trial_stop(struct admit *);
 /** admit_late() - whether a request can't be done if sent at @at */
 int admit_late(const struct admit *, int64_t at, int64_t deadline);
-/** admit_begin() - count a request as given to the target */
-void admit_begin(struct admit *, int64_t now, struct admit_run *);
+/** admit_begin() - count a request that needs @need_us as given to the target
+ */
+void
+admit_begin(struct admit *, int64_t now, int64_t need_us, struct admit_run *);
 
 #endif
--- a/src/core/admit/pop.c
+++ b/src/core/admit/pop.c
@@ -1,5 +1,7 @@
 #include "impl.h"
 
+#include <stddef.h>
+
 /** Why all that waits is refused now. */
 static enum admit_reason
 refusal(const struct admit *a)
@@ -27,6 +29,8 @@
 enum admit_pop
 admit_pop(struct admit *a, int64_t now, struct admit_item *item)
 {
+	int64_t need_us;
+
 	admit_settle(a, now);
 	if (!a->queue.n)
 		return ADMIT_POP_NONE;
@@ -34,15 +38,22 @@
 		item->handle = queue_take(&a->queue, &item->tag);
 		return expired(a, item, refusal(a));
 	}
+	queue_settle(&a->queue, now);
+	if (a->queue.n > 1)
+		admit_triage(a, now, NULL, admit_limit(a, now));
+	if (queue_peek(&a->queue)->key == DROP_KEY) {
+		item->handle = queue_take(&a->queue, &item->tag);
+		return expired(a, item, ADMIT_FULL);
+	}
 	item->handle =
 	    queue_take_hopeless(&a->queue, now + least_time(a), &item->tag);
 	if (item->handle)
 		return expired(a, item, ADMIT_DEADLINE);
 	if (a->in_flight >= admit_limit(a, now) || admit_next(a, now) > now)
 		return ADMIT_POP_NONE;
-	queue_settle(&a->queue, now);
+	need_us = queue_peek(&a->queue)->need_us;
 	item->handle = queue_take(&a->queue, &item->tag);
-	admit_begin(a, now, &item->run);
+	admit_begin(a, now, need_us, &item->run);
 	a->counters.waited++;
 	return ADMIT_POP_RUN;
 }
--- a/src/core/admit/queue.c
+++ b/src/core/admit/queue.c
@@ -5,10 +5,26 @@
 #define INDEX_BITS 16
 #define INDEX_MASK 0xffffu
 
-static int64_t
-key(const struct queue *q, int i)
+/** What is to be refused comes first, then what can be in time, then the rest;
+ * in each the most urgent, among these the one with the earliest key. */
+int
+entry_before(const struct entry *x, const struct entry *y)
 {
-	return q->slot[q->heap[i]].key;
+	int lx = x->key >= LATE_KEY, ly = y->key >= LATE_KEY;
+
+	if ((x->key == DROP_KEY) != (y->key == DROP_KEY))
+		return x->key == DROP_KEY;
+	if (lx != ly)
+		return ly;
+	if (x->rank != y->rank)
+		return x->rank < y->rank;
+	return x->key < y->key;
+}
+
+static const struct entry *
+at(const struct queue *q, int i)
+{
+	return &q->slot[q->heap[i]];
 }
 
 static void
@@ -23,7 +39,7 @@
 {
 	uint16_t index = q->heap[i];
 
-	while (i > 0 && key(q, (i - 1) / 2) > q->slot[index].key) {
+	while (i > 0 && entry_before(&q->slot[index], at(q, (i - 1) / 2))) {
 		put(q, i, q->heap[(i - 1) / 2]);
 		i = (i - 1) / 2;
 	}
@@ -37,9 +53,9 @@
 	int c;
 
 	while ((c = 2 * i + 1) < q->n) {
-		if (c + 1 < q->n && key(q, c + 1) < key(q, c))
+		if (c + 1 < q->n && entry_before(at(q, c + 1), at(q, c)))
 			c++;
-		if (key(q, c) >= q->slot[index].key)
+		if (!entry_before(at(q, c), &q->slot[index]))
 			break;
 		put(q, i, q->heap[c]);
 		i = c;
@@ -70,6 +86,7 @@
 
 	if (capacity < 0)
 		capacity = 0;
+	capacity += DROP_ROOM;
 	if (capacity >= (int)INDEX_MASK)
 		capacity = INDEX_MASK - 1;
 	q->n = 0;
@@ -100,8 +117,12 @@
 	struct entry *e = &q->slot[index];
 
 	e->key = new->key;
+	e->came = new->came;
 	e->deadline = new->deadline;
 	e->hopeless = new->hopeless;
+	e->need_us = new->need_us;
+	e->rank = new->rank;
+	e->elsewhere = new->elsewhere;
 	e->tag = new->tag;
 	put(q, q->n++, index);
 	sift_up(q, q->n - 1);
@@ -109,14 +130,31 @@
 }
 
 void
-queue_settle(struct queue *q, int64_t now)
+queue_rekey(struct queue *q, uint16_t slot, int64_t k)
 {
-	struct entry *e;
+	int at = (int)q->slot[slot].pos - 1;
 
-	while (q->n && key(q, 0) < now) {
-		e = &q->slot[q->heap[0]];
-		e->key = LATE_KEY + e->deadline;
-		sift_down(q, 0);
+	q->slot[slot].key = k;
+	sift_down(q, at);
+	sift_up(q, (int)q->slot[slot].pos - 1);
+}
+
+/* A key that changes moves its entry behind, so that the places before @i hold
+ * entries that were looked at; one that comes to @i is looked at again. */
+void
+queue_settle(struct queue *q, int64_t now)
+{
+	const struct entry *e;
+	uint16_t slot;
+	int i = 0;
+
+	while (i < q->n) {
+		slot = q->heap[i];
+		e = at(q, i);
+		if (e->key < now && e->key != DROP_KEY)
+			queue_rekey(q, slot, LATE_KEY + e->deadline);
+		if (q->heap[i] == slot)
+			i++;
 	}
 }
 
@@ -133,6 +171,12 @@
 	return 1;
 }
 
+const struct entry *
+queue_peek(const struct queue *q)
+{
+	return q->n ? &q->slot[q->heap[0]] : NULL;
+}
+
 static uint32_t
 take_at(struct queue *q, int i, uint32_t *tag)
 {
@@ -173,14 +217,3 @@
 			first = q->slot[q->heap[i]].hopeless;
 	return first;
 }
-
-int
-queue_before(const struct queue *q, int64_t k)
-{
-	int n = 0;
-	int i;
-
-	for (i = 0; i < q->n; i++)
-		n += key(q, i) <= k;
-	return n;
-}
--- a/src/core/admit/request.c
+++ b/src/core/admit/request.c
@@ -1,5 +1,7 @@
 #include "impl.h"
 
+#define HEAR_US 20000 /* two ways between data centres and two busy daemons */
+#define HEAR_PART 8 /* at most one part in so many of the time left */
 #define NEED_LEAST 0.6 /* of the usual time; few answers come sooner */
 
 int
@@ -14,29 +16,18 @@
 }
 
 void
-admit_begin(struct admit *a, int64_t now, struct admit_run *run)
+admit_begin(struct admit *a, int64_t now, int64_t need_us,
+    struct admit_run *run)
 {
 	if (a->in_flight++ == 0)
 		a->progress = now;
 	a->counters.run++;
 	admit_cold_take(a, now);
 	run->started = now;
+	run->need_us = need_us;
 	run->epoch = a->epoch;
 }
 
-/** When a request that must wait now would be sent. */
-static int64_t
-expected_start(const struct admit *a, int64_t now, int64_t key, int limit)
-{
-	double ahead = queue_before(&a->queue, key) + 1;
-	int64_t next = admit_next(a, now);
-
-	if (next > now && a->config.cold_per_s > 0 && now < a->cold_until)
-		return next +
-		       (int64_t)((ahead - 1) / a->config.cold_per_s * 1e6);
-	return now + (int64_t)(ahead * a->recent_us / limit);
-}
-
 static int
 room_at_once(const struct admit *a, int64_t now, const struct admit_want *w,
     int limit)
@@ -48,35 +39,53 @@
 	       (!a->queue.n || (w->through_hold && now < a->hold_until));
 }
 
-/** Latest start at which an answer can still be expected. */
+/** Latest start at which an answer can still be expected; the caller hears of
+ * a refusal then before it has given up. */
 static int64_t
-hopeless_at(const struct admit_want *w)
+hopeless_at(const struct admit_want *w, int64_t now)
 {
-	return w->deadline - (int64_t)(NEED_LEAST * (double)w->need_us);
+	int64_t need = (int64_t)(NEED_LEAST * (double)w->need_us);
+	int64_t hear = (w->deadline - now) / HEAR_PART;
+
+	if (hear > HEAR_US)
+		hear = HEAR_US;
+	return w->deadline - (need > hear ? need : hear);
 }
 
+/** Why a request is refused whatever waits. */
 static enum admit_reason
-check(const struct admit *a, int64_t now, const struct admit_want *w, int limit)
+barred(const struct admit *a, int64_t now, const struct admit_want *w)
 {
-	int full = a->queue.n >= a->config.queue_max ||
-		   a->queue.n >= a->queue.capacity;
-	int64_t start;
-
 	if (a->draining)
 		return ADMIT_DRAINING;
 	if (a->out)
 		return ADMIT_OUT;
-	if (admit_late(a, now, w->deadline) || now >= hopeless_at(w))
+	if (admit_late(a, now, w->deadline) || now >= hopeless_at(w, now))
 		return ADMIT_DEADLINE;
-	if (room_at_once(a, now, w, limit))
-		return ADMIT_OK;
-	if (full)
-		return admit_cold(a, now) ? ADMIT_COLD : ADMIT_FULL;
-	start = expected_start(a, now, w->start_by, limit);
-	if (start > w->start_by && w->elsewhere)
+	return ADMIT_OK;
+}
+
+static int
+full(const struct admit *a)
+{
+	return a->queue.n >= a->config.queue_max ||
+	       a->queue.n >= a->queue.capacity;
+}
+
+/** Whether a request that finds no room may join what waits. */
+static enum admit_reason
+join(struct admit *a, int64_t now, struct entry *e, int limit)
+{
+	enum triage t = admit_triage(a, now, e, limit);
+
+	if (t != TRIAGE_IN_TIME && e->elsewhere)
 		return ADMIT_FULL;
-	if (admit_late(a, start, w->deadline) || start >= hopeless_at(w))
+	if (t == TRIAGE_HOPELESS)
 		return ADMIT_DEADLINE;
+	if (full(a) && (t == TRIAGE_LATE || !admit_make_room(a, e)))
+		return admit_cold(a, now) ? ADMIT_COLD : ADMIT_FULL;
+	if (t == TRIAGE_LATE)
+		e->key = LATE_KEY + e->deadline;
 	return ADMIT_OK;
 }
 
@@ -86,22 +95,29 @@
     enum admit_reason *reason)
 {
 	struct entry e = { .key = w->start_by,
+		.came = now,
 		.deadline = w->deadline,
-		.hopeless = hopeless_at(w),
+		.hopeless = hopeless_at(w, now),
+		.need_us = w->need_us,
+		.rank = w->rank,
+		.elsewhere = w->elsewhere,
 		.tag = tag };
-	int limit;
+	int limit, room;
 
 	admit_settle(a, now);
 	queue_settle(&a->queue, now);
 	limit = admit_limit(a, now);
-	*reason = check(a, now, w, limit);
 	a->pressed |= a->in_flight >= limit;
+	*reason = barred(a, now, w);
+	room = *reason == ADMIT_OK && room_at_once(a, now, w, limit);
+	if (*reason == ADMIT_OK && !room)
+		*reason = join(a, now, &e, limit);
 	if (*reason != ADMIT_OK) {
 		a->counters.refused[*reason]++;
 		return ADMIT_REFUSE;
 	}
-	if (room_at_once(a, now, w, limit)) {
-		admit_begin(a, now, run);
+	if (room) {
+		admit_begin(a, now, w->need_us, run);
 		return ADMIT_RUN;
 	}
 	*handle = queue_add(&a->queue, &e);
@@ -113,7 +129,7 @@
 admit_request(struct admit *a, int64_t now, int64_t deadline, uint32_t tag,
     struct admit_run *run, uint32_t *handle, enum admit_reason *reason)
 {
-	struct admit_want w = { deadline, deadline, 0, 0, 0 };
+	struct admit_want w = { .deadline = deadline, .start_by = deadline };
 
 	return admit_request_for(a, now, &w, tag, run, handle, reason);
 }
--- a/src/core/pick/tried.c
+++ b/src/core/pick/tried.c
@@ -1,9 +1,11 @@
 #include "tried.h"
 
 int
-tried_choosy(const struct tried *t)
+tried_choosy(const struct tried *t, const struct pick *p)
 {
-	return !t->again && t->slow < TRIED_SLOW_MAX;
+	return !t->again && t->slow < TRIED_SLOW_MAX &&
+	       t->total < TRIED_FREE_MAX &&
+	       (t->slow || (uint32_t)t->n < pick_count(p));
 }
 
 static uint32_t
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -13,29 +13,38 @@
 	return ic->calls;
 }
 
-/* Entry of the route of a call, where there are routes. */
+/* Entry of the route @i in the table of how long work takes. */
 static struct work *
-work_of(const struct in_call *c)
+work_of(const struct data *d, const struct routing *r, int i)
 {
-	const struct routing *r = c->data->view->routing;
-	const char *host = r ? head_copy_find(&c->head, "Host") : NULL;
-	int i = host ? routing_find(r, host, c->head.path) : ROUTE_NONE;
 	struct work *w;
 	char *key;
 
-	if (i == ROUTE_NONE)
-		return NULL;
 	key = g_strconcat(r->route[i].host, r->route[i].prefix, NULL);
-	w = g_hash_table_lookup(c->data->works, key);
+	w = g_hash_table_lookup(d->works, key);
 	if (w) {
 		g_free(key);
 		return w;
 	}
 	w = g_new0(struct work, 1);
-	g_hash_table_insert(c->data->works, key, w);
+	g_hash_table_insert(d->works, key, w);
 	return w;
 }
 
+/* What the route of a call says of it, where there are routes. */
+static void
+take_route(struct in_call *c)
+{
+	const struct routing *r = c->data->view->routing;
+	const char *host = r ? head_copy_find(&c->head, "Host") : NULL;
+	int i = host ? routing_find(r, host, c->head.path) : ROUTE_NONE;
+
+	if (i == ROUTE_NONE)
+		return;
+	c->work = work_of(c->data, r, i);
+	c->rank = r->route[i].priority;
+}
+
 static struct in_call *
 call_new(struct data *d, struct peer_conn *conn, uint32_t xid,
     const struct wire_call *m)
@@ -63,7 +72,7 @@
 	c->depth = m->depth;
 	g_strlcpy(c->id, m->id, sizeof c->id);
 	inbound_trace_begin(c, m->trace);
-	c->work = work_of(c);
+	take_route(c);
 	c->body = g_byte_array_new();
 	g_byte_array_append(c->body, m->body, m->body_len);
 	c->body_last = !(m->flags & WIRE_CALL_MORE);
@@ -193,6 +202,20 @@
 	       d->admit;
 }
 
+static void
+fill_want(struct in_call *c, struct admit_want *w)
+{
+	const struct pace *p = &c->data->pace;
+
+	c->need_us = work_us(c->work, 0);
+	w->deadline = c->deadline;
+	w->need_us = c->need_us;
+	w->start_by = MIN(c->objective - w->need_us, c->deadline);
+	w->elsewhere = c->choosy;
+	w->through_hold = pace_short(p, w->need_us);
+	w->rank = c->rank;
+}
+
 void
 inbound_admit(struct in_call *c)
 {
@@ -210,15 +233,12 @@
 		refuse_admit(c, ADMIT_FULL);
 		return;
 	}
-	if (inbound_pace(d) == PACE_HOLD && c->choosy) {
+	inbound_pace(d);
+	if (c->choosy && pace_slow(&d->pace, data_now(d))) {
 		inbound_refuse_queued(c, WIRE_REASON_SLOW);
 		return;
 	}
-	want.deadline = c->deadline;
-	want.need_us = work_us(c->work, 0);
-	want.start_by = MIN(c->objective - want.need_us, c->deadline);
-	want.elsewhere = c->choosy;
-	want.through_hold = pace_short(&d->pace, want.need_us);
+	fill_want(c, &want);
 	switch (admit_request_for(d->admit, data_now(d), &want, c->tag, &c->run,
 	    &c->queue_handle, &reason)) {
 	case ADMIT_RUN:
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -56,6 +56,8 @@
 	uint32_t queue_handle;
 	struct admit_run run;
 	struct work *work; /* of its route, NULL without routes */
+	int64_t need_us; /* expected at the target, 0 when not known */
+	int rank; /* of its route, 0 is the most urgent */
 	int begun_pace; /* of the machine when it began */
 	int begun_in_flight; /* at the target when it began, itself too */
 	struct http_call *target_call;
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -3,7 +3,6 @@
 #include "daemon/outbound/outbound.h"
 #include "log.h"
 
-#define FULL_FREE_MAX 4 /* targets asked without pay while they are full */
 #define RETRY_AFTER_PART 0.25 /* of the time that is left */
 #define RETRY_AFTER_SPREAD 0.5
 #define RETRY_AFTER_MIN_S 0.02
@@ -134,7 +133,8 @@
 costs_nothing(const struct out_call *c, uint32_t reason)
 {
 	if (reason == WIRE_REASON_FULL)
-		return c->data->view->routing && c->tried.total < FULL_FREE_MAX;
+		return c->data->view->routing &&
+		       c->tried.total < TRIED_FREE_MAX;
 	return reason == WIRE_REASON_DRAINING || reason == WIRE_REASON_OUT ||
 	       reason == WIRE_REASON_BEHIND ||
 	       reason == WIRE_REASON_NO_TARGET || reason == WIRE_REASON_LOST ||
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -116,6 +116,19 @@
 	return left > UINT32_MAX ? UINT32_MAX : left;
 }
 
+/* A target may send away only what has another one to go to. */
+static uint32_t
+call_flags(const struct out_call *c)
+{
+	int choosy = tried_choosy(&c->tried, c->service->pick);
+	int movable = choosy && !c->repeat && retry_movable(&c->retry);
+
+	return (c->idempotent ? WIRE_CALL_IDEMPOTENT : 0) |
+	       (c->repeat ? WIRE_CALL_REPEAT : 0) |
+	       (choosy ? WIRE_CALL_CHOOSY : 0) |
+	       (movable ? WIRE_CALL_MOVABLE : 0);
+}
+
 static void
 fill_call(struct out_attempt *a, struct wire_call *m, int64_t now)
 {
@@ -133,11 +146,7 @@
 	m->incarnation = a->peer->incarnation;
 	m->left_us = left_us(c->deadline, now);
 	m->objective_us = left_us(MIN(c->objective, c->deadline), now);
-	m->flags =
-	    (c->idempotent ? WIRE_CALL_IDEMPOTENT : 0) |
-	    (c->repeat ? WIRE_CALL_REPEAT : 0) |
-	    (tried_choosy(&c->tried) ? WIRE_CALL_CHOOSY : 0) |
-	    (!c->repeat && retry_movable(&c->retry) ? WIRE_CALL_MOVABLE : 0);
+	m->flags = call_flags(c);
 	m->retry_budget = retry_sent(&c->retry);
 	m->depth = c->retry.depth + 1;
 	m->service = c->service->conf.name;
--- a/src/daemon/outbound/log.c
+++ b/src/daemon/outbound/log.c
@@ -12,11 +12,12 @@
 	log_event(EVENT_CALL, G_LOG_LEVEL_INFO, now,
 	    "call request=%s service=%s path=%.64s outcome=%s status=%d "
 	    "reason=%s attempts=%d reached=%d us=%" G_GINT64_FORMAT
-	    " left_us=%" G_GINT64_FORMAT " version=%" G_GUINT64_FORMAT,
+	    " left_us=%" G_GINT64_FORMAT " rank=%d version=%" G_GUINT64_FORMAT,
 	    data_request_id(c->data, &c->head, c->id), c->service->conf.name,
 	    c->head.path, c->outcome ? c->outcome : "caller-gone", c->status,
 	    wire_reason_name(c->reason), c->tried.total, c->reached,
-	    now - c->started, c->deadline - now, d->view->rules_version);
+	    now - c->started, c->deadline - now, c->priority,
+	    d->view->rules_version);
 }
 
 void
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -62,6 +62,7 @@
  *deadline if that is all the same
  * @need_us: time that it takes at the target, 0 when not known
  * @elsewhere: nonzero if another target can still be asked
+ * @rank: 0 is the most urgent
  * @through_hold: nonzero if it is short enough to be begun on a slow machine
  */
 struct admit_want {
@@ -70,6 +71,7 @@
 	int64_t need_us;
 	int elsewhere;
 	int through_hold;
+	int rank;
 };
 
 enum admit_verdict { ADMIT_RUN, ADMIT_WAIT, ADMIT_REFUSE };
@@ -107,6 +109,7 @@
 /** struct admit_run - kept by the caller for each request in flight */
 struct admit_run {
 	int64_t started;
+	int64_t need_us;
 	uint32_t epoch;
 };
 
@@ -163,8 +166,12 @@
  * deadline alone answers everybody late. Requests that can still be answered in
  * time go first, those with the least time left before others (least slack:
  * Dertouzos, "Control robotics", 1974), and what is late by now waits until
- * nothing else does. One that would be late here and has another target to go
- * to is refused at once, and so is one that can't be answered at all.
+ * nothing else does. While more waits than can be in time, what is less urgent
+ * gives way, and among the equally urgent what takes longest, so that the most
+ * are in time (Moore, "An n job, one machine sequencing algorithm for
+ * minimizing the number of late jobs", Management Science 1968). What would be
+ * late here and has another target to go to is refused at once, and so is what
+ * can't be answered at all.
  */
 enum admit_verdict admit_request_for(struct admit *, int64_t now,
     const struct admit_want *, uint32_t tag, struct admit_run *run,
--- a/src/internal/tried.h
+++ b/src/internal/tried.h
@@ -14,6 +14,7 @@
  */
 
 #define TRIED_MAX 8 /* targets tried for one request in a round */
+#define TRIED_FREE_MAX 4 /* targets asked without pay while they are full */
 #define TRIED_SLOW_MAX 3 /* refusals by slow targets, then one has to do */
 
 /** struct tried - of one request; zero it before first use
@@ -29,7 +30,8 @@
 
 /** tried_next() - next target, noted as tried; PICK_NONE when all were */
 uint32_t tried_next(struct tried *, struct pick *, int64_t now);
-/** tried_choosy() - whether a slow target may still refuse the request */
-int tried_choosy(const struct tried *);
+/** tried_choosy() - whether a target that is slow or full may still refuse the
+ * request, since another is left that is asked free of charge */
+int tried_choosy(const struct tried *, const struct pick *);
 
 #endif
--- a/tests/unit/burst.c
+++ b/tests/unit/burst.c
@@ -84,9 +84,10 @@
 static void
 arrive(struct admit *a, int64_t now, int ordered, struct rng *r)
 {
-	struct admit_want w = { now + DEADLINE_US,
-		now + (ordered ? OBJECTIVE_US - WORK_US : DEADLINE_US),
-		ordered ? WORK_US : 0, 0, 0 };
+	struct admit_want w = { .deadline = now + DEADLINE_US,
+		.start_by =
+		    now + (ordered ? OBJECTIVE_US - WORK_US : DEADLINE_US),
+		.need_us = ordered ? WORK_US : 0 };
 	enum admit_reason why;
 	uint32_t handle;
 	int i = play.n++;
--- a/tests/unit/tried.c
+++ b/tests/unit/tried.c
@@ -53,15 +53,44 @@
 	struct pick *p = table(2);
 	struct tried t = { 0 };
 
-	ck_assert_int_eq(tried_choosy(&t), 1);
+	ck_assert_int_eq(tried_choosy(&t, p), 1);
 	t.slow = TRIED_SLOW_MAX;
-	ck_assert_int_eq(tried_choosy(&t), 0);
+	ck_assert_int_eq(tried_choosy(&t, p), 0);
 	t.slow = 1;
 	tried_next(&t, p, 0);
 	tried_next(&t, p, 0);
-	ck_assert_int_eq(tried_choosy(&t), 1);
+	ck_assert_int_eq(tried_choosy(&t, p), 1);
 	tried_next(&t, p, 0);
-	ck_assert_int_eq(tried_choosy(&t), 0);
+	ck_assert_int_eq(tried_choosy(&t, p), 0);
+	pick_free(p);
+}
+END_TEST
+
+/* The last one that is left is not asked to refuse. */
+START_TEST(the_last_target_has_to_do)
+{
+	struct pick *p = table(2);
+	struct tried t = { 0 };
+
+	tried_next(&t, p, 0);
+	ck_assert_int_eq(tried_choosy(&t, p), 1);
+	tried_next(&t, p, 0);
+	ck_assert_int_eq(tried_choosy(&t, p), 0);
+	pick_free(p);
+}
+END_TEST
+
+/* Nor the last one that is asked free of charge. */
+START_TEST(the_last_free_one_has_to_do)
+{
+	struct pick *p = table(4 * TRIED_MAX);
+	struct tried t = { 0 };
+	int n;
+
+	for (n = 1; n <= TRIED_FREE_MAX; n++) {
+		tried_next(&t, p, 0);
+		ck_assert_int_eq(tried_choosy(&t, p), n < TRIED_FREE_MAX);
+	}
 	pick_free(p);
 }
 END_TEST
@@ -90,6 +119,8 @@
 	tcase_add_test(c, ends_when_nobody_can_be_reached);
 	tcase_add_test(c, no_second_round_without_a_slow_one);
 	tcase_add_test(c, choosy_until_some_refused_or_the_second_round);
+	tcase_add_test(c, the_last_target_has_to_do);
+	tcase_add_test(c, the_last_free_one_has_to_do);
 	tcase_add_test(c, many_targets_are_tried_up_to_the_bound);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
