A cold target works between the spells of its machine, at the rate it bears

The logs show targets with one to three in flight, 13 waiting, and readings of 200 and 1000 per cent: a target that has just started takes twice as long all the time, which counted as a slow spell of its machine, so that work was held for the whole 3 s. Besides, the need of each kind is not known then, and the rate for cold targets was 19 a second where 1.5 times that and 5 are borne.

Change: the pace is judged against a base, the least reading of a time longer than spells last. The bound's overshoot is a setting, of which 0.8 is used. Until more is known work is taken for a third of the objective.

Tests: pace.c (cold target, long slowness), cold_rate.c (any second within the bound, four bounds), both failing before.

--- a/src/adapter/settings/table.c
+++ b/src/adapter/settings/table.c
@@ -64,6 +64,10 @@
 	{ "limits", "cold_slack", SETTING_INT, AT(cold_slack), 0, 1000000,
 	    "none",
 	    "requests in any second that a cold target bears above its rate" },
+	{ "limits", "cold_overshoot", SETTING_REAL, AT(cold_overshoot), 1, 100,
+	    "1",
+	    "times its rate that a cold target bears in any second, besides "
+	    "cold_slack" },
 	{ "limits", "measure_per_s", SETTING_REAL, AT(measure_per_s), 0, 1000,
 	    "2",
 	    "health checks a second that a target bears, where no service file "
--- a/src/core/admit/cold_rate.c
+++ b/src/core/admit/cold_rate.c
@@ -1,6 +1,18 @@
 #include "impl.h"
 
 #define US_PER_S 1e6
+#define OVERSHOOT_PART 0.8 /* of what a target bears above its rate */
+#define BURST_PART 2 /* one part in so many of the slack */
+
+void
+admit_cold_share(struct admit_config *c, double per_s, double overshoot,
+    int slack)
+{
+	int burst = slack / BURST_PART;
+
+	c->cold_per_s = per_s * (1 + OVERSHOOT_PART * (overshoot - 1));
+	c->cold_burst = burst > 1 ? burst : 1;
+}
 
 static int
 bound(const struct admit *a, int64_t now)
@@ -8,6 +20,12 @@
 	return a->config.cold_per_s > 0 && now < a->cold_until;
 }
 
+int
+admit_told_cold(const struct admit *a, int64_t now)
+{
+	return now < a->cold_until;
+}
+
 static double
 tokens(const struct admit *a, int64_t now)
 {
--- a/src/core/pace/pace.c
+++ b/src/core/pace/pace.c
@@ -1,8 +1,45 @@
 #include "pace.h"
 
+int
+pace_base(const struct pace *p)
+{
+	return p->base ? p->base : PACE_USUAL;
+}
+
+int
+pace_over_base(const struct pace *p)
+{
+	return p->value * PACE_USUAL / pace_base(p);
+}
+
+/* The least reading of a time longer than spells last is the new base. */
+static void
+note_slow(struct pace *p, int64_t now, int value, int cold)
+{
+	if (!p->since || now - p->at > PACE_USABLE_US) {
+		p->since = now;
+		p->least = value;
+	}
+	if (value < p->least)
+		p->least = value;
+	if (now - p->since < (cold ? PACE_COLD_US : PACE_SPELL_US))
+		return;
+	p->base = p->least;
+	p->since = 0;
+}
+
 void
-pace_note(struct pace *p, int64_t now, int value)
+pace_note(struct pace *p, int64_t now, int value, int cold)
 {
+	int base = pace_base(p);
+
+	if (value * PACE_USUAL > base * PACE_SLOW) {
+		note_slow(p, now, value, cold);
+	} else {
+		p->since = 0;
+		if (value < base)
+			p->base = value > PACE_USUAL ? value : PACE_USUAL;
+	}
 	p->value = value;
 	p->at = now;
 	p->asked = 0;
@@ -29,7 +66,7 @@
 int
 pace_slow(const struct pace *p, int64_t now)
 {
-	return p->value > PACE_SLOW && now - p->at <= PACE_USABLE_US;
+	return pace_over_base(p) > PACE_SLOW && now - p->at <= PACE_USABLE_US;
 }
 
 enum pace_verdict
@@ -38,7 +75,7 @@
 	if (!p->value)
 		return PACE_GO;
 	if (now - p->at <= PACE_FRESH_US)
-		return p->value > PACE_SLOW ? PACE_HOLD : PACE_GO;
+		return pace_slow(p, now) ? PACE_HOLD : PACE_GO;
 	if (waiting(p, now))
 		return PACE_WAIT;
 	/* A target that does not answer is not waited for twice. */
@@ -58,6 +95,8 @@
 int
 pace_short(const struct pace *p, int64_t need_us)
 {
-	return need_us > 0 && p->value > PACE_USUAL &&
-	       need_us * (p->value - PACE_USUAL) / PACE_USUAL < PACE_LEFT_US;
+	int over = pace_over_base(p) - PACE_USUAL;
+
+	return need_us > 0 && over > 0 &&
+	       need_us * over / PACE_USUAL < PACE_LEFT_US;
 }
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -2,6 +2,7 @@
 
 #include "daemon/inbound/inbound.h"
 
+#define OBJECTIVE_PARTS 3 /* one of them is work, until more is known */
 #define CATCH_UP_US 1000000 /* longest wait for a newer configuration */
 
 /* xid to struct in_call of one accepted connection. */
@@ -43,6 +44,8 @@
 		return;
 	c->work = work_of(c->data, r, i);
 	c->rank = r->route[i].priority;
+	c->guess_us =
+	    r->route[i].objective_ms * INT64_C(1000) / OBJECTIVE_PARTS;
 }
 
 static struct in_call *
@@ -202,12 +205,13 @@
 	       d->admit;
 }
 
+/* Work on a machine that stays slow takes so much longer. */
 static void
 fill_want(struct in_call *c, struct admit_want *w)
 {
 	const struct pace *p = &c->data->pace;
 
-	c->need_us = work_us(c->work, 0);
+	c->need_us = work_us(c->work, c->guess_us) * pace_base(p) / PACE_USUAL;
 	w->deadline = c->deadline;
 	w->need_us = c->need_us;
 	w->start_by = MIN(c->objective - w->need_us, c->deadline);
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -56,6 +56,7 @@
 	uint32_t queue_handle;
 	struct admit_run run;
 	struct work *work; /* of its route, NULL without routes */
+	int64_t guess_us; /* the same, by its objective alone */
 	int64_t need_us; /* expected at the target, 0 when not known */
 	int rank; /* of its route, 0 is the most urgent */
 	int begun_pace; /* of the machine when it began */
--- a/src/daemon/inbound/pace.c
+++ b/src/daemon/inbound/pace.c
@@ -48,7 +48,8 @@
 {
 	int64_t now = data_now(d);
 
-	pace_note(&d->pace, now, pace);
+	pace_note(&d->pace, now, pace,
+	    d->admit && admit_told_cold(d->admit, now));
 	if (d->admit && admit_queued(d->admit) && pace_slow(&d->pace, now))
 		send_away(d);
 }
--- a/src/daemon/inbound/target.c
+++ b/src/daemon/inbound/target.c
@@ -5,7 +5,6 @@
 #define TARGET_SPARE_CONNECTIONS 4 /* kept open ahead */
 #define TARGET_MARGIN_LEAST 2 /* connections left to the target */
 #define COLD_LIMIT_UNKNOWN 1 /* until a configuration names the service */
-#define COLD_BURST_PART 2 /* of the slack is left to what is counted late */
 #define TARGET_MARGIN_PART 16 /* one of so many is left to it */
 
 /* Connections that may be open here. The target sees a closed one as open
@@ -31,8 +30,8 @@
 	a->cold_idle_us = (s ? s->cold_idle_ms : 0) * (int64_t)1000;
 	a->queue_max = s ? s->queue_max : SERVICE_QUEUE_MAX;
 	a->knee = knee_limit(&d->knee, d->target.slots);
-	a->cold_per_s = s ? s->cold_per_s : 0;
-	a->cold_burst = MAX(1, d->settings.cold_slack / COLD_BURST_PART);
+	admit_cold_share(a, s ? s->cold_per_s : 0, d->settings.cold_overshoot,
+	    d->settings.cold_slack);
 }
 
 void
@@ -123,7 +122,7 @@
 	}
 	admit_report(d->admit, data_now(d), r);
 	r->draining |= d->target_lost;
-	r->pace = d->pace.value;
+	r->pace = pace_over_base(&d->pace);
 	r->pace_age_us = MIN(data_now(d) - d->pace.at, UINT32_MAX);
 }
 
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -203,6 +203,13 @@
  * past: it is warm. The rate of its service then bounds what it is given, over
  * any span of time (token bucket; ITU-T I.371) */
 void admit_set_cold(struct admit *, int64_t now, int64_t until);
+/** admit_cold_share() - set rate and burst so that a target gets less than
+ * @per_s times @overshoot and @slack requests in any second; a part is left for
+ * those that are counted in another second than they were sent in */
+void admit_cold_share(struct admit_config *, double per_s, double overshoot,
+    int slack);
+/** admit_told_cold() - whether admit_set_cold() still holds */
+int admit_told_cold(const struct admit *, int64_t now);
 /** admit_set_knee() - the target slows down above so many in flight */
 void admit_set_knee(struct admit *, int knee);
 /** admit_hold() - nothing is given to the target before @until, requests wait
--- a/src/internal/settings.h
+++ b/src/internal/settings.h
@@ -46,6 +46,7 @@
  * @retry_slack: attempts beyond the first, above the share of requests, that
  *	the fleet may make for a service in @retry_window_s
  * @cold_slack: requests a second that a cold target bears above its rate
+ * @cold_overshoot: times its rate that it bears, besides
  * @measure_per_s: health checks a second that a target bears, where no service
  *	file says so
  * @trace: where spans are sent; port 0 turns traces off
@@ -81,6 +82,7 @@
 	int retry_slack;
 	double retry_window_s;
 	int cold_slack;
+	double cold_overshoot;
 	double measure_per_s;
 	struct settings_address trace;
 	double trace_ratio;
--- a/tests/unit/cold_rate.c
+++ b/tests/unit/cold_rate.c
@@ -98,6 +98,33 @@
 }
 END_TEST
 
+/* What a target bears above its rate is used, and never gone beyond. */
+START_TEST(overshoot_is_used_within_the_bound)
+{
+	static const struct {
+		double per_s, overshoot;
+		int slack;
+	} t[] = { { 19, 1.5, 5 }, { 15, 1.5, 8 }, { 4, 2, 0 }, { 100, 1, 10 } };
+	static struct starts s;
+	size_t i;
+
+	for (i = 0; i < sizeof t / sizeof *t; i++) {
+		struct admit_config c = config;
+		struct admit *a;
+
+		admit_cold_share(&c, t[i].per_s, t[i].overshoot, t[i].slack);
+		a = admit_new(&c, 10 * SECOND);
+		s.n = 0;
+		admit_set_cold(a, 10 * SECOND, 100 * SECOND);
+		play(a, &s, 400, (uint64_t)_i + 1);
+		ck_assert_int_le(most_a_second(&s),
+		    (int)(t[i].per_s * t[i].overshoot) + MAX(t[i].slack, 1));
+		ck_assert_int_ge(s.n, (int)(0.9 * t[i].per_s * RUN_S));
+		admit_free(a);
+	}
+}
+END_TEST
+
 START_TEST(warm_target_is_not_bound)
 {
 	struct admit *a = admit_new(&config, 10 * SECOND);
@@ -171,6 +198,7 @@
 
 	tcase_add_loop_test(c, cold_target_keeps_its_rate_over_any_second, 0,
 	    20);
+	tcase_add_loop_test(c, overshoot_is_used_within_the_bound, 0, 5);
 	tcase_add_loop_test(c, warm_target_is_not_bound, 0, 5);
 	tcase_add_test(c, news_of_being_cold_earn_nothing);
 	tcase_add_test(c, held_admission_starts_nothing_and_then_all);
--- a/tests/unit/pace.c
+++ b/tests/unit/pace.c
@@ -17,7 +17,7 @@
 	int64_t t = 1000 * MS;
 
 	ck_assert_int_eq(pace_judge(&p, t, 1), PACE_GO); /* never told */
-	pace_note(&p, t, PACE_USUAL);
+	pace_note(&p, t, PACE_USUAL, 0);
 	ck_assert_int_eq(pace_judge(&p, t + PACE_FRESH_US, 1), PACE_GO);
 	ck_assert_int_eq(pace_judge(&p, t + PACE_FRESH_US + 1, 1), PACE_ASK);
 	ck_assert_int_eq(pace_judge(&p, t + PACE_FRESH_US + 1, 0), PACE_GO);
@@ -26,7 +26,7 @@
 	ck_assert_int_eq(pace_due(&p, t + 25 * MS), t + 30 * MS);
 	/* No answer came: work is not held up any longer. */
 	ck_assert_int_eq(pace_judge(&p, t + 31 * MS, 1), PACE_GO);
-	pace_note(&p, t + 40 * MS, SLOW_PACE);
+	pace_note(&p, t + 40 * MS, SLOW_PACE, 0);
 	ck_assert_int_eq(pace_judge(&p, t + 41 * MS, 1), PACE_HOLD);
 	ck_assert_int_eq(pace_judge(&p, t + 60 * MS, 0), PACE_HOLD);
 	ck_assert_int_eq(pace_judge(&p, t + 60 * MS, 1), PACE_ASK);
@@ -34,6 +34,58 @@
 }
 END_TEST
 
+/* A machine that stays slow is given work after a while: waiting for the end of
+ * the spell was in vain. */
+START_TEST(long_slowness_is_no_spell)
+{
+	struct pace p = { 0 };
+	int64_t t, from = 1000 * MS;
+
+	for (t = from; t < from + PACE_SPELL_US; t += 10 * MS) {
+		pace_note(&p, t, SLOW_PACE, 0);
+		ck_assert_int_eq(pace_judge(&p, t + MS, 1), PACE_HOLD);
+		ck_assert_int_eq(pace_base(&p), PACE_USUAL);
+	}
+	pace_note(&p, t, SLOW_PACE, 0);
+	ck_assert_int_eq(pace_judge(&p, t + MS, 1), PACE_GO);
+	ck_assert_int_eq(pace_base(&p), SLOW_PACE);
+	/* A reading of the usual pace ends it, and so does a time unknown. */
+	pace_note(&p, t + 10 * MS, PACE_USUAL, 0);
+	pace_note(&p, t + 20 * MS, SLOW_PACE, 0);
+	ck_assert_int_eq(pace_judge(&p, t + 21 * MS, 1), PACE_HOLD);
+	t += 20 * MS + PACE_SPELL_US;
+	pace_note(&p, t, SLOW_PACE, 0);
+	ck_assert_int_eq(pace_judge(&p, t + MS, 1), PACE_HOLD);
+}
+END_TEST
+
+/* A target that has just started takes twice as long all the time, and five
+ * times that in spells: it works between the spells. */
+START_TEST(cold_target_works_between_spells)
+{
+	struct pace p = { 0 };
+	int64_t t = 1000 * MS;
+	int i;
+
+	for (i = 0; i <= PACE_COLD_US / (10 * MS); i++, t += 10 * MS)
+		pace_note(&p, t, 2 * PACE_USUAL, 1);
+	ck_assert_int_eq(pace_judge(&p, t - 9 * MS, 1), PACE_GO);
+	ck_assert_int_eq(pace_base(&p), 2 * PACE_USUAL);
+	ck_assert_int_eq(pace_over_base(&p), PACE_USUAL);
+	for (i = 0; i < 10; i++, t += 10 * MS) {
+		pace_note(&p, t, 2 * SLOW_PACE, 1);
+		ck_assert_int_eq(pace_judge(&p, t + MS, 1), PACE_HOLD);
+	}
+	pace_note(&p, t, 2 * PACE_USUAL, 1);
+	ck_assert_int_eq(pace_judge(&p, t + MS, 1), PACE_GO);
+	/* Warm again: what was usual while cold is slow now. */
+	pace_note(&p, t + 10 * MS, PACE_USUAL, 0);
+	ck_assert_int_eq(pace_base(&p), PACE_USUAL);
+	pace_note(&p, t + 20 * MS, 2 * PACE_USUAL, 0);
+	ck_assert_int_eq(pace_judge(&p, t + 21 * MS, 1), PACE_HOLD);
+}
+END_TEST
+
 /* Pace of a machine at a time: drawn anew for each spell. */
 static int
 pace_at(uint64_t seed, int64_t now)
@@ -59,7 +111,7 @@
 			break;
 		if (v == PACE_ASK) {
 			start += MS;
-			pace_note(p, start, pace_at(seed, start));
+			pace_note(p, start, pace_at(seed, start), 0);
 		} else {
 			start = pace_due(p, start);
 		}
@@ -108,6 +160,8 @@
 	int failed;
 
 	tcase_add_test(c, judges_by_age);
+	tcase_add_test(c, long_slowness_is_no_spell);
+	tcase_add_test(c, cold_target_works_between_spells);
 	tcase_add_test(c, slow_spells_are_waited_out);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
