Kinds of one rank are refused about equally often

Change: how often a kind was refused lately is kept beside its time; of two equally urgent ones the kind refused more often by a tenth stays.

--- a/src/core/admit/impl.h
+++ b/src/core/admit/impl.h
@@ -14,7 +14,8 @@
  * @came: when it was to join
  * @hopeless: begun later, it can't be answered at all
  * @need_us: time that it takes at the target, 0 when not known
- * @rank: 0 is the most urgent */
+ * @rank: 0 is the most urgent
+ * @missed: share of its kind that was refused, lately */
 struct entry {
 	int64_t key;
 	int64_t came;
@@ -22,6 +23,7 @@
 	int64_t hopeless;
 	int64_t need_us;
 	int rank;
+	double missed;
 	int elsewhere;
 	uint32_t tag;
 	uint32_t pos; /* place in the heap plus one; 0 when free */
--- a/src/core/admit/queue.c
+++ b/src/core/admit/queue.c
@@ -122,6 +122,7 @@
 	e->hopeless = new->hopeless;
 	e->need_us = new->need_us;
 	e->rank = new->rank;
+	e->missed = new->missed;
 	e->elsewhere = new->elsewhere;
 	e->tag = new->tag;
 	put(q, q->n++, index);
--- a/src/core/admit/request.c
+++ b/src/core/admit/request.c
@@ -100,6 +100,7 @@
 		.hopeless = hopeless_at(w, now),
 		.need_us = w->need_us,
 		.rank = w->rank,
+		.missed = w->missed,
 		.elsewhere = w->elsewhere,
 		.tag = tag };
 	int limit, room;
--- a/src/core/admit/triage.c
+++ b/src/core/admit/triage.c
@@ -4,6 +4,7 @@
 
 #define PLAN_MAX 256 /* entries looked at; more than a queue usually holds */
 #define SPREAD 1.25 /* times the mean: work of the users is spread by 0.3 */
+#define MISSED_MORE 0.1 /* of its requests, refused above those of another */
 #define LATE_SHARE 0.5 /* of the places, while others come that are in time */
 
 /**
@@ -105,12 +106,17 @@
 		;
 }
 
-/** Whether @x gives way rather than @y. */
+/** Whether @x gives way rather than @y: the longer one of two equally urgent
+ * ones, as long as its kind is not refused much more often. */
 static int
 gives_way(const struct entry *x, const struct entry *y)
 {
+	double more = x->missed - y->missed;
+
 	if (x->rank != y->rank)
 		return x->rank > y->rank;
+	if (more > MISSED_MORE || more < -MISSED_MORE)
+		return more < 0;
 	return x->need_us > y->need_us;
 }
 
--- a/src/core/work/work.c
+++ b/src/core/work/work.c
@@ -1,6 +1,7 @@
 #include "impl.h"
 
 #define GAIN 0.1
+#define MISSED_GAIN 0.02 /* about the last fifty requests */
 #define KNOWN 5 /* answers after which the time is known */
 #define PACE_USUAL 100
 
@@ -19,6 +20,12 @@
 	w->n++;
 }
 
+void
+work_admitted(struct work *w, int begun)
+{
+	w->missed += MISSED_GAIN * (!begun - w->missed);
+}
+
 int64_t
 work_us(const struct work *w, int64_t fallback)
 {
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -154,6 +154,9 @@
 	if (c->entry)
 		once_not_run(c->data->once, c->entry);
 	c->entry = 0;
+	if (c->work &&
+	    (reason == WIRE_REASON_FULL || reason == WIRE_REASON_DEADLINE))
+		work_admitted(c->work, 0);
 	inbound_refuse(c, WIRE_NOT_RUN, reason);
 }
 
@@ -218,6 +221,7 @@
 	w->elsewhere = c->choosy;
 	w->through_hold = pace_short(p, w->need_us);
 	w->rank = c->rank;
+	w->missed = c->work ? c->work->missed : 0;
 }
 
 void
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -349,6 +349,8 @@
 		inbound_refuse(c, WIRE_NOT_RUN, WIRE_REASON_FULL);
 		return;
 	}
+	if (c->work)
+		work_admitted(c->work, 1);
 	inbound_body_pump(c);
 }
 
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -63,6 +63,7 @@
  * @need_us: time that it takes at the target, 0 when not known
  * @elsewhere: nonzero if another target can still be asked
  * @rank: 0 is the most urgent
+ * @missed: share of its kind that was refused for want of room, lately
  * @through_hold: nonzero if it is short enough to be begun on a slow machine
  */
 struct admit_want {
@@ -72,6 +73,7 @@
 	int elsewhere;
 	int through_hold;
 	int rank;
+	double missed;
 };
 
 enum admit_verdict { ADMIT_RUN, ADMIT_WAIT, ADMIT_REFUSE };
--- a/src/internal/work.h
+++ b/src/internal/work.h
@@ -18,9 +18,11 @@
 	0.8 /* of the slots; above it a target counts as nearly full */
 
 /** struct work - time of one kind of request; zero it before first use
- * @us: smoothed, at the usual pace; 0 when not known */
+ * @us: smoothed, at the usual pace; 0 when not known
+ * @missed: smoothed share of those that were refused for want of room */
 struct work {
 	double us;
+	double missed;
 	uint32_t n;
 };
 
@@ -37,6 +39,8 @@
 
 /** work_note() - a request was answered after @us, begun at @pace (0: usual) */
 void work_note(struct work *, double us, int pace);
+/** work_admitted() - a request was begun, or refused for want of room */
+void work_admitted(struct work *, int begun);
 /** work_us() - time to expect, or @fallback when too little is known */
 int64_t work_us(const struct work *, int64_t fallback);
 
--- a/tests/unit/triage.c
+++ b/tests/unit/triage.c
@@ -4,6 +4,7 @@
 
 #include "admit.h"
 #include "rng.h"
+#include "work.h"
 
 /* Plays two kinds of requests that together ask twice what a target bears, and
  * looks at what the callers of each kind get. */
@@ -12,6 +13,7 @@
 #define SECOND (1000 * MS)
 #define SLOTS 12
 #define PLAY_S 6
+#define KNOWN_S 2 /* until it is known how often each kind is refused */
 #define CALLS_MAX 8192
 #define LEAST 0.6 /* of the usual time, in which few answers come */
 
@@ -44,15 +46,28 @@
 
 static struct call call[CALLS_MAX];
 static int ncall;
+static struct work work[2]; /* of each kind; zero where shares don't count */
+static int counted;
 
 static void
 begin(struct call *c, const struct kind *k, int64_t now, struct rng *r)
 {
+	if (counted)
+		work_admitted(&work[c->kind], 1);
 	c->fate = RUNS;
 	c->ends = now + k[c->kind].work_us / 2 +
 		  rng_below(r, (uint32_t)k[c->kind].work_us);
 }
 
+static void
+refuse(struct call *c, int64_t now)
+{
+	if (counted)
+		work_admitted(&work[c->kind], 0);
+	c->fate = REFUSED;
+	c->ends = now;
+}
+
 static void
 pop_all(struct admit *a, const struct kind *k, int64_t now, struct rng *r)
 {
@@ -63,8 +78,7 @@
 	while ((p = admit_pop(a, now, &item)) != ADMIT_POP_NONE) {
 		c = &call[item.tag];
 		if (p == ADMIT_POP_EXPIRED) {
-			c->fate = REFUSED;
-			c->ends = now;
+			refuse(c, now);
 			continue;
 		}
 		c->run = item.run;
@@ -96,7 +110,8 @@
 	struct admit_want w = { .deadline = now + k[kind].deadline_us,
 		.start_by = now + k[kind].objective_us - k[kind].work_us,
 		.need_us = k[kind].work_us,
-		.rank = k[kind].rank };
+		.rank = k[kind].rank,
+		.missed = work[kind].missed };
 	struct call *c = &call[ncall];
 	enum admit_reason why;
 	uint32_t handle;
@@ -110,8 +125,7 @@
 		begin(c, k, now, r);
 		break;
 	case ADMIT_REFUSE:
-		c->fate = REFUSED;
-		c->ends = now;
+		refuse(c, now);
 		break;
 	case ADMIT_WAIT:
 		pop_all(a, k, now, r);
@@ -147,6 +161,8 @@
 	for (i = 0; i < ncall; i++) {
 		struct sums *of = &s[call[i].kind];
 
+		if (counted && call[i].came < (1 + KNOWN_S) * SECOND)
+			continue;
 		of->asked++;
 		of->in_time += call[i].fate == IN_TIME;
 		of->refused += call[i].fate == REFUSED;
@@ -193,6 +209,29 @@
 }
 END_TEST
 
+/* Where it is counted who was refused, neither kind is refused much more often
+ * than the other one of its rank. */
+START_TEST(kinds_of_one_rank_are_refused_alike)
+{
+	struct sums s[2] = { 0 };
+	double gap;
+
+	counted = 1;
+	play(calls_and_requests, s, (uint64_t)_i + 1);
+	if (!_i) {
+		show("short, counted", &s[0]);
+		show("long, counted", &s[1]);
+	}
+	gap = (double)s[1].refused / s[1].asked -
+	      (double)s[0].refused / s[0].asked;
+	ck_assert_double_le(gap, 0.2);
+	ck_assert_double_ge(gap, -0.2);
+	/* What the target does is in time. */
+	ck_assert_int_ge(s[0].in_time, (s[0].asked - s[0].refused) * 8 / 10);
+	ck_assert_int_ge(s[1].in_time, (s[1].asked - s[1].refused) * 8 / 10);
+}
+END_TEST
+
 /* What is more urgent comes first, though it takes longer. */
 static const struct kind urgent_and_short[] = {
 	{ 110 * MS, 300 * MS, 1500 * MS, 0.8, 0 },
@@ -223,6 +262,7 @@
 	tcase_set_timeout(c, 60);
 	tcase_add_loop_test(c,
 	    short_ones_are_served_and_long_ones_fill_the_rest, 0, 10);
+	tcase_add_loop_test(c, kinds_of_one_rank_are_refused_alike, 0, 10);
 	tcase_add_loop_test(c, urgent_ones_come_first, 0, 10);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
