The data task is freed after the control task has ended

Cause: at the end the program freed the data task first, while the control task still ran and posted views to it. A change of membership at that moment posted to freed memory: the control task hung on a lock that was no more, and the process stood until it was killed.

Change: the control task is stopped, then the data task stopped and freed, then the control task freed.

Test: stop-together.sh stops four daemons together, twenty times, under load. It does not find the fault in every run.

--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -34,6 +34,7 @@
 	if (control_open_udp(c, e) || control_open_operators(c, e)) {
 		g_main_context_pop_thread_default(c->task.context);
 		control_stop(c);
+		control_free(c);
 		return NULL;
 	}
 	if (s->platform.port)
@@ -240,9 +241,6 @@
 void
 control_stop(struct control *c)
 {
-	struct io_loop *loop = c->task.loop;
-	int i;
-
 	task_stop(&c->task);
 	g_main_context_push_thread_default(c->task.context);
 	if (c->operators) {
@@ -256,6 +254,14 @@
 	while (g_main_context_iteration(c->task.context, FALSE))
 		;
 	g_main_context_pop_thread_default(c->task.context);
+}
+
+void
+control_free(struct control *c)
+{
+	struct io_loop *loop = c->task.loop;
+	int i;
+
 	io_timer_clear(loop, &c->member_timer);
 	io_timer_clear(loop, &c->relearn_timer);
 	control_seeds_stop(c);
--- a/src/daemon/control/control.h
+++ b/src/daemon/control/control.h
@@ -22,7 +22,12 @@
 /** control_leave() - stop gracefully; @done is called in the control task when
  * nothing is in flight and the others were told */
 void control_leave(struct control *, void (*done)(void *ctx), void *ctx);
+/** control_stop() - end the task; nothing is posted to the data task from then
+ * on */
 void control_stop(struct control *);
+/** control_free() - after control_stop(), and after data_stop(), which still
+ * posts to it */
+void control_free(struct control *);
 /** control_data_events - events of the data task, its ctx is the control */
 extern const struct data_events control_data_events;
 
--- a/src/daemon/data/data.h
+++ b/src/daemon/data/data.h
@@ -63,7 +63,7 @@
 struct data *data_new(const struct settings *, uint64_t incarnation,
     const struct data_events *, void *ctx, struct kq_error *);
 void data_start(struct data *);
-/** data_stop() - end the task and free everything */
+/** data_stop() - end the task and free everything; after control_stop() */
 void data_stop(struct data *);
 
 /** data_set_view() - takes over the view */
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -99,8 +99,9 @@
 	    s->datacentre, incarnation);
 	g_main_loop_run(p.loop);
 	reload_stop(p.reload);
-	data_stop(d);
 	control_stop(p.control);
+	data_stop(d);
+	control_free(p.control);
 	g_main_loop_unref(p.loop);
 	log_event(EVENT_STOPPED, G_LOG_LEVEL_MESSAGE, 0, "stopped");
 	log_finish();
