--- a/src/core/config/changes.c
+++ b/src/core/config/changes.c
@@ -63,8 +63,8 @@
 		const struct config_entry *n = g_sequence_get(i);
 
 		used += object_bytes(&n->object);
-		if (used > bytes && list->len > 0 &&
-		    n->object.version != b->upto) {
+		if ((used > bytes || list->len >= CONFIG_PAGE_OBJECTS) &&
+		    list->len > 0 && n->object.version != b->upto) {
 			b->more = 1;
 			break;
 		}
--- a/src/daemon/control/config.c
+++ b/src/daemon/control/config.c
@@ -310,6 +310,10 @@
 	struct control *c = ctx;
 
 	c->pulling = 0;
+	log_event(EVENT_CONFIG_PULL_LATE, G_LOG_LEVEL_INFO, now,
+	    "no answer to a request for newer objects source=%016" G_GINT64_MODIFIER
+	    "x complete=%" G_GUINT64_FORMAT,
+	    c->pull_from, config_complete(c->config));
 }
 
 static int
--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -3,6 +3,7 @@
 #include "config.h"
 #include "daemon/inbound/inbound.h"
 #include "daemon/outbound/outbound.h"
+#include "log.h"
 
 #define DRAIN_STEP_US 20000
 #define DRAIN_CONNECTIONS_US 5000000 /* for answers on their way to callers */
@@ -230,20 +231,35 @@
 	}
 }
 
+static int
+answer_pull(struct peer_conn *conn, const struct page_order *o)
+{
+	struct wire_state *m;
+	int bad;
+
+	if (o->batch->nobject > WIRE_PULL_OBJECTS_MAX)
+		return -1;
+	m = g_new0(struct wire_state, 1);
+	fill_state(o->batch, m);
+	bad = peer_send_state(conn, o->xid, m);
+	g_free(m);
+	return bad;
+}
+
 static void
 send_page(void *ctx, void *message)
 {
 	struct page_order *o = message;
 	struct data *d = ctx;
 	struct in_conn *ic = g_hash_table_lookup(d->conns, &o->conn);
-	struct wire_state *m;
 
-	if (ic && o->batch->nobject <= WIRE_PULL_OBJECTS_MAX) {
-		m = g_new0(struct wire_state, 1);
-		fill_state(o->batch, m);
-		peer_send_state(ic->conn, o->xid, m);
-		g_free(m);
-	}
+	G_STATIC_ASSERT(CONFIG_PAGE_OBJECTS <= WIRE_PULL_OBJECTS_MAX);
+	G_STATIC_ASSERT(CONFIG_VALUE_MAX <= WIRE_OBJECT_MAX);
+	if (ic && answer_pull(ic->conn, o))
+		log_event(EVENT_CONFIG_NOT_SENT, G_LOG_LEVEL_WARNING,
+		    data_now(d),
+		    "page of the configuration not sent objects=%d upto=%" G_GUINT64_FORMAT,
+		    o->batch->nobject, o->batch->upto);
 	config_batch_clear(o->batch);
 	g_free(o->batch);
 	g_free(o);
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -208,6 +208,32 @@
 }
 END_TEST
 
+/* A page has room for so many objects, however small they are. */
+START_TEST(pages_are_bounded_in_objects)
+{
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_pull pull = { 0 };
+	struct config_batch page;
+	uint64_t v, n = 2 * CONFIG_PAGE_OBJECTS + 10;
+
+	for (v = 1; v <= n; v++) {
+		char name[CONFIG_NAME_MAX];
+
+		snprintf(name, sizeof name, "n%d", (int)v);
+		apply(t, 0, v - 1, v, object(name, v, "x"));
+	}
+	for (v = 0; v < n; v = pull.after) {
+		config_changes(t, 1, &pull, 1 << 20, &page);
+		ck_assert_int_gt(page.nobject, 0);
+		ck_assert_int_le(page.nobject, CONFIG_PAGE_OBJECTS);
+		ck_assert_int_eq(page.more, page.upto < n);
+		pull.after = page.upto;
+		config_batch_clear(&page);
+	}
+	config_free(t);
+}
+END_TEST
+
 /* ---- random runs against a model of the platform ---- */
 
 #define NAMES 12
@@ -406,6 +432,7 @@
 	tcase_add_test(c, list_resync_removes_what_it_lacks);
 	tcase_add_test(c, bad_objects_are_counted);
 	tcase_add_test(c, tombstones_are_bounded);
+	tcase_add_test(c, pages_are_bounded_in_objects);
 	tcase_add_loop_test(c, complete_means_complete, 0, 40);
 	suite_add_tcase(s, c);
 	srunner_run_all(r, CK_NORMAL);
