--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -26,7 +26,7 @@
 
 #define CONFIG_NAME_MAX 64 /* bytes with the final NUL */
 #define CONFIG_VALUE_MAX 1048576 /* bytes */
-#define CONFIG_PAGE_OBJECTS 512 /* of one page; a message has room for so many */
+#define CONFIG_PAGE_OBJECTS 512 /* of one page; a message takes no more */
 #define CONFIG_TOMBSTONES_MAX 4096 /* older ones are dropped */
 #define CONFIG_SOURCE_PLATFORM 0 /* source of batches from the platform */
 
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -37,7 +37,7 @@
 #define WIRE_WINDOW 262144 /* bytes of a body sent without credit */
 #define WIRE_RECORD_MAX 1179648 /* bytes; a pull page and its frame fit */
 #define WIRE_STRING_MAX 16384
-#define WIRE_OBJECT_MAX 1048576 /* bytes; any value of the configuration fits */
+#define WIRE_OBJECT_MAX 1048576 /* bytes; any value of an object fits */
 #define WIRE_NONCE_LEN 16
 
 /** struct wire_arena - memory for decoded strings */
