--- a/tests/system/repeat.sh
+++ b/tests/system/repeat.sh
@@ -5,7 +5,7 @@
 # usage: repeat.sh BUILD-DIRECTORY
 set -u
 cd "$(dirname "$0")/../.."
-FLEET_NET=127.33
+: "${FLEET_NET:=127.33}"
 . scripts/fleet.sh
 failed=0
 
