Tests that find each decision of the admission turned off

Cause: mutants made by hand (base of the pace, overshoot, burst, reserve, need, longest, rank, shares, last target, page bound) showed three that no test found: recent latencies in place of the need, the longest kept, a burst above the slack.

Change: three tests, one for each; all ten are found now. The plays reset what they count, so that they say the same without forks. No change of the product.

--- a/tests/unit/cold_rate.c
+++ b/tests/unit/cold_rate.c
@@ -125,6 +125,35 @@
 }
 END_TEST
 
+/* Nor after a quiet time, when what was saved up goes out at once. */
+START_TEST(quiet_time_earns_no_more_than_the_slack)
+{
+	struct admit_config c = config;
+	struct admit *a;
+	struct admit_run run;
+	enum admit_reason why;
+	uint32_t handle;
+	int64_t now;
+	int n = 0;
+
+	admit_cold_share(&c, 19, 1.5, 5);
+	a = admit_new(&c, 10 * SECOND);
+	admit_set_cold(a, 10 * SECOND, 100 * SECOND);
+	for (now = 20 * SECOND; now < 21 * SECOND; now += 5 * MS) {
+		if (admit_request(a, now, now + MS, 1, &run, &handle, &why) ==
+		    ADMIT_RUN) {
+			n++;
+			admit_done(a, now, &run, ADMIT_GOOD);
+		} else if (why == ADMIT_OK) {
+			admit_cancel(a, handle);
+		}
+	}
+	ck_assert_int_le(n, (int)(19 * 1.5) + 5);
+	ck_assert_int_ge(n, 19);
+	admit_free(a);
+}
+END_TEST
+
 START_TEST(warm_target_is_not_bound)
 {
 	struct admit *a = admit_new(&config, 10 * SECOND);
@@ -198,6 +227,7 @@
 
 	tcase_add_loop_test(c, cold_target_keeps_its_rate_over_any_second, 0,
 	    20);
+	tcase_add_test(c, quiet_time_earns_no_more_than_the_slack);
 	tcase_add_loop_test(c, overshoot_is_used_within_the_bound, 0, 5);
 	tcase_add_loop_test(c, warm_target_is_not_bound, 0, 5);
 	tcase_add_test(c, news_of_being_cold_earn_nothing);
--- a/tests/unit/triage.c
+++ b/tests/unit/triage.c
@@ -148,6 +148,7 @@
 
 	rng_seed(&r, seed);
 	ncall = 0;
+	work[0] = work[1] = (struct work){ 0 };
 	for (now = SECOND; now < (1 + PLAY_S + 2) * SECOND; now += MS) {
 		end_work(a, k, now, &r);
 		for (i = 0; i < 2 && now < (1 + PLAY_S) * SECOND; i++)
@@ -218,6 +219,7 @@
 
 	counted = 1;
 	play(calls_and_requests, s, (uint64_t)_i + 1);
+	counted = 0;
 	if (!_i) {
 		show("short, counted", &s[0]);
 		show("long, counted", &s[1]);
@@ -272,6 +274,94 @@
 }
 END_TEST
 
+/* A target of @slots, all of them taken by scans of 700 ms, as are its recent
+ * latencies. */
+static struct admit *
+busy(int slots, int64_t now)
+{
+	struct admit_config conf = { .slots = slots,
+		.connections = 64,
+		.cold_limit = slots,
+		.cold_good_us = SECOND,
+		.queue_max = 32 };
+	struct admit *a = admit_new(&conf, now - SECOND);
+	struct admit_want w = { .deadline = now + 4 * SECOND,
+		.start_by = now + SECOND,
+		.need_us = 700 * MS,
+		.rank = 2 };
+	struct admit_run run;
+	enum admit_reason why;
+	uint32_t handle;
+	int i;
+
+	for (i = 0; i < 2 * slots; i++) {
+		ck_assert_int_eq(admit_request_for(a,
+				     now - 700 * MS * (i < slots), &w, 0, &run,
+				     &handle, &why),
+		    ADMIT_RUN);
+		if (i < slots)
+			admit_done(a, now, &run, ADMIT_GOOD);
+	}
+	return a;
+}
+
+static enum admit_verdict
+ask(struct admit *a, int64_t now, int64_t need, int64_t start_by,
+    int64_t deadline, uint32_t tag)
+{
+	struct admit_want w = { .deadline = now + deadline,
+		.start_by = now + start_by,
+		.need_us = need,
+		.elsewhere = 1,
+		.rank = 1 };
+	struct admit_run run;
+	enum admit_reason why;
+	uint32_t handle;
+
+	return admit_request_for(a, now, &w, tag, &run, &handle, &why);
+}
+
+/* Half a second is enough for 40 ms, whatever the scans before it took. */
+START_TEST(the_own_need_tells_what_is_hopeless)
+{
+	int64_t now = 10 * SECOND;
+	struct admit *a = busy(8, now);
+	struct admit_item item;
+
+	ck_assert_int_eq(ask(a, now, 40 * MS, 110 * MS, 500 * MS, 1),
+	    ADMIT_WAIT);
+	ck_assert_int_eq(admit_pop(a, now, &item), ADMIT_POP_NONE);
+	ck_assert_int_gt(admit_timer(a, now), now + 200 * MS);
+	/* One that needs more than is left is told so at once. */
+	ck_assert_int_eq(ask(a, now, SECOND, 110 * MS, 500 * MS, 2),
+	    ADMIT_REFUSE);
+	admit_free(a);
+}
+END_TEST
+
+/* Of two that can't both be in time the longer one gives way, also when it came
+ * first and would have to be begun first. A place becomes free in 88 ms; the
+ * long one delays the short one by as much. */
+START_TEST(the_longest_gives_way)
+{
+	int64_t now = 10 * SECOND;
+	struct admit *a = busy(8, now);
+	struct admit_item item;
+
+	ck_assert_int_eq(ask(a, now, 700 * MS, 176 * MS, 2 * SECOND, 1),
+	    ADMIT_WAIT);
+	ck_assert_int_eq(admit_pop(a, now, &item), ADMIT_POP_NONE);
+	ck_assert_int_eq(ask(a, now, 40 * MS, 180 * MS, 500 * MS, 2),
+	    ADMIT_WAIT);
+	ck_assert_int_eq(admit_pop(a, now, &item), ADMIT_POP_EXPIRED);
+	ck_assert_int_eq(item.reason, ADMIT_FULL);
+	ck_assert_int_eq(item.tag, 1);
+	ck_assert_int_eq(admit_pop(a, now, &item), ADMIT_POP_NONE);
+	ck_assert_int_eq(admit_queued(a), 1);
+	admit_free(a);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -286,6 +376,8 @@
 	tcase_add_loop_test(c, kinds_of_one_rank_are_refused_alike, 0, 10);
 	tcase_add_loop_test(c, long_work_bars_no_short_calls, 0, 10);
 	tcase_add_loop_test(c, urgent_ones_come_first, 0, 10);
+	tcase_add_test(c, the_own_need_tells_what_is_hopeless);
+	tcase_add_test(c, the_longest_gives_way);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
