Request bodies that a target takes slowly reach it as they were sent

Cause: when more than a window of a body was unsent at the target's connection, inbound_flush_body() returned with the bytes still in its buffer although http_call_write() had taken them, and sent them again with the next bytes. The target ran a request with another body and the caller got 200.

Ruled out: the outbound side and the wire; with the buffer always cleared and the credit withheld the digest is right.

Figures: tests/system/stream.sh, now with random bytes: before, the digest of 64 MB differs; after, it is equal. Zeros could not show it.

Conclusion: the buffer is always cleared; credit for the bytes waits until at most a window is unsent, so two windows are the bound.

--- a/src/daemon/inbound/conn.c
+++ b/src/daemon/inbound/conn.c
@@ -8,14 +8,12 @@
 	return g_hash_table_lookup(ic->calls, GUINT_TO_POINTER(xid));
 }
 
-/* Adds to the credit owed for the request's body; sends it once it is a quarter
- * of the window. */
+/* Sends the credit owed once it is a quarter of the window. */
 static void
-return_credit(struct in_call *c, size_t n)
+return_credit(struct in_call *c)
 {
 	struct wire_credit m = { c->xid, 0, 0 };
 
-	c->body_credit_owed += n;
 	if (c->body_credit_owed < WIRE_WINDOW / 4 || !c->conn)
 		return;
 	m.bytes = c->body_credit_owed;
@@ -23,18 +21,21 @@
 	peer_send_credit(c->conn, &m);
 }
 
+/* The HTTP call takes all bytes, and the credit for them waits until the target
+ * has read enough of them, so that at most two windows are buffered. */
 void
 inbound_flush_body(struct in_call *c)
 {
-	size_t n = c->body->len;
+	size_t unsent;
 
 	if (!c->target_call)
 		return;
-	if (n &&
-	    http_call_write(c->target_call, c->body->data, n) > WIRE_WINDOW)
-		return;
+	unsent =
+	    http_call_write(c->target_call, c->body->data, c->body->len);
+	c->body_credit_owed += c->body->len;
 	g_byte_array_set_size(c->body, 0);
-	return_credit(c, n);
+	if (unsent <= WIRE_WINDOW)
+		return_credit(c);
 	if (c->body_last == 1) {
 		c->body_last = 2;
 		http_call_end_request(c->target_call);
--- a/tests/system/stream.sh
+++ b/tests/system/stream.sh
@@ -37,10 +37,11 @@
 # shellcheck disable=SC2154
 peak_rss_kb() { awk '/VmHWM/ { print $2 }' "/proc/$1/status"; }
 
-head -c $BYTES /dev/zero >"$fleet_dir/zeros"
+# Random bytes, so that bytes out of order or sent again change the digest.
+head -c $BYTES /dev/urandom >"$fleet_dir/sent"
 curl -s -D "$fleet_dir/head" -o /dev/null -H 'Host: codebook' -H 'Expect:' \
-	--data-binary "@$fleet_dir/zeros" "http://$at/pairing"
-expect_equal "digest of 64 MB sent" "$(sha256sum <"$fleet_dir/zeros" | cut -d' ' -f1)" "$(field Request-Digest)"
+	--data-binary "@$fleet_dir/sent" "http://$at/pairing"
+expect_equal "digest of 64 MB sent" "$(sha256sum <"$fleet_dir/sent" | cut -d' ' -f1)" "$(field Request-Digest)"
 set_target body_bytes=$BYTES
 curl -s --limit-rate 40M -D "$fleet_dir/head" -o "$fleet_dir/got" -H 'Host: codebook' "http://$at/x"
 expect_equal "bytes received" $BYTES "$(wc -c <"$fleet_dir/got")"
