No timer of a stopped task is called back

Cause: control_stop() freed the platform client and then iterated the main context, so that cancelled requests end. The task's timers still belonged to that context; start_due() reads the client's form. The clients also were freed before messages that use them were handled.

Change: task_stop() stops the io loop, after which no timer and no watch is called back; the clients live until control_free(), which comes after the last iteration of the context. platform_cancel() is apart from platform_free().

Ruled out: only freeing later; timers would still run on a task that has stopped.

--- a/src/adapter/io/loop.c
+++ b/src/adapter/io/loop.c
@@ -101,12 +101,18 @@
 	return l;
 }
 
+void
+io_loop_stop(struct io_loop *l)
+{
+	g_source_destroy(&l->source);
+}
+
 void
 io_loop_free(struct io_loop *l)
 {
 	if (!l)
 		return;
-	g_source_destroy(&l->source);
+	io_loop_stop(l);
 	g_source_unref(&l->source);
 }
 
--- a/src/adapter/platform/request.c
+++ b/src/adapter/platform/request.c
@@ -97,10 +97,16 @@
 }
 
 void
-platform_free(struct platform *p)
+platform_cancel(struct platform *p)
 {
 	g_cancellable_cancel(p->cancel);
 	soup_session_abort(p->session);
+}
+
+void
+platform_free(struct platform *p)
+{
+	platform_cancel(p);
 	platform_unref(p);
 }
 
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -243,21 +243,32 @@
 	task_post(&c->task, begin_leave, c, NULL);
 }
 
+/* Messages that are still handled here may use the clients, so these live until
+ * control_free(). */
 void
 control_stop(struct control *c)
 {
 	task_stop(&c->task);
 	g_main_context_push_thread_default(c->task.context);
-	if (c->operator_server) {
+	if (c->operator_server)
 		soup_server_disconnect(c->operator_server);
+	if (c->platform)
+		platform_cancel(c->platform);
+	while (g_main_context_iteration(c->task.context, FALSE))
+		;
+	g_main_context_pop_thread_default(c->task.context);
+}
+
+static void
+free_clients(struct control *c)
+{
+	g_main_context_push_thread_default(c->task.context);
+	if (c->operator_server)
 		g_object_unref(c->operator_server);
-	}
 	if (c->platform)
 		platform_free(c->platform);
 	if (c->trace_session)
 		g_object_unref(c->trace_session);
-	while (g_main_context_iteration(c->task.context, FALSE))
-		;
 	g_main_context_pop_thread_default(c->task.context);
 }
 
@@ -291,6 +302,7 @@
 		g_hash_table_unref(c->parsed[i]);
 	g_hash_table_unref(c->forgotten);
 	g_ptr_array_unref(c->drain_waiters);
+	free_clients(c);
 	task_clear(&c->task);
 	g_free(c);
 }
--- a/src/daemon/task.c
+++ b/src/daemon/task.c
@@ -44,11 +44,13 @@
 void
 task_stop(struct task *t)
 {
-	if (!t->thread)
-		return;
-	task_post(t, quit, t, NULL);
-	g_thread_join(t->thread);
-	t->thread = NULL;
+	if (t->thread) {
+		task_post(t, quit, t, NULL);
+		g_thread_join(t->thread);
+		t->thread = NULL;
+	}
+	if (t->loop)
+		io_loop_stop(t->loop);
 }
 
 void
--- a/src/daemon/task.h
+++ b/src/daemon/task.h
@@ -28,8 +28,9 @@
 void task_init(struct task *, const char *name);
 /** task_start() - run the loop in a new thread */
 void task_start(struct task *);
-/** task_stop() - end the loop and join its thread; safe to call from another
- * thread, and without effect if the task does not run */
+/** task_stop() - end the loop and join its thread, if it has one; callable from
+ * another thread. No timer and no watch of the task is called back afterwards,
+ * but messages still are if the context is iterated. */
 void task_stop(struct task *);
 /** task_clear() - free the loop of a stopped task */
 void task_clear(struct task *);
--- a/src/internal/io.h
+++ b/src/internal/io.h
@@ -57,6 +57,9 @@
 };
 
 struct io_loop *io_loop_new(GMainContext *);
+/** io_loop_stop() - call back no timer and no watch from now on, even if the
+ * main context is iterated further; both can still be set and cleared */
+void io_loop_stop(struct io_loop *);
 void io_loop_free(struct io_loop *);
 /** io_now() - io_clock() as of the start of this iteration; outside of the
  * loop's callbacks the present time */
--- a/src/internal/platform.h
+++ b/src/internal/platform.h
@@ -57,8 +57,11 @@
 platform_new(const char *ip, int port, const struct store_form *);
 /** platform_set_address() - use another address of the platform from now on */
 void platform_set_address(struct platform *, const char *ip, int port);
-/** platform_free() - cancel all requests, without their callbacks, and free the
- * client when they have ended */
+/** platform_cancel() - cancel all requests, without their callbacks; they end
+ * when the main context is iterated, and so do later ones */
+void platform_cancel(struct platform *);
+/** platform_free() - cancel all requests and free the client when they have
+ * ended */
 void platform_free(struct platform *);
 
 /** platform_form() - get the form that the client was created with */
--- a/tests/unit/io.c
+++ b/tests/unit/io.c
@@ -47,6 +47,23 @@
 	fixture.callbacks++;
 }
 
+START_TEST(a_stopped_loop_calls_back_nothing)
+{
+	struct io_timer *t = &fixture.timer[0];
+
+	t->fire = check_order;
+	t->ctx = t;
+	io_timer_set(fixture.loop, t, io_now(fixture.loop));
+	io_loop_stop(fixture.loop);
+	io_timer_set(fixture.loop, &fixture.timer[1], io_now(fixture.loop));
+	while (g_main_context_iteration(fixture.context, FALSE))
+		;
+	ck_assert_int_eq(fixture.callbacks, 0);
+	io_timer_clear(fixture.loop, t);
+	io_timer_clear(fixture.loop, &fixture.timer[1]);
+}
+END_TEST
+
 START_TEST(timers_fire_in_order_and_cleared_ones_never)
 {
 	int64_t now = io_now(fixture.loop);
@@ -185,6 +202,7 @@
 
 	tcase_set_timeout(c, 60);
 	tcase_add_checked_fixture(c, setup, teardown);
+	tcase_add_test(c, a_stopped_loop_calls_back_nothing);
 	tcase_add_test(c, timers_fire_in_order_and_cleared_ones_never);
 	tcase_add_test(c,
 	    timer_set_in_its_callback_fires_in_the_next_iteration);
