Tasks share the routes that were read, and the largest object is read

Change: struct routing has a reference count and is not modified after it was read. The reader takes 2 MB and 131,072 values.

--- a/src/adapter/objects/routing_read.c
+++ b/src/adapter/objects/routing_read.c
@@ -171,14 +171,14 @@
 	if (!j)
 		return NULL;
 	o = json_root(j);
-	r = g_new0(struct routing, 1);
+	r = routing_new();
 	bad = read_routes(j, o, r, e) == -1 ||
 	      read_services(j, o, r, e) == -1 ||
 	      read_limits(j, o, &r->limits, e) == -1 ||
 	      json_check_unused(j, o, e) == -1;
 	json_free(j);
 	if (bad) {
-		routing_free(r);
+		routing_unref(r);
 		return NULL;
 	}
 	routing_sort(r);
--- a/src/core/route/routing.c
+++ b/src/core/route/routing.c
@@ -1,25 +1,28 @@
 #include "routing.h"
 
-void
-routing_free(struct routing *r)
+struct routing *
+routing_new(void)
 {
-	if (!r)
-		return;
-	g_free(r->route);
-	g_free(r->service);
-	g_free(r);
+	struct routing *r = g_new0(struct routing, 1);
+
+	g_atomic_ref_count_init(&r->refs);
+	return r;
 }
 
 struct routing *
-routing_copy(const struct routing *r)
+routing_ref(struct routing *r)
 {
-	struct routing *c;
+	if (r)
+		g_atomic_ref_count_inc(&r->refs);
+	return r;
+}
 
-	if (!r)
-		return NULL;
-	c = g_memdup2(r, sizeof *r);
-	c->route = g_memdup2(r->route, (size_t)r->nroute * sizeof *r->route);
-	c->service =
-	    g_memdup2(r->service, (size_t)r->nservice * sizeof *r->service);
-	return c;
+void
+routing_unref(struct routing *r)
+{
+	if (!r || !g_atomic_ref_count_dec(&r->refs))
+		return;
+	g_free(r->route);
+	g_free(r->service);
+	g_free(r);
 }
--- a/src/daemon/control/config.c
+++ b/src/daemon/control/config.c
@@ -48,7 +48,7 @@
 	struct parsed *o = p;
 
 	if (o->is_routing)
-		routing_free(o->routing);
+		routing_unref(o->routing);
 	g_free(o);
 }
 
@@ -62,7 +62,7 @@
 	if (!r)
 		return;
 	if (p->is_routing)
-		routing_free(p->routing);
+		routing_unref(p->routing);
 	p->is_routing = 1;
 	p->routing = r;
 }
@@ -124,8 +124,8 @@
 		v->datacentre[v->ndatacentre++] = p->datacentre;
 		break;
 	case CONFIG_ROUTING:
-		routing_free(v->routing);
-		v->routing = routing_copy(p->routing);
+		routing_unref(v->routing);
+		v->routing = routing_ref(p->routing);
 		break;
 	default:
 		vi = &v->instance[v->ninstance++];
--- a/src/daemon/data/view.c
+++ b/src/daemon/data/view.c
@@ -7,7 +7,7 @@
 {
 	if (!v)
 		return;
-	routing_free(v->routing);
+	routing_unref(v->routing);
 	g_free(v->service);
 	g_free(v->datacentre);
 	g_free(v->instance);
--- a/src/internal/json.h
+++ b/src/internal/json.h
@@ -48,8 +48,9 @@
 };
 
 #define JSON_DEPTH_MAX 16
-#define JSON_TEXT_MAX 1048576 /* bytes, the most that the platform stores */
-#define JSON_NODES_MAX 65536
+/* bytes: an answer of the platform with the largest value that it stores */
+#define JSON_TEXT_MAX 2097152
+#define JSON_NODES_MAX 131072
 #define JSON_NONE (-1) /* no such node */
 
 struct json;
--- a/src/internal/routing.h
+++ b/src/internal/routing.h
@@ -78,8 +78,10 @@
 };
 
 /** struct routing - a routing object; routes are sorted by host, then by length
- * of prefix, longest first */
+ * of prefix, longest first. Tasks share it, so it is not modified once it has
+ * been read. */
 struct routing {
+	gatomicrefcount refs;
 	int nroute;
 	struct route *route;
 	int nservice;
@@ -88,11 +90,16 @@
 };
 
 /** routing_read() - parse the value of a routing object.
- * Return: the routing, to be freed with routing_free(), or NULL with the error
- * filled in. */
+ * Return: the routing, to be released with routing_unref(), or NULL with the
+ * error filled in. */
 struct routing *routing_read(const char *text, size_t n, struct kq_error *);
-struct routing *routing_copy(const struct routing *);
-void routing_free(struct routing *);
+/** routing_new() - make an empty routing with one reference */
+struct routing *routing_new(void);
+/** routing_ref() - take a reference; may be called from any thread */
+struct routing *routing_ref(struct routing *);
+/** routing_unref() - release a reference, and free the routing with the last
+ * one; may be called from any thread */
+void routing_unref(struct routing *);
 /** routing_sort() - sort the routes, as routing_find() requires */
 void routing_sort(struct routing *);
 
--- a/tests/unit/platform_form.c
+++ b/tests/unit/platform_form.c
@@ -79,7 +79,7 @@
 	ck_assert_str_eq(x->part[0].service, "b");
 	ck_assert_int_eq(routing_service(r, "a")->cold_ms, 3500);
 	ck_assert_int_eq(r->limits.head_ms, 3000);
-	routing_free(r);
+	routing_unref(r);
 	page_clear(&p);
 }
 END_TEST
--- a/tests/unit/route.c
+++ b/tests/unit/route.c
@@ -65,7 +65,7 @@
 
 	ck_assert_str_eq(service_of(r, cases[_i].host, cases[_i].path),
 	    cases[_i].service);
-	routing_free(r);
+	routing_unref(r);
 }
 END_TEST
 
@@ -89,7 +89,7 @@
 	ck_assert_int_eq(routing_allows(r, "a.example", "/x/1", "three"), 1);
 	ck_assert_int_eq(routing_allows(r, "a.example", "/x/1", "one"), 0);
 	ck_assert_int_eq(routing_allows(r, "a.example", "/x/y/", "four"), 0);
-	routing_free(r);
+	routing_unref(r);
 }
 END_TEST
 
