Store read at a steady pace by one daemon of the fleet; pages between daemons compressed

Change: datagrams carry number and age of the newest reading of the store (src/core/reader): the last reader goes on each second, verifiers, then all others in random order follow if it fails. A pull goes to a random member of the own data centre that announced the version, and after 800 ms or a failure to another one.

Weighed: a flag of a daemon that is turned away in its member row (needs to spread before it helps); more standing readers (calls at rest rise); times in place of numbers of readings (a slow member makes them younger at each hop).

--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -12,6 +12,7 @@
  * messages are limited by limits.datagram_bytes. */
 #define PIGGYBACK_BYTES 512
 #define NOTIFY_ROUNDS 3 /* gossip rounds that announce a new config_version */
+#define READING_ROUNDS 1 /* gossip rounds that announce a reading */
 /* The time from suspect to dead has this many parts; the suspect is pinged
  * after each but the last. */
 #define SUSPICION_PARTS 4
@@ -117,7 +118,10 @@
  * @suspects: handles of suspects
  * @rng_state: state of the random number generator
  * @config_version: version that our configuration is complete to
- * @notify_rounds: gossip rounds left that announce @config_version
+ * @notify_rounds: gossip rounds left that announce @config_version or @reading
+ * @reading: number of the newest reading of the platform, 0 for none
+ * @reading_at: its time
+ * @now: time of the call that is being handled
  * @health: local health score, 0 (healthy) to HEALTH_MAX
  * @leaving: nonzero after member_leave()
  * @declared_left: nonzero once others list us as left
@@ -145,6 +149,9 @@
 	uint64_t rng_state;
 	uint64_t config_version;
 	int notify_rounds;
+	uint32_t reading;
+	int64_t reading_at;
+	int64_t now;
 	int health;
 	int leaving;
 	int declared_left;
@@ -257,6 +264,10 @@
 
 /* gossip.c, sync.c, join.c, pause.c */
 void member_gossip_step(struct member_table *, int64_t now);
+/** member_note_reading() - take the reading that a message tells of, if it is
+ * newer */
+void member_note_reading(struct member_table *, const struct member_message *,
+    int64_t now);
 /** member_sync_step() - when it is due, push a page of the table to a random
  * member, ping a dead member and forget old rows */
 void member_sync_step(struct member_table *, int64_t now);
--- a/src/core/member/message.c
+++ b/src/core/member/message.c
@@ -2,6 +2,14 @@
 
 #include <string.h>
 
+static uint32_t
+reading_age(const struct member_table *t)
+{
+	int64_t age = t->reading ? t->now - t->reading_at : 0;
+
+	return (uint32_t)CLAMP(age, 0, UINT32_MAX);
+}
+
 struct member_message *
 member_begin_message(struct member_table *t, enum member_kind kind, uint64_t to)
 {
@@ -13,6 +21,8 @@
 	msg->from = member_row(t, 0)->m.info.id;
 	msg->to = to;
 	msg->config_version = t->config_version;
+	msg->reading = t->reading;
+	msg->reading_age = reading_age(t);
 	msg->view_state = r ? r->m.state : MEMBER_ALIVE;
 	msg->view_seq = r ? r->m.state_seq : MEMBER_VIEW_NONE;
 	return msg;
--- a/src/core/member/receive.c
+++ b/src/core/member/receive.c
@@ -121,6 +121,7 @@
 	uint64_t self = member_row(t, 0)->m.info.id;
 	int i;
 
+	t->now = now;
 	member_detect_pause(t, now);
 	if (msg->from == self || msg->from == 0 ||
 	    msg->to != (msg->kind == MEMBER_JOIN ? 0 : self)) {
@@ -134,6 +135,7 @@
 			member_merge(t, &msg->update[i], now);
 		refute_view(t, msg);
 		note_config_version(t, msg);
+		member_note_reading(t, msg, now);
 		check_sender(t, msg);
 	}
 	dispatch(t, msg, now);
--- a/src/core/member/tick.c
+++ b/src/core/member/tick.c
@@ -20,6 +20,7 @@
 {
 	int64_t due;
 
+	t->now = now;
 	member_detect_pause(t, now);
 	member_resume_step(t, now);
 	member_probe_step(t, now);
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -283,7 +283,7 @@
 	control_seeds_stop(c);
 	control_stop_health_check(c);
 	io_timer_clear(loop, &c->start_timer);
-	io_timer_clear(loop, &c->verify_timer);
+	io_timer_clear(loop, &c->reading_timer);
 	for (i = 0; i < STORE_FEEDS_MAX; i++)
 		io_timer_clear(loop, &c->feed[i].timer);
 	io_timer_clear(loop, &c->register_timer);
@@ -300,6 +300,8 @@
 	config_free(c->config);
 	for (i = 0; i < CONFIG_KINDS; i++)
 		g_hash_table_unref(c->parsed[i]);
+	for (i = 0; i < CONFIG_KINDS; i++)
+		g_clear_pointer(&c->packed[i].value, g_bytes_unref);
 	g_hash_table_unref(c->forgotten);
 	g_ptr_array_unref(c->drain_waiters);
 	free_clients(c);
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -11,6 +11,7 @@
 #include "member_codec.h"
 #include "objects.h"
 #include "platform.h"
+#include "reader.h"
 #include "rng.h"
 #include "track.h"
 #include "wire.h"
@@ -20,18 +21,10 @@
  * lists the objects on the platform. */
 #define CONFIG_WAIT_US 2500000
 #define JOIN_WAIT_US 700000 /* for a new daemon to meet the other members */
-/* Period at which verifiers read the watched feeds, so that a change is in
- * force within a few seconds even if watches deliver nothing. */
-#define VERIFY_US 2000000
-#define VERIFY_OTHERS_US 8000000 /* of watchers, if verifiers can't read */
-/* With one watcher in each of three data centres, six daemons read the
- * platform; it refused the calls of five daemons out of thirteen. */
-#define VERIFIERS 3
-#define VERIFY_STEP_US 250000 /* between two checks of what is due */
+#define VERIFIERS 3 /* daemons that are the first to read if the last reader fails */
 #define WATCH_WAIT_MS 20000 /* until a watch without changes is answered */
 #define PLATFORM_BACKOFF_MIN_US 500000 /* doubled after each failure */
 #define PLATFORM_BACKOFF_MAX_US 4000000
-#define PULL_TIMEOUT_US 2000000
 /* Between two checks for registered instances missing in the member table. */
 #define REDISCOVER_US 5000000
 #define LEAVE_ANNOUNCE_US 300000 /* members are told before the ports close */
@@ -45,6 +38,7 @@
  * @version: platform version up to which every change of the feed is known
  * @requested_at: time at which the last list or watch was sent
  * @read_at: time of the last list of the whole feed
+ * @read_sent_at: time at which the list beside the watch was sent
  * @listing: a list is in flight
  * @watching: a watch is in flight
  * @reading: a list is in flight beside the watch: another feed has a newer
@@ -59,6 +53,7 @@
 	uint64_t version;
 	int64_t requested_at;
 	int64_t read_at;
+	int64_t read_sent_at;
 	int listing;
 	int watching;
 	int reading;
@@ -82,6 +77,13 @@
 	uint64_t pauses;
 };
 
+/* Compressed value of one version of an object. */
+struct packed {
+	char name[CONFIG_NAME_MAX];
+	uint64_t version;
+	GBytes *value; /* NULL if compression does not make it smaller */
+};
+
 struct control {
 	struct task task;
 	struct settings settings;
@@ -116,7 +118,8 @@
 	struct feed feed[STORE_FEEDS_MAX];
 	int64_t started; /* time of control_platform_start() */
 	struct io_timer start_timer;
-	struct io_timer verify_timer;
+	struct io_timer reading_timer;
+	struct reader reader;
 	struct io_timer register_timer;
 	struct io_timer seeds_timer;
 	/* name of a seed to the time since which no member has its address */
@@ -132,6 +135,7 @@
 
 	int pulling;
 	uint64_t pull_source; /* incarnation */
+	struct packed packed[CONFIG_KINDS]; /* the last that was asked for */
 	struct io_timer pull_timer;
 
 	struct data_target target;
@@ -236,6 +240,21 @@
 /* Joins the other daemons by the addresses in the store. */
 void control_seeds_start(struct control *);
 void control_seeds_stop(struct control *);
+/* Whether a feed is watched; others are only listed. */
+int control_is_watched_feed(const struct control *, int feed);
+void control_log_bad_objects(struct control *, const struct platform_result *);
+/* Applies objects of one of several feeds; 0, or -1 if their version is below
+ * the one that the feed has reached or, for a watched feed, below the complete
+ * version. */
+int control_apply_feed_batch(struct feed *, struct config_batch *);
+/* Starts to list the watched feeds whenever it is this daemon's turn. */
+void control_start_reading(struct control *);
+/* Notes that a feed was listed now, by a request sent at @sent_at. */
+void control_note_reading(struct feed *, int64_t sent_at);
+/* Lists the watched feeds that are behind @ahead. The version of a change is
+ * complete only when all of them have reached it, and their open watches would
+ * report it only with their next change. */
+void control_read_lagging_feeds(struct feed *ahead);
 /* Lists or watches the feeds that this daemon is to read. */
 void control_watch_platform(struct control *);
 /* Writes our instance object, or notes that it must be written again. */
--- a/src/daemon/control/member.c
+++ b/src/daemon/control/member.c
@@ -94,11 +94,16 @@
 on_newer_version(void *ctx, int handle, uint64_t digest)
 {
 	struct control *c = ctx;
-	const struct member *m = member_at(c->members, handle);
+	uint64_t complete = config_complete_version(c->config);
+	int source;
 
 	c->reported_version = MAX(c->reported_version, digest);
-	if (digest > config_complete_version(c->config))
-		control_pull_config(c, m->info.id);
+	if (digest <= complete)
+		return;
+	source = member_source(c->members, complete, 0);
+	if (source == MEMBER_NONE)
+		source = handle;
+	control_pull_config(c, member_at(c->members, source)->info.id);
 }
 
 const struct member_ops control_member_ops = {
--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -58,8 +58,8 @@
 	return 0;
 }
 
-static int
-is_watched_feed(const struct control *c, int i)
+int
+control_is_watched_feed(const struct control *c, int i)
 {
 	const struct store_form *f = platform_form(c->platform);
 
@@ -93,7 +93,7 @@
 	int i;
 
 	for (i = 0; i < platform_form(c->platform)->nfeed; i++)
-		if (is_watched_feed(c, i))
+		if (control_is_watched_feed(c, i))
 			lowest = MIN(lowest, c->feed[i].version);
 	if (lowest <= config_complete_version(c->config))
 		return;
@@ -119,14 +119,14 @@
  * the one that the feed has reached or, for a watched feed, below the complete
  * version. A list, which has @b->kinds set, counts by the version that it
  * names, a watch by last_version(). */
-static int
-apply_feed_batch(struct feed *f, struct config_batch *b)
+int
+control_apply_feed_batch(struct feed *f, struct config_batch *b)
 {
 	struct control *c = f->control;
 	uint64_t version = b->kinds ? b->complete : last_version(b, f->version);
 
 	if (version < f->version ||
-	    (is_watched_feed(c, f->number) &&
+	    (control_is_watched_feed(c, f->number) &&
 		version < config_complete_version(c->config))) {
 		log_event(EVENT_PLATFORM_STALE, G_LOG_LEVEL_WARNING,
 		    control_now(c),
@@ -143,10 +143,8 @@
 	return 0;
 }
 
-static void read_lagging_feeds(struct feed *ahead);
-
-static void
-log_bad_objects(struct control *c, const struct platform_result *r)
+void
+control_log_bad_objects(struct control *c, const struct platform_result *r)
 {
 	if (r->invalid)
 		log_event(EVENT_CONFIG_INVALID, G_LOG_LEVEL_WARNING,
@@ -155,49 +153,6 @@
 		    r->error.text);
 }
 
-static void
-read_done(void *ctx, struct platform_result *r)
-{
-	struct feed *f = ctx;
-
-	f->reading = 0;
-	control_note_platform_result(f->control, r);
-	log_bad_objects(f->control, r);
-	f->read_at = control_now(f->control);
-	if (r->status != PLATFORM_OK || r->batch->complete < f->version)
-		return;
-	apply_feed_batch(f, r->batch);
-}
-
-/* Lists a feed beside its watch. */
-static void
-read_feed(struct feed *f)
-{
-	if (f->reading || f->listing)
-		return;
-	f->reading = 1;
-	platform_list(f->control->platform, f->number, 0, read_done, f);
-}
-
-/* The version of a change becomes complete only when the other feeds have
- * reached it, too. Their open watches would report it only with their next
- * change, so these feeds are listed. */
-static void
-read_lagging_feeds(struct feed *ahead)
-{
-	struct control *c = ahead->control;
-	struct feed *f;
-	int i;
-
-	for (i = 0; i < platform_form(c->platform)->nfeed; i++) {
-		f = &c->feed[i];
-		if (f == ahead || !is_watched_feed(c, i) ||
-		    f->version >= ahead->version || !f->version)
-			continue;
-		read_feed(f);
-	}
-}
-
 /* Applies a batch and goes on watching. If a batch arrives early and changes
  * nothing, such as a replay, waits first, so that a platform that went back to
  * an older version is not polled in a tight loop. */
@@ -211,10 +166,10 @@
 
 	if (control_many_feeds(c)) {
 		before = f->version;
-		progress = !apply_feed_batch(f, b) &&
+		progress = !control_apply_feed_batch(f, b) &&
 			   (f->version > before || !changes);
 		if (f->version > before && before && changes)
-			read_lagging_feeds(f);
+			control_read_lagging_feeds(f);
 	} else {
 		control_apply_batch(c, b);
 		progress = config_complete_version(c->config) > before;
@@ -233,14 +188,14 @@
 
 	f->listing = 0;
 	control_note_platform_result(c, r);
-	log_bad_objects(c, r);
+	control_log_bad_objects(c, r);
 	if (r->status != PLATFORM_OK) {
 		schedule_feed(f, control_platform_backoff(c));
 		return;
 	}
 	f->listed = 1;
 	f->list_next = 0;
-	f->read_at = control_now(c);
+	control_note_reading(f, f->requested_at);
 	handle_batch(f, r->batch);
 }
 
@@ -265,7 +220,7 @@
 
 	f->watching = 0;
 	control_note_platform_result(c, r);
-	log_bad_objects(c, r);
+	control_log_bad_objects(c, r);
 	if (r->status == PLATFORM_TOO_OLD) {
 		list_feed(f);
 		return;
@@ -340,47 +295,10 @@
 	if (!c->platform || c->leaving || c->start_timer.pos)
 		return;
 	for (i = 0; i < platform_form(c->platform)->nfeed; i++)
-		if (is_watched_feed(c, i))
+		if (control_is_watched_feed(c, i))
 			watch_feed(&c->feed[i]);
 }
 
-/* Whether this daemon is one of those that verify the watches. */
-static int
-is_verifier(const struct control *c)
-{
-	int h[VERIFIERS], i, n = member_verifiers(c->members, VERIFIERS, h);
-
-	for (i = 0; i < n; i++)
-		if (h[i] == 0)
-			return 1;
-	return 0;
-}
-
-/* A watch can stop delivering changes without an error, and the platform can
- * refuse all watchers. So a few daemons list the watched feeds every two
- * seconds, and the watchers less often in case the verifiers can't. */
-static void
-verify_due(void *ctx, int64_t now)
-{
-	struct control *c = ctx;
-	int64_t period = is_verifier(c) ? VERIFY_US : VERIFY_OTHERS_US;
-	struct feed *f;
-	int i;
-
-	for (i = 0; i < platform_form(c->platform)->nfeed; i++) {
-		f = &c->feed[i];
-		if (c->leaving || !is_watched_feed(c, i) ||
-		    !config_complete_version(c->config) ||
-		    now - f->read_at < period || f->timer.pos ||
-		    !(control_is_watcher(c) || is_verifier(c)))
-			continue;
-		read_feed(f);
-	}
-	c->verify_timer.fire = verify_due;
-	c->verify_timer.ctx = c;
-	io_timer_set(c->task.loop, &c->verify_timer, now + VERIFY_STEP_US);
-}
-
 static void
 start_due(void *ctx, int64_t now)
 {
@@ -388,7 +306,7 @@
 
 	control_watch_platform(c);
 	if (control_many_feeds(c))
-		verify_due(c, now);
+		control_start_reading(c);
 }
 
 static void
@@ -401,7 +319,7 @@
 	control_note_platform_result(c, r);
 	if (r->status == PLATFORM_OK && r->batch->complete > f->version &&
 	    r->batch->complete > config_complete_version(c->config))
-		apply_feed_batch(f, r->batch);
+		control_apply_feed_batch(f, r->batch);
 	control_watch_platform(c);
 }
 
@@ -413,7 +331,7 @@
 	int i;
 
 	for (i = 0; i < platform_form(c->platform)->nfeed; i++) {
-		if (!is_watched_feed(c, i))
+		if (!control_is_watched_feed(c, i))
 			continue;
 		c->feed[i].listing = 1;
 		platform_list(c->platform, i, 1, stale_list_done, &c->feed[i]);
--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -225,6 +225,7 @@
 		o->name = b->object[i].name;
 		o->value = NULL;
 		o->value_len = 0;
+		o->unpacked_size = b->object[i].unpacked_size;
 		if (!b->object[i].value)
 			continue;
 		o->value = g_bytes_get_data(b->object[i].value, &n);
--- a/src/daemon/outbound/peer.c
+++ b/src/daemon/outbound/peer.c
@@ -188,6 +188,7 @@
 		o->version = m->object[i].version;
 		o->removed = m->object[i].removed;
 		g_strlcpy(o->name, m->object[i].name, sizeof o->name);
+		o->unpacked_size = m->object[i].unpacked_size;
 		if (!o->removed)
 			o->value = g_bytes_new(m->object[i].value,
 			    m->object[i].value_len);
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -55,6 +55,8 @@
  * @version: of the last change, or of the removal
  * @value: text, NULL when removed; owned by the table, the snapshot or the
  *         caller that filled it in
+ * @unpacked_size: size of the text if @value is compressed, as between daemons,
+ *         else 0; always 0 in a table
  */
 struct config_object {
 	int kind; /* enum config_kind */
@@ -62,6 +64,7 @@
 	uint64_t version;
 	char name[CONFIG_NAME_MAX];
 	GBytes *value;
+	uint32_t unpacked_size;
 };
 
 /**
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -120,6 +120,8 @@
  * @probed: incarnation to be probed, in PING_REQ and its answers
  * @probed_address: address of @probed, in PING_REQ
  * @config_version: version that the sender's configuration is complete to
+ * @reading: number of the newest reading of the platform that the sender knows
+ * @reading_age: time since that reading, microseconds
  * @view_state: state of the receiver in the sender's table
  * @view_seq: sequence number of that state, or MEMBER_VIEW_NONE if the
  *               receiver is not in the sender's table
@@ -134,6 +136,8 @@
 	uint64_t probed;
 	struct member_address probed_address;
 	uint64_t config_version;
+	uint32_t reading;
+	uint32_t reading_age;
 	enum member_state view_state;
 	uint32_t view_seq;
 	uint32_t cursor;
@@ -269,6 +273,18 @@
 void member_set_config_version(struct member_table *, uint64_t config_version,
     int64_t now);
 
+/**
+ * member_set_reading() - note that we have read what the platform held at @at,
+ * and tell the others, each of which tells a few more
+ *
+ * Readings are numbered: one replaces all that are known here, and a number is
+ * passed on once by each member.
+ */
+void member_set_reading(struct member_table *, int64_t at, int64_t now);
+/** member_reading_at() - time of the newest reading of the platform by any
+ * member that is known, by our clock; 0 if none is */
+int64_t member_reading_at(const struct member_table *);
+
 /**
  * member_may_act() - whether decisions may be based on our view of the members
  *
@@ -308,6 +324,15 @@
  * most @k.
  */
 int member_verifiers(const struct member_table *, int k, int *handle);
+/**
+ * member_source() - choose a member to pull the configuration from
+ * @version: version that it must be above
+ * @except: incarnation that is not chosen, 0 for none
+ *
+ * One at random of those that have announced such a version and are alive, in
+ * our data centre if there is one. Return: its handle, or MEMBER_NONE.
+ */
+int member_source(struct member_table *, uint64_t version, uint64_t except);
 /** member_counts() - copy the totals */
 void member_counts(const struct member_table *, struct member_counts *);
 
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -20,7 +20,7 @@
  */
 
 #define WIRE_PROGRAM 0x20004b51u
-#define WIRE_VERSION 1u
+#define WIRE_VERSION 2u
 
 enum wire_procedure {
 	WIRE_NULL = 0,
@@ -218,6 +218,7 @@
 	char *name;
 	const void *value;
 	uint32_t value_len; /* 0 when removed */
+	uint32_t unpacked_size; /* as in struct config_object */
 };
 
 /** struct wire_state - result of WIRE_PULL: one page of objects; fields as in
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -91,6 +91,33 @@
 }
 END_TEST
 
+/* A reading of the platform is known to all members soon, with its time, and
+ * what they tell each other later does not make it younger. */
+START_TEST(reading_spreads)
+{
+	struct fleet *f = fleet_new(sizes[_i], LOSS, 7, 1);
+	int64_t at, error;
+	int i, k;
+
+	for (k = 0; k < 3; k++) {
+		at = f->now;
+		member_set_reading(f->node[k].table, at, at);
+		fleet_run(f, f->now + 3 * SECOND_US / 2);
+		for (i = 0; i < f->n; i++) {
+			error = member_reading_at(f->node[i].table) - at;
+			ck_assert_int_ge(error, 0);
+			ck_assert_int_lt(error, SECOND_US / 4);
+		}
+		fleet_run(f, f->now + 4 * SECOND_US);
+		for (i = 0; i < f->n; i++)
+			ck_assert_int_lt(
+			    member_reading_at(f->node[i].table) - at,
+			    SECOND_US / 4);
+	}
+	fleet_free(f);
+}
+END_TEST
+
 static const struct {
 	int64_t time_us;
 	int expect_dead; /* 1: must be declared dead, 0: must not, -1: either */
@@ -630,6 +657,7 @@
 	tcase_set_timeout(c, TIMEOUT_S);
 	tcase_add_loop_test(c, dead_member_is_detected, 0, COUNT(sizes));
 	tcase_add_loop_test(c, version_spreads, 1, COUNT(sizes));
+	tcase_add_loop_test(c, reading_spreads, 1, COUNT(sizes));
 	tcase_add_loop_test(c, paused_member_recovers, 0, COUNT(pauses));
 	tcase_add_test(c, isolated_after_pause_may_not_act);
 	tcase_add_test(c, halves_rejoin_after_partition);
