--- a/scripts/dialect.sh
+++ b/scripts/dialect.sh
@@ -1,8 +1,10 @@
 # Functions to run a fleet in the users' dialect; to be sourced after fleet.sh.
 #
-#   dialect_platform           start the fake platform with the users' API
+#   dialect_platform           start the fake platform with the users' API; it also
+#                              listens on NET.0.11, where the fault turn-away holds
 #   fleet_settings DC N        print the settings of a daemon with this dialect
-#                              (replaces the function of fleet.sh)
+#                              (replaces the function of fleet.sh); the platform's
+#                              address is $dialect_platform_at if that is set
 #   dialect_target DC N [TARGET-OPTION]...
 #                              start a target of codebook that sends heartbeats
 #   dialect_store_request METHOD KIND[/NAME] [BODY]
@@ -15,7 +17,8 @@
 
 dialect_platform() {
 	fleet_run platform "$fleet_build/fake-platform" --users --ip "${fleet_platform_at%:*}" \
-		--port "${fleet_platform_at#*:}" --history "$fleet_dir/platform.history"
+		--second-ip "$fleet_net.0.11" --port "${fleet_platform_at#*:}" \
+		--history "$fleet_dir/platform.history"
 	fleet_await "http://$fleet_platform_at/fake/counts"
 }
 
@@ -26,7 +29,7 @@
 	"dialect": "platform", "service": "codebook", "target": "$fleet_net.$1.$2:9001",
 	"caller_port": "$fleet_net.$1.$2:8400", "peer_port": 8410, "operator_port": 8420,
 	"ready_port": "$fleet_net.$1.$2:8430", "heartbeat_port": "$fleet_net.$1.$2:8440",
-	"platform": { "address": "$fleet_platform_at" }, "leave_ms": 500, "grace_s": 6,
+	"platform": { "address": "${dialect_platform_at-$fleet_platform_at}" }, "leave_ms": 500, "grace_s": 6,
 	"limits": { "measure_per_s": 60, "cold_slack": 5 }, "retries": { "ratio": 0.15, "slack": 58 },
 	"log": { "level": "info" }, "fleet_keys": [ $fleet_keys ]
 }
--- a/tests/fake/platform/fault.c
+++ b/tests/fake/platform/fault.c
@@ -10,6 +10,21 @@
 	return t ? strtol(t, NULL, 10) : fallback;
 }
 
+/* @how is silent, reset, none, or a status. */
+static void
+set_turn_away(struct platform *p, const char *how)
+{
+	if (!how || g_str_equal(how, "none"))
+		p->turn_away = TURN_AWAY_NONE;
+	else if (g_str_equal(how, "silent"))
+		p->turn_away = TURN_AWAY_SILENT;
+	else if (g_str_equal(how, "reset"))
+		p->turn_away = TURN_AWAY_RESET;
+	else
+		p->turn_away = TURN_AWAY_STATUS;
+	p->turn_away_status = how ? atoi(how) : 0;
+}
+
 int
 fault_set(struct platform *p, GHashTable *query)
 {
@@ -26,11 +41,16 @@
 		    (uint64_t)query_number(query, "by", 1));
 		return SOUP_STATUS_OK;
 	}
+	if (g_str_equal(m, "turn-away")) {
+		set_turn_away(p, g_hash_table_lookup(query, "how"));
+		return SOUP_STATUS_OK;
+	}
 	if (g_str_equal(m, "deaf-watch")) {
 		p->mode = FAULT_DEAF_WATCH;
 	} else if (g_str_equal(m, "ok")) {
 		p->mode = FAULT_OK;
 		p->lose_answers = 0;
+		p->turn_away = TURN_AWAY_NONE;
 	} else if (g_str_equal(m, "down")) {
 		p->mode = FAULT_DOWN;
 		watch_abort_all(p);
--- a/tests/fake/platform/main.c
+++ b/tests/fake/platform/main.c
@@ -47,8 +47,10 @@
 	    "file to append history lines to");
 	struct arg_lit *users = arg_lit0(NULL, "users",
 	    "serve the object API of the users' platform");
+	struct arg_str *second = arg_str0(NULL, "second-ip", "IP",
+	    "second address to listen on, for the fault turn-away");
 	struct arg_end *end = arg_end(5);
-	void *table[] = { ip, port, writes, reads, file, users, end };
+	void *table[] = { ip, port, writes, reads, file, users, second, end };
 	static struct platform p;
 	struct kq_error e;
 	int r;
@@ -61,6 +63,7 @@
 		return EXIT_FAILURE;
 	}
 	p.users = users->count;
+	p.second_ip = second->count ? second->sval[0] : NULL;
 	store_init(&p.store);
 	rates_init(&p.rates, reads->dval[0], writes->dval[0], io_clock());
 	if (history_open(&p.history, file->count ? file->sval[0] : NULL,
--- a/tests/fake/platform/platform.h
+++ b/tests/fake/platform/platform.h
@@ -90,11 +90,22 @@
 	FAULT_DEAF_WATCH /* watches report no events */
 };
 
+/* What requests that come in at the second address get. */
+enum turn_away {
+	TURN_AWAY_NONE, /* they are served */
+	TURN_AWAY_SILENT, /* nothing */
+	TURN_AWAY_STATUS, /* the status turn_away_status */
+	TURN_AWAY_RESET /* a closed connection */
+};
+
 struct platform {
 	struct store store;
 	struct rates rates;
 	enum fault_mode mode;
 	int slow_ms;
+	const char *second_ip; /* second address to listen on, or NULL */
+	enum turn_away turn_away;
+	int turn_away_status;
 	int lose_answers; /* next writes that are done but not answered */
 	GList *pending; /* struct pending_watch */
 	int users; /* serves the object API of the users' platform */
@@ -126,6 +137,9 @@
 /** serve_start() - listen on @ip and @port; returns 0 or -1 with the error */
 int serve_start(struct platform *, SoupServer *, const char *ip, int port,
     struct kq_error *);
+/** serve_is_turned_away() - whether a request is not to be served, since it came
+ * in at the second address */
+int serve_is_turned_away(const struct platform *, SoupServerMessage *);
 /** serve_json() - answer with JSON @text, which it takes over and frees */
 void serve_json(SoupServerMessage *, int status, char *text);
 /** serve_abort() - shut the connection down without an answer */
--- a/tests/fake/platform/serve.c
+++ b/tests/fake/platform/serve.c
@@ -200,12 +200,42 @@
 		    NULL);
 }
 
+int
+serve_is_turned_away(const struct platform *p, SoupServerMessage *msg)
+{
+	GSocketAddress *a = soup_server_message_get_local_address(msg);
+	char *ip;
+	int is_second;
+
+	if (p->turn_away == TURN_AWAY_NONE || !p->second_ip || !a)
+		return 0;
+	ip = g_inet_address_to_string(
+	    g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(a)));
+	is_second = g_str_equal(ip, p->second_ip);
+	g_free(ip);
+	return is_second;
+}
+
+static void
+turn_away(struct platform *p, SoupServerMessage *msg)
+{
+	if (p->turn_away == TURN_AWAY_SILENT)
+		soup_server_message_pause(msg);
+	else if (p->turn_away == TURN_AWAY_RESET)
+		serve_abort(msg);
+	else
+		soup_server_message_set_status(msg,
+		    (guint)p->turn_away_status, NULL);
+}
+
 static void
 serve_api(struct platform *p, SoupServerMessage *msg)
 {
 	const char *path = g_uri_get_path(soup_server_message_get_uri(msg));
 
-	if (p->mode == FAULT_DOWN) {
+	if (serve_is_turned_away(p, msg)) {
+		turn_away(p, msg);
+	} else if (p->mode == FAULT_DOWN) {
 		serve_abort(msg);
 	} else if (p->users) {
 		serve_users_api(p, msg, path);
@@ -287,9 +317,8 @@
 	}
 }
 
-int
-serve_start(struct platform *p, SoupServer *s, const char *ip, int port,
-    struct kq_error *e)
+static int
+listen_on(SoupServer *s, const char *ip, int port, struct kq_error *e)
 {
 	GSocketAddress *a = g_inet_socket_address_new_from_string(ip, port);
 	GError *g = NULL;
@@ -297,7 +326,6 @@
 	if (!a)
 		return kq_error_set(e, KQ_LAYER_HTTP, 1,
 		    "%s: not an IP address", ip);
-	soup_server_add_handler(s, NULL, on_request, p, NULL);
 	if (!soup_server_listen(s, a, 0, &g)) {
 		kq_error_set(e, KQ_LAYER_HTTP, 1, "%s:%d: %s", ip, port,
 		    g->message);
@@ -308,3 +336,13 @@
 	g_object_unref(a);
 	return 0;
 }
+
+int
+serve_start(struct platform *p, SoupServer *s, const char *ip, int port,
+    struct kq_error *e)
+{
+	soup_server_add_handler(s, NULL, on_request, p, NULL);
+	if (listen_on(s, ip, port, e))
+		return -1;
+	return p->second_ip ? listen_on(s, p->second_ip, port, e) : 0;
+}
--- a/tests/fake/platform/users.c
+++ b/tests/fake/platform/users.c
@@ -166,6 +166,8 @@
 		struct users_watch *w = l->data;
 
 		next = l->next;
+		if (serve_is_turned_away(p, w->msg))
+			continue;
 		answer = format_events(p, w->kind, w->from, 0);
 		if (answer)
 			watch_finish(w, answer);
