--- a/src/adapter/pack/pack.c
+++ b/src/adapter/pack/pack.c
@@ -1,6 +1,7 @@
 #include "pack.h"
 
-#define LEVEL 1 /* the fastest; text with repeated keys gets small all the same */
+#define LEVEL \
+	1 /* the fastest; text with repeated keys gets small all the same */
 
 /* Converts bytes to at most @size bytes. Returns NULL, with the error set, if
  * they do not fit or are not whole. */
@@ -43,8 +44,8 @@
 GBytes *
 unpack_bytes(GBytes *b, size_t size, struct kq_error *e)
 {
-	GConverter *z = G_CONVERTER(
-	    g_zlib_decompressor_new(G_ZLIB_COMPRESSOR_FORMAT_RAW));
+	GConverter *z =
+	    G_CONVERTER(g_zlib_decompressor_new(G_ZLIB_COMPRESSOR_FORMAT_RAW));
 	GError *err = NULL;
 	GBytes *out = convert(z, b, size, &err);
 
--- a/src/core/member/source.c
+++ b/src/core/member/source.c
@@ -5,8 +5,8 @@
 static int
 can_serve(const struct row *r, uint64_t version, uint64_t except)
 {
-	return r && r->m.state == MEMBER_ALIVE && r->m.config_version > version &&
-	       r->m.info.id != except;
+	return r && r->m.state == MEMBER_ALIVE &&
+	       r->m.config_version > version && r->m.info.id != except;
 }
 
 /* One of the members found so far, each with the same probability. */
--- a/src/daemon/control/reading.c
+++ b/src/daemon/control/reading.c
@@ -100,8 +100,8 @@
 }
 
 /* A watch can stop delivering changes without an error, and the platform can
- * turn away all watchers. So the watched feeds are also listed, by one daemon of
- * the fleet at a time. */
+ * turn away all watchers. So the watched feeds are also listed, by one daemon
+ * of the fleet at a time. */
 static void
 reading_due(void *ctx, int64_t now)
 {
--- a/src/daemon/inbound/conn.c
+++ b/src/daemon/inbound/conn.c
@@ -30,8 +30,7 @@
 
 	if (!c->target_call)
 		return;
-	unsent =
-	    http_call_write(c->target_call, c->body->data, c->body->len);
+	unsent = http_call_write(c->target_call, c->body->data, c->body->len);
 	c->body_credit_owed += c->body->len;
 	g_byte_array_set_size(c->body, 0);
 	if (unsent <= WIRE_WINDOW)
--- a/src/internal/reader.h
+++ b/src/internal/reader.h
@@ -8,13 +8,14 @@
  * their changes.
  *
  * Watches fail without an error, and the platform may turn some daemons away
- * while it serves others. So the fleet reads the objects at a steady pace: every
- * daemon knows from the datagrams of the others when the last of them has read,
- * and reads by itself when that was too long ago. The daemon that has read last
- * goes on. If it fails, the verifiers of the member table follow one after the
- * other, then all other daemons, in random order. The window of that order grows
- * with the fleet, so that few daemons ask before one of them is answered and its
- * reading holds back the others. The calls a second do not grow with the fleet.
+ * while it serves others. So the fleet reads the objects at a steady pace:
+ * every daemon knows from the datagrams of the others when the last of them has
+ * read, and reads by itself when that was too long ago. The daemon that has
+ * read last goes on. If it fails, the verifiers of the member table follow one
+ * after the other, then all other daemons, in random order. The window of that
+ * order grows with the fleet, so that few daemons ask before one of them is
+ * answered and its reading holds back the others. The calls a second do not
+ * grow with the fleet.
  */
 
 #define READER_PERIOD_US 1000000 /* of the daemon that has read last */
@@ -50,7 +51,7 @@
  * @rank: place among the verifiers from 0 on, or READER_NO_RANK
  * @members: number of daemons
  */
-int64_t reader_due(const struct reader *, int64_t read_at, int rank,
-    int members);
+int64_t
+reader_due(const struct reader *, int64_t read_at, int rank, int members);
 
 #endif
--- a/tests/fake/platform/platform.h
+++ b/tests/fake/platform/platform.h
@@ -137,8 +137,8 @@
 /** serve_start() - listen on @ip and @port; returns 0 or -1 with the error */
 int serve_start(struct platform *, SoupServer *, const char *ip, int port,
     struct kq_error *);
-/** serve_is_turned_away() - whether a request is not to be served, since it came
- * in at the second address */
+/** serve_is_turned_away() - whether a request is not to be served, since it
+ * came in at the second address */
 int serve_is_turned_away(const struct platform *, SoupServerMessage *);
 /** serve_json() - answer with JSON @text, which it takes over and frees */
 void serve_json(SoupServerMessage *, int status, char *text);
--- a/tests/fake/platform/serve.c
+++ b/tests/fake/platform/serve.c
@@ -224,8 +224,8 @@
 	else if (p->turn_away == TURN_AWAY_RESET)
 		serve_abort(msg);
 	else
-		soup_server_message_set_status(msg,
-		    (guint)p->turn_away_status, NULL);
+		soup_server_message_set_status(msg, (guint)p->turn_away_status,
+		    NULL);
 }
 
 static void
--- a/tests/unit/reader.c
+++ b/tests/unit/reader.c
@@ -31,8 +31,10 @@
 {
 	int i;
 
-	*p = (struct play){ .n = n, .answered_from = answered_from,
-		.answer_us = 4 * MS, .spread_us = 50 * MS };
+	*p = (struct play){ .n = n,
+		.answered_from = answered_from,
+		.answer_us = 4 * MS,
+		.spread_us = 50 * MS };
 	srand(seed);
 	for (i = 0; i < n; i++)
 		p->reader[i].draw = draw();
