Answers without end: bounded in time, bytes and work

A chunk of eight bytes cost a record to the peer, and each pause of reading copied the rest of 64 KB. Interim answers had no bound.

Change: a request that nobody waits for is aborted a second past its deadline, or after 64 KB behind its cancellation (event 503); an answer too long to be kept for a repeat is not read on; at most 16 interim answers; small pieces of an answer are sent together in each iteration of the loop. An answer counts only if it echoes the attempt's id, also when it says that the request was not run: a late second "not run" of an earlier request made the next one count as not run, although it ran.

--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -21,6 +21,7 @@
 #define HTTP_ACCEPT_RETRY_US 100000 /* no accept after a failed one */
 /* no spare connection is opened after one was lost or could not be opened */
 #define HTTP_SPARE_RETRY_US 1000000
+#define HTTP_INTERIM_MAX 16 /* interim responses to one request */
 #define HTTP_IDLE_MAX 64 /* idle connections of a pool kept for reuse */
 #define HTTP_REFUSED_MAX 64 /* connections being closed after a 503 */
 #define HTTP_US_PER_MS 1000
@@ -183,6 +184,7 @@
  * @head_written: the user wrote the response's head
  * @body_left: bytes of the response's body still to be written, or
  *             HTTP_LENGTH_*
+ * @ninterim: interim responses received
  * @notify_drained: bytes are buffered; the callback drained is due once they
  *                  are sent
  * @interim_sent: "100 Continue" was sent to see whether the caller is still
@@ -449,6 +451,7 @@
 	int link_replaceable;
 	int paused;
 	int half_closed;
+	int ninterim;
 	int notify_drained;
 	int64_t body_left;
 };
--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -14,6 +14,9 @@
 	if (status == 101 || status < 100)
 		return in_set_error(in, 400, HTTP_E_SYNTAX,
 		    "unexpected response status");
+	if (l->interim && l->call->ninterim++ == HTTP_INTERIM_MAX)
+		return in_set_error(in, 400, HTTP_E_SYNTAX,
+		    "too many interim responses");
 	if (l->interim)
 		return 1;
 	l->call->ops->head(l->call->ctx, &in->head);
--- a/src/adapter/pack/pack.c
+++ b/src/adapter/pack/pack.c
@@ -56,6 +56,7 @@
 	    "compressed value is not a stream of %zu bytes: %s", size,
 	    err ? err->message : "another size");
 	g_clear_error(&err);
-	g_clear_pointer(&out, g_bytes_unref);
+	if (out)
+		g_bytes_unref(out);
 	return NULL;
 }
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -311,7 +311,7 @@
 	for (i = 0; i < CONFIG_KINDS; i++)
 		g_hash_table_unref(c->parsed[i]);
 	for (i = 0; i < CONFIG_KINDS; i++)
-		g_clear_pointer(&c->packed[i].value, g_bytes_unref);
+		g_bytes_unref(c->packed[i].value);
 	g_hash_table_unref(c->forgotten);
 	g_ptr_array_unref(c->drain_waiters);
 	free_clients(c);
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -242,8 +242,8 @@
 /* Joins the other daemons by the addresses in the store. */
 void control_seeds_start(struct control *);
 void control_seeds_stop(struct control *);
-/* Whether a feed is watched; others are only listed. */
-int control_is_watched_feed(const struct control *, int feed);
+/* Whether feed @i is watched; others are only listed. */
+int control_is_watched_feed(const struct control *, int i);
 void control_log_bad_objects(struct control *, const struct platform_result *);
 /* Applies objects of one of several feeds; 0, or -1 if their version is below
  * the one that the feed has reached or, for a watched feed, below the complete
--- a/src/daemon/control/pull.c
+++ b/src/daemon/control/pull.c
@@ -163,7 +163,7 @@
 	if (size < PACK_MIN_BYTES)
 		return;
 	if (p->version != o->version || strcmp(p->name, o->name)) {
-		g_clear_pointer(&p->value, g_bytes_unref);
+		g_bytes_unref(p->value);
 		p->value = pack_bytes(o->value);
 		p->version = o->version;
 		g_strlcpy(p->name, o->name, sizeof p->name);
--- a/src/daemon/inbound/answer.c
+++ b/src/daemon/inbound/answer.c
@@ -2,6 +2,12 @@
 
 #include "daemon/inbound/inbound.h"
 
+/* Buffered bytes of an answer that are sent at once; fewer wait for what comes
+ * in the same iteration of the loop, as a target may send chunks of a few
+ * bytes. */
+#define FLUSH_BYTES 16384
+#define BUFFER_BYTES 65536 /* beyond this the target's answer is not read */
+
 static void
 fill_reply(struct in_call *c, struct wire_reply *m, uint32_t outcome)
 {
@@ -48,7 +54,7 @@
 }
 
 /* Bytes beyond the credit stay buffered; reading of the target's answer goes on
- * once the buffer is empty. */
+ * once most of the buffer is sent. */
 void
 inbound_flush_answer(struct in_call *c)
 {
@@ -68,20 +74,29 @@
 	}
 	if (b && done)
 		g_byte_array_remove_range(b, 0, done);
-	if (c->answer_paused && c->target_call && (!b || !b->len)) {
+	if (c->answer_paused && c->target_call &&
+	    (!b || b->len < BUFFER_BYTES / 2)) {
 		c->answer_paused = 0;
 		http_call_pause(c->target_call, 0);
 	}
 }
 
-/* Buffers bytes of the answer and pauses the reading of further ones. */
+static void
+flush_due(void *ctx, int64_t now)
+{
+	inbound_flush_answer(ctx);
+}
+
+/* Buffers bytes of the answer, and pauses the reading of further ones when
+ * there are many. */
 static void
 buffer_answer(struct in_call *c, const void *p, size_t n)
 {
 	if (!c->answer_body)
 		c->answer_body = g_byte_array_new();
 	g_byte_array_append(c->answer_body, p, n);
-	if (c->target_call && !c->answer_paused) {
+	if (c->target_call && !c->answer_paused &&
+	    c->answer_body->len >= BUFFER_BYTES) {
 		c->answer_paused = 1;
 		http_call_pause(c->target_call, 1);
 	}
@@ -137,7 +152,13 @@
 		inbound_call_free(c);
 		return;
 	}
-	inbound_flush_answer(c);
+	if (last || !c->answer_body || c->answer_body->len >= FLUSH_BYTES) {
+		inbound_flush_answer(c);
+		return;
+	}
+	c->timer.fire = flush_due;
+	c->timer.ctx = c;
+	io_timer_set(c->data->task.loop, &c->timer, data_now(c->data));
 }
 
 /* A kept answer is no longer than the window, so it is sent without waiting for
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -97,6 +97,7 @@
 	inbound_log_call(c);
 	inbound_trace_call(c);
 	io_timer_clear(d->task.loop, &c->timer);
+	io_timer_clear(d->task.loop, &c->overrun_timer);
 	if (c->conn)
 		g_hash_table_remove(conn_calls(c->conn),
 		    GUINT_TO_POINTER(c->xid));
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -80,7 +80,10 @@
  * @answer_credit: bytes of the answer's body that may be sent
  * @answer_body: bytes of the answer that wait for credit
  * @answer_done: nonzero once all bytes of the answer came
- * @timer: timeout of IN_WAITING_VERSION or of @answer_held
+ * @timer: timeout of IN_WAITING_VERSION or of @answer_held, or sends what is
+ *	in @answer_body
+ * @overrun_timer: ends a request at the target that nobody waits for
+ * @unwanted_bytes: of an answer that nobody waits for
  */
 struct in_call {
 	struct data *data;
@@ -132,6 +135,8 @@
 	GByteArray *answer_body;
 	int answer_done;
 	struct io_timer timer;
+	struct io_timer overrun_timer;
+	size_t unwanted_bytes;
 };
 
 /** inbound_detect_pause() - check whether this task was paused, and report a
@@ -231,6 +236,12 @@
 /** inbound_cancel_run() - cancel the request to the target; the call ends when
  * the target has closed the connection too, or at once if nothing was sent */
 void inbound_cancel_run(struct in_call *);
+/** inbound_start_overrun_timer() - close the connection to the target some time
+ * after the deadline, if nobody waits for the answer by then */
+void inbound_start_overrun_timer(struct in_call *);
+/** inbound_note_unwanted_bytes() - count bytes of an answer that nobody waits
+ * for; 1 if there were too many: the request was aborted and the call freed */
+int inbound_note_unwanted_bytes(struct in_call *, size_t n);
 /** inbound_log_call() - write the log line of a call that ends */
 void inbound_log_call(const struct in_call *);
 /** inbound_trace_begin() - start the span of a call if it is sampled */
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -14,21 +14,29 @@
 	return http_head_find(h, d->dialect->not_run_field) != NULL;
 }
 
-/* Why an answer can't be the target's own answer to this request, or NULL: it
- * answers another request or, in a dialect with signatures, has a content
- * coding or lacks the signature that each 2xx answer has. */
+/* Whether an answer is not the one to this request: it lacks the id of the
+ * attempt, or names another. A late second answer to an earlier request on the
+ * connection does. */
+static int
+answers_other_request(const struct in_call *c, const struct http_head *h)
+{
+	const char *field = c->data->dialect->attempt_field;
+	const char *attempt = field ? head_copy_find(&c->head, field) : NULL;
+	const char *echo;
+
+	if (!attempt)
+		return 0;
+	echo = http_head_find(h, field);
+	return !echo || strcmp(echo, attempt);
+}
+
+/* Why an answer can't be passed on, or NULL: in a dialect with signatures it
+ * has a content coding or lacks the signature that each 2xx answer has. */
 static const char *
 invalid_reason(const struct in_call *c, const struct http_head *h)
 {
 	const struct dialect *v = c->data->dialect;
-	const char *echo, *attempt;
 
-	if (v->attempt_field) {
-		echo = http_head_find(h, v->attempt_field);
-		attempt = head_copy_find(&c->head, v->attempt_field);
-		if (echo && attempt && strcmp(echo, attempt))
-			return "other-request";
-	}
 	if (!v->signature_field)
 		return NULL;
 	if (h->status >= 200 && h->status < 300 &&
@@ -106,6 +114,12 @@
 
 	if (c->cancelled)
 		return;
+	/* Before any statement in it is used: "not run" may be about another
+	 * request. */
+	if (answers_other_request(c, h)) {
+		drop_answer(c, "other-request");
+		return;
+	}
 	note_load(d, h);
 	if (says_not_run(d, h)) {
 		target_not_run(c, h);
@@ -141,6 +155,8 @@
 {
 	struct in_call *c = ctx;
 
+	if ((c->cancelled || !c->conn) && inbound_note_unwanted_bytes(c, n))
+		return;
 	if (c->cancelled)
 		return;
 	if (c->once_entry)
@@ -361,6 +377,7 @@
 	}
 	if (c->work)
 		work_note_admission(c->work, 1);
+	inbound_start_overrun_timer(c);
 	inbound_flush_body(c);
 }
 
--- a/tests/fake/platform/fault.c
+++ b/tests/fake/platform/fault.c
@@ -22,7 +22,7 @@
 		p->turn_away = TURN_AWAY_RESET;
 	else
 		p->turn_away = TURN_AWAY_STATUS;
-	p->turn_away_status = how ? atoi(how) : 0;
+	p->turn_away_status = how ? (int)strtol(how, NULL, 10) : 0;
 }
 
 int
--- a/tests/fake/target/admin.c
+++ b/tests/fake/target/admin.c
@@ -106,9 +106,9 @@
 	    t->knobs.cold, n->health, n->load);
 	g_string_append_printf(s,
 	    "connections %u\nconnections_total %ld\nconnections_max %ld\n"
-	    "connections_refused %ld\n",
+	    "connections_refused %ld\nflooding %ld\n",
 	    t->conns.length, n->connections, n->connections_max,
-	    n->connections_refused);
+	    n->connections_refused, n->flooding);
 	answer_text(c, 200, PLAIN, s->str);
 	g_string_free(s, TRUE);
 }
--- a/tests/fake/target/answer.c
+++ b/tests/fake/target/answer.c
@@ -85,6 +85,11 @@
 	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
 	char fields[HEAD_MAX / 2];
 
+	if (t->knobs.flood > 0 && strstr(c->path, "/flood/")) {
+		g_checksum_free(sum);
+		flood_start(c);
+		return;
+	}
 	g_snprintf(c->pattern, sizeof c->pattern, "%s\n", key);
 	c->pattern_at = 0;
 	digest_body(c, t->knobs.body_bytes, sum);
@@ -121,6 +126,10 @@
 	const char *b;
 	size_t n;
 
+	if (c->flood) {
+		flood_fill(c);
+		return 1;
+	}
 	if (ends_chunk)
 		append_chunk_size(c, want);
 	if (want == 0)
--- a/tests/fake/target/conn.c
+++ b/tests/fake/target/conn.c
@@ -12,6 +12,7 @@
 	struct target *t = c->target;
 
 	job_cancel(c);
+	t->counts.flooding -= c->flood != FLOOD_NONE;
 	io_timer_clear(t->loop, &c->timer);
 	io_watch_remove(t->loop, &c->watch);
 	close(c->watch.fd);
@@ -49,6 +50,10 @@
 	n = recv(c->watch.fd, &b, 1, MSG_PEEK | MSG_DONTWAIT);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
+	if (c->flood && n >= 0) {
+		io_watch_events(c->target->loop, &c->watch, IO_WRITE);
+		return;
+	}
 	conn_close(c);
 }
 
@@ -84,12 +89,21 @@
 		conn_read(c);
 }
 
+/* A flood leaves the loop after some writes, so that the target goes on with
+ * other connections. */
+#define FLOOD_ROUNDS 4
+
 void
 conn_flush(struct conn *c)
 {
 	ssize_t n;
+	int rounds = 0;
 
 	for (;;) {
+		if (c->flood && rounds++ == FLOOD_ROUNDS) {
+			io_watch_events(c->target->loop, &c->watch, IO_WRITE);
+			return;
+		}
 		if (c->sent == c->out->len) {
 			c->sent = 0;
 			g_byte_array_set_size(c->out, 0);
--- a/tests/fake/target/knobs.c
+++ b/tests/fake/target/knobs.c
@@ -40,6 +40,10 @@
 	KNOB(encoded, 0, "next answers with a content encoding"),
 	KNOB(other_id, 0, "next answers with another attempt's id"),
 	KNOB(misdirect, 0, "next requests taken as meant for another start id"),
+	KNOB(flood, 0, "next answers that never end, to paths with /flood/"),
+	KNOB(flood_kind, 0,
+	    "1 line, 2 fields, 3 interim, 4 until close, 5 chunks, "
+	    "6 extension, 7 trailer, 8 behind a whole answer"),
 	KNOB(keep_keys, 1, "1: count repeated runs of a call key"),
 	KNOB(seed, 1, "seed of the random numbers"),
 };
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -69,6 +69,8 @@
 	long encoded; /* next answers with a content encoding */
 	long other_id; /* next answers with another attempt's id */
 	long misdirect; /* next requests taken as meant for another start id */
+	long flood; /* next answers that never end, to paths with /flood/ */
+	long flood_kind; /* what these consist of, enum flood */
 	long keep_keys; /* nonzero: count repeated runs of a call key */
 	long seed; /* of the random numbers */
 };
@@ -88,6 +90,20 @@
 /** knobs_set() - set a knob by name, with - or _; returns -1 if unknown */
 int knobs_set(struct knobs *, const char *name, long value);
 
+/** enum flood - bytes without end, sent until the caller closes the connection
+ * in both directions */
+enum flood {
+	FLOOD_NONE,
+	FLOOD_LINE, /* a head with one line without end */
+	FLOOD_FIELDS, /* a head with fields without end */
+	FLOOD_INTERIM, /* interim answers */
+	FLOOD_UNTIL_CLOSE, /* a body without length */
+	FLOOD_CHUNKS, /* a body in chunks */
+	FLOOD_EXTENSION, /* a chunk extension */
+	FLOOD_TRAILER, /* fields behind a body in chunks */
+	FLOOD_BEHIND /* bytes behind a whole answer */
+};
+
 enum conn_state {
 	CONN_OPENING, /* accepted; nothing is read before connect_us is over */
 	CONN_READING, /* idle or reading a request */
@@ -127,6 +143,7 @@
 	int64_t body_left; /* body bytes not yet in @out */
 	int64_t body_stop; /* @body_left at which to truncate, -1 for never */
 	int chunked;
+	enum flood flood;
 	int close_after; /* close the connection after this answer */
 };
 
@@ -147,6 +164,7 @@
 	long connections; /* accepted and kept */
 	long connections_max; /* most open at once */
 	long connections_refused; /* closed on accept, over the limit */
+	long flooding; /* open connections with an answer that never ends */
 };
 
 /** struct report - state that /health and /load report */
@@ -228,6 +246,10 @@
  * its CRLF */
 void
 answer_text(struct conn *, int status, const char *fields, const char *text);
+/** flood_start() - begin an answer that never ends */
+void flood_start(struct conn *);
+/** flood_fill() - append the next bytes of such an answer */
+void flood_fill(struct conn *);
 /** answer_fill() - append up to WRITE_AHEAD body bytes to the output buffer;
  * returns 0 if the buffer is empty: the answer is complete or truncated */
 int answer_fill(struct conn *);
