--- a/tests/fake/target/answer.c
+++ b/tests/fake/target/answer.c
@@ -104,6 +104,13 @@
 		c->body_stop = c->body_left / 2;
 	}
 	answer_fill(c); /* so that head and body are sent together */
+	second_prepare(c, fields);
+	if (c->second && t->knobs.second_kind == SECOND_AT_ONCE) {
+		g_byte_array_append(c->out, (const guint8 *)c->second->str,
+		    (guint)c->second->len);
+		g_string_free(c->second, TRUE);
+		c->second = NULL;
+	}
 	conn_flush(c);
 }
 
--- a/tests/fake/target/conn.c
+++ b/tests/fake/target/conn.c
@@ -19,6 +19,8 @@
 	g_queue_unlink(&t->conns, &c->link);
 	if (c->digest)
 		g_checksum_free(c->digest);
+	if (c->second)
+		g_string_free(c->second, TRUE);
 	g_byte_array_unref(c->out);
 	g_free(c);
 }
--- a/tests/fake/target/flood.c
+++ b/tests/fake/target/flood.c
@@ -13,13 +13,13 @@
 	[FLOOD_INTERIM] = { "", "HTTP/1.1 102 Processing\r\n\r\n" },
 	[FLOOD_UNTIL_CLOSE] = { "\r\n", "bytes without end\n" },
 	[FLOOD_CHUNKS] = { "Transfer-Encoding: chunked\r\n\r\n",
-		"8\r\nnoanswer\r\n" },
+	    "8\r\nnoanswer\r\n" },
 	[FLOOD_EXTENSION] = { "Transfer-Encoding: chunked\r\n\r\n8;x=",
-		"aaaaaaaaaaaaaaaa" },
+	    "aaaaaaaaaaaaaaaa" },
 	[FLOOD_TRAILER] = { "Transfer-Encoding: chunked\r\n\r\n0\r\n",
-		"X-Field: a\r\n" },
+	    "X-Field: a\r\n" },
 	[FLOOD_BEHIND] = { "Content-Length: 2\r\n\r\nok",
-		"bytes without end\n" },
+	    "bytes without end\n" },
 };
 
 static void
--- a/tests/fake/target/job.c
+++ b/tests/fake/target/job.c
@@ -86,6 +86,7 @@
 {
 	struct target *t = c->target;
 
+	second_send(c);
 	c->state = CONN_RUNNING;
 	t->running++;
 	t->counts.runs++;
--- a/tests/fake/target/knobs.c
+++ b/tests/fake/target/knobs.c
@@ -40,6 +40,9 @@
 	KNOB(encoded, 0, "next answers with a content encoding"),
 	KNOB(other_id, 0, "next answers with another attempt's id"),
 	KNOB(misdirect, 0, "next requests taken as meant for another start id"),
+	KNOB(second, 0, "next answers sent once more before the next answer"),
+	KNOB(second_kind, 1,
+	    "1 copy, 2 not run, 3 without id, 4 cut, 5 at once"),
 	KNOB(flood, 0, "next answers that never end, to paths with /flood/"),
 	KNOB(flood_kind, 0,
 	    "1 line, 2 fields, 3 interim, 4 until close, 5 chunks, "
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -69,6 +69,8 @@
 	long encoded; /* next answers with a content encoding */
 	long other_id; /* next answers with another attempt's id */
 	long misdirect; /* next requests taken as meant for another start id */
+	long second; /* next answers sent once more, see second_kind */
+	long second_kind; /* enum second */
 	long flood; /* next answers that never end, to paths with /flood/ */
 	long flood_kind; /* what these consist of, enum flood */
 	long keep_keys; /* nonzero: count repeated runs of a call key */
@@ -90,6 +92,17 @@
 /** knobs_set() - set a knob by name, with - or _; returns -1 if unknown */
 int knobs_set(struct knobs *, const char *name, long value);
 
+/** enum second - second answer to a request, sent when the next request on the
+ * connection has been read, before that is run */
+enum second {
+	SECOND_NONE,
+	SECOND_COPY, /* the first answer again */
+	SECOND_NOT_RUN, /* that the request was not run */
+	SECOND_NO_ID, /* the first answer without the attempt's id */
+	SECOND_CUT, /* the first half of the first answer */
+	SECOND_AT_ONCE /* the first answer again, in one segment with it */
+};
+
 /** enum flood - bytes without end, sent until the caller closes the connection
  * in both directions */
 enum flood {
@@ -144,6 +157,7 @@
 	int64_t body_stop; /* @body_left at which to truncate, -1 for never */
 	int chunked;
 	enum flood flood;
+	GString *second; /* to be sent before the next answer, or NULL */
 	int close_after; /* close the connection after this answer */
 };
 
@@ -246,6 +260,11 @@
  * its CRLF */
 void
 answer_text(struct conn *, int status, const char *fields, const char *text);
+/** second_prepare() - keep a second answer to the request just answered, if one
+ * is wanted; @fields are those of the first */
+void second_prepare(struct conn *, const char *fields);
+/** second_send() - send the second answer that was kept, if any */
+void second_send(struct conn *);
 /** flood_start() - begin an answer that never ends */
 void flood_start(struct conn *);
 /** flood_fill() - append the next bytes of such an answer */
