--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,9 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(SAN) -MMD -MP -c -o $@ $<
 
+COMMIT := $(shell git rev-parse --short HEAD 2>/dev/null)
+$(O)/src/adapter/version/version.o: CPPFLAGS += $(if $(COMMIT),-DKQ_COMMIT='"$(COMMIT)"')
+
 $(O)/libkumquatrock.a: $(LIB_OBJ)
 	@rm -f $@
 	ar rcs $@ $^
--- a/src/daemon/control/find.c
+++ b/src/daemon/control/find.c
@@ -8,6 +8,7 @@
 #define RETRY_US 150000 /* from a failed health check to the next */
 #define TRIES 8 /* a heartbeat has come by then, or there is no target */
 #define TIMEOUT_S 1
+#define BODY_MAX 65536 /* bytes of an answer, whose head alone matters */
 
 static void send_health_check(struct control *);
 
@@ -62,8 +63,8 @@
 	struct control *c = ctx;
 	struct heartbeat b;
 
-	if (err && g_error_matches(err, G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
-		g_error_free(err);
+	if (g_cancellable_is_cancelled(c->health_cancel)) {
+		g_clear_error(&err);
 		return; /* the control task is being freed */
 	}
 	c->health_pending = 0;
@@ -81,6 +82,17 @@
 		g_bytes_unref(body);
 }
 
+/* Ends a check whose answer is too long: the session has no other request. */
+static void
+on_body_data(SoupMessage *msg, guint n, gpointer ctx)
+{
+	struct control *c = ctx;
+
+	c->health_bytes += n;
+	if (c->health_bytes > BODY_MAX)
+		soup_session_abort(c->health_session);
+}
+
 static void
 send_health_check(struct control *c)
 {
@@ -99,6 +111,8 @@
 	}
 	g_snprintf(url, sizeof url, "http://%s:%d%s", a->ip, a->port, path);
 	msg = soup_message_new("GET", url);
+	g_signal_connect(msg, "got-body-data", G_CALLBACK(on_body_data), c);
+	c->health_bytes = 0;
 	c->health_pending = 1;
 	soup_session_send_and_read_async(c->health_session, msg,
 	    G_PRIORITY_DEFAULT, c->health_cancel, health_check_done, c);
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -146,6 +146,7 @@
 	struct io_timer health_timer;
 	int health_tries; /* failed ones; the maximum once none is needed */
 	int health_pending; /* a health check is in flight */
+	size_t health_bytes; /* of the body of its answer */
 	int has_target; /* it is announced and takes work */
 	int service_changed; /* since it was last published to the members */
 	int operator_drain; /* an operator drained the target */
--- a/src/daemon/control/operators.c
+++ b/src/daemon/control/operators.c
@@ -3,6 +3,8 @@
 #include "daemon/control/impl.h"
 #include "json.h"
 
+#define OPERATOR_BODY_MAX 65536 /* bytes of a request's body */
+
 static void
 status_handler(SoupServer *s, SoupServerMessage *msg, const char *path,
     GHashTable *query, gpointer ctx)
@@ -209,6 +211,51 @@
 	return bad ? -1 : 0;
 }
 
+static gboolean
+close_connection(gpointer ctx)
+{
+	SoupServerMessage *msg = ctx;
+	GIOStream *s = soup_server_message_steal_connection(msg);
+
+	if (s) {
+		g_io_stream_close(s, NULL, NULL);
+		g_object_unref(s);
+	}
+	g_object_unref(msg);
+	return G_SOURCE_REMOVE;
+}
+
+/* Closes a connection whose request has a body that is too long, since the
+ * server keeps a body in memory until it is whole. The server is reading it
+ * here, so the connection is closed in the next iteration. */
+static void
+on_chunk(SoupServerMessage *msg, GBytes *chunk, gpointer ctx)
+{
+	SoupMessageBody *body = soup_server_message_get_request_body(msg);
+	struct control *c = ctx;
+	GSource *s;
+
+	if (body->length <= OPERATOR_BODY_MAX)
+		return;
+	log_event(EVENT_OPERATOR_BODY, G_LOG_LEVEL_WARNING, control_now(c),
+	    "request on the operators' or targets' port closed: its body is "
+	    "over %d bytes",
+	    OPERATOR_BODY_MAX);
+	g_signal_handlers_disconnect_by_func(msg, (gpointer)on_chunk, ctx);
+	soup_message_body_set_accumulate(body, FALSE);
+	s = g_idle_source_new();
+	g_source_set_priority(s, G_PRIORITY_HIGH);
+	g_source_set_callback(s, close_connection, g_object_ref(msg), NULL);
+	g_source_attach(s, c->task.context);
+	g_source_unref(s);
+}
+
+static void
+on_request_started(SoupServer *s, SoupServerMessage *msg, gpointer ctx)
+{
+	g_signal_connect(msg, "got-chunk", G_CALLBACK(on_chunk), ctx);
+}
+
 int
 control_open_operator_server(struct control *c, struct kq_error *e)
 {
@@ -217,6 +264,8 @@
 
 	o = soup_server_new("server-header", "kumquatrock", NULL);
 	c->operator_server = o;
+	g_signal_connect(o, "request-started", G_CALLBACK(on_request_started),
+	    c);
 	soup_server_add_handler(o, "/v1/target", control_target_handler, c,
 	    NULL);
 	soup_server_add_handler(o, "/v1/status", status_handler, c, NULL);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -7,6 +7,7 @@
 #include "daemon/control/control.h"
 #include "daemon/reload.h"
 #include "log.h"
+#include "version.h"
 
 #define EXIT_USAGE 2
 #define EXIT_SETTINGS 3
@@ -143,9 +144,11 @@
 	    "read the settings, say what is wrong, and exit");
 	struct arg_lit *print = arg_lit0(NULL, "print-settings",
 	    "print the settings in force, without keys, and exit");
+	struct arg_lit *version =
+	    arg_lit0(NULL, "version", "print version, commit and libraries");
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { file, check, print, help, end };
+	void *table[] = { file, check, print, version, help, end };
 	static struct settings s;
 	int code = EXIT_SUCCESS, serve = 0;
 	char *path;
@@ -158,6 +161,10 @@
 		printf("exit: 0 stopped, 2 usage, 3 settings, 4 ports\n");
 		return EXIT_SUCCESS;
 	}
+	if (version->count) {
+		version_print("kumquatrockd");
+		return EXIT_SUCCESS;
+	}
 	if (errors) {
 		arg_print_errors(stderr, end, "kumquatrockd");
 		fprintf(stderr, "see: kumquatrockd --help\n");
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "tool.h"
+#include "version.h"
 
 #define WAIT_DEFAULT_MS 10000
 
@@ -46,6 +47,7 @@
 	    "  --wait[=MS]         wait until in force everywhere, default "
 	    "%d ms\n"
 	    "  --json              print JSON\n"
+	    "  --version           print version, commit and libraries\n"
 	    "  --help              print this text\n\ncommands:\n",
 	    WAIT_DEFAULT_MS);
 	for (i = 0; i < sizeof commands / sizeof *commands; i++)
@@ -130,6 +132,10 @@
 	if (argc > 1 &&
 	    (!strcmp(argv[1], "--help") || !strcmp(argv[1], "help")))
 		return usage(stdout, EXIT_DONE);
+	if (argc > 1 && !strcmp(argv[1], "--version")) {
+		version_print("kumquatrock");
+		return EXIT_DONE;
+	}
 	at = read_options(&t, argc, argv);
 	if (at < 0 || at >= argc)
 		return usage(stderr, EXIT_USAGE);
--- a/tests/fake/target/answer.c
+++ b/tests/fake/target/answer.c
@@ -99,6 +99,10 @@
 	g_checksum_free(sum);
 	c->chunked = t->knobs.chunked != 0;
 	append_head(c, 200, fields, t->knobs.body_bytes);
+	if (t->knobs.stop_next > 0) {
+		t->knobs.stop_next--;
+		c->stop_left = t->knobs.stop_at;
+	}
 	if (t->knobs.cut > 0) {
 		t->knobs.cut--;
 		c->body_stop = c->body_left / 2;
--- a/tests/fake/target/conn.c
+++ b/tests/fake/target/conn.c
@@ -91,6 +91,16 @@
 		conn_read(c);
 }
 
+/* Ends an answer that is to stop here. */
+static void
+stop_answer(struct conn *c)
+{
+	if (c->target->knobs.stop_reset)
+		conn_reset(c);
+	else
+		conn_close(c);
+}
+
 /* A flood leaves the loop after some writes, so that the target goes on with
  * other connections. */
 #define FLOOD_ROUNDS 4
@@ -98,6 +108,7 @@
 void
 conn_flush(struct conn *c)
 {
+	size_t left;
 	ssize_t n;
 	int rounds = 0;
 
@@ -114,8 +125,15 @@
 				return;
 			}
 		}
-		n = send(c->watch.fd, c->out->data + c->sent,
-		    c->out->len - c->sent, MSG_NOSIGNAL);
+		left = c->out->len - c->sent;
+		if (c->stop_left >= 0)
+			left = MIN(left, (size_t)c->stop_left);
+		if (!left) {
+			stop_answer(c);
+			return;
+		}
+		n = send(c->watch.fd, c->out->data + c->sent, left,
+		    MSG_NOSIGNAL);
 		if (n < 0 && errno == EAGAIN) {
 			io_watch_events(c->target->loop, &c->watch,
 			    IO_READ | IO_WRITE);
@@ -126,6 +144,8 @@
 			return;
 		}
 		c->sent += (size_t)n;
+		if (c->stop_left >= 0)
+			c->stop_left -= n;
 	}
 }
 
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -58,6 +58,9 @@
 	long report_lag_ms; /* least age of /health and /load, 0 for current */
 	long report_lie; /* in flight claimed by /load, -1 for the true one */
 	long cut; /* next answers truncated in the middle of the body */
+	long stop_next; /* next answers that end after stop_at bytes */
+	long stop_at;
+	long stop_reset; /* nonzero: they end with a reset */
 	long wrong; /* next answers that belong to another call */
 	long hang; /* next requests run and never answered */
 	long reset_after_read; /* next requests run, then connection reset */
@@ -156,6 +159,7 @@
 	int64_t body_left; /* body bytes not yet in @out */
 	int64_t body_stop; /* @body_left at which to truncate, -1 for never */
 	int chunked;
+	int64_t stop_left; /* bytes until the answer ends, -1 for never */
 	enum flood flood;
 	GString *second; /* to be sent before the next answer, or NULL */
 	int close_after; /* close the connection after this answer */
