--- a/src/adapter/version/version.c
+++ b/src/adapter/version/version.c
@@ -6,7 +6,8 @@
 #include <stdio.h>
 
 #ifndef KQ_COMMIT
-#define KQ_COMMIT "unknown" /* the build passes it where there is a repository */
+#define KQ_COMMIT \
+	"unknown" /* the build passes it where there is a repository */
 #endif
 
 void
