The first heartbeat of a daemon that starts anew is confirmed

Looked for since operators of similar systems met it: after a restart of the daemon, a target that had left was in use again.

Change: the first heartbeat counts once a health check found the target or a second one with a higher sequence came; a check is made at once.

Ruled out: asking the peers, who do not know ids of targets.

--- a/src/core/target/track.c
+++ b/src/core/target/track.c
@@ -49,10 +49,33 @@
 	t->pending[0] = '\0';
 }
 
+/* Accepts a start from its second heartbeat on: a single one may be late, and
+ * only a running target sends more. */
+static enum track_change
+confirm_start(struct track *t, const struct heartbeat *b, int64_t now)
+{
+	if (!strcmp(t->pending, b->id) && b->sequence > t->pending_sequence) {
+		t->pending[0] = '\0';
+		return set_current(t, b, now);
+	}
+	g_strlcpy(t->pending, b->id, sizeof t->pending);
+	t->pending_sequence = b->sequence;
+	return TRACK_UNCONFIRMED;
+}
+
+/* A draining start gets no requests, so that it needs no confirmation. */
+static enum track_change
+first_heartbeat(struct track *t, const struct heartbeat *b, int64_t now)
+{
+	if (has_left(t, b->id))
+		return TRACK_STALE;
+	if (t->confirm_first && !b->draining)
+		return confirm_start(t, b, now);
+	return set_current(t, b, now);
+}
+
 /* Handles a heartbeat while the current start is known from a health check
- * only. A heartbeat with the id of that start is accepted at once, one of
- * another start only from the second on: a single one may be late, and only a
- * running target sends more. */
+ * only. A heartbeat with the id of that start is accepted at once. */
 static enum track_change
 after_found(struct track *t, const struct heartbeat *b, int64_t now)
 {
@@ -60,20 +83,14 @@
 		set_current(t, b, now);
 		return b->draining ? TRACK_DRAINS : TRACK_UPDATED;
 	}
-	if (!strcmp(t->pending, b->id) && b->sequence > t->pending_sequence &&
-	    !has_left(t, b->id))
-		return set_current(t, b, now);
-	g_strlcpy(t->pending, b->id, sizeof t->pending);
-	t->pending_sequence = b->sequence;
-	return TRACK_STALE;
+	return has_left(t, b->id) ? TRACK_STALE : confirm_start(t, b, now);
 }
 
 enum track_change
 track_heartbeat(struct track *t, const struct heartbeat *b, int64_t now)
 {
 	if (t->state == TRACK_NONE)
-		return has_left(t, b->id) ? TRACK_STALE
-					  : set_current(t, b, now);
+		return first_heartbeat(t, b, now);
 	if (t->health_only && t->state != TRACK_LEFT)
 		return after_found(t, b, now);
 	if (!is_same_start(t, b))
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -20,6 +20,7 @@
 	c->incarnation = incarnation;
 	c->udp_fd = -1;
 	c->may_act = 1;
+	c->track.confirm_first = c->dialect->run_id_field && s->target.port;
 	c->platform_backoff = PLATFORM_BACKOFF_MIN_US;
 	rng_seed(&c->rng, incarnation ^ 1);
 	task_init(&c->task, "control");
--- a/src/daemon/control/find.c
+++ b/src/daemon/control/find.c
@@ -129,6 +129,16 @@
 	send_health_check(c);
 }
 
+void
+control_repeat_health_check(struct control *c)
+{
+	if (c->health_pending || c->leaving)
+		return;
+	io_timer_clear(c->task.loop, &c->health_timer);
+	c->health_tries = 0;
+	control_start_health_check(c);
+}
+
 void
 control_stop_health_check(struct control *c)
 {
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -290,6 +290,8 @@
 void control_target_healthy(struct control *, const struct heartbeat *);
 /* Checks the health of a target that sent no heartbeat yet. */
 void control_start_health_check(struct control *);
+/* Begins anew, for a heartbeat that is to be confirmed. */
+void control_repeat_health_check(struct control *);
 void control_stop_health_check(struct control *);
 
 #endif
--- a/src/daemon/control/target.c
+++ b/src/daemon/control/target.c
@@ -172,6 +172,11 @@
 		    !c->operator_drain)
 			set_target(c, b);
 		break;
+	case TRACK_UNCONFIRMED:
+		log_report(c, EVENT_TARGET_REPORT_STALE, b,
+		    "heartbeat awaits a health check or a second one");
+		control_repeat_health_check(c);
+		break;
 	default:
 		log_report(c, EVENT_TARGET_REPORT_STALE, b,
 		    "heartbeat is outdated");
--- a/src/internal/track.h
+++ b/src/internal/track.h
@@ -28,6 +28,7 @@
 /** enum track_change - what a heartbeat or a leave changed */
 enum track_change {
 	TRACK_STALE, /* nothing: it is late or of another start */
+	TRACK_UNCONFIRMED, /* nothing yet: it may be late, see confirm_first */
 	TRACK_UPDATED, /* new heartbeat of the current start */
 	TRACK_START, /* a new start became the current one */
 	TRACK_DRAINS, /* the current start wants no new requests */
@@ -35,14 +36,20 @@
 };
 
 /** struct track - the current start; zero it before first use
+ * @confirm_first: nonzero if the very first heartbeat is not enough: a tracker
+ *	that starts anew does not know which starts have left, and a late
+ *	heartbeat of one of them may arrive. A health check or a second
+ *	heartbeat confirms it.
  * @health_only: nonzero if it answered a health check and sent no heartbeat yet
- * @pending: id of another start that sent one heartbeat while @health_only was
- *	set; that heartbeat may be a late one of a start that ended earlier
+ * @pending: id of a start that sent one heartbeat that is still to be
+ *	confirmed: the first, or one of another start while @health_only is set;
+ *	it may be a late one of a start that ended earlier
  * @pending_sequence: sequence number of that heartbeat
  * @last: last heartbeat accepted
  * @updated_at: time of the last change or accepted heartbeat
  * @left: ring of the ids that left last; @nleft counts the ids put into it */
 struct track {
+	int confirm_first;
 	enum track_state state;
 	int health_only;
 	char pending[SERVICE_NAME_MAX];
