--- a/src/core/target/track.c
+++ b/src/core/target/track.c
@@ -83,7 +83,9 @@
 		set_current(t, b, now);
 		return b->draining ? TRACK_DRAINS : TRACK_UPDATED;
 	}
-	return has_left(t, b->id) ? TRACK_STALE : confirm_start(t, b, now);
+	if (!has_left(t, b->id) && confirm_start(t, b, now) == TRACK_START)
+		return TRACK_START;
+	return TRACK_STALE;
 }
 
 enum track_change
--- a/src/daemon/control/target.c
+++ b/src/daemon/control/target.c
@@ -173,7 +173,7 @@
 			set_target(c, b);
 		break;
 	case TRACK_UNCONFIRMED:
-		log_report(c, EVENT_TARGET_REPORT_STALE, b,
+		log_report(c, EVENT_TARGET_UNCONFIRMED, b,
 		    "heartbeat awaits a health check or a second one");
 		control_repeat_health_check(c);
 		break;
--- a/src/daemon/inbound/measure.c
+++ b/src/daemon/inbound/measure.c
@@ -117,10 +117,8 @@
 	d->measure_call = http_call_start(d->pool, "GET",
 	    d->health_path[0] ? d->health_path : "/load", f, 1,
 	    HTTP_LENGTH_NONE, 0, &load_ops, d, NULL);
-	if (!d->measure_call) {
-		inbound_pace_reading_failed(d);
+	if (!d->measure_call)
 		return -1;
-	}
 	http_call_end_request(d->measure_call);
 	if (!d->health_path[0])
 		return 0;
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -14,9 +14,9 @@
 	return http_head_find(h, d->dialect->not_run_field) != NULL;
 }
 
-/* Whether an answer is not the one to this request: it lacks the id of the
- * attempt, or names another. A late second answer to an earlier request on the
- * connection does. */
+/* Whether an answer is to another request, as a late second answer to an
+ * earlier request on the connection: it names the id of another attempt, or is
+ * a success without one. */
 static int
 answers_other_request(const struct in_call *c, const struct http_head *h)
 {
@@ -27,7 +27,9 @@
 	if (!attempt)
 		return 0;
 	echo = http_head_find(h, field);
-	return !echo || strcmp(echo, attempt);
+	if (!echo)
+		return h->status >= 200 && h->status < 300;
+	return strcmp(echo, attempt) != 0;
 }
 
 /* Why an answer can't be passed on, or NULL: in a dialect with signatures it
