Test: a planned stop while callers connect and send

A stand-in of callers (tests/fake/caller) sends requests whole, in halves, late, with a body and several at once while the daemon gets SIGTERM. No change of the daemon was needed.

--- /dev/null
+++ b/tests/fake/caller/main.c
@@ -0,0 +1,105 @@
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "caller.h"
+
+#define THREADS 40
+#define SEED_FIRST 17 /* of the first thread's random numbers */
+#define RETRY_US 20000 /* after a connection that could not be opened */
+#define REFUSED_MAX 25 /* in a row, until a thread ends */
+
+static const char *const way_names[WAYS] = { "whole", "halves", "late", "body",
+	"pipelined" };
+
+struct thread {
+	struct caller *caller;
+	guint32 seed;
+};
+
+static gpointer
+run(gpointer arg)
+{
+	struct thread *t = arg;
+	GRand *rand = g_rand_new_with_seed(t->seed);
+	int refused = 0;
+
+	while (
+	    g_get_monotonic_time() < t->caller->end && refused < REFUSED_MAX) {
+		if (!connection_play(t->caller,
+			(enum way)g_rand_int_range(rand, 0, WAYS), rand)) {
+			refused = 0;
+			continue;
+		}
+		refused++;
+		g_usleep(RETRY_US);
+	}
+	g_rand_free(rand);
+	return NULL;
+}
+
+static int
+parse_address(const char *text, struct sockaddr_in *a)
+{
+	char **part = g_strsplit(text, ":", 2);
+	int bad = !part[0] || !part[1] ||
+		  inet_pton(AF_INET, part[0], &a->sin_addr) != 1;
+
+	a->sin_family = AF_INET;
+	if (!bad)
+		a->sin_port =
+		    htons((uint16_t)g_ascii_strtoull(part[1], NULL, 10));
+	g_strfreev(part);
+	return bad ? -1 : 0;
+}
+
+static int
+print_counts(const struct counts *n)
+{
+	int i, cut = 0;
+
+	printf("connections %d\n", n->connections);
+	for (i = 0; i < WAYS; i++) {
+		printf("%s: sent %d answered %d cut %d\n", way_names[i],
+		    n->sent[i], n->answered[i], n->cut[i]);
+		cut += n->cut[i];
+	}
+	return cut;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_str *to = arg_str1(NULL, "to", "IP:PORT", "daemon");
+	struct arg_str *host = arg_str1(NULL, "host", "NAME", "Host field");
+	struct arg_str *path = arg_str1(NULL, "path", "PATH", "path");
+	struct arg_int *seconds =
+	    arg_int1(NULL, "seconds", "N", "longest duration");
+	struct arg_end *end = arg_end(5);
+	void *table[] = { to, host, path, seconds, end };
+	struct thread t[THREADS];
+	GThread *thread[THREADS];
+	struct caller c = { 0 };
+	int i, cut;
+
+	if (arg_parse(argc, argv, table) > 0 ||
+	    parse_address(to->sval[0], &c.to)) {
+		arg_print_errors(stderr, end, argv[0]);
+		arg_print_glossary(stderr, table, NULL);
+		return EXIT_FAILURE;
+	}
+	c.host = host->sval[0];
+	c.path = path->sval[0];
+	c.end = g_get_monotonic_time() + seconds->ival[0] * G_USEC_PER_SEC;
+	for (i = 0; i < THREADS; i++) {
+		t[i] = (struct thread){ &c, (guint32)(SEED_FIRST + i) };
+		thread[i] = g_thread_new("caller", run, &t[i]);
+	}
+	for (i = 0; i < THREADS; i++)
+		g_thread_join(thread[i]);
+	cut = print_counts(&c.counts);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return cut ? EXIT_FAILURE : EXIT_SUCCESS;
+}
