--- a/bench/member/main.c
+++ b/bench/member/main.c
@@ -33,10 +33,31 @@
 	report(n, name, (double)fleet_quantile(times, 1) / SECOND_US, "s");
 }
 
+/* Runs the fleet for @time while one member reads the platform each second.
+ * Returns the share of members that know of a reading after 300 ms. */
+static double
+run_with_readings(struct fleet *f, int64_t time)
+{
+	int64_t until = f->now + time;
+	int i, known = 0, all = 0;
+
+	while (f->now < until) {
+		int64_t at = f->now;
+
+		member_set_reading(f->node[0].table, at, at);
+		fleet_run(f, at + 3 * SECOND_US / 10);
+		for (i = 0; i < f->n; i++)
+			known += member_reading_at(f->node[i].table) >= at;
+		all += f->n;
+		fleet_run(f, at + SECOND_US);
+	}
+	return (double)known / all;
+}
+
 static void
 bench_steady(struct fleet *f)
 {
-	double cpu_s, members = f->n * (double)STEADY_US / SECOND_US;
+	double known, cpu_s, members = f->n * (double)STEADY_US / SECOND_US;
 	uint64_t bytes = 0, messages = 0, max_bytes = 0;
 	clock_t start;
 	int i;
@@ -44,7 +65,7 @@
 	fleet_run(f, f->now + SETTLE_US);
 	fleet_reset_counts(f);
 	start = clock();
-	fleet_run(f, f->now + STEADY_US);
+	known = run_with_readings(f, STEADY_US);
 	cpu_s = (double)(clock() - start) / CLOCKS_PER_SEC;
 	for (i = 0; i < f->n; i++) {
 		bytes += f->node[i].bytes;
@@ -56,6 +77,7 @@
 	    (double)max_bytes * SECOND_US / (double)STEADY_US, "B/s");
 	report(f->n, "messages", (double)messages / members, "1/s");
 	report(f->n, "processor", cpu_s / members * 1e6, "us/s");
+	report(f->n, "reading_known_300ms", known, "share");
 	report(f->n, "suspicions", (double)f->suspicions / members, "1/s");
 	report(f->n, "false_deaths", (double)f->false_deaths, "events");
 }
--- a/completion/kumquatrock.bash
+++ b/completion/kumquatrock.bash
@@ -17,7 +17,7 @@
 _kumquatrock() {
 	local cur=${COMP_WORDS[COMP_CWORD]} prev=${COMP_WORDS[COMP_CWORD - 1]} words=
 	case $(_kumquatrock_command) in
-	'') words='--platform --daemon --wait --json --help
+	'') words='--platform --daemon --wait --json --help --version
 		check publish dc status targets explain drain undrain trace
 		members metrics settings' ;;
 	check) words=--help ;;
