--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -10,6 +10,8 @@
 #   fleet_targets N                wait until that daemon has N targets to pick from
 #   fleet_config_history           write history lines of the configuration versions
 #                                  that each daemon had in force
+#   fleet_fail TEXT                print a failure and set $failed, with which a script
+#                                  that uses it ends
 #   fleet_close                    stop all processes, the last started first
 #
 # NET is FLEET_NET, 127.0 if not set. Ports on each address: caller 8400, peer 8410,
@@ -28,6 +30,11 @@
 	fleet_first=$fleet_net.1.1:8400
 }
 
+fleet_fail() {
+	echo "FAILED $1"
+	failed=1
+}
+
 # fleet_run NAME COMMAND...: runs a program in the background with its output in
 # $fleet_dir/NAME.log; its process id is in $!
 fleet_run() {
--- a/tests/system/broken-answer.sh
+++ b/tests/system/broken-answer.sh
@@ -14,10 +14,6 @@
 failed=0
 at=$fleet_net.1.1:8400
 
-fail() {
-	echo "FAILED $1"
-	failed=1
-}
 set_targets() {
 	for n in 1 2; do
 		curl -s -m 2 -o /dev/null -X POST "http://$fleet_net.1.$n:9001/fake/set?$1"
@@ -38,7 +34,7 @@
 	dialect_target 1 $n --body-bytes $BODY_BYTES --service-us 500
 done
 fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
-fleet_targets 2 || fail "the targets are not known"
+fleet_targets 2 || fleet_fail "the targets are not known"
 fleet_wait_until 5 curl -sf -m 2 -o /dev/null -H "Host: h.example" -H "X-Attempt-Id: first" -H "X-Deadline-Ms: 900" "http://$at/s/1"
 calls=0 whole=0 lost=0 safe=0
 for chunked in 0 1; do
@@ -60,15 +56,15 @@
 				calls=$((calls + 1))
 				if [ "$status" = 200 ] && [ $code = 0 ]; then
 					whole=$((whole + 1))
-					is_whole || fail "$id: a complete success with another body"
+					is_whole || fleet_fail "$id: a complete success with another body"
 					[ $route = n ] || safe=$((safe + 1))
 				elif [ $route = n ]; then
 					lost=$((lost + 1))
 					case $status in
-					408 | 421 | 429 | 503) [ "$(ran "$id")" = 0 ] || fail "$id: ran and was refused with $status" ;;
+					408 | 421 | 429 | 503) [ "$(ran "$id")" = 0 ] || fleet_fail "$id: ran and was refused with $status" ;;
 					esac
 				fi
-				[ $route = s ] || [ "$(ran "$id")" -le 1 ] || fail "$id: ran $(ran "$id") times"
+				[ $route = s ] || [ "$(ran "$id")" -le 1 ] || fleet_fail "$id: ran $(ran "$id") times"
 				rm -f "$fleet_dir/body" "$fleet_dir/head"
 				: >"$fleet_dir/body"
 			done
@@ -76,5 +72,5 @@
 	done
 done
 echo "calls $calls, whole $whole, of these safe $safe, non-idempotent without success $lost"
-[ $lost -gt 50 ] || fail "only $lost answers were lost"
+[ $lost -gt 50 ] || fleet_fail "only $lost answers were lost"
 exit $failed
--- a/tests/system/config-storm.sh
+++ b/tests/system/config-storm.sh
@@ -17,10 +17,6 @@
 away="1-1 1-2 2-1 2-2 3-1"
 killed="1-3 2-3 3-2 3-3"
 
-fail() {
-	echo "FAILED $1"
-	failed=1
-}
 version_of() { fleet_status "${1%-*}" "${1#*-}" complete; }
 all_have() {
 	for d in $all; do
@@ -53,7 +49,7 @@
 for d in $all; do
 	start_daemon "$d"
 done
-fleet_wait_until 15 all_have "$version" || fail "the first configuration is not in force"
+fleet_wait_until 15 all_have "$version" || fleet_fail "the first configuration is not in force"
 sleep 2
 fleet_platform_mode "turn-away&how=silent"
 for n in $(seq $CHANGES); do
@@ -70,16 +66,16 @@
 	fi
 	sleep 0.3
 done
-fleet_wait_until 9 all_have "$version" || fail "version $version is not in force after 9 s"
+fleet_wait_until 9 all_have "$version" || fleet_fail "version $version is not in force after 9 s"
 took=$(($(date +%s%3N) - acknowledged))
-[ $took -le $BOUND_MS ] || fail "the last version is in force after $took ms"
+[ $took -le $BOUND_MS ] || fleet_fail "the last version is in force after $took ms"
 echo "last version in force after $took ms"
 for d in $all; do
 	sed -n 's/.*event=\(100\|320\) .*complete=\([0-9]*\) .*/\1 \2/p; s/.*event=100 .*/100 0/p' "$fleet_dir/daemon-$d.log" |
 		awk -v d="$d" '$1 == 100 { last = 0 }
 			$1 == 320 { if ($2 < last) { print d " went back from " last " to " $2; bad = 1 } last = $2 }
-			END { exit bad }' || fail "$d went back"
+			END { exit bad }' || fleet_fail "$d went back"
 	pulls=$(fleet_metric "${d%-*}" "${d#*-}" pulls_total)
-	[ "$pulls" -le $((3 * CHANGES)) ] || fail "$d pulled $pulls times for $CHANGES changes"
+	[ "$pulls" -le $((3 * CHANGES)) ] || fleet_fail "$d pulled $pulls times for $CHANGES changes"
 done
 exit $failed
--- a/tests/system/endless.sh
+++ b/tests/system/endless.sh
@@ -18,10 +18,6 @@
 at=$fleet_net.1.1:8400
 target=$fleet_net.1.1:9001
 
-fail() {
-	echo "FAILED $1"
-	failed=1
-}
 set_target() { curl -s -m 2 -o /dev/null -X POST "http://$target/fake/set?$1"; }
 target_count() { curl -s -m 2 "http://$target/fake/counts" | sed -n "s/^$1 //p"; }
 # shellcheck disable=SC2154
@@ -35,7 +31,7 @@
 fleet_daemon 1 1
 dialect_target 1 1 --connections 100
 fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
-fleet_targets 1 || fail "the target is not known"
+fleet_targets 1 || fleet_fail "the target is not known"
 fleet_wait_until 5 curl -sf -m 2 -o /dev/null -H "$(host)" -H "X-Attempt-Id: first" -H "X-Deadline-Ms: 900" "http://$at/s/1"
 fleet_run load "$1/bench-load" --dialect platform --service "${dialect_host-h.example}" --rate 50 --fixed --seconds 60 \
 	--timeout-ms 900 --call GET:/s/1:1:repeat --to "$at" --history "$fleet_dir/load.history"
@@ -53,15 +49,15 @@
 		code=$?
 		took=$(($(date +%s%3N) - start))
 		if [ $kind = 8 ]; then
-			[ "$status$code$(cat "$fleet_dir/body")" = 2000ok ] || fail "$name: whole answer, got $status, curl $code"
+			[ "$status$code$(cat "$fleet_dir/body")" = 2000ok ] || fleet_fail "$name: whole answer, got $status, curl $code"
 		elif [ "$status" -lt 300 ] && [ $code = 0 ]; then
-			fail "$name: a complete success with status $status"
+			fleet_fail "$name: a complete success with status $status"
 		fi
-		[ $took -le $((DEADLINE_MS + LATE_MS)) ] || fail "$name: ended after $took ms"
-		fleet_wait_until $CLOSE_S no_flood || fail "$name: $(target_count flooding) connections stay open"
+		[ $took -le $((DEADLINE_MS + LATE_MS)) ] || fleet_fail "$name: ended after $took ms"
+		fleet_wait_until $CLOSE_S no_flood || fleet_fail "$name: $(target_count flooding) connections stay open"
 		set_target "flood=0"
 		grown=$(($(peak_kb) - before))
-		[ $grown -le $GROWTH_MAX_KB ] || fail "$name: memory grew by $grown KB"
+		[ $grown -le $GROWTH_MAX_KB ] || fleet_fail "$name: memory grew by $grown KB"
 		echo "$name: status $status curl $code, $took ms, memory $grown KB"
 	done
 done
@@ -78,8 +74,8 @@
 		close("sort -n >'"$fleet_dir"'/us")
 		print "other requests", n, "not whole", bad + 0
 		exit bad > 0 || n < 200
-	}' "$fleet_dir/load.history" || fail "other requests were not answered"
+	}' "$fleet_dir/load.history" || fleet_fail "other requests were not answered"
 p99=$(awk '{ a[NR] = $1 } END { print int(a[int(NR * 0.99)] / 1000) }' "$fleet_dir/us")
 echo "p99 of the other requests: $p99 ms"
-[ "$p99" -le $P99_MAX_MS ] || fail "p99 of the other requests is $p99 ms"
+[ "$p99" -le $P99_MAX_MS ] || fleet_fail "p99 of the other requests is $p99 ms"
 exit $failed
--- a/tests/system/left-target.sh
+++ b/tests/system/left-target.sh
@@ -10,10 +10,6 @@
 failed=0
 at=$fleet_net.1.1
 
-fail() {
-	echo "FAILED $1"
-	failed=1
-}
 # report CALL ID SEQUENCE: sends a report of a target that nothing else answers for
 report() {
 	curl -s -m 2 -o /dev/null -X POST -H 'Content-Type: application/json' \
@@ -30,7 +26,7 @@
 	wait "$fleet_daemon_1_1" 2>/dev/null
 	fleet_daemon 1 1
 	fleet_await "http://$at:8430/v1/readiness"
-	fleet_wait_until 5 is_configured || fail "no configuration after the restart"
+	fleet_wait_until 5 is_configured || fleet_fail "no configuration after the restart"
 }
 is_configured() { [ "$(fleet_status 1 1 complete)" -gt 0 ] 2>/dev/null; }
 
@@ -38,20 +34,20 @@
 dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /s/ safe)")" >"$fleet_dir/code"
 fleet_daemon 1 1
 fleet_await "http://$at:8430/v1/readiness"
-fleet_wait_until 5 is_configured || fail "no configuration"
+fleet_wait_until 5 is_configured || fleet_fail "no configuration"
 report heartbeat i-1 5
 report heartbeat i-1 6
-fleet_wait_until 3 has_target || fail "the target is not taken"
+fleet_wait_until 3 has_target || fleet_fail "the target is not taken"
 report leave i-1 0
-fleet_wait_until 3 has_none || fail "the target that left is still in use"
+fleet_wait_until 3 has_none || fleet_fail "the target that left is still in use"
 restart
 report heartbeat i-1 4
 for _ in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15; do
-	has_none || { fail "a late heartbeat brought back the target that left"; break; }
+	has_none || { fleet_fail "a late heartbeat brought back the target that left"; break; }
 	sleep 0.1
 done
 restart
 dialect_target 1 1
-fleet_wait_until 4 has_target || fail "a running target is not taken after a restart"
+fleet_wait_until 4 has_target || fleet_fail "a running target is not taken after a restart"
 [ $failed = 0 ] && echo ok
 exit $failed
--- a/tests/system/second-answer.sh
+++ b/tests/system/second-answer.sh
@@ -13,10 +13,6 @@
 at=$fleet_net.1.1:8400
 target=$fleet_net.1.1:9001
 
-fail() {
-	echo "FAILED $1"
-	failed=1
-}
 set_target() { curl -s -m 2 -o /dev/null -X POST "http://$target/fake/set?$1"; }
 # call ROUTE ID: sends a request; its status is in $status, its answer in head and body
 call() {
@@ -33,7 +29,7 @@
 fleet_daemon 1 1
 dialect_target 1 1
 fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
-fleet_targets 1 || fail "the target is not known"
+fleet_targets 1 || fleet_fail "the target is not known"
 fleet_wait_until 5 curl -sf -m 2 -o /dev/null -H "Host: h.example" -H "X-Attempt-Id: first" -H "X-Deadline-Ms: 900" "http://$at/s/1"
 for kind in 1 2 3 4 5; do
 	whole=0
@@ -46,17 +42,17 @@
 		call $route "$id"
 		if [ "$status" = 200 ]; then
 			whole=$((whole + 1))
-			grep -qi "^X-Attempt-Id: $id" "$fleet_dir/head" || fail "kind $kind: $id got another request's answer"
-			grep -q "^$id" "$fleet_dir/body" || fail "kind $kind: $id got another body: $(head -c 40 "$fleet_dir/body")"
+			grep -qi "^X-Attempt-Id: $id" "$fleet_dir/head" || fleet_fail "kind $kind: $id got another request's answer"
+			grep -q "^$id" "$fleet_dir/body" || fleet_fail "kind $kind: $id got another body: $(head -c 40 "$fleet_dir/body")"
 		elif [ "$status" = 503 ] && [ "$(ran "$id")" != 0 ]; then
-			fail "kind $kind: $id ran and was refused"
+			fleet_fail "kind $kind: $id ran and was refused"
 		fi
-		[ "$(ran "$id")" -le 1 ] || [ $route = s ] || fail "kind $kind: $id ran $(ran "$id") times"
+		[ "$(ran "$id")" -le 1 ] || [ $route = s ] || fleet_fail "kind $kind: $id ran $(ran "$id") times"
 	done
 	echo "kind $kind: $whole of $ROUNDS whole"
-	[ $whole -ge $((ROUNDS / 2)) ] || fail "kind $kind: only $whole of $ROUNDS requests were served"
+	[ $whole -ge $((ROUNDS / 2)) ] || fleet_fail "kind $kind: only $whole of $ROUNDS requests were served"
 done
 used=$(grep -c "event=502.*other-request" "$fleet_dir/daemon-1-1.log")
 echo "second answers met by the next request: $used"
-[ "$used" -gt 0 ] || fail "no second answer was met by a request"
+[ "$used" -gt 0 ] || fleet_fail "no second answer was met by a request"
 exit $failed
--- a/tests/system/turned-away.sh
+++ b/tests/system/turned-away.sh
@@ -15,10 +15,6 @@
 all="1-1 1-2 1-3 1-4 1-5 2-1 2-2 2-3 2-4 3-1 3-2 3-3 3-4"
 TURNED_AWAY=8
 
-fail() {
-	echo "FAILED $1"
-	failed=1
-}
 # version_of DAEMON: prints the version that it has in force
 version_of() { fleet_status "${1%-*}" "${1#*-}" complete; }
 all_have() {
@@ -40,7 +36,7 @@
 for d in $all; do
 	fleet_daemon "${d%-*}" "${d#*-}"
 done
-fleet_wait_until 15 all_have "$(fleet_platform_count version)" || fail "the first configuration is not in force"
+fleet_wait_until 15 all_have "$(fleet_platform_count version)" || fleet_fail "the first configuration is not in force"
 sleep 2
 before=$(reads)
 for d in $all; do
@@ -48,7 +44,7 @@
 done
 sleep $REST_S
 calls=$(($(reads) - before))
-[ "$calls" -le $REST_CALLS_MAX ] || fail "$calls calls to the store in $REST_S s at rest"
+[ "$calls" -le $REST_CALLS_MAX ] || fleet_fail "$calls calls to the store in $REST_S s at rest"
 echo "calls to the store in $REST_S s at rest: $calls"
 
 # The daemons that watch or read the store come first among those that it turns away.
@@ -71,7 +67,7 @@
 echo "watchers and readers:$first"
 sleep 0.5
 # Ends the watches that were opened at the first address.
-fleet_wait_until 9 all_have "$(change 0)" || fail "the change after SIGHUP is not in force"
+fleet_wait_until 9 all_have "$(change 0)" || fleet_fail "the change after SIGHUP is not in force"
 
 n=0
 for how in silent 503 429 reset; do
@@ -81,9 +77,9 @@
 		sleep $pause
 		version=$(change $n)
 		start=$(date +%s%3N)
-		fleet_wait_until 9 all_have "$version" || fail "$how: version $version is not in force after 9 s"
+		fleet_wait_until 9 all_have "$version" || fleet_fail "$how: version $version is not in force after 9 s"
 		took=$(($(date +%s%3N) - start))
-		[ $took -le $BOUND_MS ] || fail "$how: version $version in force after $took ms"
+		[ $took -le $BOUND_MS ] || fleet_fail "$how: version $version in force after $took ms"
 		echo "$how $pause: $took ms"
 	done
 	fleet_platform_mode ok
