--- a/tests/unit/json.c
+++ b/tests/unit/json.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config.h"
 #include "json.h"
 
 static const struct {
@@ -183,6 +184,29 @@
 }
 END_TEST
 
+/* An answer of the platform with a value of the largest size that it stores is
+ * read; a text beyond the limit is refused. */
+START_TEST(the_largest_answer_is_read)
+{
+	GString *t = g_string_new("{\"items\":[{\"specification\":\"");
+	struct kq_error e = { 0 };
+	struct json *j;
+	int i;
+
+	for (i = 0; i < CONFIG_VALUE_MAX - 2; i++)
+		g_string_append_c(t, 'v');
+	g_string_append(t, "\"}],\"has_more\":false,\"at\":7}");
+	j = json_read(t->str, t->len, &e);
+	ck_assert_ptr_nonnull(j);
+	json_free(j);
+	while (t->len <= JSON_TEXT_MAX)
+		g_string_append_c(t, ' ');
+	ck_assert_ptr_null(json_read(t->str, t->len, &e));
+	ck_assert_int_eq(e.code, JSON_E_SIZE);
+	g_string_free(t, TRUE);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -191,6 +215,7 @@
 	SRunner *r = srunner_create(s);
 	int failed;
 
+	tcase_add_test(c, the_largest_answer_is_read);
 	tcase_add_loop_test(c, bad_text_gives_error_position, 0,
 	    (int)(sizeof bad_texts / sizeof bad_texts[0]));
 	tcase_add_loop_test(c, getters_reject_bad_values, 0,
