--- a/src/adapter/dialect/own.c
+++ b/src/adapter/dialect/own.c
@@ -17,6 +17,7 @@
 	.target_deadline_field = "Deadline-Ms",
 	.passes_retry_budget = 1,
 	.not_run_field = "Not-Run",
+	.limit_field = "Limit-Per-S",
 	.ready_path = "/v1/ready",
 	.read_report = own_read_report,
 	.half_close = 1,
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -14,6 +14,7 @@
 #include "pick.h"
 #include "retry.h"
 #include "rng.h"
+#include "stated.h"
 #include "trace.h"
 #include "work.h"
 
@@ -108,6 +109,8 @@
 	/* the target refused a connection or said that it is another one;
 	 * cleared when the target is set again */
 	int target_unusable;
+	struct stated_limit stated; /* of the target */
+	int said_leaving; /* an answer of the target said that it leaves */
 	struct pace pace; /* of the target's machine */
 	struct knee knee; /* of the target */
 	GHashTable *route_work; /* host and prefix to struct work */
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -222,6 +222,12 @@
 /** inbound_refuse_call() - refuse a call that was not sent to the target;
  * frees it */
 void inbound_refuse_call(struct in_call *, uint32_t reason);
+/** inbound_note_answer() - note what the head of an answer says of the target's
+ * limit and leaving */
+void inbound_note_answer(struct in_call *, const struct http_head *);
+/** inbound_note_health() - the same for the answer to a health check, which
+ * withdraws nothing */
+void inbound_note_health(struct data *, const struct http_head *);
 /** inbound_judge_pace() - judge whether work may be started on the target's
  * machine now; while it may not, admission is held */
 enum pace_verdict inbound_judge_pace(struct data *);
--- a/src/daemon/inbound/measure.c
+++ b/src/daemon/inbound/measure.c
@@ -53,6 +53,7 @@
 	const char *load;
 	struct target_load l;
 
+	inbound_note_health(d, h);
 	if (!d->dialect->cold_field || !d->admit)
 		return;
 	load = http_head_find(h, d->dialect->load_field);
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -123,6 +123,7 @@
 		return;
 	}
 	note_load(d, h);
+	inbound_note_answer(c, h);
 	if (says_not_run(d, h)) {
 		target_not_run(c, h);
 		return;
--- /dev/null
+++ b/src/daemon/inbound/stated.c
@@ -0,0 +1,75 @@
+#include "daemon/inbound/inbound.h"
+#include "log.h"
+
+/* The limit that a head states, as text; NULL without one. */
+static const char *
+limit_text(const struct data *d, const struct http_head *h)
+{
+	const char *field = d->dialect->limit_field;
+
+	return field ? http_head_find(h, field) : NULL;
+}
+
+static void
+log_limit(struct data *d)
+{
+	log_event(EVENT_TARGET_LIMIT, G_LOG_LEVEL_INFO, data_now(d),
+	    "target states a limit id=%s per_s=%.2f in_flight=%d queued=%d",
+	    d->target.id, d->stated.per_s,
+	    d->admit ? admit_in_flight(d->admit) : 0,
+	    d->admit ? admit_queued(d->admit) : 0);
+}
+
+static void
+note_limit(struct data *d, const char *text)
+{
+	double per_s;
+
+	if (stated_limit_parse(text, &per_s)) {
+		log_event(EVENT_TARGET_LIMIT, G_LOG_LEVEL_WARNING, data_now(d),
+		    "target states a limit that can't be read id=%s text=%.32s",
+		    d->target.id, text);
+		return;
+	}
+	if (stated_limit_set(&d->stated, per_s, data_now(d)))
+		log_limit(d);
+}
+
+static void
+note_leaving(struct data *d, const struct http_head *h)
+{
+	const char *field = d->dialect->leaving_field;
+
+	if (!field || !http_head_find(h, field) || d->said_leaving)
+		return;
+	d->said_leaving = 1;
+	log_event(EVENT_TARGET_SAYS_LEAVING, G_LOG_LEVEL_INFO, data_now(d),
+	    "target says that it leaves id=%s draining=%d", d->target.id,
+	    d->target_draining);
+}
+
+void
+inbound_note_health(struct data *d, const struct http_head *h)
+{
+	const char *text = limit_text(d, h);
+
+	if (text)
+		note_limit(d, text);
+	note_leaving(d, h);
+}
+
+/* An answer that can't be told to be this target's own withdraws nothing. */
+void
+inbound_note_answer(struct in_call *c, const struct http_head *h)
+{
+	struct data *d = c->data;
+	const char *text = limit_text(d, h);
+	const char *attempt = d->dialect->attempt_field;
+
+	if (text)
+		note_limit(d, text);
+	else if ((!attempt || http_head_find(h, attempt)) &&
+		 stated_limit_withdraw(&d->stated, c->target_started))
+		log_limit(d);
+	note_leaving(d, h);
+}
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -81,6 +81,9 @@
  *	run
  * @cold_field: field of a health check's answer with the time for which the
  *	target stays cold, milliseconds
+ * @limit_field: field of an answer with the requests a second that a target in
+ *	need takes from all daemons together
+ * @leaving_field: field that each answer of a leaving target has
  * @ready_path: path of the daemon's readiness check
  * @report_path: path at which the daemon takes heartbeats and leaves
  * @half_close: nonzero if a caller that closed its sending side still gets its
@@ -102,6 +105,8 @@
 	int (*read_load)(const char *text, struct target_load *);
 	const char *run_id_field;
 	const char *cold_field;
+	const char *limit_field;
+	const char *leaving_field;
 	const char *ready_path;
 	const char *report_path;
 	/** parses a heartbeat, or a leave, which sets only the id; @query is
