--- a/tests/fake/target/knobs.c
+++ b/tests/fake/target/knobs.c
@@ -43,6 +43,8 @@
 	KNOB(encoded, 0, "next answers with a content encoding"),
 	KNOB(other_id, 0, "next answers with another attempt's id"),
 	KNOB(misdirect, 0, "next requests taken as meant for another start id"),
+	KNOB(limit_per_s, 0, "requests a second that its answers state as limit"),
+	KNOB(says_leaving, 0, "1: its answers say that it leaves"),
 	KNOB(second, 0, "next answers sent once more before the next answer"),
 	KNOB(second_kind, 1,
 	    "1 copy, 2 not run, 3 without id, 4 cut, 5 at once"),
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -72,6 +72,8 @@
 	long encoded; /* next answers with a content encoding */
 	long other_id; /* next answers with another attempt's id */
 	long misdirect; /* next requests taken as meant for another start id */
+	long limit_per_s; /* limit that all answers state, 0 for none */
+	long says_leaving; /* nonzero: all answers say that it leaves */
 	long second; /* next answers sent once more, see second_kind */
 	long second_kind; /* enum second */
 	long flood; /* next answers that never end, to paths with /flood/ */
--- a/tests/fake/target/users.c
+++ b/tests/fake/target/users.c
@@ -43,6 +43,11 @@
 	g_string_append_printf(t, "X-Instance-Id: %s\r\n", g->start_id);
 	g_string_append_printf(t, "X-Cold-Remaining-Ms: %ld\r\n",
 	    g->knobs.cold_ms);
+	if (g->knobs.limit_per_s)
+		g_string_append_printf(t, "Server-Limit: %ld.0\r\n",
+		    g->knobs.limit_per_s);
+	if (g->knobs.says_leaving)
+		g_string_append(t, "Server-Leaving: 1\r\n");
 	if (!answers_call)
 		return;
 	g_string_append_printf(t, "X-Attempt-Id: %s\r\n",
