A target's stated limit bounds the requests that all daemons send it

Cause: a target in need that states a limit of 10.8 to 14.2 requests a second got 94 to 118 in 4 s. All requests to a target pass the daemon beside it, which saw the limit within 40 ms (event 206) and admitted by slots and the cold rate alone. Class of fault: a bound that the other side names is passed on as an opaque field and not taken as an input of the decision that it concerns. An answer that no longer states the limit withdraws it, if its request was sent after the last statement. Ruled out: a limit kept by each outbound side (it would have to be divided among members that come and go; the inbound side is the only one that sees every request). One and a quarter times the limit was not used: the target says what it takes. What the daemon beside a target knows of the limit is lost when it starts anew; next.

--- a/src/core/admit/admit.c
+++ b/src/core/admit/admit.c
@@ -14,6 +14,7 @@
 		return NULL;
 	}
 	a->config = *config;
+	admit_configure_cold_rate(a);
 	trial_init(a);
 	a->idle_since = now;
 	a->progress_at = now;
@@ -34,6 +35,7 @@
 admit_configure(struct admit *a, const struct admit_config *config)
 {
 	a->config = *config;
+	admit_configure_cold_rate(a);
 	trial_init(a);
 	if (a->limit > a->ceiling)
 		a->limit = a->ceiling;
--- a/src/core/admit/impl.h
+++ b/src/core/admit/impl.h
@@ -3,6 +3,7 @@
 
 #include "admit.h"
 
+#define US_PER_S 1e6
 #define LATE_KEY (INT64_C(1) << 60) /* above any time */
 #define REFUSE_KEY INT64_MIN /* below any time */
 /* Places beyond queue_max: an evicted entry stays in the queue, marked for
@@ -53,6 +54,31 @@
 	uint16_t *spare;
 };
 
+/**
+ * struct rate - bound on the requests started in any span of time (token
+ * bucket; ITU-T I.371); zero it before first use
+ * @per_s: requests a second, 0 for no bound
+ * @burst: requests that may start at once, at least 1
+ * @tokens: requests that could start at @at
+ */
+struct rate {
+	double per_s;
+	double burst;
+	double tokens;
+	int64_t at;
+};
+
+/** rate_start() - begin without tokens: how many requests were started just
+ * before is not known */
+void rate_start(struct rate *, int64_t now);
+/** rate_change() - change rate and burst; the tokens so far stay */
+void rate_change(struct rate *, int64_t now, double per_s, double burst);
+/** rate_next_start() - earliest time at which a request may start; @now if one
+ * may start now */
+int64_t rate_next_start(const struct rate *, int64_t now);
+/** rate_take() - count a request that starts */
+void rate_take(struct rate *, int64_t now);
+
 enum trial_kind { TRIAL_DOWN, TRIAL_UP, TRIAL_KINDS };
 
 /** struct sample - @n completions and the sum of their latencies, @us */
@@ -126,7 +152,8 @@
  * @hold_until: before it, only requests short enough to run on a slow machine
  *	start
  * @cold_until: the target reported that it is cold until then
- * @cold_tokens: tokens of the cold rate's bucket, as of @cold_at
+ * @cold_rate: bound on starts while the target reports that it is cold
+ * @stated_rate: bound on starts by the limit that the target states
  */
 struct admit {
 	struct admit_config config;
@@ -157,8 +184,8 @@
 	int saturated;
 	int64_t hold_until;
 	int64_t cold_until;
-	double cold_tokens;
-	int64_t cold_at;
+	struct rate cold_rate;
+	struct rate stated_rate;
 	struct trial trial;
 };
 
@@ -205,13 +232,20 @@
  * the incoming one. Return: nonzero if there was one */
 int admit_make_room(struct admit *, const struct entry *incoming);
 
-/** admit_next_start() - earliest time at which cold rate and hold let a request
- * start; at most @now while neither delays it */
+/** admit_next_start() - earliest time at which rates and hold let a request
+ * start; at most @now while none of them delays it */
 int64_t admit_next_start(const struct admit *, int64_t now);
+/** admit_rate_next_start() - the same for the rates alone */
+int64_t admit_rate_next_start(const struct admit *, int64_t now);
 /** admit_cold_next_start() - the same for the cold rate alone */
 int64_t admit_cold_next_start(const struct admit *, int64_t now);
-/** admit_cold_take_token() - count a request against the cold rate */
-void admit_cold_take_token(struct admit *, int64_t now);
+/** admit_configure_cold_rate() - take the cold rate from the configuration */
+void admit_configure_cold_rate(struct admit *);
+/** admit_take_token() - count a request against the rates */
+void admit_take_token(struct admit *, int64_t now);
+/** admit_per_s() - requests a second that the rates allow now, 0 for any number
+ */
+double admit_per_s(const struct admit *, int64_t now);
 /** admit_max_limit() - lesser of slots and connections, at least 1 */
 int admit_max_limit(const struct admit *);
 /** admit_cold_limit() - cold limit, at least 1, at most admit_max_limit() */
--- a/src/core/admit/report.c
+++ b/src/core/admit/report.c
@@ -4,11 +4,11 @@
 admit_report(const struct admit *a, int64_t now, struct load_report *l)
 {
 	int limit = admit_limit(a, now);
-	double bears;
+	double per_s = admit_per_s(a, now), bears;
 
-	if (a->config.cold_per_s > 0 && now < a->cold_until) {
-		/* Little's law: requests in flight at the cold rate. */
-		bears = a->config.cold_per_s * a->recent_us / 1e6;
+	if (per_s > 0) {
+		/* Little's law: requests in flight at that rate. */
+		bears = per_s * a->recent_us / US_PER_S;
 		limit = bears < 1 ? 1 : bears < limit ? (int)bears : limit;
 	}
 	l->in_flight = (uint32_t)a->in_flight;
--- a/src/core/admit/request.c
+++ b/src/core/admit/request.c
@@ -25,7 +25,7 @@
 	if (a->in_flight++ == 0)
 		a->progress_at = now;
 	a->counters.run++;
-	admit_cold_take_token(a, now);
+	admit_take_token(a, now);
 	run->started = now;
 	run->need_us = need_us;
 	run->rank = rank;
@@ -39,7 +39,7 @@
 can_run_now(const struct admit *a, int64_t now, const struct admit_want *w,
     int limit)
 {
-	int64_t next = w->ignore_hold ? admit_cold_next_start(a, now)
+	int64_t next = w->ignore_hold ? admit_rate_next_start(a, now)
 				      : admit_next_start(a, now);
 
 	return a->in_flight < admit_rank_limit(a, now, w->rank, limit) &&
--- a/src/core/admit/triage.c
+++ b/src/core/admit/triage.c
@@ -54,19 +54,17 @@
 }
 
 /** Time by which a request delays the start of those behind it in the plan:
- * slot_us() divided by the limit, or the spacing of starts at the cold rate if
- * that is longer. */
+ * slot_us() divided by the limit, or the spacing of starts by the rates if that
+ * is longer. */
 static double
 delay_us(const struct admit *a, const struct plan *p, const struct entry *e,
     int64_t now)
 {
 	double us = slot_us(a, e) / p->limit;
-	double cold;
+	double per_s = admit_per_s(a, now);
+	double spacing = per_s > 0 ? US_PER_S / per_s : 0;
 
-	if (a->config.cold_per_s <= 0 || now >= a->cold_until)
-		return us;
-	cold = 1e6 / a->config.cold_per_s;
-	return cold > us ? cold : us;
+	return spacing > us ? spacing : us;
 }
 
 static int64_t
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -222,6 +222,8 @@
 /** inbound_refuse_call() - refuse a call that was not sent to the target;
  * frees it */
 void inbound_refuse_call(struct in_call *, uint32_t reason);
+/** inbound_forget_stated() - forget what an earlier run of the target stated */
+void inbound_forget_stated(struct data *);
 /** inbound_note_answer() - note what the head of an answer says of the target's
  * limit and leaving */
 void inbound_note_answer(struct in_call *, const struct http_head *);
--- a/src/daemon/inbound/log.c
+++ b/src/daemon/inbound/log.c
@@ -16,7 +16,8 @@
 	    "x target=%s outcome=%s reason=%s status=%d us=%" G_GINT64_FORMAT
 	    " target_us=%" G_GINT64_FORMAT " need_us=%" G_GINT64_FORMAT
 	    " rank=%d missed=%.2f choosy=%d in_flight=%d queued=%d limit=%d pace=%d"
-	    " pace_age_us=%" G_GINT64_FORMAT " stated_per_s=%.2f version=%" G_GUINT64_FORMAT
+	    " pace_age_us=%" G_GINT64_FORMAT
+	    " stated_per_s=%.2f version=%" G_GUINT64_FORMAT
 	    " caller_version=%" G_GUINT64_FORMAT,
 	    data_request_id(c->data, &c->head, c->id), c->sender_incarnation,
 	    d->target.id, names[c->outcome], wire_reason_name(c->reason),
@@ -27,6 +28,5 @@
 	    d->admit ? admit_queued(d->admit) : 0,
 	    d->admit ? admit_limit(d->admit, now) : 0, d->pace.value,
 	    d->pace.value ? now - d->pace.read_at : 0, d->stated.per_s,
-	    d->view->rules_version,
-	    c->config_version);
+	    d->view->rules_version, c->config_version);
 }
--- a/src/daemon/inbound/stated.c
+++ b/src/daemon/inbound/stated.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "daemon/inbound/inbound.h"
 #include "log.h"
 
@@ -10,9 +12,12 @@
 	return field ? http_head_find(h, field) : NULL;
 }
 
+/* Puts the limit that was stated, or withdrawn, into force. */
 static void
-log_limit(struct data *d)
+apply_limit(struct data *d)
 {
+	if (d->admit)
+		admit_set_stated_rate(d->admit, data_now(d), d->stated.per_s);
 	log_event(EVENT_TARGET_LIMIT, G_LOG_LEVEL_INFO, data_now(d),
 	    "target states a limit id=%s per_s=%.2f in_flight=%d queued=%d",
 	    d->target.id, d->stated.per_s,
@@ -20,6 +25,14 @@
 	    d->admit ? admit_queued(d->admit) : 0);
 }
 
+void
+inbound_forget_stated(struct data *d)
+{
+	memset(&d->stated, 0, sizeof d->stated);
+	if (d->admit)
+		admit_set_stated_rate(d->admit, data_now(d), 0);
+}
+
 static void
 note_limit(struct data *d, const char *text)
 {
@@ -32,7 +45,7 @@
 		return;
 	}
 	if (stated_limit_set(&d->stated, per_s, data_now(d)))
-		log_limit(d);
+		apply_limit(d);
 }
 
 static void
@@ -70,6 +83,6 @@
 		note_limit(d, text);
 	else if ((!attempt || http_head_find(h, attempt)) &&
 		 stated_limit_withdraw(&d->stated, c->target_started))
-		log_limit(d);
+		apply_limit(d);
 	note_leaving(d, h);
 }
--- a/src/daemon/inbound/target.c
+++ b/src/daemon/inbound/target.c
@@ -61,6 +61,7 @@
 	if (d->admit)
 		admit_free(d->admit);
 	d->admit = admit_new(&a, data_now(d));
+	admit_set_stated_rate(d->admit, data_now(d), d->stated.per_s);
 	admit_set_out(d->admit,
 	    view_datacentre_out(d->view, d->settings.datacentre));
 	if (d->pool)
@@ -81,6 +82,13 @@
 	       a->connections == b->connections;
 }
 
+static int
+same_run(const struct data_target *a, const struct data_target *b)
+{
+	return a->id[0] ? !strcmp(a->id, b->id)
+			: !strcmp(a->start_id, b->start_id);
+}
+
 /* A target is not replaced while requests are in flight or queued for it. */
 static int
 target_busy(const struct data *d)
@@ -104,6 +112,8 @@
 		d->has_next_target = 1;
 		return;
 	}
+	if (d->has_target && !same_run(&d->target, t))
+		inbound_forget_stated(d);
 	d->target = *t;
 	d->has_target = 1;
 	if (!same || d->target_draining)
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -224,6 +224,10 @@
     int slack);
 /** admit_reported_cold() - whether the target is cold by its own last report */
 int admit_reported_cold(const struct admit *, int64_t now);
+/** admit_set_stated_rate() - start at most @per_s requests a second, with a
+ * burst of those of one second, the limit that the target states; 0: no limit
+ */
+void admit_set_stated_rate(struct admit *, int64_t now, double per_s);
 /** admit_set_knee() - set the requests in flight beyond which the target's
  * latency rises; 0: all slots */
 void admit_set_knee(struct admit *, int knee);
