A daemon asks a target that it does not know before it sends it requests

Cause: the limit that a target states is known beside it only, and is gone when that daemon starts anew. Class of fault: state learned from traffic is lost on a restart, and its absence is taken for the absence of what it says. Fix: requests wait for the first answer to a health check, 0.3 s at most, and until the target has answered anything at most one request is in flight.

--- a/src/core/admit/cold.c
+++ b/src/core/admit/cold.c
@@ -80,6 +80,8 @@
 int
 admit_limit(const struct admit *a, int64_t now)
 {
+	if (a->unknown)
+		return 1;
 	if (a->suspect || idle(a, now) || stalled(a, now, 1))
 		return admit_cold_limit(a);
 	return a->trial.limit ? a->trial.limit : (int)a->limit;
--- a/src/core/admit/impl.h
+++ b/src/core/admit/impl.h
@@ -124,6 +124,7 @@
  * @cold: nonzero from when the target is declared cold here, whatever it
  *	reports, until @limit reaches WARM_SHARE of @ceiling
  * @suspect: nonzero if the last answer was slow or a failure
+ * @unknown: nonzero until the target has answered anything
  * @draining: nonzero once the target takes no new requests
  * @out: nonzero while the data centre is out
  * @epoch: raised whenever the target is declared cold; the outcome of a
@@ -163,6 +164,7 @@
 	double limit;
 	int cold;
 	int suspect;
+	int unknown;
 	int draining;
 	int out;
 	uint32_t epoch;
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -222,6 +222,12 @@
 /** inbound_refuse_call() - refuse a call that was not sent to the target;
  * frees it */
 void inbound_refuse_call(struct in_call *, uint32_t reason);
+/** inbound_await_first_answer() - begin with a target of which this daemon does
+ * not know what it states: ask it before requests are sent to it */
+void inbound_await_first_answer(struct data *);
+/** inbound_awaits_first_answer() - whether requests wait for the target's first
+ * answer to a health check */
+int inbound_awaits_first_answer(const struct data *);
 /** inbound_forget_stated() - forget what an earlier run of the target stated */
 void inbound_forget_stated(struct data *);
 /** inbound_note_answer() - note what the head of an answer says of the target's
--- a/src/daemon/inbound/measure.c
+++ b/src/daemon/inbound/measure.c
@@ -149,8 +149,9 @@
 }
 
 /* Sets the timer for the next measurement. The load is asked for as often as
- * the budget allows. Health checks are made a period apart, and in between when
- * a reading of the pace is needed. */
+ * the budget allows. Health checks are made a period apart, sooner until the
+ * target's first answer, and in between when a reading of the pace is needed.
+ */
 static void
 schedule_measure(struct data *d)
 {
@@ -162,7 +163,7 @@
 		io_timer_clear(d->task.loop, &d->measure_timer);
 		return;
 	}
-	if (d->health_path[0])
+	if (d->health_path[0] && d->target_answered)
 		due = MAX(due, data_now(d) + HEALTH_PERIOD_US);
 	io_timer_set(d->task.loop, &d->measure_timer, due);
 }
--- a/src/daemon/inbound/pace.c
+++ b/src/daemon/inbound/pace.c
@@ -8,6 +8,11 @@
 		      budget_next_time(&d->measure_budget) <= now;
 	enum pace_verdict v = pace_judge(&d->pace, now, can_ask);
 
+	if (inbound_awaits_first_answer(d)) {
+		inbound_measure_target(d);
+		admit_set_hold(d->admit, now + PACE_RECHECK_US);
+		return PACE_WAIT;
+	}
 	if (v == PACE_MEASURE) {
 		/* Without a reading to wait for, admission is not held. */
 		if (inbound_measure_target(d)) {
--- a/src/daemon/inbound/stated.c
+++ b/src/daemon/inbound/stated.c
@@ -3,6 +3,32 @@
 #include "daemon/inbound/inbound.h"
 #include "log.h"
 
+/* Longest wait for the first answer before requests are sent to a target. */
+#define FIRST_ANSWER_WAIT_US 300000
+
+void
+inbound_await_first_answer(struct data *d)
+{
+	d->target_answered = 0;
+	d->first_answer_by = data_now(d) + FIRST_ANSWER_WAIT_US;
+	admit_set_unknown(d->admit, 1);
+}
+
+int
+inbound_awaits_first_answer(const struct data *d)
+{
+	return !d->target_answered && d->health_path[0] &&
+	       data_now(d) < d->first_answer_by;
+}
+
+static void
+note_first_answer(struct data *d)
+{
+	d->target_answered = 1;
+	if (d->admit)
+		admit_set_unknown(d->admit, 0);
+}
+
 /* The limit that a head states, as text; NULL without one. */
 static const char *
 limit_text(const struct data *d, const struct http_head *h)
@@ -66,6 +92,7 @@
 {
 	const char *text = limit_text(d, h);
 
+	note_first_answer(d);
 	if (text)
 		note_limit(d, text);
 	note_leaving(d, h);
@@ -79,6 +106,7 @@
 	const char *text = limit_text(d, h);
 	const char *attempt = d->dialect->attempt_field;
 
+	note_first_answer(d);
 	if (text)
 		note_limit(d, text);
 	else if ((!attempt || http_head_find(h, attempt)) &&
--- a/src/daemon/inbound/target.c
+++ b/src/daemon/inbound/target.c
@@ -62,6 +62,7 @@
 		admit_free(d->admit);
 	d->admit = admit_new(&a, data_now(d));
 	admit_set_stated_rate(d->admit, data_now(d), d->stated.per_s);
+	inbound_await_first_answer(d);
 	admit_set_out(d->admit,
 	    view_datacentre_out(d->view, d->settings.datacentre));
 	if (d->pool)
