A target that says on its answers that it leaves gets no new requests

Cause: a leaving target says so on every answer. The class of fault is that of the limit: a statement of the target taken for an opaque field. Fix: the inbound side drains the target at the first such answer, to a request or a health check, and tells the control task, which takes it as final for that start, as a draining heartbeat is: a ready heartbeat sent before changes nothing. A daemon that starts anew finds it with its first health check, before any request. An answer of another target at the same address says nothing of this one. 2. Ruled out: draining at the outbound sides that passed the answer on (each would have to learn it by an answer of its own, and a newcomer would not know it). 3.

--- a/src/core/target/track.c
+++ b/src/core/target/track.c
@@ -80,8 +80,12 @@
 after_found(struct track *t, const struct heartbeat *b, int64_t now)
 {
 	if (!strcmp(t->last.id, b->id)) {
+		int drained = t->state == TRACK_DRAINING;
+
 		set_current(t, b, now);
-		return b->draining ? TRACK_DRAINS : TRACK_UPDATED;
+		if (drained)
+			t->state = TRACK_DRAINING;
+		return b->draining && !drained ? TRACK_DRAINS : TRACK_UPDATED;
 	}
 	if (!has_left(t, b->id) && confirm_start(t, b, now) == TRACK_START)
 		return TRACK_START;
@@ -108,12 +112,30 @@
 	return TRACK_DRAINS;
 }
 
-enum track_change
-track_leave(struct track *t, const char *id, int64_t now)
+static void
+remember_left(struct track *t, const char *id)
 {
 	if (!has_left(t, id))
 		g_strlcpy(t->left[t->nleft++ % TRACK_LEFT_MAX], id,
 		    SERVICE_NAME_MAX);
+}
+
+enum track_change
+track_says_leaving(struct track *t, const char *id, int64_t now)
+{
+	if (t->state == TRACK_NONE)
+		remember_left(t, id);
+	if (t->state != TRACK_READY || strcmp(t->last.id, id))
+		return TRACK_STALE;
+	t->state = TRACK_DRAINING;
+	t->updated_at = now;
+	return TRACK_DRAINS;
+}
+
+enum track_change
+track_leave(struct track *t, const char *id, int64_t now)
+{
+	remember_left(t, id);
 	if (t->state == TRACK_NONE || t->state == TRACK_LEFT ||
 	    strcmp(t->last.id, id))
 		return TRACK_STALE;
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -143,6 +143,14 @@
 	    g_memdup2(&number, sizeof number));
 }
 
+static void
+on_target_leaves(void *ctx, const char *id)
+{
+	struct control *c = ctx;
+
+	task_post(&c->task, control_target_says_leaving, c, g_strdup(id));
+}
+
 static void
 on_peer_silent(void *ctx, uint64_t incarnation)
 {
@@ -167,6 +175,7 @@
 	.drained = on_drained,
 	.target_idle = on_target_idle,
 	.paused = on_paused,
+	.target_leaves = on_target_leaves,
 	.peer_silent = on_peer_silent,
 	.spans_ready = on_spans,
 };
--- a/src/daemon/control/find.c
+++ b/src/daemon/control/find.c
@@ -28,6 +28,23 @@
 	io_timer_set(c->task.loop, &c->health_timer, control_now(c) + RETRY_US);
 }
 
+/* Whether a health check's answer says that the target leaves; notes it then.
+ */
+static int
+says_leaving(struct control *c, SoupMessage *msg)
+{
+	const struct dialect *v = c->dialect;
+	SoupMessageHeaders *h = soup_message_get_response_headers(msg);
+	const char *id = soup_message_headers_get_one(h, v->run_id_field);
+
+	if (!v->leaving_field ||
+	    !soup_message_headers_get_one(h, v->leaving_field))
+		return 0;
+	if (id)
+		control_target_says_leaving(c, g_strdup(id));
+	return 1;
+}
+
 /* Reads a health check's answer as a heartbeat; 0 or -1. */
 static int
 read_health(struct control *c, SoupMessage *msg, struct heartbeat *b)
@@ -70,7 +87,7 @@
 	c->health_pending = 0;
 	if (c->track.state != TRACK_NONE || c->leaving) {
 		c->health_tries = TRIES;
-	} else if (body && !read_health(c, msg, &b)) {
+	} else if (body && !says_leaving(c, msg) && !read_health(c, msg, &b)) {
 		c->health_tries = TRIES;
 		control_target_healthy(c, &b);
 	} else {
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -286,6 +286,8 @@
 int control_open_operator_server(struct control *, struct kq_error *);
 /* Answers the drain requests that waited for the target to become idle. */
 void control_answer_drains(struct control *);
+/* Drains the target if it has the id in the message, which is freed. */
+void control_target_says_leaving(void *ctx, void *message);
 /* Takes a target that passed a health check before its first heartbeat. */
 void control_target_healthy(struct control *, const struct heartbeat *);
 /* Checks the health of a target that sent no heartbeat yet. */
--- a/src/daemon/control/target.c
+++ b/src/daemon/control/target.c
@@ -194,6 +194,20 @@
 	set_serving(c, !c->operator_drain);
 }
 
+void
+control_target_says_leaving(void *ctx, void *message)
+{
+	struct control *c = ctx;
+	char *id = message;
+
+	if (track_says_leaving(&c->track, id, control_now(c)) == TRACK_DRAINS) {
+		log_report(c, EVENT_TARGET_LEFT, &c->track.last,
+		    "says that it leaves");
+		drain_target(c);
+	}
+	g_free(id);
+}
+
 static void
 handle_leave(struct control *c, const struct heartbeat *b)
 {
--- a/src/daemon/data/data.h
+++ b/src/daemon/data/data.h
@@ -54,6 +54,8 @@
  * @may_act
  * @spans_ready: ended spans as one OTLP request; the receiver frees it
  * @peer_silent: daemon @incarnation leaves calls and a probe unanswered
+ * @target_leaves: an answer of target @id says that the target leaves; it
+ *                 already gets no new work
  * @target_idle: no request is in flight at the target any more after
  *               data_drain_target()
  */
@@ -67,6 +69,7 @@
 	void (*page_received)(void *ctx, uint64_t incarnation,
 	    struct config_batch *page);
 	void (*drained)(void *ctx);
+	void (*target_leaves)(void *ctx, const char *id);
 	void (*target_idle)(void *ctx);
 	void (*paused)(void *ctx, uint32_t number);
 	void (*peer_silent)(void *ctx, uint64_t incarnation);
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -112,7 +112,6 @@
 	struct stated_limit stated; /* of the target */
 	int target_answered; /* to a request or health check of this daemon */
 	int64_t first_answer_by; /* end of the wait for that */
-	int said_leaving; /* an answer of the target said that it leaves */
 	struct pace pace; /* of the target's machine */
 	struct knee knee; /* of the target */
 	GHashTable *route_work; /* host and prefix to struct work */
--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -69,13 +69,9 @@
 {
 	struct data *d = ctx;
 
-	d->target_draining = 1;
 	d->has_next_target = 0;
 	d->idle_wanted = 1;
-	if (d->admit) {
-		admit_drain(d->admit);
-		inbound_process_queue(d);
-	}
+	inbound_drain_target(d);
 	data_check_drained(d);
 }
 
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -203,6 +203,9 @@
 /** inbound_set_target() - use this target; if the previous one differs, it is
  * drained first */
 void inbound_set_target(struct data *, const struct data_target *);
+/** inbound_drain_target() - give the target no new work; waiting requests are
+ * refused */
+void inbound_drain_target(struct data *);
 /** inbound_once_reply() - reply to a repeat that waited in the at-most-once
  * table; a once_reply_fn */
 void inbound_once_reply(void *ctx, void *arg, enum once_outcome,
--- a/src/daemon/inbound/stated.c
+++ b/src/daemon/inbound/stated.c
@@ -79,12 +79,25 @@
 {
 	const char *field = d->dialect->leaving_field;
 
-	if (!field || !http_head_find(h, field) || d->said_leaving)
+	if (!field || !http_head_find(h, field) || d->target_draining)
 		return;
-	d->said_leaving = 1;
 	log_event(EVENT_TARGET_SAYS_LEAVING, G_LOG_LEVEL_INFO, data_now(d),
-	    "target says that it leaves id=%s draining=%d", d->target.id,
-	    d->target_draining);
+	    "target says that it leaves id=%s", d->target.id);
+	inbound_drain_target(d);
+	d->events->target_leaves(d->events_ctx, d->target.id);
+}
+
+/* Whether another target answered, which got this one's address. */
+static int
+is_other_target(const struct data *d, const struct http_head *h)
+{
+	const char *field = d->dialect->run_id_field;
+	const char *id = field ? http_head_find(h, field) : NULL;
+
+	if (d->dialect->misdirected_status &&
+	    h->status == d->dialect->misdirected_status)
+		return 1;
+	return id && d->target.id[0] && strcmp(id, d->target.id);
 }
 
 void
@@ -92,6 +105,8 @@
 {
 	const char *text = limit_text(d, h);
 
+	if (is_other_target(d, h))
+		return;
 	note_first_answer(d);
 	if (text)
 		note_limit(d, text);
@@ -106,6 +121,8 @@
 	const char *text = limit_text(d, h);
 	const char *attempt = d->dialect->attempt_field;
 
+	if (is_other_target(d, h))
+		return;
 	note_first_answer(d);
 	if (text)
 		note_limit(d, text);
--- a/src/daemon/inbound/target.c
+++ b/src/daemon/inbound/target.c
@@ -98,6 +98,16 @@
 	       (admit_in_flight(d->admit) || admit_queued(d->admit));
 }
 
+void
+inbound_drain_target(struct data *d)
+{
+	d->target_draining = 1;
+	if (!d->admit)
+		return;
+	admit_drain(d->admit);
+	inbound_process_queue(d);
+}
+
 void
 inbound_set_target(struct data *d, const struct data_target *t)
 {
@@ -106,9 +116,7 @@
 	    d->has_target && strcmp(d->target.start_id, t->start_id);
 
 	if (!same && target_busy(d)) {
-		d->target_draining = 1;
-		admit_drain(d->admit);
-		inbound_process_queue(d);
+		inbound_drain_target(d);
 		d->next_target = *t;
 		d->has_next_target = 1;
 		return;
--- a/src/internal/track.h
+++ b/src/internal/track.h
@@ -66,6 +66,11 @@
 /** track_heartbeat() - process a heartbeat. Return: what it changed */
 enum track_change
 track_heartbeat(struct track *, const struct heartbeat *, int64_t now);
+/** track_says_leaving() - note that the start @id says on an answer that it
+ * leaves, which is as final as draining: a heartbeat that says otherwise was
+ * sent before. Return: what that changed */
+enum track_change
+track_says_leaving(struct track *, const char *id, int64_t now);
 /** track_leave() - note that the start @id left. Return: what that changed */
 enum track_change track_leave(struct track *, const char *id, int64_t now);
 
--- a/tests/unit/track.c
+++ b/tests/unit/track.c
@@ -5,7 +5,8 @@
 #include "track.h"
 
 /* One report about a target, and what it is expected to change. A @sequence of
- * -1 stands for a leave, -2 for a health check that found the target. */
+ * -1 stands for a leave, -2 for a health check that found the target, -3 for an
+ * answer by which it says that it leaves. */
 struct step {
 	const char *id;
 	int64_t born;
@@ -76,6 +77,22 @@
 	{ "a found target leaves", 2,
 	    { { "a", 0, -2, 0, TRACK_START, TRACK_READY },
 		{ "a", 0, -1, 0, TRACK_LEAVES, TRACK_LEFT } } },
+	{ "an answer that says that the target leaves is final", 4,
+	    { { "a", 5, 1, 0, TRACK_START, TRACK_READY },
+		{ "a", 5, -3, 0, TRACK_DRAINS, TRACK_DRAINING },
+		{ "a", 5, 2, 0, TRACK_UPDATED, TRACK_DRAINING },
+		{ "a", 9, 1, 0, TRACK_START, TRACK_READY } } },
+	{ "a heartbeat does not bring back a found target that leaves", 4,
+	    { { "a", 0, -2, 0, TRACK_START, TRACK_READY },
+		{ "a", 0, -3, 0, TRACK_DRAINS, TRACK_DRAINING },
+		{ "a", 5, 7, 0, TRACK_UPDATED, TRACK_DRAINING },
+		{ "a", 5, 8, 1, TRACK_UPDATED, TRACK_DRAINING } } },
+	{ "an answer of another start changes nothing", 2,
+	    { { "b", 7, 1, 0, TRACK_START, TRACK_READY },
+		{ "a", 0, -3, 0, TRACK_STALE, TRACK_READY } } },
+	{ "a leaving start found before all heartbeats is remembered", 2,
+	    { { "a", 0, -3, 0, TRACK_STALE, TRACK_NONE },
+		{ "a", 5, 4, 0, TRACK_STALE, TRACK_NONE } } },
 	{ "a start that drains from the beginning", 1,
 	    { { "a", 5, 1, 1, TRACK_START, TRACK_DRAINING } } },
 };
@@ -121,6 +138,8 @@
 		g_strlcpy(b.id, p->id, sizeof b.id);
 		if (p->sequence == -2)
 			track_health_check(t, &b, i);
+		else if (p->sequence == -3)
+			c = track_says_leaving(t, p->id, i);
 		else
 			c = p->sequence < 0 ? track_leave(t, p->id, i)
 					    : track_heartbeat(t, &b, i);
