--- a/src/adapter/platform/request.c
+++ b/src/adapter/platform/request.c
@@ -140,6 +140,20 @@
 	    "ETag");
 }
 
+/* Era of the store that answered; 0 if the answer names none. */
+static uint64_t
+answer_era(const struct store_form *form, SoupMessage *msg)
+{
+	const char *text;
+
+	if (!form->era_field)
+		return 0;
+	text = soup_message_headers_get_one(soup_message_get_response_headers(
+						msg),
+	    form->era_field);
+	return text ? g_ascii_strtoull(text, NULL, 10) : 0;
+}
+
 static void
 batch_free(struct config_batch *b)
 {
@@ -202,6 +216,7 @@
 	if (!p)
 		p = "";
 	out->status = status_from_http(form, soup_message_get_status(r->msg));
+	out->era = answer_era(form, r->msg);
 	if (out->status == PLATFORM_REFUSED) {
 		kq_error_set(&out->error, KQ_LAYER_PLATFORM, out->status,
 		    "the platform refused the request: %.*s", (int)n, p);
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -116,6 +116,7 @@
 	struct platform *platform;
 	int platform_down;
 	int64_t platform_backoff; /* mean delay of the next retry */
+	uint64_t era; /* newest era of the store in any answer, 0 before */
 	struct feed feed[STORE_FEEDS_MAX];
 	int64_t started; /* time of control_platform_start() */
 	struct io_timer start_timer;
--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -11,6 +11,22 @@
 	return p / 2 + rng_below(&c->rng, (uint32_t)p);
 }
 
+/* An answer of an earlier era is one that is allowed to be stale. */
+static void
+note_era(struct control *c, uint64_t era)
+{
+	if (era <= c->era)
+		return;
+	if (c->era)
+		log_event(EVENT_PLATFORM_RESTORED, G_LOG_LEVEL_MESSAGE,
+		    control_now(c),
+		    "the store came back from an older copy era=%" G_GUINT64_FORMAT
+		    " was=%" G_GUINT64_FORMAT
+		    " complete=%" G_GUINT64_FORMAT,
+		    era, c->era, config_complete_version(c->config));
+	c->era = era;
+}
+
 void
 control_note_platform_result(struct control *c, const struct platform_result *r)
 {
@@ -19,6 +35,7 @@
 
 	c->counters.platform_calls++;
 	c->counters.platform_failures += down;
+	note_era(c, r->era);
 	if (r->status != PLATFORM_OK)
 		log_event(EVENT_PLATFORM_CALL_FAILED, G_LOG_LEVEL_INFO,
 		    control_now(c),
--- a/src/internal/platform.h
+++ b/src/internal/platform.h
@@ -29,6 +29,7 @@
 
 /**
  * struct platform_result - result of a request
+ * @era: era of the store in the answer, 0 without one
  * @version: version in the answer: of a get that of the object; of a write its
  *           own, or after a conflict that of the object; 0 if there is none
  * @batch: objects of a list or watch, else NULL; the receiver may take it over
@@ -41,6 +42,7 @@
  */
 struct platform_result {
 	enum platform_status status;
+	uint64_t era;
 	uint64_t version;
 	struct config_batch *batch;
 	int invalid;
--- a/src/internal/store_form.h
+++ b/src/internal/store_form.h
@@ -47,6 +47,9 @@
  * @kinds: kinds of each feed, bits 1 << enum config_kind; 0 for all kinds
  * @watched: nonzero for a feed that is watched; others are only listed
  * @conflict_status: HTTP status of a write whose condition does not hold
+ * @era_field: field of each answer with the era of the platform's store, which
+ *	rises by one whenever the store comes back from an older copy and gives
+ *	revisions out again; NULL if there is none
  * @write_list: writes a request for the next page of a feed, after the object
  *	named @after, or for the first page if that is NULL; @stale allows an
  *	answer that is seconds old
@@ -66,6 +69,7 @@
 	uint32_t kinds[STORE_FEEDS_MAX];
 	int watched[STORE_FEEDS_MAX];
 	int conflict_status;
+	const char *era_field;
 	void (*write_list)(struct store_request *, int feed, const char *after,
 	    int stale);
 	void (*write_watch)(struct store_request *, int feed, uint64_t from,
