--- a/scripts/dialect.sh
+++ b/scripts/dialect.sh
@@ -13,7 +13,8 @@
 #   dialect_route_json PREFIX KIND
 #                              print a route to codebook; its host is
 #                              $dialect_host, h.example if not set
-#   dialect_config_json ROUTES print the configuration that operators store
+#   dialect_config_json ROUTES print the configuration that operators store; its
+#                              version is $dialect_version, 1 if not set
 
 dialect_platform() {
 	fleet_run platform "$fleet_build/fake-platform" --users --ip "${fleet_platform_at%:*}" \
@@ -61,7 +62,7 @@
 
 dialect_config_json() {
 	cat <<EOF
-{"metadata":{"name":"main"},"specification":{"version":1,"resources":[$1,
+{"metadata":{"name":"main"},"specification":{"version":${dialect_version-1},"resources":[$1,
 {"resource_kind":"services","metadata":{"name":"codebook"},"specification":
 {"health_path":"/health","max_connections":260,"cold_start_s":3.0,"cold_per_s":19.0}}]}}
 EOF
--- a/tests/fake/platform/fault.c
+++ b/tests/fake/platform/fault.c
@@ -41,6 +41,13 @@
 		    (uint64_t)query_number(query, "by", 1));
 		return SOUP_STATUS_OK;
 	}
+	if (g_str_equal(m, "restore")) {
+		store_rollback(&p->store,
+		    (uint64_t)query_number(query, "by", 1));
+		p->store.era++;
+		users_abort_watches(p);
+		return SOUP_STATUS_OK;
+	}
 	if (g_str_equal(m, "turn-away")) {
 		set_turn_away(p, g_hash_table_lookup(query, "how"));
 		return SOUP_STATUS_OK;
--- a/tests/fake/platform/platform.h
+++ b/tests/fake/platform/platform.h
@@ -40,6 +40,7 @@
 /** struct store - objects and the latest events */
 struct store {
 	uint64_t version; /* rises by 1 with each write */
+	uint64_t era; /* rises by 1 with each restore */
 	GHashTable *objects; /* key to struct event of its last write */
 	GQueue events; /* struct event, oldest first */
 	uint64_t dropped_version; /* of the newest event discarded */
--- a/tests/fake/platform/users.c
+++ b/tests/fake/platform/users.c
@@ -285,6 +285,20 @@
 		apply_write(p, msg, key, NULL);
 }
 
+/* Answers name the era once the store was restored. */
+static void
+set_era(const struct platform *p, SoupServerMessage *msg)
+{
+	char text[24];
+
+	if (!p->store.era)
+		return;
+	g_snprintf(text, sizeof text, "%" G_GUINT64_FORMAT, p->store.era);
+	soup_message_headers_replace(soup_server_message_get_response_headers(
+					 msg),
+	    "Store-Era", text);
+}
+
 void
 users_serve(struct platform *p, SoupServerMessage *msg, const char *path)
 {
@@ -296,6 +310,7 @@
 	const char *ms = g_hash_table_lookup(t, "wait_ms");
 	const char *key = path + strlen(OBJECTS);
 
+	set_era(p, msg);
 	if (!strcmp(m, "POST"))
 		write_object(p, msg, part[0], "", 1);
 	else if (!strcmp(m, "PUT") && part[1])
