Revisions that a restored store gives out again are new versions

Cause: the store of the platform came back from a copy of second 8 at revision 16; what operators wrote got 17 and 18, which the daemons knew from before. Class of fault: an id is used beyond the life of what gave it out. Places where a revision is remembered: table of objects and its complete version, version reached by each feed, the version watched from, versions on datagrams, calls, replies and pulls, the highest version of rules, the condition of a write, the cache of packed and parsed objects. Fix: the client of the platform puts the era of the store above the revision in each version that it hands on and takes it off in requests, so that all these places order eras without knowing of them.

--- a/src/adapter/platform/request.c
+++ b/src/adapter/platform/request.c
@@ -11,25 +11,6 @@
 #define KEEPALIVE_PROBES 2
 #define USER_TIMEOUT_MS 2000 /* for data without an acknowledgement */
 
-enum request_kind { REQUEST_WRITE, REQUEST_GET, REQUEST_LIST, REQUEST_WATCH };
-
-struct request {
-	struct platform *platform;
-	SoupMessage *msg;
-	enum request_kind kind;
-	int object_kind;
-	int feed;
-	int stale;
-	uint64_t from;
-	struct config_batch *batch; /* pages of a list so far */
-	int invalid; /* objects left out of the pages so far */
-	platform_fn *fn;
-	void *ctx;
-	GSource *timeout;
-	GCancellable *cancel; /* of this request */
-	gulong cancel_handler; /* passes on a cancel of the platform's */
-};
-
 static void platform_unref(struct platform *);
 static void
 send_request(struct request *, struct store_request *, int timeout_s);
@@ -140,20 +121,6 @@
 	    "ETag");
 }
 
-/* Era of the store that answered; 0 if the answer names none. */
-static uint64_t
-answer_era(const struct store_form *form, SoupMessage *msg)
-{
-	const char *text;
-
-	if (!form->era_field)
-		return 0;
-	text = soup_message_headers_get_one(soup_message_get_response_headers(
-						msg),
-	    form->era_field);
-	return text ? g_ascii_strtoull(text, NULL, 10) : 0;
-}
-
 static void
 batch_free(struct config_batch *b)
 {
@@ -191,6 +158,8 @@
 		return 0;
 	}
 	r->invalid += page.invalid;
+	if (r->platform->form->era_field)
+		platform_stamp_batch(r->batch, out->era);
 	if (page.more) {
 		request_page(r, page.after);
 		return 1;
@@ -216,7 +185,10 @@
 	if (!p)
 		p = "";
 	out->status = status_from_http(form, soup_message_get_status(r->msg));
-	out->era = answer_era(form, r->msg);
+	out->era = platform_answer_era(form, r->msg);
+	if (platform_fails_by_era(r, out))
+		return 0;
+	r->era = out->era;
 	if (out->status == PLATFORM_REFUSED) {
 		kq_error_set(&out->error, KQ_LAYER_PLATFORM, out->status,
 		    "the platform refused the request: %.*s", (int)n, p);
@@ -225,10 +197,10 @@
 	if (r->kind == REQUEST_WRITE || r->kind == REQUEST_GET) {
 		if (out->status == PLATFORM_OK ||
 		    out->status == PLATFORM_CONFLICT)
-			out->version =
+			out->version = platform_object_version(out->era,
 			    form->read_object_answer(answer_etag(r->msg),
 				r->object_kind, p, n,
-				r->kind == REQUEST_GET ? &out->value : NULL);
+				r->kind == REQUEST_GET ? &out->value : NULL));
 		return 0;
 	}
 	return out->status == PLATFORM_OK && read_page(r, p, n, out);
@@ -375,7 +347,7 @@
 
 	r->feed = feed;
 	r->from = from;
-	p->form->write_watch(&q, feed, from, wait_ms);
+	p->form->write_watch(&q, feed, platform_revision(p, from), wait_ms);
 	send_request(r, &q, wait_ms / 1000 + WATCH_SLACK_S);
 }
 
@@ -399,7 +371,8 @@
 	struct store_request q = { .body = g_string_new(NULL) };
 
 	r->object_kind = kind;
-	p->form->write_put(&q, kind, name, value, version);
+	p->form->write_put(&q, kind, name, value,
+	    platform_revision(p, version));
 	send_request(r, &q, PLATFORM_TIMEOUT_S);
 }
 
@@ -411,7 +384,7 @@
 	struct store_request q = { .body = g_string_new(NULL) };
 
 	r->object_kind = kind;
-	p->form->write_remove(&q, kind, name, version);
+	p->form->write_remove(&q, kind, name, platform_revision(p, version));
 	send_request(r, &q, PLATFORM_TIMEOUT_S);
 }
 
--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -21,8 +21,7 @@
 		log_event(EVENT_PLATFORM_RESTORED, G_LOG_LEVEL_MESSAGE,
 		    control_now(c),
 		    "the store came back from an older copy era=%" G_GUINT64_FORMAT
-		    " was=%" G_GUINT64_FORMAT
-		    " complete=%" G_GUINT64_FORMAT,
+		    " was=%" G_GUINT64_FORMAT " complete=%" G_GUINT64_FORMAT,
 		    era, c->era, config_complete_version(c->config));
 	c->era = era;
 }
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -16,6 +16,10 @@
  * removed object stays as a tombstone with the version of its removal. Values
  * are text that the table does not interpret.
  *
+ * A platform that comes back from an older copy gives revisions out again, in a
+ * new era (store_form.h). Versions here hold the era above the revision, so
+ * that all of a later era are newer than all of an earlier one.
+ *
  * The complete version is raised by a batch that covers every change after
  * version A up to version B, where A is not above the complete version. A
  * batch may be split into pages. An object that changes between two pages gets
@@ -31,6 +35,16 @@
 #define CONFIG_TOMBSTONES_MAX 4096 /* with more, the oldest are removed */
 #define CONFIG_SOURCE_PLATFORM 0 /* source of batches from the platform */
 
+#define CONFIG_REVISION_BITS 44 /* of a version, below the era */
+
+/** config_version() - version of a revision of the platform in one of its eras;
+ * the revision itself in era 0 */
+uint64_t config_version(uint64_t era, uint64_t revision);
+uint64_t config_version_era(uint64_t version);
+/** config_version_revision() - revision that the platform knows the version by
+ */
+uint64_t config_version_revision(uint64_t version);
+
 /** enum config_kind - kinds of objects */
 enum config_kind {
 	CONFIG_SERVICE,
--- a/src/internal/platform.h
+++ b/src/internal/platform.h
@@ -11,6 +11,9 @@
 /**
  * DOC: Client of the platform's object API.
  *
+ * Versions hold the era of the store (config_version()); requests carry the
+ * revision alone.
+ *
  * Each request ends in one call of its callback, from the main context that
  * was the thread's default when the request was made. Writes are conditional
  * on a version, so that a request resent by the HTTP library can't take
--- /dev/null
+++ b/tests/unit/restored.c
@@ -0,0 +1,112 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config.h"
+
+/* A platform's store that comes back from an older copy, as the table sees it.
+ */
+
+#define ERA 2
+#define V(revision) config_version(ERA, revision)
+#define BEFORE(revision) config_version(ERA - 1, revision)
+
+static struct config_object
+object(int kind, const char *name, uint64_t version, const char *value)
+{
+	struct config_object o = { .kind = kind, .version = version };
+
+	g_strlcpy(o.name, name, sizeof o.name);
+	if (value)
+		o.value = g_bytes_new(value, strlen(value));
+	else
+		o.removed = 1;
+	return o;
+}
+
+/* Applies a list of all objects of one kind from the platform. */
+static void
+apply_list(struct config_table *t, int kind, uint64_t version,
+    struct config_object *o, int n)
+{
+	struct config_batch b = { .upto = version,
+		.kinds = 1u << kind,
+		.nobject = n,
+		.object = o };
+	struct config_batch advance = { .after = config_complete_version(t),
+		.upto = version,
+		.complete = version };
+	struct kq_error e;
+	int i;
+
+	config_apply_batch(t, &b, &e);
+	config_apply_batch(t, &advance, &e);
+	for (i = 0; i < n; i++)
+		if (o[i].value)
+			g_bytes_unref(o[i].value);
+}
+
+static void
+check_value(struct config_table *t, int kind, const char *name,
+    const char *value)
+{
+	const struct config_object *o = config_find(t, kind, name);
+
+	if (!value) {
+		ck_assert(!o || o->removed);
+		return;
+	}
+	ck_assert(o && !o->removed);
+	ck_assert_int_eq(g_bytes_get_size(o->value), strlen(value));
+	ck_assert_mem_eq(g_bytes_get_data(o->value, NULL), value,
+	    strlen(value));
+}
+
+START_TEST(version_holds_era_and_revision)
+{
+	ck_assert_uint_eq(config_version(0, 17), 17);
+	ck_assert_uint_eq(config_version_era(V(17)), ERA);
+	ck_assert_uint_eq(config_version_revision(V(17)), 17);
+	ck_assert_uint_gt(V(1), BEFORE(1000000));
+}
+END_TEST
+
+START_TEST(revision_that_is_given_out_again_is_a_new_version)
+{
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_object o;
+
+	o = object(CONFIG_ROUTING, "main", BEFORE(18), "before");
+	apply_list(t, CONFIG_ROUTING, BEFORE(18), &o, 1);
+	o = object(CONFIG_ROUTING, "main", V(17), "again");
+	apply_list(t, CONFIG_ROUTING, V(17), &o, 1);
+	check_value(t, CONFIG_ROUTING, "main", "again");
+	o = object(CONFIG_ROUTING, "main", V(18), "later");
+	apply_list(t, CONFIG_ROUTING, V(18), &o, 1);
+	check_value(t, CONFIG_ROUTING, "main", "later");
+	ck_assert_uint_eq(config_complete_version(t), V(18));
+	/* a late answer of the era before */
+	o = object(CONFIG_ROUTING, "main", BEFORE(18), "before");
+	apply_list(t, CONFIG_ROUTING, BEFORE(18), &o, 1);
+	check_value(t, CONFIG_ROUTING, "main", "later");
+	config_free(t);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("restored");
+	TCase *c = tcase_create("restored");
+	SRunner *r;
+	int failed;
+
+	tcase_add_test(c, version_holds_era_and_revision);
+	tcase_add_test(c, revision_that_is_given_out_again_is_a_new_version);
+	suite_add_tcase(s, c);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
