What a restored store has older or lacks does not end what is in force

Class of fault: the order of the store's writes is taken for the order of the writers'. Fix: operators count their configurations up, so an object with a lower number never replaces one with a higher one, whatever its version, and one with a higher number does, also from a member. Objects that the copy lacks are kept for 3 s, under a version of the new era so that all members have the same, and then until the store's next write. 2. Ruled out: refusing the whole list of the copy (the complete version would stay in the era before, and what is written next would not be pulled by the members); removing after the hold without a later write of the store (members would not learn of it). 3. Conclusion: the number of an object goes with it between daemons, so pages of configuration have another format.

--- a/src/adapter/rpc/wire_state.c
+++ b/src/adapter/rpc/wire_state.c
@@ -11,7 +11,8 @@
 wire_object(XDR *x, struct wire_object *o, struct wire_arena *a)
 {
 	return xdr_uint32_t(x, &o->kind) && xdr_uint32_t(x, &o->removed) &&
-	       xdr_uint64_t(x, &o->version) && wire_string(x, &o->name, a) &&
+	       xdr_uint64_t(x, &o->version) && xdr_uint64_t(x, &o->serial) &&
+	       wire_string(x, &o->name, a) &&
 	       xdr_uint32_t(x, &o->unpacked_size) &&
 	       wire_blob(x, &o->value, &o->value_len, WIRE_OBJECT_MAX);
 }
--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -28,13 +28,42 @@
 	return g_bytes_equal(a->value, b->value);
 }
 
+/* Whether an object comes from an older copy of the platform's store, although
+ * the restored store gives it a later version. */
+static int
+is_older_copy(const struct config_object *has, const struct config_object *o)
+{
+	return !has->removed && !o->removed && o->serial &&
+	       o->serial < has->serial;
+}
+
+static int
+has_later_serial(const struct config_object *has, const struct config_object *o)
+{
+	return !has->removed && !o->removed && has->serial &&
+	       o->serial > has->serial;
+}
+
 /* Takes one object if it is newer. Returns 1 if it was, 0 if not, -1 if it
  * differs from the one in the table at the same version. */
 static int
 apply_object(struct config_table *t, const struct config_object *o)
 {
 	const struct config_entry *n = config_entry_find(t, o->kind, o->name);
+	struct config_object later = *o;
 
+	if (n && is_older_copy(&n->object, o)) {
+		if (o->version > t->complete)
+			config_keep_object(t, n, o->version);
+		t->counts.old++;
+		return 0;
+	}
+	if (n && has_later_serial(&n->object, o)) {
+		later.version = MAX(o->version, n->object.version);
+		config_entry_put(t, &later);
+		t->counts.updated++;
+		return 1;
+	}
 	if (n && n->object.version == o->version &&
 	    !same_content(&n->object, o)) {
 		t->counts.conflicts++;
@@ -181,7 +210,8 @@
 			mark_listed(t, o);
 	}
 	if (b->kinds)
-		config_remove_unlisted(t, b->upto, b->kinds);
+		b->hold ? config_keep_unlisted(t, b->upto, b->kinds)
+			: config_remove_unlisted(t, b->upto, b->kinds);
 	advance_transfer(t, b, role);
 	config_trim_tombstones(t);
 	return conflict ? CONFIG_CONFLICT
--- a/src/core/config/table.c
+++ b/src/core/config/table.c
@@ -93,6 +93,7 @@
 	n->object.value = value;
 	n->object.removed = o->removed != 0;
 	n->object.version = o->version;
+	n->object.serial = o->removed ? 0 : o->serial;
 	n->listed_in = 0;
 	if (n->position)
 		g_sequence_sort_changed(n->position, config_entry_compare,
@@ -104,6 +105,18 @@
 		t->changed(t->ctx, &n->object);
 }
 
+void
+config_keep_object(struct config_table *t, const struct config_entry *n,
+    uint64_t version)
+{
+	struct config_object kept = n->object;
+
+	if (version <= kept.version)
+		return;
+	kept.version = version;
+	config_entry_put(t, &kept);
+}
+
 uint64_t
 config_complete_version(const struct config_table *t)
 {
--- a/src/core/config/table_impl.h
+++ b/src/core/config/table_impl.h
@@ -69,10 +69,18 @@
  * than CONFIG_TOMBSTONES_MAX */
 void config_trim_tombstones(struct config_table *);
 #define CONFIG_KINDS_ALL UINT32_MAX
-/** config_remove_unlisted() - replace by tombstones at @version all objects up
- * to that version, of the kinds whose bit is set, that no page has named since
+/** config_keep_object() - raise the version of an object that stays as it is */
+void config_keep_object(struct config_table *, const struct config_entry *,
+    uint64_t version);
+/** config_remove_unlisted() - replace by tombstones at @version all objects
+ * below that version, of the kinds whose bit is set, that no page has named
+ * since
  * @list_number was raised */
 void
 config_remove_unlisted(struct config_table *, uint64_t version, uint32_t kinds);
+/** config_keep_unlisted() - raise the versions of the same objects to @version
+ * instead */
+void
+config_keep_unlisted(struct config_table *, uint64_t version, uint32_t kinds);
 
 #endif
--- a/src/core/config/tombstone.c
+++ b/src/core/config/tombstone.c
@@ -29,13 +29,14 @@
 	}
 }
 
-void
-config_remove_unlisted(struct config_table *t, uint64_t version, uint32_t kinds)
+/* Objects of some kinds, older than @version, that the last list did not name.
+ */
+static GPtrArray *
+find_unlisted(struct config_table *t, uint64_t version, uint32_t kinds)
 {
 	GPtrArray *unlisted = g_ptr_array_new();
 	GHashTableIter i;
 	gpointer p;
-	guint k;
 
 	g_hash_table_iter_init(&i, t->by_name);
 	while (g_hash_table_iter_next(&i, NULL, &p)) {
@@ -43,9 +44,18 @@
 
 		if (kinds >> n->object.kind & 1 && !n->object.removed &&
 		    n->listed_in != t->list_number &&
-		    n->object.version <= version)
+		    n->object.version < version)
 			g_ptr_array_add(unlisted, p);
 	}
+	return unlisted;
+}
+
+void
+config_remove_unlisted(struct config_table *t, uint64_t version, uint32_t kinds)
+{
+	GPtrArray *unlisted = find_unlisted(t, version, kinds);
+	guint k;
+
 	for (k = 0; k < unlisted->len; k++) {
 		const struct config_entry *n = g_ptr_array_index(unlisted, k);
 		struct config_object o = n->object;
@@ -57,3 +67,16 @@
 	}
 	g_ptr_array_free(unlisted, TRUE);
 }
+
+/* The new version lets the objects reach members that pull what is newer than
+ * the era before. */
+void
+config_keep_unlisted(struct config_table *t, uint64_t version, uint32_t kinds)
+{
+	GPtrArray *unlisted = find_unlisted(t, version, kinds);
+	guint k;
+
+	for (k = 0; k < unlisted->len; k++)
+		config_keep_object(t, g_ptr_array_index(unlisted, k), version);
+	g_ptr_array_free(unlisted, TRUE);
+}
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -116,7 +116,9 @@
 	struct platform *platform;
 	int platform_down;
 	int64_t platform_backoff; /* mean delay of the next retry */
-	uint64_t era; /* newest era of the store in any answer, 0 before */
+	uint64_t era; /* newest era of the store in any answer */
+	int era_known; /* the store has answered */
+	int64_t restored_at; /* when a later era was first seen, or 0 */
 	struct feed feed[STORE_FEEDS_MAX];
 	int64_t started; /* time of control_platform_start() */
 	struct io_timer start_timer;
--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -1,5 +1,9 @@
 #include "daemon/control/impl.h"
 
+/* After a restore of the store, lists may lack what was written before it for
+ * this long: its writers write it again within about two seconds. */
+#define RESTORED_HOLD_US 3000000
+
 /* The delay doubles after each failure and is randomized, so that the daemons
  * of a fleet do not all retry at once. */
 int64_t
@@ -13,17 +17,19 @@
 
 /* An answer of an earlier era is one that is allowed to be stale. */
 static void
-note_era(struct control *c, uint64_t era)
+note_era(struct control *c, const struct platform_result *r)
 {
-	if (era <= c->era)
+	int later = c->era_known && r->era > c->era;
+
+	c->era_known |= r->status == PLATFORM_OK;
+	c->era = MAX(c->era, r->era);
+	if (!later)
 		return;
-	if (c->era)
-		log_event(EVENT_PLATFORM_RESTORED, G_LOG_LEVEL_MESSAGE,
-		    control_now(c),
-		    "the store came back from an older copy era=%" G_GUINT64_FORMAT
-		    " was=%" G_GUINT64_FORMAT " complete=%" G_GUINT64_FORMAT,
-		    era, c->era, config_complete_version(c->config));
-	c->era = era;
+	c->restored_at = control_now(c);
+	log_event(EVENT_PLATFORM_RESTORED, G_LOG_LEVEL_MESSAGE, control_now(c),
+	    "the store came back from an older copy era=%" G_GUINT64_FORMAT
+	    " complete=%" G_GUINT64_FORMAT,
+	    r->era, config_complete_version(c->config));
 }
 
 void
@@ -34,7 +40,7 @@
 
 	c->counters.platform_calls++;
 	c->counters.platform_failures += down;
-	note_era(c, r->era);
+	note_era(c, r);
 	if (r->status != PLATFORM_OK)
 		log_event(EVENT_PLATFORM_CALL_FAILED, G_LOG_LEVEL_INFO,
 		    control_now(c),
@@ -154,6 +160,8 @@
 	}
 	f->version = version;
 	b->complete = 0;
+	b->hold = c->restored_at &&
+		  control_now(c) - c->restored_at < RESTORED_HOLD_US;
 	control_apply_batch(c, b);
 	advance_complete(c);
 	return 0;
--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -217,6 +217,7 @@
 		o = &m->object[i];
 		o->kind = b->object[i].kind;
 		o->version = b->object[i].version;
+		o->serial = b->object[i].serial;
 		o->removed = b->object[i].removed;
 		o->name = b->object[i].name;
 		o->value = NULL;
--- a/src/daemon/outbound/peer.c
+++ b/src/daemon/outbound/peer.c
@@ -186,6 +186,7 @@
 		o = &b->object[i];
 		o->kind = m->object[i].kind;
 		o->version = m->object[i].version;
+		o->serial = m->object[i].serial;
 		o->removed = m->object[i].removed;
 		g_strlcpy(o->name, m->object[i].name, sizeof o->name);
 		o->unpacked_size = m->object[i].unpacked_size;
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -67,6 +67,8 @@
  * struct config_object - one object at one version
  * @removed: nonzero for a tombstone
  * @version: of the last change, or of the removal
+ * @serial: raised by the writer of the object with each change, 0 when not
+ * known; an older copy of the object has a lower one whatever its version
  * @value: text, NULL when removed; owned by the table, the snapshot or the
  *         caller that filled it in
  * @unpacked_size: size of the text if @value is compressed, as between daemons,
@@ -76,6 +78,7 @@
 	int kind; /* enum config_kind */
 	int removed;
 	uint64_t version;
+	uint64_t serial;
 	char name[CONFIG_NAME_MAX];
 	GBytes *value;
 	uint32_t unpacked_size;
@@ -107,6 +110,9 @@
  * @kinds: bits of kinds (1 << kind), nonzero for a list of all objects of only
  *         these kinds as of @upto: objects of these kinds that it lacks are
  *         removed, and the complete version stays
+ * @hold: nonzero for such a list of a store that came back from an older copy:
+ *        objects that it lacks may have been written since the copy was made
+ * and are kept
  * @batch_id: as in the pull, 0 on a first page
  */
 struct config_batch {
@@ -117,6 +123,7 @@
 	int more;
 	int full;
 	uint32_t kinds;
+	int hold;
 	uint32_t batch_id;
 	int nobject;
 	struct config_object *object;
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -215,6 +215,7 @@
 	uint32_t kind;
 	uint32_t removed;
 	uint64_t version;
+	uint64_t serial;
 	char *name;
 	const void *value;
 	uint32_t value_len; /* 0 when removed */
--- a/tests/unit/platform_form.c
+++ b/tests/unit/platform_form.c
@@ -62,6 +62,7 @@
 			  &e),
 	    "%s", e.text);
 	ck_assert_int_eq(p.batch->nobject, 1);
+	ck_assert_uint_eq(p.batch->object[0].serial, 3);
 	ck_assert_uint_eq(p.batch->object[0].version, 7);
 	ck_assert_uint_eq(p.batch->complete, 9);
 	ck_assert_uint_eq(p.batch->kinds, 1u << CONFIG_ROUTING);
--- a/tests/unit/restored.c
+++ b/tests/unit/restored.c
@@ -24,13 +24,15 @@
 	return o;
 }
 
-/* Applies a list of all objects of one kind from the platform. */
+/* Applies a list of all objects of one kind from the platform, as complete up
+ * to @version. */
 static void
-apply_list(struct config_table *t, int kind, uint64_t version,
+apply_list(struct config_table *t, int kind, uint64_t version, int hold,
     struct config_object *o, int n)
 {
 	struct config_batch b = { .upto = version,
 		.kinds = 1u << kind,
+		.hold = hold,
 		.nobject = n,
 		.object = o };
 	struct config_batch advance = { .after = config_complete_version(t),
@@ -77,22 +79,115 @@
 	struct config_object o;
 
 	o = object(CONFIG_ROUTING, "main", BEFORE(18), "before");
-	apply_list(t, CONFIG_ROUTING, BEFORE(18), &o, 1);
+	apply_list(t, CONFIG_ROUTING, BEFORE(18), 0, &o, 1);
 	o = object(CONFIG_ROUTING, "main", V(17), "again");
-	apply_list(t, CONFIG_ROUTING, V(17), &o, 1);
+	apply_list(t, CONFIG_ROUTING, V(17), 0, &o, 1);
 	check_value(t, CONFIG_ROUTING, "main", "again");
 	o = object(CONFIG_ROUTING, "main", V(18), "later");
-	apply_list(t, CONFIG_ROUTING, V(18), &o, 1);
+	apply_list(t, CONFIG_ROUTING, V(18), 0, &o, 1);
 	check_value(t, CONFIG_ROUTING, "main", "later");
 	ck_assert_uint_eq(config_complete_version(t), V(18));
 	/* a late answer of the era before */
 	o = object(CONFIG_ROUTING, "main", BEFORE(18), "before");
-	apply_list(t, CONFIG_ROUTING, BEFORE(18), &o, 1);
+	apply_list(t, CONFIG_ROUTING, BEFORE(18), 0, &o, 1);
 	check_value(t, CONFIG_ROUTING, "main", "later");
 	config_free(t);
 }
 END_TEST
 
+static struct config_object
+routing(uint64_t version, uint64_t serial, const char *value)
+{
+	struct config_object o = object(CONFIG_ROUTING, "main", version, value);
+
+	o.serial = serial;
+	return o;
+}
+
+START_TEST(older_copy_of_an_object_does_not_come_into_force)
+{
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_object o;
+
+	o = routing(BEFORE(18), 12, "twelve");
+	apply_list(t, CONFIG_ROUTING, BEFORE(18), 0, &o, 1);
+	o = routing(V(5), 10, "ten");
+	apply_list(t, CONFIG_ROUTING, V(16), 1, &o, 1);
+	check_value(t, CONFIG_ROUTING, "main", "twelve");
+	/* nor when the hold is over */
+	o = routing(V(5), 10, "ten");
+	apply_list(t, CONFIG_ROUTING, V(17), 0, &o, 1);
+	check_value(t, CONFIG_ROUTING, "main", "twelve");
+	o = routing(V(18), 12, "twelve");
+	apply_list(t, CONFIG_ROUTING, V(18), 0, &o, 1);
+	o = routing(V(19), 13, "thirteen");
+	apply_list(t, CONFIG_ROUTING, V(19), 0, &o, 1);
+	check_value(t, CONFIG_ROUTING, "main", "thirteen");
+	config_free(t);
+}
+END_TEST
+
+START_TEST(member_passes_on_what_the_copy_lacks)
+{
+	struct config_table *a = config_new(NULL, NULL);
+	struct config_table *b = config_new(NULL, NULL);
+	struct config_object o;
+	struct config_pull pull;
+	struct config_batch page;
+	struct kq_error e;
+
+	o = routing(BEFORE(18), 12, "twelve");
+	apply_list(a, CONFIG_ROUTING, BEFORE(18), 0, &o, 1);
+	o = routing(V(5), 10, "ten");
+	apply_list(a, CONFIG_ROUTING, V(16), 1, &o, 1);
+	/* a member that started from the copy, and knows less of its era */
+	o = routing(V(5), 10, "ten");
+	apply_list(b, CONFIG_ROUTING, V(5), 0, &o, 1);
+	config_next_pull(b, 1, &pull);
+	pull.after = 0;
+	config_read_page(a, 1, &pull, 65536, &page);
+	config_apply_batch(b, &page, &e);
+	config_batch_clear(&page);
+	check_value(b, CONFIG_ROUTING, "main", "twelve");
+	config_free(a);
+	config_free(b);
+}
+END_TEST
+
+START_TEST(object_that_the_copy_lacks_is_held)
+{
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_object o;
+
+	o = object(CONFIG_DATACENTRE, "dc2", BEFORE(18), "out");
+	apply_list(t, CONFIG_DATACENTRE, BEFORE(18), 0, &o, 1);
+	apply_list(t, CONFIG_DATACENTRE, V(16), 1, NULL, 0);
+	check_value(t, CONFIG_DATACENTRE, "dc2", "out");
+	apply_list(t, CONFIG_DATACENTRE, V(17), 1, NULL, 0);
+	check_value(t, CONFIG_DATACENTRE, "dc2", "out");
+	/* written again, and removed later */
+	o = object(CONFIG_DATACENTRE, "dc2", V(18), "out");
+	apply_list(t, CONFIG_DATACENTRE, V(18), 1, &o, 1);
+	apply_list(t, CONFIG_DATACENTRE, V(19), 0, NULL, 0);
+	check_value(t, CONFIG_DATACENTRE, "dc2", NULL);
+	config_free(t);
+}
+END_TEST
+
+START_TEST(object_not_written_again_is_removed_after_the_hold)
+{
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_object o;
+
+	o = object(CONFIG_DATACENTRE, "dc2", BEFORE(18), "out");
+	apply_list(t, CONFIG_DATACENTRE, BEFORE(18), 0, &o, 1);
+	apply_list(t, CONFIG_DATACENTRE, V(16), 1, NULL, 0);
+	apply_list(t, CONFIG_DATACENTRE, V(17), 0, NULL, 0);
+	check_value(t, CONFIG_DATACENTRE, "dc2", NULL);
+	config_free(t);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -103,6 +198,10 @@
 
 	tcase_add_test(c, version_holds_era_and_revision);
 	tcase_add_test(c, revision_that_is_given_out_again_is_a_new_version);
+	tcase_add_test(c, older_copy_of_an_object_does_not_come_into_force);
+	tcase_add_test(c, member_passes_on_what_the_copy_lacks);
+	tcase_add_test(c, object_that_the_copy_lacks_is_held);
+	tcase_add_test(c, object_not_written_again_is_removed_after_the_hold);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
