Addresses of daemons that a restored store lost are written again

Cause: a daemon writes its address to the store once and remembers that it did. A store that comes back from an older copy lacks the addresses written since, and nobody wrote them again: daemons that start later would not find those members, and after a loss of all members at one moment they would not find each other. Class of fault: as with revisions, a memory of the store is used beyond the store that it is about.

--- a/src/daemon/control/config.c
+++ b/src/daemon/control/config.c
@@ -303,4 +303,5 @@
 	control_schedule_member_tick(c);
 	control_publish_view(c);
 	check_registration(c);
+	control_check_seeds_era(c);
 }
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -132,7 +132,9 @@
 	int64_t seeds_listed_at;
 	struct io_timer join_timer;
 	int seeds_listed; /* addresses were listed and ours is among them */
-	int own_seed_written;
+	int own_seed_written; /* in the era of the last list */
+	uint64_t seeds_era; /* in which the own address was listed */
+	uint64_t seeds_check_era; /* for which such a list is scheduled */
 	enum registration registration;
 	int register_again; /* write the instance object once more */
 	uint64_t registered_version;
@@ -245,6 +247,8 @@
 int64_t control_platform_backoff(struct control *);
 /* Joins the other daemons by the addresses in the store. */
 void control_seeds_start(struct control *);
+/* Has the own address looked for if the store came back from a copy. */
+void control_check_seeds_era(struct control *);
 void control_seeds_stop(struct control *);
 /* Whether feed @i is watched; others are only listed. */
 int control_is_watched_feed(const struct control *, int i);
--- a/src/daemon/control/seeds.c
+++ b/src/daemon/control/seeds.c
@@ -6,7 +6,8 @@
 /* Seeds: the addresses of daemons, kept in the store for new daemons to join
  * by. An address outlives the daemon that wrote it; the next daemon at this
  * address finds it and writes nothing. The first list request accepts a stale
- * answer, which costs a tenth of a current one. */
+ * answer, which costs a tenth of a current one. A store that comes back from an
+ * older copy may lack addresses; each daemon looks for its own then. */
 
 #define LIST_PERIOD_US 20000000 /* between two lists by the watchers */
 #define LIST_JITTER_US 5000000
@@ -18,6 +19,11 @@
 #define SEED_EXPIRE_US \
 	60000000 /* an address without a member for this long is removed */
 
+/* From a restore of the store until a daemon looks for its address: a stale
+ * answer may be some seconds old, and not all ask at once. */
+#define RESTORED_CHECK_US 4000000
+#define RESTORED_JITTER_US 4000000
+
 static void list_seeds(struct control *, int stale);
 
 static int
@@ -192,7 +198,9 @@
 
 	if (c->leaving)
 		return;
-	if (c->seeds_listed && !control_is_watcher(c)) {
+	if (c->seeds_listed && !control_is_watcher(c) &&
+	    c->seeds_era ==
+		config_version_era(config_complete_version(c->config))) {
 		c->seeds_timer.fire = list_due;
 		c->seeds_timer.ctx = c;
 		io_timer_set(c->task.loop, &c->seeds_timer,
@@ -249,6 +257,12 @@
 		schedule_list(c, control_platform_backoff(c));
 		return;
 	}
+	if (r->era < config_version_era(config_complete_version(c->config))) {
+		schedule_list(c, RESTORED_CHECK_US);
+		return;
+	}
+	if (r->era > c->seeds_era)
+		c->own_seed_written = 0;
 	set_seeds(c, r->batch);
 	if (!c->own_seed_written && !lists_own_name(c, r->batch)) {
 		put_own_seed(c);
@@ -258,6 +272,7 @@
 		if (!parse_name(r->batch->object[i].name, &a))
 			check_seed(c, &r->batch->object[i], &a, control_now(c));
 	c->seeds_listed = 1;
+	c->seeds_era = r->era;
 	/* A daemon that knows no other member tries some of the addresses once
 	 * more, so that parts of a partitioned fleet join. */
 	if (member_count(c->members) <= 1)
@@ -265,6 +280,19 @@
 	schedule_list(c, LIST_PERIOD_US + rng_below(&c->rng, LIST_JITTER_US));
 }
 
+void
+control_check_seeds_era(struct control *c)
+{
+	uint64_t era = config_version_era(config_complete_version(c->config));
+
+	if (!c->seeds || !c->seeds_listed || era <= c->seeds_era ||
+	    era <= c->seeds_check_era)
+		return;
+	c->seeds_check_era = era;
+	schedule_list(c,
+	    RESTORED_CHECK_US + rng_below(&c->rng, RESTORED_JITTER_US));
+}
+
 static void
 list_seeds(struct control *c, int stale)
 {
