A health check of a daemon that starts reads the head of its answer alone, within its bounds

Cause: a daemon that starts beside a target checks its health by libsoup. The bound on the body relied on a signal that this library does not have (event 0 in each log: 'got-body-data' is invalid), and a head of fields without end, or interim answers without end, kept the library reading in one call: the control task hung at full processor use, with heartbeats, readiness and membership in it (backtrace: soup_message_get_http_version below g_main_context_dispatch). Fix: the check uses the product's own HTTP client, which bounds heads and returns to the loop, ends at the head, and after 1 s without one. 2. Ruled out: a timer in the same task (it did not run any more); first try, reverted: soup_session_send_async() with an abort by timer, hangs at fields without end as before. 3. Conclusion: the platform's client and the tool still use libsoup; the platform is not a target in trouble.

--- a/scripts/dialect.sh
+++ b/scripts/dialect.sh
@@ -64,6 +64,6 @@
 	cat <<EOF
 {"metadata":{"name":"main"},"specification":{"version":${dialect_version-1},"resources":[$1,
 {"resource_kind":"services","metadata":{"name":"codebook"},"specification":
-{"health_path":"/health","max_connections":260,"cold_start_s":3.0,"cold_per_s":19.0}}]}}
+{"health_path":"${dialect_health-/health}","max_connections":260,"cold_start_s":3.0,"cold_per_s":19.0}}]}}
 EOF
 }
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -146,12 +146,10 @@
 
 	struct data_target target;
 	struct track track; /* from heartbeats, where targets send them */
-	SoupSession *health_session;
-	GCancellable *health_cancel;
-	struct io_timer health_timer;
+	struct http_pool *health_pool;
+	struct http_call *health_call; /* a health check in flight, or NULL */
+	struct io_timer health_timer; /* its timeout, or the next one */
 	int health_tries; /* failed ones; the maximum once none is needed */
-	int health_pending; /* a health check is in flight */
-	size_t health_bytes; /* of the body of its answer */
 	int has_target; /* it is announced and takes work */
 	int service_changed; /* since it was last published to the members */
 	int operator_drain; /* an operator drained the target */
