Members that can't add each other stop asking for each other's info

Cause: a message of an unknown sender is answered with a WANT, and its answer tells the sender's info. A member that leaves is not added, so it is unknown also then: the answer is answered with a WANT again, and a WANT of an unknown member with one more. Two daemons, one of them leaving, exchanged datagrams without end: 474,562 in and 768,232 out at one daemon in 3 s (metrics at that moment; backtrace: control task in handle_datagram()). The stop timer did not run, and the daemon ended only at the end of its grace. Class of fault: a question whose answer can bring the same question again. Looked for elsewhere in the protocol: answers to a sender listed as dead (GOSSIP to GOSSIP) end with the refutation that they carry; WANT for updates without info is answered with info and not asked again.

--- a/src/core/member/receive.c
+++ b/src/core/member/receive.c
@@ -57,8 +57,23 @@
 		t->ops->behind(t->ctx, handle, msg->config_version);
 }
 
+/* Whether the sender's info is in the message. If the sender is unknown all the
+ * same it can't be added, since it leaves or the table is full. */
+static int
+has_sender_info(const struct member_message *msg)
+{
+	int i;
+
+	for (i = 0; i < msg->nupdate; i++)
+		if (msg->update[i].info.id == msg->from &&
+		    msg->update[i].has_info)
+			return 1;
+	return 0;
+}
+
 /* Tells a sender that we list it as dead, so that it can refute (if it sent a
- * PING, the ACK tells it). Asks an unknown sender for its info. */
+ * PING, the ACK tells it). Asks an unknown sender for its info, but not one
+ * that asks itself, or two that can't add each other would never end. */
 static void
 check_sender(struct member_table *t, const struct member_message *msg)
 {
@@ -67,7 +82,8 @@
 
 	if (msg->kind == MEMBER_JOIN || msg->kind == MEMBER_WELCOME)
 		return;
-	if (!r && !t->join.active) {
+	if (!r && !t->join.active && msg->kind != MEMBER_WANT &&
+	    !has_sender_info(msg)) {
 		out = member_begin_message(t, MEMBER_WANT, msg->from);
 		out->want[0] = msg->from;
 		out->nwant = 1;
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -594,6 +594,100 @@
 }
 END_TEST
 
+/* ---- tables that get each other's messages ---- */
+
+#define TALKERS 2
+#define MESSAGES_MAX 1000 /* more are no end */
+
+struct talk {
+	GQueue messages; /* struct member_message, in flight */
+	int sent;
+};
+
+static void
+talk_send(void *ctx, const struct member_address *to,
+    const struct member_message *msg)
+{
+	struct talk *k = ctx;
+
+	(void)to;
+	if (++k->sent <= MESSAGES_MAX)
+		g_queue_push_tail(&k->messages, g_memdup2(msg, sizeof *msg));
+}
+
+static void
+talk_event(void *ctx, int handle, enum member_event event)
+{
+	(void)ctx;
+	(void)handle;
+	(void)event;
+}
+
+static void
+talk_behind(void *ctx, int handle, uint64_t digest)
+{
+	(void)ctx;
+	(void)handle;
+	(void)digest;
+}
+
+/* Delivers messages at one moment until none is in flight. */
+static void
+talk_run(struct talk *k, struct member_table *const *t)
+{
+	struct member_message *m;
+
+	while ((m = g_queue_pop_head(&k->messages))) {
+		if (m->to >= 1 && m->to <= TALKERS)
+			member_receive(t[m->to - 1], m, 0);
+		g_free(m);
+	}
+}
+
+/* Two members that don't know each other, of which one, the other, both or none
+ * (bits of _i) is leaving, end their exchange after a few messages. */
+START_TEST(unknown_members_stop_asking)
+{
+	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
+	static const struct member_ops ops = { talk_send, talk_event,
+		talk_behind };
+	static const enum member_kind kinds[] = { MEMBER_PING, MEMBER_ACK,
+		MEMBER_GOSSIP, MEMBER_PAGE, MEMBER_WANT };
+	struct member_table *t[TALKERS];
+	struct talk k;
+	size_t j;
+	int i;
+
+	for (j = 0; j < sizeof kinds / sizeof *kinds; j++) {
+		struct member_message *m = g_new0(struct member_message, 1);
+
+		memset(&k, 0, sizeof k);
+		for (i = 0; i < TALKERS; i++) {
+			struct member_info info = { .id = (uint64_t)i + 1 };
+
+			t[i] = member_new(&info, &limits, 1, &ops, &k, 0);
+			if (_i >> i & 1)
+				member_leave(t[i], 0);
+		}
+		m->kind = kinds[j];
+		m->from = 1;
+		m->to = 2;
+		m->view_seq = MEMBER_VIEW_NONE;
+		m->nwant = 1;
+		m->want[0] = 2;
+		talk_send(&k, NULL, m);
+		g_free(m);
+		talk_run(&k, t);
+		ck_assert_int_le(k.sent, 10);
+		/* those that stay know each other */
+		if (_i == 0 && kinds[j] != MEMBER_WANT)
+			ck_assert_int_ne(member_find(t[1], 1), MEMBER_NONE);
+		for (i = 0; i < TALKERS; i++)
+			member_free(t[i]);
+	}
+}
+END_TEST
+
 /* A member that was suspected before we were paused is not declared dead until
  * another member has acknowledged us at our state number after the pause. */
 START_TEST(suspect_is_kept_after_a_pause)
@@ -727,6 +821,7 @@
 	tcase_add_test(c, refutes_with_higher_number);
 	tcase_add_test(c, join_does_not_add_the_sender);
 	tcase_add_test(c, ignores_misaddressed_messages);
+	tcase_add_loop_test(c, unknown_members_stop_asking, 0, 4);
 	tcase_add_test(c, suspect_is_kept_after_a_pause);
 	tcase_add_test(c, pause_extends_suspicion);
 	tcase_add_test(c, only_confirmed_members_watch);
