A health check under way ends before the target's connections are replaced

Found while reading what the wait for a target's first answer makes more frequent.

Cause: a heartbeat with other slots replaces the connections to the target and frees the calls on them. The call of a health check under way was kept and cancelled at its timeout: a use after free. Ruled out: a callback for freed calls (http_pool_free() promises that none follows; all others that free a pool have no call on it). 3.

--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -219,6 +219,9 @@
 /** inbound_schedule_measure() - schedule measurements of the target's load, or
  * health checks */
 void inbound_schedule_measure(struct data *);
+/** inbound_cancel_measure() - cancel a measurement, before the target's
+ * connections are closed */
+void inbound_cancel_measure(struct data *);
 /** inbound_measure_target() - ask the target for its load, or check its health,
  * now; -1 if that is not possible or would exceed the budget */
 int inbound_measure_target(struct data *);
--- a/src/daemon/inbound/measure.c
+++ b/src/daemon/inbound/measure.c
@@ -91,6 +91,16 @@
 	measure_ended(ctx);
 }
 
+void
+inbound_cancel_measure(struct data *d)
+{
+	if (!d->measure_call)
+		return;
+	http_call_cancel(d->measure_call);
+	d->measure_call = NULL;
+	io_timer_clear(d->task.loop, &d->measure_timeout);
+}
+
 static void
 health_timeout(void *ctx, int64_t now)
 {
--- a/src/daemon/inbound/target.c
+++ b/src/daemon/inbound/target.c
@@ -65,6 +65,7 @@
 	inbound_await_first_answer(d);
 	admit_set_out(d->admit,
 	    view_datacentre_out(d->view, d->settings.datacentre));
+	inbound_cancel_measure(d);
 	if (d->pool)
 		http_pool_free(d->pool);
 	d->pool = http_pool_new(d->task.loop, d->target.ip, d->target.port,
