A limit is withdrawn by a health check too, where those state it

Cause: only the answer to a request withdrew a limit. The limit refused more than it had to. Fix: if answers to health checks state the limit as well, one without it withdraws it, as sent after the last statement.

--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -123,6 +123,7 @@
 	struct io_timer once_timer;
 	struct io_timer measure_timer;
 	struct http_call *measure_call;
+	int64_t measure_sent; /* when the last one was sent */
 	struct io_timer measure_timeout; /* timeout of measure_call */
 	GString *measure_body;
 	struct counters counters;
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -240,7 +240,7 @@
  * limit and leaving */
 void inbound_note_answer(struct in_call *, const struct http_head *);
 /** inbound_note_health() - the same for the answer to a health check, which
- * withdraws nothing */
+ * withdraws the limit only if such answers state it, too */
 void inbound_note_health(struct data *, const struct http_head *);
 /** inbound_judge_pace() - judge whether work may be started on the target's
  * machine now; while it may not, admission is held */
--- a/src/daemon/inbound/measure.c
+++ b/src/daemon/inbound/measure.c
@@ -123,6 +123,7 @@
 	struct http_field f[] = { { "Host", "target" } };
 
 	d->counters.measure_requests++;
+	d->measure_sent = data_now(d);
 	pace_await_reading(&d->pace, data_now(d));
 	g_string_truncate(d->measure_body, 0);
 	d->measure_call = http_call_start(d->pool, "GET",
--- a/src/daemon/inbound/stated.c
+++ b/src/daemon/inbound/stated.c
@@ -108,8 +108,13 @@
 	if (is_other_target(d, h))
 		return;
 	note_first_answer(d);
-	if (text)
+	if (text) {
 		note_limit(d, text);
+		d->stated.by_health = 1;
+	} else if (d->stated.by_health &&
+		   stated_limit_withdraw(&d->stated, d->measure_sent)) {
+		apply_limit(d);
+	}
 	note_leaving(d, h);
 }
 
--- a/src/internal/stated.h
+++ b/src/internal/stated.h
@@ -18,10 +18,13 @@
 
 /** struct stated_limit - limit of one run of a target; zero it before first use
  * @per_s: requests a second, 0 for no limit
- * @stated_at: when an answer last stated it */
+ * @stated_at: when an answer last stated it
+ * @by_health: nonzero if the answers to health checks state it, too, so that
+ *one without it withdraws it */
 struct stated_limit {
 	double per_s;
 	int64_t stated_at;
+	int by_health;
 };
 
 /** stated_limit_parse() - parse a decimal number of requests a second
