--- a/scripts/dialect.sh
+++ b/scripts/dialect.sh
@@ -11,6 +11,10 @@
 #                              print the most requests that a target ran in any
 #                              window of so many seconds from then on
 #   dialect_now_us             print the time of histories
+#   dialect_fleet DC.N,... [TARGET-OPTION]...
+#                              start the platform, daemons and targets there, the
+#                              first at 1.1, with a route /p/; false if not all
+#                              targets become known
 #   dialect_store_request METHOD KIND[/NAME] [BODY]
 #                              send a request to the platform's object store and
 #                              print the HTTP status
@@ -20,6 +24,19 @@
 #   dialect_config_json ROUTES print the configuration that operators store; its
 #                              version is $dialect_version, 1 if not set
 
+dialect_fleet() {
+	dialect_nodes=$(echo "$1" | tr , ' ')
+	shift
+	dialect_platform
+	for dialect_node in $dialect_nodes; do
+		fleet_daemon "${dialect_node%.*}" "${dialect_node#*.}"
+		dialect_target "${dialect_node%.*}" "${dialect_node#*.}" "$@"
+	done
+	dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /p/ safe)")" >"$fleet_dir/code"
+	fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
+	fleet_targets "$(echo "$dialect_nodes" | wc -w)"
+}
+
 dialect_most_runs() {
 	awk -v from="$2" -v window=$(($3 * 1000000)) 'BEGIN { first = n = 0 }
 	$3 == "run" && $1 >= from {
--- a/tests/system/target-leaving.sh
+++ b/tests/system/target-leaving.sh
@@ -12,7 +12,6 @@
 failed=0
 
 runs() { grep -c ' run ' "$fleet_dir/target-1-2.history"; }
-has_three() { [ "$(fleet_tool targets 2>/dev/null | grep -c '"service"')" -ge 3 ]; }
 # expect_no_runs WHAT SECONDS: checks that the target runs nothing for that time
 expect_no_runs() {
 	before=$(runs)
@@ -21,14 +20,7 @@
 	echo "$1: $(($(runs) - before)) requests ran"
 }
 
-dialect_platform
-for n in 1.1 1.2 2.1; do
-	fleet_daemon "${n%.*}" "${n#*.}"
-	dialect_target "${n%.*}" "${n#*.}" --service-us 20000
-done
-dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /p/ safe)")" >"$fleet_dir/code"
-fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
-fleet_wait_until 9 has_three || fleet_fail "the daemon does not know all targets"
+dialect_fleet 1.1,1.2,2.1 --service-us 20000 || fleet_fail "the daemon does not know all targets"
 for n in 1.1 2.1 1.2; do
 	"$fleet_build/bench-load" --to="$fleet_net.$n:8400" --dialect=platform --service=h.example \
 		--call=GET:/p/x:1:repeat --rate=40 --seconds=18 --timeout-ms=1000 >"$fleet_dir/load-$n" 2>&1 &
--- a/tests/system/target-limit-restart.sh
+++ b/tests/system/target-limit-restart.sh
@@ -14,16 +14,8 @@
 failed=0
 bound=$((LIMIT_PER_S * WINDOW_S * 3 / 2 + 5))
 
-has_two() { [ "$(fleet_tool targets 2>/dev/null | grep -c '"service"')" -ge 2 ]; }
 
-dialect_platform
-for n in 1.1 1.2; do
-	fleet_daemon "${n%.*}" "${n#*.}"
-	dialect_target "${n%.*}" "${n#*.}" --service-us $SERVICE_US
-done
-dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /p/ safe)")" >"$fleet_dir/code"
-fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
-fleet_wait_until 9 has_two || fleet_fail "the daemon does not know both targets"
+dialect_fleet 1.1,1.2 --service-us $SERVICE_US || fleet_fail "the daemon does not know all targets"
 "$fleet_build/bench-load" --to="$fleet_net.1.1:8400" --dialect=platform --service=h.example \
 	--call=GET:/p/x:1:repeat --rate=80 --seconds=30 --timeout-ms=900 >"$fleet_dir/load" 2>&1 &
 load=$!
--- a/tests/system/target-limit.sh
+++ b/tests/system/target-limit.sh
@@ -37,7 +37,6 @@
 	echo "$1: $most runs in ${WINDOW_S} s, $bound allowed"
 	[ "$most" -le $bound ] || fleet_fail "$1: $most runs in $WINDOW_S s, $bound allowed"
 }
-has_three() { [ "$(fleet_tool targets 2>/dev/null | grep -c '"service"')" -ge 3 ]; }
 # restarted SECONDS SIGNAL: ends the daemon beside the limited target, starts it anew
 restarted() {
 	# shellcheck disable=SC2154
@@ -47,14 +46,7 @@
 	sleep "$1"
 }
 
-dialect_platform
-for n in 1.1 1.2 2.1; do
-	fleet_daemon "${n%.*}" "${n#*.}"
-	dialect_target "${n%.*}" "${n#*.}" --service-us 20000
-done
-dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /p/ safe)")" >"$fleet_dir/code"
-fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
-fleet_wait_until 9 has_three || fleet_fail "the daemon does not know all targets"
+dialect_fleet 1.1,1.2,2.1 --service-us 20000 || fleet_fail "the daemon does not know all targets"
 load 26
 sleep 3
 set_limit $LIMIT_PER_S 1.2
