--- a/tests/system/restored-store.sh
+++ b/tests/system/restored-store.sh
@@ -8,6 +8,7 @@
 . scripts/dialect.sh
 APPLY_S=2 # a change is in force this long after it was acknowledged
 ADDRESS_S=15
+WRITE_AGAIN_S=1.5 # operators write again within about 2 s
 fleet_open "$1"
 trap fleet_close EXIT
 failed=0
@@ -47,7 +48,13 @@
 	dialect_store_request GET "kumquatrock-daemons/$fleet_net.2.2-8410" >"$fleet_dir/code"
 	[ "$(cat "$fleet_dir/code")" = 200 ]
 }
-# stays_out ROUND: checks that the target in dc2 runs nothing from now on for 1 s
+# write_again VERSION ROUND: writes what was lost, some time after the restore
+write_again() {
+	sleep $WRITE_AGAIN_S
+	configure PUT "$1" /p/ "/a$2/"
+	evacuate
+}
+# stays_out ROUND: checks that the target in dc2 runs nothing meanwhile
 stays_out() {
 	before=$(runs 2-1)
 	for _ in 1 2 3 4 5 6 7 8 9 10; do
@@ -79,13 +86,18 @@
 	sleep 1
 	stays_out "$round"
 	fleet_platform_mode "restore&by=$(($(fleet_platform_count version) - kept))"
-	for _ in 1 2 3; do
-		sleep 0.3
+	write_again $v "$round" &
+	writing=$!
+	checks=0
+	before=$(runs 2-1)
+	while kill -0 $writing 2>/dev/null; do
 		all_serve "/a$round/x" || fleet_fail "round $round: what is in force went back"
-		stays_out "$round"
+		all_serve /p/x || fleet_fail "round $round: a request was not served"
+		checks=$((checks + 1))
 	done
-	configure PUT $v /p/ "/a$round/"
-	evacuate
+	wait $writing
+	[ "$(runs 2-1)" = "$before" ] || fleet_fail "round $round: a data centre that is out got $(($(runs 2-1) - before)) requests"
+	echo "round $round: $checks checks before it was written again"
 	configure PUT $((v + 1)) /p/ "/a$round/" "/b$round/"
 	fleet_wait_until $APPLY_S all_serve "/b$round/x" || fleet_fail "round $round: a change after the restore is not in force"
 	all_serve "/a$round/x" || fleet_fail "round $round: a route is not served"
--- a/tests/system/stop-together.sh
+++ b/tests/system/stop-together.sh
@@ -37,7 +37,9 @@
 	dialect_target 1 $n
 done
 dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /p/ safe)")" >"$fleet_dir/status"
-fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
+for n in 1 2 3 4 5; do
+	fleet_await "http://$fleet_net.1.$n:8430/v1/readiness"
+done
 fleet_run load "$1/bench-load" --dialect platform --service codebook --seed 5 --rate 250 --seconds 600 \
 	--timeout-ms 900 --call GET:/p/1:1:repeat --to "$fleet_net.1.1:8400" --history "$fleet_dir/load.history"
 for round in $(seq "$rounds"); do
