--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -171,6 +171,15 @@
 	return updated > 0 ? CONFIG_GAP : CONFIG_OLD;
 }
 
+static void
+finish_list(struct config_table *t, const struct config_batch *b)
+{
+	if (b->hold)
+		config_keep_unlisted(t, b->upto, b->kinds);
+	else
+		config_remove_unlisted(t, b->upto, b->kinds);
+}
+
 enum config_outcome
 config_apply_batch(struct config_table *t, const struct config_batch *b,
     struct kq_error *e)
@@ -210,8 +219,7 @@
 			mark_listed(t, o);
 	}
 	if (b->kinds)
-		b->hold ? config_keep_unlisted(t, b->upto, b->kinds)
-			: config_remove_unlisted(t, b->upto, b->kinds);
+		finish_list(t, b);
 	advance_transfer(t, b, role);
 	config_trim_tombstones(t);
 	return conflict ? CONFIG_CONFLICT
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -81,8 +81,8 @@
  *	run
  * @cold_field: field of a health check's answer with the time for which the
  *	target stays cold, milliseconds
- * @limit_field: field of an answer with the requests a second that a target in
- *	need takes from all daemons together
+ * @limit_field: field of an answer with the requests a second that the target
+ *	takes from all daemons together, NULL if there is none
  * @leaving_field: field that each answer of a leaving target has
  * @ready_path: path of the daemon's readiness check
  * @report_path: path at which the daemon takes heartbeats and leaves
--- a/src/internal/stated.h
+++ b/src/internal/stated.h
@@ -4,8 +4,8 @@
 #include <stdint.h>
 
 /**
- * DOC: Limit that a target in need states on its answers: the requests a second
- * that it takes from all daemons together.
+ * DOC: Rate limit that an overloaded target states on its answers: the requests
+ * a second that it takes from all daemons together.
  *
  * The limit holds until an answer no longer states it. Answers can overtake
  * each other, so only the answer to a request that was sent after the limit was
