--- /dev/null
+++ b/review/standin/worker.c
@@ -0,0 +1,204 @@
+#include "standin.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+/* A worker of one service, with its liveness reports. Requests whose path has
+ * "/large/" are answered with --large-bytes, all others with a few bytes.
+ * GET /standin/set?NAME=N changes a knob:
+ *   ill        health checks are answered with 503, requests are served as ever
+ *   health_ms  a health check waits so long for a slot
+ *   extra      an answer is sent once more when the next request comes on its
+ *              connection
+ *   cut        the answers to paths with "/cut/" end within their body
+ *   silent     no liveness reports */
+
+enum knob { ILL, HEALTH_MS, EXTRA, CUT, SILENT, KNOBS };
+
+static const char *const knob_names[] = { "ill", "health_ms", "extra", "cut",
+	"silent" };
+static atomic_int knobs[KNOBS];
+static atomic_int running;
+static atomic_long answers;
+
+static const char *self_id, *service, *zone, *report_to, *self_address;
+static int slots, work_ms, large_bytes;
+static int64_t born;
+
+static int
+load_field(char *text, size_t size)
+{
+	return snprintf(text, size, "X-Server-Load: %d,0,%d,100\r\n",
+	    atomic_load(&running), slots);
+}
+
+static void
+set_knob(struct stream *s, const char *query)
+{
+	int i;
+
+	for (i = 0; i < KNOBS; i++) {
+		size_t n = strlen(knob_names[i]);
+
+		if (!strncmp(query, knob_names[i], n) && query[n] == '=')
+			atomic_store(&knobs[i], atoi(query + n + 1));
+	}
+	record("knob %s", query);
+	answer_json(s->fd, 200, "", "{}");
+}
+
+static int
+serve_health(struct stream *s)
+{
+	char text[512], load[64];
+	int n, ill;
+
+	sleep_ms(atomic_load(&knobs[HEALTH_MS]));
+	ill = atomic_load(&knobs[ILL]);
+	load_field(load, sizeof load);
+	n = snprintf(text, sizeof text,
+	    "HTTP/1.1 %s\r\nX-Instance-Id: %s\r\n%sContent-Length: 0\r\n\r\n",
+	    ill ? "503 Service Unavailable" : "200 OK", self_id, load);
+	return write_all(s->fd, text, (size_t)n);
+}
+
+/* Runs a request and sends its answer; the answer is left in @last. */
+static int
+run(struct stream *s, const struct message *m, const char *method,
+    const char *path, const char *attempt, char **last, size_t *last_len)
+{
+	char caller[128], load[64];
+	size_t body, n;
+	int cut = atomic_load(&knobs[CUT]) && strstr(path, "/cut/");
+
+	field(m, "X-Caller-Service", caller, sizeof caller);
+	atomic_fetch_add(&running, 1);
+	record("run id=%s method=%s path=%s service=%s caller=%s", attempt,
+	    method, path, service, caller[0] ? caller : "none");
+	sleep_ms(work_ms);
+	body = strstr(path, "/large/") ? (size_t)large_bytes : 400;
+	free(*last);
+	*last = malloc(body + 1024);
+	load_field(load, sizeof load);
+	n = (size_t)sprintf(*last,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+	    "X-Server-Signature: %s.%ld\r\n%sContent-Length: %zu\r\n\r\n",
+	    attempt, self_id, atomic_fetch_add(&answers, 1), load, body);
+	memset(*last + n, 'a', body);
+	memcpy(*last + n, attempt, strlen(attempt));
+	*last_len = n + body;
+	atomic_fetch_sub(&running, 1);
+	if (cut) {
+		write_all(s->fd, *last, n + body / 2);
+		record("cut id=%s", attempt);
+		return -1;
+	}
+	return write_all(s->fd, *last, *last_len);
+}
+
+static int
+serve_request(struct stream *s, const struct message *m, char **last,
+    size_t *last_len)
+{
+	char method[16], path[8192], attempt[128], expected[128], text[256];
+
+	start_word(m, 0, method, sizeof method);
+	start_word(m, 1, path, sizeof path);
+	if (!strncmp(path, "/standin/set?", 13)) {
+		set_knob(s, path + 13);
+		return 0;
+	}
+	if (*last_len && atomic_load(&knobs[EXTRA])) {
+		record("extra answer before %s", path);
+		if (write_all(s->fd, *last, *last_len))
+			return -1;
+		*last_len = 0;
+	}
+	if (!strcmp(path, "/health"))
+		return serve_health(s);
+	field(m, "X-Attempt-Id", attempt, sizeof attempt);
+	if (field(m, "X-Expected-Instance", expected, sizeof expected) &&
+	    strcmp(expected, self_id)) {
+		snprintf(text, sizeof text,
+		    "X-Instance-Id: %s\r\nX-Attempt-Id: %s\r\n", self_id,
+		    attempt);
+		return answer_json(s->fd, 421, text, "{}");
+	}
+	return run(s, m, method, path, attempt, last, last_len);
+}
+
+static void
+serve(struct stream *s)
+{
+	struct message *m = calloc(1, sizeof *m);
+	char *last = NULL;
+	size_t last_len = 0;
+
+	while (!read_message(s, m) && !serve_request(s, m, &last, &last_len))
+		message_clear(m);
+	message_clear(m);
+	free(last);
+	free(m);
+}
+
+static void *
+report(void *unused)
+{
+	struct message *m = calloc(1, sizeof *m);
+	char path[256], body[1024];
+	long sequence = 0;
+	int status;
+
+	(void)unused;
+	snprintf(path, sizeof path, "/v1/rpc?call=instances.heartbeat&of=%s",
+	    self_id);
+	for (;;) {
+		snprintf(body, sizeof body,
+		    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+		    "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
+		    "\"cold_remaining_ms\":0,\"sequence\":%ld,\"born\":%lld}",
+		    service, self_address, zone, slots, ++sequence,
+		    (long long)born);
+		status = 0;
+		if (!atomic_load(&knobs[SILENT])) {
+			status = request(report_to, "POST", path,
+			    "Host: daemon\r\n", body, 1000, m);
+			message_clear(m);
+		}
+		sleep_ms(status == 200 ? 1500 : 300);
+	}
+	return NULL;
+}
+
+/* worker --listen IP:PORT --service S --id ID --zone Z --announce IP:PORT
+ *	[--work-ms N] [--slots N] [--large-bytes N] [--record FILE] */
+int
+worker_main(int argc, char **argv)
+{
+	struct timespec t;
+	pthread_t thread;
+	char ip[64];
+	int port, fd;
+
+	self_address = option(argc, argv, "listen", "");
+	service = option(argc, argv, "service", "");
+	self_id = option(argc, argv, "id", "i-1");
+	zone = option(argc, argv, "zone", "a");
+	report_to = option(argc, argv, "announce", NULL);
+	work_ms = option_int(argc, argv, "work-ms", 20);
+	slots = option_int(argc, argv, "slots", 18);
+	large_bytes = option_int(argc, argv, "large-bytes", 1000000);
+	clock_gettime(CLOCK_REALTIME, &t);
+	born = (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+	record_open(option(argc, argv, "record", NULL), self_id);
+	split_address(self_address, ip, sizeof ip, &port);
+	fd = listen_on(ip, port);
+	if (report_to)
+		pthread_create(&thread, NULL, report, NULL);
+	serve_forever(fd, serve);
+	return 0;
+}
