--- a/review/lib.sh
+++ b/review/lib.sh
@@ -9,6 +9,7 @@
 #                            worker i-N beside it
 #   restart_ended N          what the platform does when a process has ended: starts it
 #                            again; true if it had
+#   report N ID BODY         send a liveness report to daemon N; prints the status
 #   write_object METHOD KIND[/NAME] BODY
 #                            write to the store; prints the status
 #   route HOST PREFIX KIND SERVICE [ATTEMPTS]
@@ -128,6 +129,10 @@
 	$STANDIN client http --to "$(worker_at "$1")" --path "/standin/set?$2" >/dev/null || give_up "no worker $1"
 }
 
+report() {
+	$STANDIN client http --to "$net.$1:$((ports + 5))" --method POST --path "/v1/rpc?call=instances.heartbeat&of=$2" --body "$3"
+}
+
 write_object() {
 	$STANDIN client http --to "$store" --method "$1" --path "/v1/objects/$2" --body "$3"
 }
