--- a/review/lib.sh
+++ b/review/lib.sh
@@ -46,7 +46,7 @@
 	pids=
 	trap close_case EXIT
 	trap 'exit 2' INT TERM
-	net=127.$(($$ % 200 + 20)).$(($$ / 200 % 250))
+	net=127.$(($$ % 30 + 220)).$(($$ / 30 % 250))
 	ports=$((20000 + $$ % 50 * 100))
 	store=$net.250:$((ports + 1))
 }
--- a/review/standin/client.c
+++ b/review/standin/client.c
@@ -24,8 +24,8 @@
 	int n, i, status;
 
 	n = snprintf(fields, sizeof fields,
-	    "Host: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n",
-	    host, id, deadline_ms);
+	    "Host: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", host, id,
+	    deadline_ms);
 	for (i = 0; i < extra_fields; i++)
 		n += snprintf(fields + n, sizeof fields - (size_t)n,
 		    "X-Note-%d: %d\r\n", i, i);
@@ -91,10 +91,9 @@
 static int
 one(int argc, char **argv)
 {
-	printf("%d\n",
-	    send_one(option(argc, argv, "path", "/p/x"),
-		option(argc, argv, "id", "one"),
-		option(argc, argv, "body", "")));
+	printf("%d\n", send_one(option(argc, argv, "path", "/p/x"),
+			   option(argc, argv, "id", "one"),
+			   option(argc, argv, "body", "")));
 	return 0;
 }
 
@@ -146,7 +145,7 @@
 
 	if (!body || !at || at > body)
 		return 0;
-	n = (size_t)(body + 4 - p) + strtoul(at + 16, NULL, 10);
+	n = (size_t)(body + 4 - p) + (size_t)number_of(at + 16);
 	return strnlen(p, n) == n ? n : 0;
 }
 
@@ -184,25 +183,26 @@
 	return n;
 }
 
-/* client pipeline --to A --host H --path P1 --second-host H2 --second P2 --id ID
+/* client pipeline --to A --host H --path P1 --second-host H2 --second P2 --id
+ *ID
  *	--kb-per-s N:
  * sends two safe requests at once on a connection and reads all answers as a
- * client on a slow link does; records how many bytes of the first answer came */
+ * client on a slow link does; records how many bytes of the first answer came
+ */
 static int
 pipeline(int argc, char **argv)
 {
-	struct stream *s = calloc(1, sizeof *s);
+	static char answer[ANSWERS_MAX + 1];
 	const char *id = option(argc, argv, "id", "pair");
-	char *answer = calloc(1, ANSWERS_MAX + 1), *body, *at;
 	struct timeval limit = { 5, 0 };
-	char ip[64], text[2048];
-	int port, n, got, size;
+	char ip[64], text[2048], *body, *at;
+	int fd, port, n, got, size;
 
 	split_address(to, ip, sizeof ip, &port);
-	s->fd = connect_to(ip, port, 1000);
-	if (s->fd < 0)
+	fd = connect_to(ip, port, 1000);
+	if (fd < 0)
 		return 2;
-	setsockopt(s->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
 	n = snprintf(text, sizeof text,
 	    "GET %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s-1\r\n"
 	    "X-Deadline-Ms: %d\r\n\r\n"
@@ -212,8 +212,8 @@
 	    option(argc, argv, "second", "/q/x"),
 	    option(argc, argv, "second-host", host), id, deadline_ms);
 	record("sent id=%s-1 and id=%s-2 on one connection", id, id);
-	write_all(s->fd, text, (size_t)n);
-	n = (int)read_slowly(s->fd, answer, ANSWERS_MAX,
+	write_all(fd, text, (size_t)n);
+	n = (int)read_slowly(fd, answer, ANSWERS_MAX,
 	    option_int(argc, argv, "kb-per-s", 500));
 	answer[n] = '\0';
 	body = strstr(answer, "\r\n\r\n");
@@ -221,7 +221,7 @@
 	if (body && at && at < body) {
 		body += 4;
 		got = n - (int)(body - answer);
-		size = atoi(at + 16);
+		size = (int)number_of(at + 16);
 		record("answered id=%s-1 status=%.3s bytes=%d of %d whole=%d",
 		    id, answer + 9, got < size ? got : size, size, got >= size);
 		record("second answer id=%s-2 bytes=%d", id,
@@ -229,7 +229,7 @@
 	} else {
 		record("unanswered id=%s-1", id);
 	}
-	close(s->fd);
+	close(fd);
 	return 0;
 }
 
--- a/review/standin/common.c
+++ b/review/standin/common.c
@@ -17,6 +17,12 @@
 static int record_fd = -1;
 static char record_who[64];
 
+long
+number_of(const char *text)
+{
+	return strtol(text, NULL, 10);
+}
+
 int64_t
 now_ms(void)
 {
@@ -74,7 +80,7 @@
 		exit(2);
 	}
 	snprintf(ip, size, "%.*s", (int)(colon - text), text);
-	*port = atoi(colon + 1);
+	*port = (int)number_of(colon + 1);
 }
 
 static struct sockaddr_in
@@ -113,7 +119,8 @@
 	struct pollfd p = { fd, POLLOUT, 0 };
 
 	fcntl(fd, F_SETFL, O_NONBLOCK);
-	if (connect(fd, (struct sockaddr *)&a, sizeof a) && errno != EINPROGRESS)
+	if (connect(fd, (struct sockaddr *)&a, sizeof a) &&
+	    errno != EINPROGRESS)
 		e = errno;
 	else if (poll(&p, 1, wait_ms) != 1 ||
 		 getsockopt(fd, SOL_SOCKET, SO_ERROR, &e, &n))
@@ -327,7 +334,7 @@
 	n += snprintf(text + n, size - (size_t)n, "\r\n%s", body);
 	if (!write_all(s->fd, text, (size_t)n) && !read_message(s, answer)) {
 		start_word(answer, 1, word, sizeof word);
-		status = atoi(word);
+		status = (int)number_of(word);
 	}
 	close(s->fd);
 	free(text);
@@ -351,7 +358,7 @@
 {
 	const char *v = option(argc, argv, name, NULL);
 
-	return v ? atoi(v) : fallback;
+	return v ? (int)number_of(v) : fallback;
 }
 
 int
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -24,10 +24,12 @@
 	size_t body_len;
 };
 
+/* Reads a decimal number; 0 if there is none. */
+long number_of(const char *text);
 int64_t now_ms(void);
 void sleep_ms(int64_t ms);
-/* Writes a line "MILLISECONDS WHO TEXT" to the record; with one write() call, so
- * that processes can share the file. */
+/* Writes a line "MILLISECONDS WHO TEXT" to the record; with one write() call,
+ * so that processes can share the file. */
 void record_open(const char *path, const char *who);
 void record(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
 
@@ -56,8 +58,8 @@
     const char *fields, const char *body, int wait_ms, struct message *answer);
 
 /* Value of an option "--name value"; @fallback if it is missing. */
-const char *option(int argc, char **argv, const char *name,
-    const char *fallback);
+const char *
+option(int argc, char **argv, const char *name, const char *fallback);
 int option_int(int argc, char **argv, const char *name, int fallback);
 
 int store_main(int argc, char **argv);
--- a/review/standin/store.c
+++ b/review/standin/store.c
@@ -231,17 +231,15 @@
 	char own[512] = "";
 
 	if (create && meta && (v = find_key(meta, "name")))
-		snprintf(own, sizeof own, "%.*s",
-		    (int)(skip_value(v) - v - 2), v + 1);
+		snprintf(own, sizeof own, "%.*s", (int)(skip_value(v) - v - 2),
+		    v + 1);
 	o = find_object(kind, create ? own : name);
 	v = meta ? find_key(meta, "revision") : NULL;
 	if (create && (!own[0] || nobject == OBJECTS_MAX)) {
 		answer(s, 400, "{}");
-	} else if (create && o) {
-		answer_object(s, 409, o);
 	} else if (!create && !o) {
 		answer(s, 404, "{}");
-	} else if (!create && v && atol(v) != o->revision) {
+	} else if (create ? o != NULL : v && number_of(v) != o->revision) {
 		answer_object(s, 409, o);
 	} else {
 		if (create) {
@@ -281,8 +279,8 @@
 	}
 	if (!strcmp(method, "GET") && !name) {
 		if (watch)
-			answer_watch(s, kind, atol(watch + 6),
-			    wait ? atoi(wait + 8) : 1000);
+			answer_watch(s, kind, number_of(watch + 6),
+			    wait ? (int)number_of(wait + 8) : 1000);
 		else
 			answer_list(s, kind);
 		return;
--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -9,12 +9,11 @@
 #include <time.h>
 
 /* A worker of one service, with its liveness reports. Requests whose path has
- * "/large/" are answered with --large-bytes, all others with a few bytes; those with "/long/"
- * take --long-ms, all others --work-ms.
- * GET /standin/set?NAME=N changes a knob:
- *   ill        health checks are answered with 503, requests are served as ever
- *   cut        one in so many answers ends within its body
- *   silent     no liveness reports */
+ * "/large/" are answered with --large-bytes, all others with a few bytes; those
+ * with "/long/" take --long-ms, all others --work-ms. GET /standin/set?NAME=N
+ * changes a knob: ill        health checks are answered with 503, requests are
+ * served as ever cut        one in so many answers ends within its body silent
+ * no liveness reports */
 
 enum knob { ILL, CUT, SILENT, KNOBS };
 
@@ -47,7 +46,7 @@
 		size_t n = strlen(knob_names[i]);
 
 		if (!strncmp(query, knob_names[i], n) && query[n] == '=')
-			atomic_store(&knobs[i], atoi(query + n + 1));
+			atomic_store(&knobs[i], (int)number_of(query + n + 1));
 	}
 	record("knob %s", query);
 	answer_json(s->fd, 200, "", "{}");
@@ -99,7 +98,6 @@
 	    "X-Server-Signature: %s.%ld\r\n%sContent-Length: %zu\r\n\r\n",
 	    attempt, self_id, number, load, body);
 	memset(text + n, 'a', body);
-	memcpy(text + n, attempt, strlen(attempt));
 	atomic_fetch_sub(&running, 1);
 	sem_post(&free_slots);
 	if (cut) {
@@ -177,7 +175,8 @@
 }
 
 /* worker --listen IP:PORT --service S --id ID --zone Z --announce IP:PORT
- *	[--work-ms N] [--long-ms N] [--slots N] [--large-bytes N] [--tells-load 0|1]
+ *	[--work-ms N] [--long-ms N] [--slots N] [--large-bytes N] [--tells-load
+ *0|1]
  *	[--record FILE] */
 int
 worker_main(int argc, char **argv)
