--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -20,7 +20,8 @@
 sleep 4
 SECONDS_LONG=${SECONDS_LONG-40}
 for n in 1 2 3; do
-	$STANDIN client load --to "$(caller_at $n)" --method POST --host pay.example --path /long/x --name "pay-$n" --rate 4 \
+	$STANDIN client load --to "$(caller_at $n)" --method POST --first /p/x --first-host h.example \
+		--host pay.example --path /long/x --name "pay-$n" --rate 4 \
 		--seconds $SECONDS_LONG --deadline-ms 4000 --record "$record" --as "client-$n" &
 	pids="$pids $!"
 done
--- a/review/standin/client.c
+++ b/review/standin/client.c
@@ -12,7 +12,7 @@
 
 #define ANSWERS_MAX (16 << 20)
 
-static const char *to, *host, *method;
+static const char *to, *host, *method, *first_path, *first_host;
 static int deadline_ms, extra_fields;
 
 /* Sends one request and records it. Returns the status, see request(). */
@@ -20,7 +20,7 @@
 send_one(const char *path, const char *id, const char *body)
 {
 	struct message *m = calloc(1, sizeof *m);
-	char fields[16384], signature[128], reason[64];
+	char fields[16384], signature[128], reason[64], first[512];
 	int n, i, status;
 
 	n = snprintf(fields, sizeof fields,
@@ -31,7 +31,14 @@
 		    "X-Note-%d: %d\r\n", i, i);
 	record("sent id=%s method=%s path=%s fields=%d", id, method, path,
 	    extra_fields);
-	status = request(to, method, path, fields, body, deadline_ms + 500, m);
+	first[0] = '\0';
+	if (first_path)
+		snprintf(first, sizeof first,
+		    "GET %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: first-%s\r\n"
+		    "X-Deadline-Ms: 1000\r\n\r\n",
+		    first_path, first_host, id);
+	status = request(to, method, path, fields, body, deadline_ms + 500,
+	    first_path ? first : NULL, m);
 	if (status > 0) {
 		field(m, "X-Server-Signature", signature, sizeof signature);
 		field(m, "Kumquatrock-Reason", reason, sizeof reason);
@@ -106,7 +113,7 @@
 	int status = request(to, method, option(argc, argv, "path", "/"),
 	    "Host: standin\r\nConnection: close\r\n",
 	    option(argc, argv, "body", ""),
-	    option_int(argc, argv, "wait-ms", 2000), m);
+	    option_int(argc, argv, "wait-ms", 2000), NULL, m);
 
 	printf("%d\n", status);
 	if (m->body && option_int(argc, argv, "show", 0))
@@ -126,7 +133,8 @@
 
 	do {
 		status = request(to, "GET", option(argc, argv, "path", "/"),
-		    "Host: standin\r\nConnection: close\r\n", "", 1000, m);
+		    "Host: standin\r\nConnection: close\r\n", "", 1000, NULL,
+		    m);
 		message_clear(m);
 		if (status == 200)
 			return 0;
@@ -196,11 +204,18 @@
 	const char *id = option(argc, argv, "id", "pair");
 	struct timeval limit = { 5, 0 };
 	char ip[64], text[2048], *body, *at;
-	int fd, port, n, got, size;
+	struct stream *s = calloc(1, sizeof *s);
+	int fd, port, n, got, size, bad;
 
 	split_address(to, ip, sizeof ip, &port);
-	fd = connect_to(ip, port, 1000);
-	if (fd < 0)
+	fd = s->fd = connect_to(ip, port, 1000);
+	snprintf(text, sizeof text,
+	    "GET %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: first-%s\r\n"
+	    "X-Deadline-Ms: 1000\r\n\r\n",
+	    first_path ? first_path : "/", first_host, id);
+	bad = fd < 0 || (first_path && first_request(s, text));
+	free(s);
+	if (bad)
 		return 2;
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
 	n = snprintf(text, sizeof text,
@@ -241,6 +256,8 @@
 	method = option(argc, argv, "method", "GET");
 	deadline_ms = option_int(argc, argv, "deadline-ms", 1500);
 	extra_fields = option_int(argc, argv, "extra-fields", 0);
+	first_path = option(argc, argv, "first", NULL);
+	first_host = option(argc, argv, "first-host", host);
 	record_open(option(argc, argv, "record", NULL),
 	    option(argc, argv, "as", "client"));
 	if (!strcmp(argv[2], "load"))
--- a/review/standin/common.c
+++ b/review/standin/common.c
@@ -307,9 +307,21 @@
 	return r;
 }
 
+int
+first_request(struct stream *s, const char *text)
+{
+	struct message *m = calloc(1, sizeof *m);
+	int bad = write_all(s->fd, text, strlen(text)) || read_message(s, m);
+
+	message_clear(m);
+	free(m);
+	return bad ? -1 : 0;
+}
+
 int
 request(const char *to, const char *method, const char *path,
-    const char *fields, const char *body, int wait_ms, struct message *answer)
+    const char *fields, const char *body, int wait_ms, const char *first,
+    struct message *answer)
 {
 	struct timeval limit = { wait_ms / 1000, wait_ms % 1000 * 1000 };
 	size_t size = strlen(fields) + strlen(body) + strlen(path) + 256;
@@ -326,6 +338,12 @@
 		return -1;
 	}
 	setsockopt(s->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+	if (first && first_request(s, first)) {
+		close(s->fd);
+		free(text);
+		free(s);
+		return -1;
+	}
 	n = snprintf(text, size, "%s %s HTTP/1.1\r\n%s", method, path, fields);
 	if (*body)
 		n += snprintf(text + n, size - (size_t)n,
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -51,11 +51,16 @@
 void start_word(const struct message *, int n, char *word, size_t size);
 /* Sends an answer with a JSON body. */
 int answer_json(int fd, int status, const char *fields, const char *body);
-/* Sends one request on a new connection and reads the answer. Returns its
+/* Sends a request and reads its whole answer, so that the connection is a kept
+ * one for what follows; 0 or -1. */
+int first_request(struct stream *, const char *text);
+/* Sends one request on a new connection and reads the answer; @first, if
+ * not NULL, is sent and answered before it. Returns its
  * status, 0 if the connection ended without an answer, -1 if there was no
  * connection. */
 int request(const char *to, const char *method, const char *path,
-    const char *fields, const char *body, int wait_ms, struct message *answer);
+    const char *fields, const char *body, int wait_ms, const char *first,
+    struct message *answer);
 
 /* Value of an option "--name value"; @fallback if it is missing. */
 const char *
--- a/review/standin/worker.c
+++ b/review/standin/worker.c
@@ -166,7 +166,7 @@
 		status = 0;
 		if (!atomic_load(&knobs[SILENT])) {
 			status = request(report_to, "POST", path,
-			    "Host: daemon\r\n", body, 1000, m);
+			    "Host: daemon\r\n", body, 1000, NULL, m);
 			message_clear(m);
 		}
 		sleep_ms(status == 200 ? 1500 : 300);
