--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Another writer stores an entry with a long name among the evacuations. Then the operator
-# moves a route to another service; most daemons keep to the old version for good.
-# usage: run.sh   (TROUBLE=0: without the entry)
+# The operator sends a config that moves a route to another service and splits a second route
+# among nine services. The store acknowledges it, and no daemon ever applies it.
+# usage: run.sh   (TROUBLE=0: the second route is split among eight services)
 cd "$(dirname "$0")/../.." || exit 2
 . review/lib.sh
 CONFIGURATION_APPLY_MS=2000
@@ -19,18 +19,23 @@
 	wait_served $n h.example /p/x
 done
 sleep 2
-ENTRY=${ENTRY-'{"metadata":{"name":"written-by-the-inventory-of-the-operators-for-their-own-notes-about-zones"},"specification":{}}'}
-if [ "$TROUBLE" = 1 ]; then
-	note "another writer stores an entry in ${KIND-evacuations}: status $(write_object POST "${KIND-evacuations}" "$ENTRY")"
-fi
-sleep 3
 for n in 1 2 3 4 5 6; do
 	$STANDIN client load --to "$(caller_at $n)" --host h.example --path /p/x --name "look-$n" --rate 20 \
 		--seconds 15 --record "$record" --as "client-$n" &
 	pids="$pids $!"
 done
 sleep 2
-note "the operator moves the route to archive: status $(write_object PUT config/main "$(configuration 9 "$(route h.example /p/ safe archive)" codebook archive)")"
+services="codebook archive"
+parts='{"service":"codebook","weight":50},{"service":"archive","weight":50}'
+added=6
+[ "$TROUBLE" = 1 ] && added=7
+for k in $(seq $added); do
+	services="$services canary-$k"
+	parts="$parts,{\"service\":\"canary-$k\",\"weight\":1}"
+done
+split='{"resource_kind":"routes","metadata":{"name":"r-split"},"specification":{"host":"k.example","path_prefix":"/q/","kind":"safe","timeout_ms":1200,"target_latency_ms":600,"priority":1,"traffic_split":['$parts'],"max_attempts":2}}'
+# shellcheck disable=SC2086
+note "the operator moves the route to archive and splits another among $((added + 2)) services: status $(write_object PUT config/main "$(configuration 9 "$(route h.example /p/ safe archive),$split" $services)")"
 acked=$(now)
 sleep 14
 # The requests sent later than the bound, and which of them the old service ran.
