--- a/review/lib.sh
+++ b/review/lib.sh
@@ -125,10 +125,6 @@
 	give_up "daemon $1 does not serve $2$3"
 }
 
-knob() { # N NAME=VALUE
-	$STANDIN client http --to "$(worker_at "$1")" --path "/standin/set?$2" >/dev/null || give_up "no worker $1"
-}
-
 report() {
 	$STANDIN client http --to "$net.$1:$((ports + 5))" --method POST --path "/v1/rpc?call=instances.heartbeat&of=$2" --body "$3"
 }
