inbound: connections with requests in flight are never closed by a change of the target

Cause: inbound_set_target() waits with a changed target until nothing is in flight, but it tested only whether the target differs from the one in use. A target that was being drained for a change that was taken back is the same again, and replace_target() freed the pool with requests in it: their connections are closed without a callback, and in_call.target_call points to freed memory. The target that waited to be used also stayed in place and came into use later, although a newer report had replaced it.

Now a target that is the one in use and still runs is taken back into use as it is; every other replacement waits until nothing is in flight; and the last report alone says what is waited for.

Ruled out: a callback for calls of a freed pool, as the requests would still be lost.

--- a/src/core/admit/admit.c
+++ b/src/core/admit/admit.c
@@ -58,6 +58,12 @@
 	a->draining = 1;
 }
 
+void
+admit_resume(struct admit *a)
+{
+	a->draining = 0;
+}
+
 void
 admit_set_unknown(struct admit *a, int unknown)
 {
--- a/src/daemon/inbound/target.c
+++ b/src/daemon/inbound/target.c
@@ -91,7 +91,8 @@
 			: !strcmp(a->start_id, b->start_id);
 }
 
-/* A target is not replaced while requests are in flight or queued for it. */
+/* A target is not replaced while requests are in flight or queued for it: its
+ * connections are closed then. */
 static int
 target_busy(const struct data *d)
 {
@@ -99,6 +100,14 @@
 	       (admit_in_flight(d->admit) || admit_queued(d->admit));
 }
 
+/* Takes the target in use into use again after a drain. */
+static void
+resume_target(struct data *d)
+{
+	d->target_draining = 0;
+	admit_resume(d->admit);
+}
+
 void
 inbound_drain_target(struct data *d)
 {
@@ -116,7 +125,10 @@
 	int restarted =
 	    d->has_target && strcmp(d->target.start_id, t->start_id);
 
-	if (!same && target_busy(d)) {
+	if (same && !restarted && d->target_draining)
+		resume_target(d);
+	d->has_next_target = 0;
+	if ((!same || d->target_draining) && target_busy(d)) {
 		inbound_drain_target(d);
 		d->next_target = *t;
 		d->has_next_target = 1;
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -238,9 +238,11 @@
  * which are short enough for a slow machine; others wait in the queue. A time
  * past ends the hold */
 void admit_set_hold(struct admit *, int64_t until);
-/** admit_drain() - take no new requests, for good. admit_pop() refuses waiting
- * ones; requests in flight finish, until admit_in_flight() is 0 */
+/** admit_drain() - take no new requests until admit_resume(). admit_pop()
+ * refuses waiting ones; requests in flight finish, until admit_in_flight() is 0
+ */
 void admit_drain(struct admit *);
+void admit_resume(struct admit *);
 /** admit_set_out() - set whether the data centre is out; meanwhile requests are
  * refused */
 void admit_set_out(struct admit *, int out);
