Reports of another writer are checked whole before they change the target

Cause: read_heartbeat() required only the fields that it used, and a missing start time made any other id a later start. Refused reports are counted.

Ruled out: a check of the zone against the settings, as the pages don't promise that the two are spelled alike.

--- a/src/daemon/control/find.c
+++ b/src/daemon/control/find.c
@@ -63,7 +63,9 @@
 	g_strlcpy(b->ip, c->settings.target.ip, sizeof b->ip);
 	b->port = c->settings.target.port;
 	b->slots = l.slots;
-	b->cold_ms = cold ? g_ascii_strtoll(cold, NULL, 10) : 0;
+	b->cold_ms =
+	    cold ? CLAMP(g_ascii_strtoll(cold, NULL, 10), 0, TARGET_COLD_MS_MAX)
+		 : 0;
 	return 0;
 }
 
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -70,6 +70,7 @@
 	uint64_t datagram_bytes_in;
 	uint64_t datagram_bytes_out;
 	uint64_t datagrams_refused;
+	uint64_t reports_refused; /* of targets */
 	uint64_t platform_calls;
 	uint64_t platform_failures;
 	uint64_t pulls;
--- a/src/daemon/control/metrics.c
+++ b/src/daemon/control/metrics.c
@@ -27,6 +27,10 @@
 	counter(t, "datagrams_refused_total",
 	    "Forged, replayed, cut or misdirected datagrams",
 	    n->datagrams_refused);
+	counter(t, "target_reports_refused_total",
+	    "Heartbeats and leaves that could not be read or are not of the "
+	    "target beside this daemon",
+	    n->reports_refused);
 	counter(t, "platform_calls_total",
 	    "Calls to the platform answered or "
 	    "failed",
--- a/src/daemon/control/target.c
+++ b/src/daemon/control/target.c
@@ -220,9 +220,14 @@
 	}
 }
 
+/* A target's start can lie this far ahead of this machine's time of day, which
+ * may be wrong. */
+#define START_AHEAD_MAX_MS 3600000
+
 /* Refuses a heartbeat that can't be of the target beside this daemon: it names
- * another address, or a service that neither the settings nor the routes name.
- * 0, or nonzero with the error. */
+ * another address, a service that neither the settings nor the routes name, or
+ * a start in the future, after which no heartbeat of the target itself would
+ * count. 0, or nonzero with the error. */
 static int
 check_origin(struct control *c, const struct heartbeat *b, struct kq_error *e)
 {
@@ -230,6 +235,9 @@
 		return kq_error_set(e, KQ_LAYER_DAEMON, 1,
 		    "target %s is at %s, not at this daemon's address", b->id,
 		    b->ip);
+	if (b->started_ms - g_get_real_time() / 1000 > START_AHEAD_MAX_MS)
+		return kq_error_set(e, KQ_LAYER_DAEMON, 1,
+		    "target %s names a start in the future", b->id);
 	if (!c->settings.service[0] ||
 	    !strcmp(b->service, c->settings.service) ||
 	    control_is_routed_service(c, b->service))
@@ -242,6 +250,7 @@
 refuse_report(struct control *c, SoupServerMessage *msg,
     const struct kq_error *e)
 {
+	c->counters.reports_refused++;
 	log_event(EVENT_TARGET_REPORT_REFUSED, G_LOG_LEVEL_WARNING,
 	    control_now(c), "report of a target refused error=\"%s\"", e->text);
 	control_answer_error(msg, 400, e);
--- a/src/daemon/inbound/measure.c
+++ b/src/daemon/inbound/measure.c
@@ -60,7 +60,9 @@
 	if (load && !d->dialect->read_load(load, &l))
 		inbound_note_pace(d, l.pace);
 	cold = http_head_find(h, d->dialect->cold_field);
-	ms = cold ? g_ascii_strtoll(cold, NULL, 10) : 0;
+	ms = cold
+		 ? CLAMP(g_ascii_strtoll(cold, NULL, 10), 0, TARGET_COLD_MS_MAX)
+		 : 0;
 	if (cold)
 		admit_set_cold(d->admit, data_now(d), data_now(d) + ms * 1000);
 }
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -17,6 +17,8 @@
 
 struct store_form;
 
+#define TARGET_COLD_MS_MAX 86400000 /* longest time that a target stays cold */
+
 /**
  * struct target_load - load that a target reports on an answer
  * @running: requests that it works on
@@ -36,7 +38,8 @@
  * struct heartbeat - state that a target reports to its daemon
  * @id: identifies this run of the target
  * @slots: requests that it works on at once at most
- * @started_ms: when it started, Unix milliseconds; 0 when not reported
+ * @started_ms: when it started, Unix milliseconds; 0 when it was found by a
+ *	health check, which does not tell
  * @sequence: increases with each heartbeat of one run
  * @cold_ms: time for which it stays cold, milliseconds
  * @draining: nonzero when it takes no new requests
--- a/tests/unit/platform_form.c
+++ b/tests/unit/platform_form.c
@@ -246,10 +246,58 @@
 }
 END_TEST
 
+#define REPORT_QUERY "call=instances.heartbeat&of=i-7"
+/* HEARTBEAT with one member replaced or left out */
+#define ODD_REPORT(address, zone, version, slots, cold, sequence, born)        \
+	{                                                                      \
+		REPORT_QUERY, "{\"service\":\"a\"," address zone version slots \
+				  cold sequence born "\"state\":\"ready\"}"    \
+	}
+#define ADDRESS "\"address\":\"10.0.0.9:8080\","
+#define ZONE "\"zone\":\"z\","
+#define VERSION "\"version\":\"v1\","
+#define SLOTS "\"slots\":12,"
+#define COLD "\"cold_remaining_ms\":0,"
+#define SEQUENCE "\"sequence\":4,"
+#define BORN "\"born\":1700000000123,"
+
 static const struct {
 	const char *query;
 	const char *text;
 } invalid_reports[] = {
+	ODD_REPORT(ADDRESS, "", VERSION, SLOTS, COLD, SEQUENCE, BORN),
+	ODD_REPORT(ADDRESS, ZONE, "", SLOTS, COLD, SEQUENCE, BORN),
+	ODD_REPORT(ADDRESS, ZONE, VERSION, "", COLD, SEQUENCE, BORN),
+	ODD_REPORT(ADDRESS, ZONE, VERSION, SLOTS, "", SEQUENCE, BORN),
+	ODD_REPORT(ADDRESS, ZONE, VERSION, SLOTS, COLD, "", BORN),
+	ODD_REPORT(ADDRESS, ZONE, VERSION, SLOTS, COLD, SEQUENCE, ""),
+	ODD_REPORT(ADDRESS, "\"zone\":7,", VERSION, SLOTS, COLD, SEQUENCE,
+	    BORN),
+	ODD_REPORT(ADDRESS, "\"zone\":\"\",", VERSION, SLOTS, COLD, SEQUENCE,
+	    BORN),
+	ODD_REPORT(ADDRESS, ZONE, "\"version\":[],", SLOTS, COLD, SEQUENCE,
+	    BORN),
+	ODD_REPORT(ADDRESS, ZONE, VERSION, SLOTS, COLD, SEQUENCE,
+	    "\"born\":0,"),
+	ODD_REPORT(ADDRESS, ZONE, VERSION, SLOTS, COLD, SEQUENCE,
+	    "\"born\":null,"),
+	ODD_REPORT(ADDRESS, ZONE, VERSION, SLOTS, COLD, SEQUENCE,
+	    "\"born\":1.5e30,"),
+	ODD_REPORT(ADDRESS, ZONE, VERSION, SLOTS, COLD,
+	    "\"sequence\":9223372036854775808,", BORN),
+	ODD_REPORT(ADDRESS, ZONE, VERSION, SLOTS,
+	    "\"cold_remaining_ms\":9223372036854775,", SEQUENCE, BORN),
+	ODD_REPORT("\"address\":\"10.0.0.9:70000\",", ZONE, VERSION, SLOTS,
+	    COLD, SEQUENCE, BORN),
+	ODD_REPORT("\"address\":\"10.0.0.9: 80\",", ZONE, VERSION, SLOTS, COLD,
+	    SEQUENCE, BORN),
+	ODD_REPORT("\"address\":\"10.0.0.9:-1\",", ZONE, VERSION, SLOTS, COLD,
+	    SEQUENCE, BORN),
+	ODD_REPORT(ADDRESS,
+	    "\"zone\":\"z\",\"x\":[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]],",
+	    VERSION, SLOTS, COLD, SEQUENCE, BORN),
+	ODD_REPORT(ADDRESS, "\"zone\":\"\\ud800\",", VERSION, SLOTS, COLD,
+	    SEQUENCE, BORN),
 	{ NULL, HEARTBEAT },
 	{ "call=instances.heartbeat", HEARTBEAT },
 	{ "call=instances.heartbeat&of=", HEARTBEAT },
