--- a/src/adapter/json/append.c
+++ b/src/adapter/json/append.c
@@ -33,8 +33,13 @@
 void
 json_append_node(GString *s, const struct json *j, int node)
 {
-	const struct json_node *v = json_node_at(j, node);
+	const struct json_node *v;
 
+	if (node == JSON_NONE) {
+		g_string_append(s, "null");
+		return;
+	}
+	v = json_node_at(j, node);
 	switch (v->type) {
 	case JSON_NULL:
 		g_string_append(s, "null");
--- a/src/adapter/json/get.c
+++ b/src/adapter/json/get.c
@@ -8,7 +8,7 @@
 	struct json_lookup lookup = { object, key };
 	int i, n;
 
-	if (object == JSON_NONE)
+	if (object == JSON_NONE || json_type(j, object) != JSON_OBJECT)
 		return JSON_NONE;
 	n = json_count(j, object);
 	g_array_append_val(j->lookups, lookup);
--- a/src/internal/json.h
+++ b/src/internal/json.h
@@ -77,7 +77,7 @@
 int json_column(const struct json *, int node);
 
 /** json_get() - look up a key in an object and mark it as used; JSON_NONE if it
- * is absent or @object is JSON_NONE */
+ * is absent, or if @object is JSON_NONE or a value of another type */
 int json_get(struct json *, int object, const char *key);
 /** json_require() - look up a key as json_get() does; its absence is an error
  * with the position of the object */
@@ -113,7 +113,8 @@
 
 /** json_append_string() - append @text as a JSON string with its quotes */
 void json_append_string(GString *, const char *text);
-/** json_append_node() - append a node as JSON on one line, without comments */
+/** json_append_node() - append a node as JSON on one line, without comments;
+ * JSON_NONE is appended as null */
 void json_append_node(GString *, const struct json *, int node);
 
 #endif
--- a/tests/unit/json.c
+++ b/tests/unit/json.c
@@ -151,6 +151,28 @@
 
 /* Valid text truncated at any byte is rejected, with a line of the text as the
  * position of the error. */
+START_TEST(values_other_than_objects_have_no_keys)
+{
+	struct kq_error e = { 0 };
+	struct json *j = json_read("[[1],\"a\",2]", 11, &e);
+	GString *t = g_string_new(NULL);
+	int i, n = 5;
+
+	ck_assert_msg(j != NULL, "%s", e.text);
+	ck_assert_int_eq(json_get(j, json_root(j), "a"), JSON_NONE);
+	for (i = 0; i < 3; i++) {
+		int node = json_item(j, json_root(j), i);
+
+		ck_assert_int_eq(json_get(j, node, "a"), JSON_NONE);
+		ck_assert_int_eq(json_get_array(j, node, "a", &n, &e), 0);
+	}
+	json_append_node(t, j, JSON_NONE);
+	ck_assert_str_eq(t->str, "null");
+	g_string_free(t, TRUE);
+	json_free(j);
+}
+END_TEST
+
 START_TEST(rejects_truncated_text)
 {
 	size_t text_len = strlen(good_text) - strlen("\n//end");
@@ -222,6 +244,7 @@
 	    (int)(sizeof bad_values / sizeof bad_values[0]));
 	tcase_add_test(c, rejects_nul_byte);
 	tcase_add_test(c, nodes_have_positions);
+	tcase_add_test(c, values_other_than_objects_have_no_keys);
 	tcase_add_test(c, rejects_truncated_text);
 	tcase_add_test(c, quoted_string_round_trips);
 	suite_add_tcase(s, c);
--- a/tests/unit/platform_form.c
+++ b/tests/unit/platform_form.c
@@ -142,6 +142,41 @@
 }
 END_TEST
 
+/* Routes whose services are of the wrong type. */
+static const char *const invalid_services[] = {
+	"\"traffic_split\":[[\"codebook\",1]]",
+	"\"traffic_split\":[7]",
+	"\"traffic_split\":[{\"weight\":1}]",
+	"\"traffic_split\":7",
+	"\"traffic_split\":{}",
+	"\"traffic_split\":null,\"service\":null",
+	"\"service\":[]",
+};
+
+#define CONFIG_WITH_ROUTE(name)                                            \
+	"{\"metadata\":{\"name\":\"" name "\",\"revision\":5},"            \
+	"\"specification\":{\"resources\":[{\"resource_kind\":\"routes\"," \
+	"\"metadata\":{\"name\":\"n\"},\"specification\":{"                \
+	"\"host\":\"n.example\",\"path_prefix\":\"/n/\",\"kind\":\"safe\",%s}}]}}"
+
+/* An object beside the configuration is not even read: before, it ended the
+ * daemon by a signal. */
+START_TEST(services_of_wrong_type_do_no_harm)
+{
+	struct store_page p;
+	char text[4096];
+
+	g_snprintf(text, sizeof text,
+	    "{\"items\":[" CONFIG_WITH_ROUTE("notes") "," CONFIG_WITH_ROUTE(
+		"main") "," CONFIG_OBJECT "],\"at\":9}",
+	    invalid_services[_i], invalid_services[_i]);
+	ck_assert_int_eq(read_page(&p, FEED_CONFIG, 1, text, NULL), 0);
+	ck_assert_int_ge(p.batch->nobject, 1);
+	ck_assert_uint_eq(p.batch->object[p.batch->nobject - 1].version, 7);
+	page_clear(&p);
+}
+END_TEST
+
 static const char *const invalid_answers[] = {
 	"",
 	"{",
@@ -365,6 +400,8 @@
 	tcase_add_test(c, evacuation_takes_a_data_centre_out_until_deleted);
 	tcase_add_loop_test(c, invalid_object_is_skipped_and_counted, 0,
 	    sizeof invalid_objects / sizeof *invalid_objects);
+	tcase_add_loop_test(c, services_of_wrong_type_do_no_harm, 0,
+	    sizeof invalid_services / sizeof *invalid_services);
 	tcase_add_loop_test(c, invalid_answer_is_an_error, 0,
 	    sizeof invalid_answers / sizeof *invalid_answers);
 	tcase_add_test(c, next_page_starts_after_last_name);
