Routes: one invalid or large route no longer keeps a whole configuration out of force

Now names and lists have any length, numbers may have a fraction and are capped at the largest that is used, and each route, service and limit is judged alone. An invalid route whose host and prefix can be read stays in the table without services: its requests get 503 (invalid-route, not run) and don't go to the service of a shorter prefix. A service name of 128 bytes or more costs its routes. Event 321 and config_parts_invalid tell of invalid parts.

Ruled out: to keep the route of the configuration before in place of an invalid one, as its service may have moved.

--- a/src/adapter/json/append.c
+++ b/src/adapter/json/append.c
@@ -2,12 +2,16 @@
 
 #include "json_impl.h"
 
+/* Appends the shortest text that reads as the same number. */
 static void
 append_number(GString *s, double v)
 {
 	char b[G_ASCII_DTOSTR_BUF_SIZE];
 
-	g_string_append(s, g_ascii_dtostr(b, sizeof b, v));
+	g_ascii_formatd(b, sizeof b, "%.15g", v);
+	if (g_ascii_strtod(b, NULL) != v)
+		g_ascii_dtostr(b, sizeof b, v);
+	g_string_append(s, b);
 }
 
 static void
--- a/src/core/route/find.c
+++ b/src/core/route/find.c
@@ -14,7 +14,8 @@
 		return r;
 	if (m != n)
 		return m > n ? -1 : 1;
-	return strcmp(a->prefix, b->prefix);
+	r = strcmp(a->prefix, b->prefix);
+	return r ? r : !a->npart - !b->npart;
 }
 
 void
@@ -75,7 +76,7 @@
 	if (i == ROUTE_NONE)
 		return 0;
 	for (k = 0; k < r->route[i].npart; k++)
-		if (r->route[i].part[k].weight &&
+		if (r->route[i].part[k].weight > 0 &&
 		    !strcmp(r->route[i].part[k].service, service))
 			return 1;
 	return 0;
--- a/src/core/route/turn.c
+++ b/src/core/route/turn.c
@@ -17,7 +17,7 @@
 		t->point -= 1;
 	at = t->point * sum;
 	for (i = 0; i < r->npart; i++) {
-		if (!r->part[i].weight)
+		if (r->part[i].weight <= 0)
 			continue;
 		chosen = i;
 		at -= r->part[i].weight;
--- a/src/daemon/control/config.c
+++ b/src/daemon/control/config.c
@@ -18,14 +18,15 @@
 		control_instance_changed(c, o);
 }
 
+/* @parts: of a routing that is in force without them, else 0 */
 static void
-log_bad_object(struct control *c, const struct config_object *o,
+log_bad_object(struct control *c, const struct config_object *o, int parts,
     const struct kq_error *e)
 {
 	log_event(EVENT_CONFIG_INVALID, G_LOG_LEVEL_WARNING, control_now(c),
 	    "object is invalid kind=%s name=%s version=%" G_GUINT64_FORMAT
-	    " error=\"%s\"",
-	    config_kind_name(o->kind), o->name, o->version, e->text);
+	    " parts=%d error=\"%s\"",
+	    config_kind_name(o->kind), o->name, o->version, parts, e->text);
 }
 
 /* An object as parsed at one version, so that a change of one object does not
@@ -52,19 +53,21 @@
 	g_free(o);
 }
 
-/* If the routes can't be parsed, the previous ones stay in force. */
-static void
+/* If the text is no routing at all, the previous one stays in force. Returns
+ * the number of invalid parts of the routing that is taken. */
+static int
 read_routes(struct parsed *p, const char *text, size_t n, struct kq_error *e)
 {
 	struct routing *r = routing_read(text, n, e);
 
 	p->bad = !r && !p->routing;
 	if (!r)
-		return;
+		return 0;
 	if (p->is_routing)
 		routing_unref(p->routing);
 	p->is_routing = 1;
 	p->routing = r;
+	return r->ninvalid;
 }
 
 static void
@@ -72,6 +75,7 @@
 {
 	struct kq_error e = { 0 };
 	const char *text;
+	int parts = 0;
 	gsize n;
 
 	text = g_bytes_get_data(o->value, &n);
@@ -82,14 +86,14 @@
 	else if (o->kind == CONFIG_INSTANCE)
 		p->bad = instance_read(&p->instance, text, n, &e);
 	else
-		read_routes(p, text, n, &e);
+		parts = read_routes(p, text, n, &e);
 	p->version = o->version;
 	if (o->kind == CONFIG_SERVICE)
 		p->service.version = o->version;
 	else if (o->kind == CONFIG_DATACENTRE)
 		p->datacentre.version = o->version;
 	if (e.code)
-		log_bad_object(c, o, &e);
+		log_bad_object(c, o, parts, &e);
 }
 
 static const struct parsed *
@@ -243,6 +247,22 @@
 	return s;
 }
 
+int
+control_invalid_parts(struct control *c)
+{
+	GHashTableIter it;
+	gpointer p;
+	int n = 0;
+
+	g_hash_table_iter_init(&it, c->parsed[CONFIG_ROUTING]);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct parsed *o = p;
+
+		n += o->routing ? o->routing->ninvalid : 0;
+	}
+	return n;
+}
+
 int
 control_is_routed_service(struct control *c, const char *name)
 {
--- a/src/daemon/control/find.c
+++ b/src/daemon/control/find.c
@@ -122,7 +122,7 @@
 	const struct settings_address *a = &c->settings.target;
 	struct http_limits limits = HTTP_LIMITS_DEFAULT;
 	struct http_field host = { "Host", "target" };
-	char path[RULE_PATH_MAX];
+	char path[HEALTH_PATH_MAX];
 
 	if (c->track.state != TRACK_NONE || c->health_call ||
 	    control_health_path(c, c->settings.service, path, sizeof path))
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -180,6 +180,8 @@
 void control_apply_batch(struct control *, const struct config_batch *);
 /* Posts the configuration in force and the members to the data task. */
 void control_publish_view(struct control *);
+/* Number of routes, services and limits in force that are invalid. */
+int control_invalid_parts(struct control *);
 /* Whether the routes in force name a service. */
 int control_is_routed_service(struct control *, const char *name);
 /* Path of the health check of a service that routes name; 0 or -1. */
--- a/src/daemon/control/metrics.c
+++ b/src/daemon/control/metrics.c
@@ -9,6 +9,15 @@
 	    name, help, name, name, v);
 }
 
+static void
+gauge(GString *t, const char *name, const char *help, int v)
+{
+	g_string_append_printf(t,
+	    "# HELP kumquatrock_%s %s\n# TYPE kumquatrock_%s gauge\n"
+	    "kumquatrock_%s %d\n",
+	    name, help, name, name, v);
+}
+
 void
 control_write_metrics(struct control *c, GString *t)
 {
@@ -31,6 +40,9 @@
 	    "Heartbeats and leaves that could not be read or are not of the "
 	    "target beside this daemon",
 	    n->reports_refused);
+	gauge(t, "config_parts_invalid",
+	    "Routes, services and limits in force that are invalid",
+	    control_invalid_parts(c));
 	counter(t, "platform_calls_total",
 	    "Calls to the platform answered or "
 	    "failed",
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -105,7 +105,7 @@
 	int has_next_target;
 	int idle_wanted; /* send the target_idle event when it is idle */
 	int target_draining;
-	char health_path[RULE_PATH_MAX]; /* empty: GET /load is used */
+	char health_path[HEALTH_PATH_MAX]; /* empty: GET /load is used */
 	/* the target refused a connection or said that it is another one;
 	 * cleared when the target is set again */
 	int target_unusable;
--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -131,6 +131,11 @@
 		return -1;
 	}
 	r = &d->view->routing->route[i];
+	if (!r->npart) {
+		refuse_request(d, x, h, 503, "invalid-route",
+		    "the route of this host and path is invalid\n");
+		return -1;
+	}
 	t->service = known_service(d,
 	    r->part[route_next_part(r, sequence_of(d, r))].service);
 	if (!t->service) {
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -29,7 +29,7 @@
  * one that the source had at the first page.
  */
 
-#define CONFIG_NAME_MAX 64 /* bytes with the final NUL */
+#define CONFIG_NAME_MAX 256 /* bytes with the final NUL */
 #define CONFIG_VALUE_MAX 1048576 /* bytes */
 #define CONFIG_PAGE_OBJECTS 512 /* most in a page; a message holds no more */
 #define CONFIG_TOMBSTONES_MAX 4096 /* with more, the oldest are removed */
--- a/src/internal/json.h
+++ b/src/internal/json.h
@@ -50,7 +50,8 @@
 #define JSON_DEPTH_MAX 16
 /* bytes: an answer of the platform with the largest value that it stores */
 #define JSON_TEXT_MAX 2097152
-#define JSON_NODES_MAX 131072
+/* of the largest object that a platform stores, 1 MiB with two bytes a value */
+#define JSON_NODES_MAX 524288
 #define JSON_NONE (-1) /* no such node */
 
 struct json;
--- a/src/internal/routing.h
+++ b/src/internal/routing.h
@@ -17,16 +17,13 @@
  * limits on callers, so that all of them take effect together.
  */
 
-#define ROUTE_HOST_MAX 128 /* bytes with the final NUL */
-#define ROUTE_PREFIX_MAX 256
-#define ROUTE_PARTS_MAX 8
 #define ROUTE_NONE (-1)
 
 /** struct route_part - one of the services of a route
  * @weight: over the sum of all weights, the service's share of requests */
 struct route_part {
-	char service[SERVICE_NAME_MAX];
-	int weight;
+	const char *service;
+	double weight;
 };
 
 /**
@@ -39,18 +36,19 @@
  * @priority: rank among waiting requests, 0 is the most urgent
  * @max_attempts: maximum number of targets that a request may be sent to;
  *	attempts that a daemon refused do not count
- * @npart: number of services in @part
+ * @npart: number of services in @part; 0 if the route is invalid, so that its
+ *	requests are refused and don't go to a route with a shorter prefix
  */
 struct route {
-	char host[ROUTE_HOST_MAX];
-	char prefix[ROUTE_PREFIX_MAX];
+	const char *host;
+	const char *prefix;
 	int idempotent;
 	int timeout_ms;
 	int objective_ms;
 	int priority;
 	int max_attempts;
 	int npart;
-	struct route_part part[ROUTE_PARTS_MAX];
+	struct route_part *part;
 };
 
 /**
@@ -62,8 +60,8 @@
  *	given
  */
 struct routing_service {
-	char name[SERVICE_NAME_MAX];
-	char health_path[RULE_PATH_MAX];
+	const char *name;
+	const char *health_path;
 	int connections;
 	int cold_ms;
 	double cold_per_s;
@@ -77,11 +75,17 @@
 	int idle_ms;
 };
 
-/** struct routing - a routing object; routes are sorted by host, then by length
+/**
+ * struct routing - a routing object; routes are sorted by host, then by length
  * of prefix, longest first. Tasks share it, so it is not modified once it has
- * been read. */
+ * been read.
+ * @strings: text of all names
+ * @ninvalid: routes, services and limits that are invalid
+ */
 struct routing {
 	gatomicrefcount refs;
+	GStringChunk *strings;
+	int ninvalid;
 	int nroute;
 	struct route *route;
 	int nservice;
@@ -90,8 +94,11 @@
 };
 
 /** routing_read() - parse the value of a routing object.
- * Return: the routing, to be released with routing_unref(), or NULL with the
- * error filled in. */
+ *
+ * Routes, services and limits are checked one by one; the others stay valid.
+ * Return: the routing, to be released with routing_unref(), or NULL if the text
+ * is no routing object. The error describes the first fault, also in a routing
+ * that is returned. */
 struct routing *routing_read(const char *text, size_t n, struct kq_error *);
 /** routing_new() - make an empty routing with one reference */
 struct routing *routing_new(void);
--- a/src/internal/service.h
+++ b/src/internal/service.h
@@ -11,11 +11,12 @@
  * counter for all objects, so that one number orders all changes.
  */
 
-#define SERVICE_NAME_MAX 64 /* bytes with the final NUL */
+#define SERVICE_NAME_MAX 128 /* bytes with the final NUL */
 #define SERVICE_RULES_MAX 32
 #define RULE_METHOD_MAX 16
 #define RULE_PATH_MAX 128
-#define DATACENTRE_NAME_MAX 32
+#define HEALTH_PATH_MAX 1024
+#define DATACENTRE_NAME_MAX 64
 
 /**
  * struct service_rule - one entry of "requests"; the first that matches applies
@@ -57,7 +58,7 @@
 	int cold_good_ms;
 	int cold_idle_ms;
 	double cold_per_s;
-	char health_path[RULE_PATH_MAX];
+	char health_path[HEALTH_PATH_MAX];
 	int queue_max;
 	double retry_ratio;
 	int hedge;
--- a/src/internal/store_form.h
+++ b/src/internal/store_form.h
@@ -16,7 +16,8 @@
  * watched by feeds; a feed holds objects of one or several kinds.
  */
 
-#define STORE_PATH_MAX 256 /* bytes with the final NUL */
+/* bytes with the final NUL; a name may take three bytes for each of its own */
+#define STORE_PATH_MAX 1024
 #define STORE_FEEDS_MAX 4
 
 /** struct store_request - a request to be sent
