Store lists: each entry is read alone, so that an unreadable one costs only itself

Cause: an answer of the store was read by the strict JSON reader as a whole. Of one that can't be read, name, version and removal are read if they can be: the table then keeps what it has of that object, and a removal counts. A list went silently on as if it ended where the last name of a page had 64 bytes or more; names in requests are escaped and have any length now, and a page without a name to go on after is an error. Entries that can't be used are logged and counted once a version (event 321, objects_invalid_total).

--- a/src/adapter/platform/era.c
+++ b/src/adapter/platform/era.c
@@ -30,6 +30,7 @@
 		o->version =
 		    config_version(era, config_version_revision(o->version));
 	}
+	b->seen = config_version(era, config_version_revision(b->seen));
 	b->upto = config_version(era, config_version_revision(b->upto));
 	b->complete = config_version(era, config_version_revision(b->complete));
 }
--- a/src/adapter/platform/form_own.c
+++ b/src/adapter/platform/form_own.c
@@ -9,23 +9,27 @@
 static void
 object_path(struct store_request *r, int kind, const char *name)
 {
-	g_snprintf(r->path, sizeof r->path, "/v1/objects/%s/%s",
-	    config_kind_name(kind), name);
+	char *escaped = g_uri_escape_string(name, NULL, FALSE);
+
+	r->path = g_strdup_printf("/v1/objects/%s/%s", config_kind_name(kind),
+	    escaped);
+	g_free(escaped);
 }
 
 static void
 own_list(struct store_request *r, int feed, const char *after, int stale)
 {
 	r->method = "GET";
-	g_strlcpy(r->path, "/v1/objects", sizeof r->path);
+	r->path = g_strdup("/v1/objects");
 }
 
 static void
 own_watch(struct store_request *r, int feed, uint64_t from, int wait_ms)
 {
 	r->method = "GET";
-	g_snprintf(r->path, sizeof r->path,
-	    "/v1/watch?from=%" G_GUINT64_FORMAT "&wait_ms=%d", from, wait_ms);
+	r->path =
+	    g_strdup_printf("/v1/watch?from=%" G_GUINT64_FORMAT "&wait_ms=%d",
+		from, wait_ms);
 }
 
 static void
@@ -73,48 +77,83 @@
 	return x->version < y->version ? -1 : x->version > y->version;
 }
 
+/* Reads an object of a page, or as much of one that can't be read as tells
+ * which one it is; 0, or -1 if it can't be used. */
 static int
-read_objects(struct json *j, int list, struct config_batch *b,
+read_object(struct json_list *l, int i, struct config_object *o,
     struct kq_error *e)
 {
-	int i, n = json_count(j, list);
+	static const char *const keys[] = { "kind", "name", "version", NULL };
+	struct json_span raw;
+	GString *t;
+	int node, bad;
+	struct json *j = json_list_item(l, i, &node, &raw, e);
+
+	if (j) {
+		bad = object_read(j, node, o, e);
+		json_list_item_done(l, j);
+		return bad;
+	}
+	t = g_string_new(NULL);
+	json_append_readable(t, raw, keys);
+	j = json_read(t->str, t->len, NULL);
+	g_string_free(t, TRUE);
+	if (j && object_read(j, json_root(j), o, NULL))
+		o->version = 0;
+	json_free(j);
+	return -1;
+}
 
-	b->object = g_new0(struct config_object, n + 1);
-	for (i = 0; i < n; i++) {
-		if (object_read(j, json_item(j, list, i),
-			&b->object[b->nobject], e))
-			return -1;
+static void
+add_objects(struct store_page *p, struct json_list *l, struct kq_error *e)
+{
+	struct config_batch *b = p->batch;
+	int i;
+
+	b->object = g_new0(struct config_object, l->count + 1);
+	for (i = 0; i < l->count; i++) {
+		struct config_object *o = &b->object[b->nobject];
+
+		memset(o, 0, sizeof *o);
+		o->invalid = read_object(l, i, o, p->invalid ? NULL : e) != 0;
+		if (o->invalid) {
+			p->invalid++;
+			p->invalid_version =
+			    MAX(p->invalid_version, o->version);
+		}
 		/* Objects of an unknown kind are skipped. */
-		if (b->object[b->nobject].kind >= 0)
+		if (o->kind >= 0 && (!o->invalid || o->version))
 			b->nobject++;
-		else if (b->object[b->nobject].value)
-			g_bytes_unref(b->object[b->nobject].value);
+		else if (o->value)
+			g_bytes_unref(o->value);
 	}
 	qsort(b->object, b->nobject, sizeof *b->object, by_version);
-	return 0;
 }
 
 static int
 own_read_page(struct store_page *p, int feed, int is_list, const char *text,
     size_t n, struct kq_error *e)
 {
-	struct json *j = json_read(text, n, e);
+	static const char *const others[] = { "version", NULL };
 	struct config_batch *b = p->batch;
+	struct json_list l;
 	int64_t version = 0;
-	int list, bad;
 
-	if (!j)
+	if (json_list_open(&l, text, n, is_list ? "items" : "events", others,
+		e))
 		return -1;
-	list = json_get(j, json_root(j), is_list ? "items" : "events");
-	bad = list == JSON_NONE ||
-	      json_get_int(j, json_root(j), "version", 0, INT64_MAX, &version,
-		  e) != 1 ||
-	      read_objects(j, list, b, e);
-	json_free(j);
+	if (json_require(l.doc, json_root(l.doc), "version", e) == JSON_NONE ||
+	    json_get_int(l.doc, json_root(l.doc), "version", 0, INT64_MAX,
+		&version, e) != 1) {
+		json_list_close(&l);
+		return -1;
+	}
+	add_objects(p, &l, e);
+	json_list_close(&l);
 	b->upto = version;
 	b->complete = version;
 	b->full = is_list;
-	return bad ? -1 : 0;
+	return 0;
 }
 
 static uint64_t
--- a/src/adapter/platform/platform_impl.h
+++ b/src/adapter/platform/platform_impl.h
@@ -25,7 +25,9 @@
 	uint64_t from;
 	uint64_t era; /* of the store that answered */
 	struct config_batch *batch; /* pages of a list so far */
-	int invalid; /* objects left out of the pages so far */
+	int invalid; /* entries of the pages so far that can't be used */
+	uint64_t invalid_version; /* highest version of these */
+	struct kq_error error; /* of the first of these */
 	platform_fn *fn;
 	void *ctx;
 	GSource *timeout;
--- a/src/adapter/platform/request.c
+++ b/src/adapter/platform/request.c
@@ -140,6 +140,23 @@
 	send_request(r, &q, PLATFORM_TIMEOUT_S);
 }
 
+/* Notes what of a page can't be used; keeps the first error of all pages. */
+static void
+note_invalid(struct request *r, const struct store_page *page,
+    struct platform_result *out)
+{
+	uint64_t version = page->invalid_version;
+
+	if (page->invalid && !r->invalid)
+		r->error = out->error;
+	else if (r->invalid)
+		out->error = r->error;
+	r->invalid += page->invalid;
+	if (r->platform->form->era_field)
+		version = platform_object_version(out->era, version);
+	r->invalid_version = MAX(r->invalid_version, version);
+}
+
 /* Adds a page to the batch; returns 1 if it asked for another page. */
 static int
 read_page(struct request *r, const char *text, size_t n,
@@ -152,16 +169,18 @@
 	r->batch = page.batch;
 	if (r->platform->form->read_page(&page, r->feed,
 		r->kind == REQUEST_LIST, text, n, &out->error)) {
+		g_free(page.after);
 		kq_error_wrap(&out->error, KQ_LAYER_PLATFORM, PLATFORM_DOWN,
 		    "invalid answer of the platform");
 		out->status = PLATFORM_DOWN;
 		return 0;
 	}
-	r->invalid += page.invalid;
+	note_invalid(r, &page, out);
 	if (r->platform->form->era_field)
 		platform_stamp_batch(r->batch, out->era);
-	if (page.more) {
+	if (page.after) {
 		request_page(r, page.after);
+		g_free(page.after);
 		return 1;
 	}
 	page.batch->source = CONFIG_SOURCE_PLATFORM;
@@ -170,6 +189,7 @@
 		page.batch->kinds = 0;
 	out->batch = page.batch;
 	out->invalid = r->invalid;
+	out->invalid_version = r->invalid_version;
 	r->batch = NULL;
 	return 0;
 }
@@ -299,16 +319,17 @@
 	return r;
 }
 
-/* Sends one HTTP request; frees the body of @q. */
+/* Sends one HTTP request; frees the path and the body of @q. */
 static void
 send_request(struct request *r, struct store_request *q, int timeout_s)
 {
-	char url[sizeof r->platform->base + STORE_PATH_MAX];
+	char *url = g_strconcat(r->platform->base, q->path, NULL);
 	GBytes *body;
 
-	g_snprintf(url, sizeof url, "%s%s", r->platform->base, q->path);
 	release_message(r);
 	r->msg = soup_message_new(q->method, url);
+	g_free(url);
+	g_free(q->path);
 	g_signal_connect(r->msg, "network-event", G_CALLBACK(on_network_event),
 	    NULL);
 	if (q->condition_name)
--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -202,8 +202,10 @@
 		const struct config_object *o = &b->object[i];
 		int r;
 
-		if (!object_valid(o)) {
+		if (o->invalid || !object_valid(o)) {
 			t->counts.invalid++;
+			if (o->invalid && (role != ROLE_OBJECTS || b->kinds))
+				mark_listed(t, o);
 			continue;
 		}
 		r = apply_object(t, o);
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -37,6 +37,7 @@
 /**
  * struct feed - kinds of objects that one list or watch request covers
  * @version: platform version up to which every change of the feed is known
+ * @invalid_version: highest version of an entry that could not be used
  * @requested_at: time at which the last list or watch was sent
  * @read_at: time of the last list of the whole feed
  * @read_sent_at: time at which the list beside the watch was sent
@@ -52,6 +53,7 @@
 	struct control *control;
 	int number;
 	uint64_t version;
+	uint64_t invalid_version;
 	int64_t requested_at;
 	int64_t read_at;
 	int64_t read_sent_at;
@@ -71,6 +73,7 @@
 	uint64_t datagram_bytes_out;
 	uint64_t datagrams_refused;
 	uint64_t reports_refused; /* of targets */
+	uint64_t objects_invalid; /* of the store, each version once */
 	uint64_t platform_calls;
 	uint64_t platform_failures;
 	uint64_t pulls;
@@ -253,7 +256,8 @@
 void control_seeds_stop(struct control *);
 /* Whether feed @i is watched; others are only listed. */
 int control_is_watched_feed(const struct control *, int i);
-void control_log_bad_objects(struct control *, const struct platform_result *);
+/* Logs and counts entries of a feed that can't be used, each version once. */
+void control_note_invalid(struct feed *, const struct platform_result *);
 /* Applies objects of one of several feeds; 0, or -1 if their version is below
  * the one that the feed has reached or, for a watched feed, below the complete
  * version. */
--- a/src/daemon/control/metrics.c
+++ b/src/daemon/control/metrics.c
@@ -40,6 +40,9 @@
 	    "Heartbeats and leaves that could not be read or are not of the "
 	    "target beside this daemon",
 	    n->reports_refused);
+	counter(t, "objects_invalid_total",
+	    "Versions of objects in the store that could not be used",
+	    n->objects_invalid);
 	gauge(t, "config_parts_invalid",
 	    "Routes, services and limits in force that are invalid",
 	    control_invalid_parts(c));
--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -124,9 +124,7 @@
 	control_apply_batch(c, &b);
 }
 
-/* Version that a feed has reached by a watch's answer. A watch may miss changes
- * without an error, so only the versions of the objects in the answer count,
- * not the version that it names. */
+/* Version that a feed has reached by a watch's answer. */
 static uint64_t
 last_version(const struct config_batch *b, uint64_t version)
 {
@@ -140,7 +138,8 @@
 /* Applies objects of one of several feeds; 0, or -1 if their version is below
  * the one that the feed has reached or, for a watched feed, below the complete
  * version. A list, which has @b->kinds set, counts by the version that it
- * names, a watch by last_version(). */
+ * names. A watch may miss changes without an error, so that only the versions
+ * of its entries count, whether they are used or not. */
 int
 control_apply_feed_batch(struct feed *f, struct config_batch *b)
 {
@@ -168,13 +167,19 @@
 }
 
 void
-control_log_bad_objects(struct control *c, const struct platform_result *r)
+control_note_invalid(struct feed *f, const struct platform_result *r)
 {
-	if (r->invalid)
-		log_event(EVENT_CONFIG_INVALID, G_LOG_LEVEL_WARNING,
-		    control_now(c),
-		    "invalid objects ignored count=%d error=\"%s\"", r->invalid,
-		    r->error.text);
+	struct control *c = f->control;
+
+	if (!r->invalid ||
+	    (r->invalid_version && r->invalid_version <= f->invalid_version))
+		return;
+	f->invalid_version = MAX(f->invalid_version, r->invalid_version);
+	c->counters.objects_invalid += r->invalid;
+	log_event(EVENT_CONFIG_INVALID, G_LOG_LEVEL_WARNING, control_now(c),
+	    "invalid objects ignored feed=%d count=%d"
+	    " version=%" G_GUINT64_FORMAT " error=\"%s\"",
+	    f->number, r->invalid, r->invalid_version, r->error.text);
 }
 
 /* Applies a batch and goes on watching. If a batch arrives early and changes
@@ -212,7 +217,7 @@
 
 	f->listing = 0;
 	control_note_platform_result(c, r);
-	control_log_bad_objects(c, r);
+	control_note_invalid(f, r);
 	if (r->status != PLATFORM_OK) {
 		schedule_feed(f, control_platform_backoff(c));
 		return;
@@ -244,7 +249,7 @@
 
 	f->watching = 0;
 	control_note_platform_result(c, r);
-	control_log_bad_objects(c, r);
+	control_note_invalid(f, r);
 	if (r->status == PLATFORM_TOO_OLD) {
 		list_feed(f);
 		return;
--- a/src/daemon/control/reading.c
+++ b/src/daemon/control/reading.c
@@ -31,7 +31,7 @@
 
 	f->reading = 0;
 	control_note_platform_result(c, r);
-	control_log_bad_objects(c, r);
+	control_note_invalid(f, r);
 	if (r->status != PLATFORM_OK) {
 		reader_failed(&c->reader, rng_unit(&c->rng), control_now(c));
 		return;
--- a/src/daemon/control/seeds.c
+++ b/src/daemon/control/seeds.c
@@ -169,7 +169,7 @@
 	own_name(c, own, sizeof own);
 	g_array_set_size(c->seeds, 0);
 	for (i = 0; i < b->nobject; i++)
-		if (strcmp(b->object[i].name, own) &&
+		if (!b->object[i].invalid && strcmp(b->object[i].name, own) &&
 		    !parse_name(b->object[i].name, &a))
 			g_array_append_val(c->seeds, a);
 	c->seeds_listed_at = control_now(c);
@@ -261,6 +261,7 @@
 		schedule_list(c, RESTORED_CHECK_US);
 		return;
 	}
+	control_note_invalid(&c->feed[seeds_feed(c)], r);
 	if (r->era > c->seeds_era)
 		c->own_seed_written = 0;
 	set_seeds(c, r->batch);
@@ -269,7 +270,8 @@
 		return;
 	}
 	for (i = 0; c->seeds_listed && i < r->batch->nobject; i++)
-		if (!parse_name(r->batch->object[i].name, &a))
+		if (!r->batch->object[i].invalid &&
+		    !parse_name(r->batch->object[i].name, &a))
 			check_seed(c, &r->batch->object[i], &a, control_now(c));
 	c->seeds_listed = 1;
 	c->seeds_era = r->era;
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -66,6 +66,8 @@
 /**
  * struct config_object - one object at one version
  * @removed: nonzero for a tombstone
+ * @invalid: nonzero for a version that can't be used: the table keeps what it
+ *	has of the object; always 0 in a table
  * @version: of the last change, or of the removal
  * @serial: raised by the writer of the object with each change, 0 when not
  * known; an older copy of the object has a lower one whatever its version
@@ -77,6 +79,7 @@
 struct config_object {
 	int kind; /* enum config_kind */
 	int removed;
+	int invalid;
 	uint64_t version;
 	uint64_t serial;
 	char name[CONFIG_NAME_MAX];
@@ -113,6 +116,9 @@
  * @hold: nonzero for such a list of a store that came back from an older copy:
  *        objects that it lacks may have been written since the copy was made
  * and are kept
+ * @seen: highest version of any entry of the answer of a platform, also of
+ *those that are not among the objects
+ * @left_out: number of these
  * @batch_id: as in the pull, 0 on a first page
  */
 struct config_batch {
@@ -124,6 +130,8 @@
 	int full;
 	uint32_t kinds;
 	int hold;
+	uint64_t seen;
+	int left_out;
 	uint32_t batch_id;
 	int nobject;
 	struct config_object *object;
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -17,8 +17,9 @@
 
 struct store_form;
 
-#define TARGET_COLD_MS_MAX 86400000 /* longest time that a target stays cold \
-				     */
+#define TARGET_COLD_MS_MAX                                \
+	86400000 /* longest time that a target stays cold \
+		  */
 
 /**
  * struct target_load - load that a target reports on an answer
--- a/src/internal/json.h
+++ b/src/internal/json.h
@@ -118,4 +118,67 @@
  * JSON_NONE is appended as null */
 void json_append_node(GString *, const struct json *, int node);
 
+/** struct json_span - a part of a text */
+struct json_span {
+	const char *text;
+	size_t n;
+};
+
+/**
+ * struct json_scan - walk over the items of an array or the members of an
+ * object by brackets and quotes alone, without reading the values
+ *
+ * It finds the values also where json_read() refuses the text for one of them.
+ */
+struct json_scan {
+	const char *at;
+	const char *end;
+	int is_object;
+	int first;
+};
+
+/** json_scan_start() - begin at an array or object; 0, or -1 for any other
+ * value */
+int json_scan_start(struct json_scan *, struct json_span);
+/** json_scan_next() - get the next value, and its key as written if it has one.
+ * Return: 1, 0 after the last one, -1 if the brackets or quotes are wrong */
+int json_scan_next(struct json_scan *, struct json_span *key,
+    struct json_span *value);
+/** json_scan_find() - find a member of an object; 1, or 0 if there is none */
+int json_scan_find(struct json_span object, const char *key,
+    struct json_span *value);
+/** json_append_readable() - append an object with those members, of the keys in
+ * a NULL-terminated list, whose values json_read() accepts */
+void json_append_readable(GString *, struct json_span object,
+    const char *const *keys);
+
+/**
+ * struct json_list - a page of JSON with a list whose items are judged alone
+ * @doc: the page; without the list if it could not be read as a whole
+ * @list: node of the list in @doc, unless @part is set
+ * @part: struct json_span of each item of a page that was split
+ */
+struct json_list {
+	struct json *doc;
+	int list;
+	int count;
+	GArray *part;
+};
+
+/** json_list_open() - read a page
+ * @text: of the page, which the list refers to until json_list_close()
+ * @key: of the list in the page
+ * @others: NULL-terminated keys of the members to keep in @doc if the page is
+ *	split
+ * Return: 0, or -1 with the error if not even the items' ends can be found */
+int json_list_open(struct json_list *, const char *text, size_t n,
+    const char *key, const char *const *others, struct kq_error *);
+/** json_list_item() - read an item, to be released with json_list_item_done().
+ * Return: the document that holds @node, or NULL with the error; then @raw is
+ * the text of the item */
+struct json *json_list_item(struct json_list *, int i, int *node,
+    struct json_span *raw, struct kq_error *);
+void json_list_item_done(struct json_list *, struct json *);
+void json_list_close(struct json_list *);
+
 #endif
--- a/src/internal/platform.h
+++ b/src/internal/platform.h
@@ -38,9 +38,9 @@
  * @batch: objects of a list or watch, else NULL; the receiver may take it over
  *         by setting it to NULL. Its complete is the platform's version at the
  *         time of the answer
- * @invalid: number of objects that could not be read and were left out, the
- *           first of them described in @error; then @batch is not a complete
- *           list
+ * @invalid: number of entries that could not be used, the first of them
+ *           described in @error
+ * @invalid_version: highest version of these, 0 if none could be read
  * @value: value of the object for a get, else NULL; may be taken over likewise
  */
 struct platform_result {
@@ -49,6 +49,7 @@
 	uint64_t version;
 	struct config_batch *batch;
 	int invalid;
+	uint64_t invalid_version;
 	char *value;
 	struct kq_error error;
 };
--- a/src/internal/store_form.h
+++ b/src/internal/store_form.h
@@ -16,16 +16,15 @@
  * watched by feeds; a feed holds objects of one or several kinds.
  */
 
-/* bytes with the final NUL; a name may take three bytes for each of its own */
-#define STORE_PATH_MAX 1024
 #define STORE_FEEDS_MAX 4
 
 /** struct store_request - a request to be sent
+ * @path: of the URL, to be freed with g_free()
  * @condition_name: header field that makes a write conditional, or NULL
  * @condition_value: value of that field */
 struct store_request {
 	const char *method;
-	char path[STORE_PATH_MAX];
+	char *path;
 	const char *condition_name;
 	char condition_value[32];
 	GString *body;
@@ -33,13 +32,16 @@
 
 /** struct store_page - answer to a list or a watch
  * @batch: objects that it brought
- * @more: nonzero if the list continues after the object named @after
- * @invalid: objects that could not be parsed and were left out */
+ * @after: name of the object after which the list continues, NULL if this is
+ *	its last page; to be freed with g_free()
+ * @invalid: entries that could not be used; they are in the batch as invalid
+ *	objects if their name and version could be read
+ * @invalid_version: highest version of these, 0 if none could be read */
 struct store_page {
 	struct config_batch *batch;
-	int more;
+	char *after;
 	int invalid;
-	char after[CONFIG_NAME_MAX];
+	uint64_t invalid_version;
 };
 
 /**
--- a/tests/fake/platform/serve.c
+++ b/tests/fake/platform/serve.c
@@ -294,6 +294,26 @@
 	g_string_free(t, FALSE);
 }
 
+/* Stores the body of a request as the value of an object, whatever it is. */
+static void
+store_raw(struct platform *p, SoupServerMessage *msg, GHashTable *query)
+{
+	SoupMessageBody *b = soup_server_message_get_request_body(msg);
+	const char *key = query ? g_hash_table_lookup(query, "key") : NULL;
+	char *value;
+
+	if (!key || !strchr(key, '/')) {
+		soup_server_message_set_status(msg, SOUP_STATUS_BAD_REQUEST,
+		    NULL);
+		return;
+	}
+	value = g_strndup(b->data ? b->data : "", (gsize)b->length);
+	store_put(&p->store, key, value);
+	g_free(value);
+	soup_server_message_set_status(msg, SOUP_STATUS_OK, NULL);
+	users_answer_watches(p);
+}
+
 static void
 on_request(SoupServer *s, SoupServerMessage *msg, const char *path,
     GHashTable *query, void *ctx)
@@ -304,6 +324,8 @@
 	(void)s;
 	if (strcmp(path, "/fake/fault") == 0) {
 		soup_server_message_set_status(msg, fault_set(p, query), NULL);
+	} else if (strcmp(path, "/fake/raw") == 0) {
+		store_raw(p, msg, query);
 	} else if (strcmp(path, "/fake/counts") == 0) {
 		serve_counts(p, msg);
 	} else if (p->mode == FAULT_SLOW) {
