Feeds: an entry that is not used no longer keeps later changes from the daemons that learn from peers

Cause: a daemon tells its peers the lowest version that all its feeds have reached. A list with an entry that could not be used no longer counted as a list, and of a watch's answer only the versions of objects that are used counted, so that the feed stayed behind its last valid object and peers had no reason to pull. The version of each entry counts now, used or not, and a list with entries that can't be used is a whole list: of these the table keeps what it has.

--- a/src/adapter/platform/request.c
+++ b/src/adapter/platform/request.c
@@ -185,8 +185,6 @@
 	}
 	page.batch->source = CONFIG_SOURCE_PLATFORM;
 	page.batch->after = r->from;
-	if (r->invalid)
-		page.batch->kinds = 0;
 	out->batch = page.batch;
 	out->invalid = r->invalid;
 	out->invalid_version = r->invalid_version;
--- a/src/daemon/control/config.c
+++ b/src/daemon/control/config.c
@@ -23,6 +23,7 @@
 log_bad_object(struct control *c, const struct config_object *o, int parts,
     const struct kq_error *e)
 {
+	c->counters.objects_invalid++;
 	log_event(EVENT_CONFIG_INVALID, G_LOG_LEVEL_WARNING, control_now(c),
 	    "object is invalid kind=%s name=%s version=%" G_GUINT64_FORMAT
 	    " parts=%d error=\"%s\"",
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -73,7 +73,7 @@
 	uint64_t datagram_bytes_out;
 	uint64_t datagrams_refused;
 	uint64_t reports_refused; /* of targets */
-	uint64_t objects_invalid; /* of the store, each version once */
+	uint64_t objects_invalid; /* each version once */
 	uint64_t platform_calls;
 	uint64_t platform_failures;
 	uint64_t pulls;
--- a/src/daemon/control/metrics.c
+++ b/src/daemon/control/metrics.c
@@ -41,7 +41,7 @@
 	    "target beside this daemon",
 	    n->reports_refused);
 	counter(t, "objects_invalid_total",
-	    "Versions of objects in the store that could not be used",
+	    "Versions of objects that could not be used, or not in full",
 	    n->objects_invalid);
 	gauge(t, "config_parts_invalid",
 	    "Routes, services and limits in force that are invalid",
--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -124,17 +124,6 @@
 	control_apply_batch(c, &b);
 }
 
-/* Version that a feed has reached by a watch's answer. */
-static uint64_t
-last_version(const struct config_batch *b, uint64_t version)
-{
-	int i;
-
-	for (i = 0; i < b->nobject; i++)
-		version = MAX(version, b->object[i].version);
-	return version;
-}
-
 /* Applies objects of one of several feeds; 0, or -1 if their version is below
  * the one that the feed has reached or, for a watched feed, below the complete
  * version. A list, which has @b->kinds set, counts by the version that it
@@ -144,7 +133,7 @@
 control_apply_feed_batch(struct feed *f, struct config_batch *b)
 {
 	struct control *c = f->control;
-	uint64_t version = b->kinds ? b->complete : last_version(b, f->version);
+	uint64_t version = b->kinds ? b->complete : MAX(b->seen, f->version);
 
 	if (version < f->version ||
 	    (control_is_watched_feed(c, f->number) &&
@@ -191,7 +180,7 @@
 	struct control *c = f->control;
 	uint64_t before = config_complete_version(c->config);
 	int64_t elapsed = control_now(c) - f->requested_at;
-	int progress, changes = b->nobject;
+	int progress, changes = b->nobject + b->left_out;
 
 	if (control_many_feeds(c)) {
 		before = f->version;
--- a/tests/unit/platform_form.c
+++ b/tests/unit/platform_form.c
@@ -349,6 +349,32 @@
 }
 END_TEST
 
+/* Events whose version counts although the object is not used. */
+static const char *const unused_events[] = {
+	"{\"metadata\":{\"name\":\"notes\",\"revision\":8},"
+	"\"specification\":{\"note\":\"hello\"}}",
+	"{\"metadata\":{\"name\":\"" LONG_NAME "\",\"revision\":8},"
+	"\"specification\":{}}",
+	"{\"metadata\":{\"name\":\"main\",\"revision\":8},"
+	"\"specification\":[]}",
+	"{\"metadata\":{\"name\":\"\\ud800\",\"revision\":8}}",
+};
+
+START_TEST(version_of_an_unused_object_counts)
+{
+	struct store_page p;
+	char text[1024];
+
+	g_snprintf(text, sizeof text,
+	    "{\"events\":[{\"deleted\":false,\"object\":%s}],\"at\":9}",
+	    unused_events[_i]);
+	ck_assert_int_eq(read_page(&p, FEED_CONFIG, 0, text, NULL), 0);
+	ck_assert_uint_eq(p.batch->seen, 8);
+	ck_assert_int_eq(p.batch->nobject + p.batch->left_out, 1);
+	page_clear(&p);
+}
+END_TEST
+
 START_TEST(writes_are_conditional_on_the_revision)
 {
 	static const char written[] =
@@ -545,6 +571,8 @@
 	tcase_add_loop_test(c, unreadable_object_costs_only_itself, 0,
 	    sizeof unreadable / sizeof *unreadable);
 	tcase_add_test(c, unreadable_object_can_be_deleted);
+	tcase_add_loop_test(c, version_of_an_unused_object_counts, 0,
+	    sizeof unused_events / sizeof *unused_events);
 	tcase_add_test(c, writes_are_conditional_on_the_revision);
 	tcase_add_test(c, heartbeat_is_read);
 	tcase_add_loop_test(c, invalid_report_is_rejected, 0,
