--- a/tests/fake/target/job.c
+++ b/tests/fake/target/job.c
@@ -1,7 +1,9 @@
 #include "target.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define NOT_RUN_FIELDS "Not-Run: 1\r\n"
 #define USERS_NOT_RUN_FIELDS "X-Not-Executed: 1\r\n"
@@ -81,6 +83,15 @@
 	start_queued(t);
 }
 
+/* Ends the process as a crash does: without a word to anyone. */
+static void
+crash(void *ctx, int64_t now)
+{
+	(void)ctx;
+	(void)now;
+	_exit(EXIT_FAILURE);
+}
+
 static void
 run_job(struct conn *c)
 {
@@ -92,6 +103,14 @@
 	t->counts.runs++;
 	count_duplicate(c);
 	log_job(c, "run");
+	if (t->knobs.crash && strstr(c->path, "/crash/")) {
+		history_write(&t->history, io_clock(), "crash path=%s",
+		    c->path);
+		c->timer.fire = crash;
+		io_timer_set(t->loop, &c->timer,
+		    io_now(t->loop) + t->knobs.crash_ms * 1000);
+		return;
+	}
 	if (t->knobs.reset_after_read > 0) {
 		t->knobs.reset_after_read--;
 		conn_reset(c);
--- a/tests/fake/target/knobs.c
+++ b/tests/fake/target/knobs.c
@@ -49,6 +49,8 @@
 	KNOB(second, 0, "next answers sent once more before the next answer"),
 	KNOB(second_kind, 1,
 	    "1 copy, 2 not run, 3 without id, 4 cut, 5 at once"),
+	KNOB(crash, 0, "1: requests to paths with /crash/ end the target"),
+	KNOB(crash_ms, 40, "time from the start of such a run until then"),
 	KNOB(flood, 0, "next answers that never end, to paths with /flood/"),
 	KNOB(flood_kind, 0,
 	    "1 line, 2 fields, 3 interim, 4 until close, 5 chunks, "
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -76,6 +76,8 @@
 	long says_leaving; /* nonzero: all answers say that it leaves */
 	long second; /* next answers sent once more, see second_kind */
 	long second_kind; /* enum second */
+	long crash; /* 1: requests to paths with /crash/ end the process */
+	long crash_ms; /* time from the start of such a run until then */
 	long flood; /* next answers that never end, to paths with /flood/ */
 	long flood_kind; /* what these consist of, enum flood */
 	long keep_keys; /* nonzero: count repeated runs of a call key */
