A request that crashes targets is refused on all daemons after the third

Cause: what a run taught ended with the call. Now the daemon beside a target that ends tells all daemons the digests of what ran there; each counts the starts of targets that ended under a request and refuses the one that was there each time, for ten minutes. An answer of any target clears a request everywhere, and only the most counted of a group is refused, so that requests beside it, popular ones and those at targets that crash for other reasons stay out of it.

--- a/src/adapter/rpc/member_xdr.c
+++ b/src/adapter/rpc/member_xdr.c
@@ -102,6 +102,31 @@
 	return 1;
 }
 
+static int
+xdr_note(XDR *x, struct member_note *n)
+{
+	return xdr_uint64_t(x, &n->id) && n->id != 0 &&
+	       xdr_uint32_t(x, &n->age_ms) && xdr_uint32_t(x, &n->keep_ms) &&
+	       xdr_uint32_t(x, &n->len) && n->len <= sizeof n->data &&
+	       xdr_opaque(x, (char *)n->data, n->len);
+}
+
+/* Notes are at the end, and only where there are any. */
+static int
+xdr_notes(XDR *x, struct member_message *m, int present)
+{
+	int i;
+
+	if (!present)
+		return 1;
+	if (!xdr_count(x, &m->nnote, MEMBER_NOTES_MAX))
+		return 0;
+	for (i = 0; i < m->nnote; i++)
+		if (!xdr_note(x, &m->note[i]))
+			return 0;
+	return 1;
+}
+
 static int
 xdr_message(XDR *x, struct member_message *m)
 {
@@ -130,7 +155,8 @@
 
 	xdrmem_create(&x, (char *)buf, (u_int)size, XDR_ENCODE);
 	/* The cast is safe: XDR_ENCODE does not modify the message. */
-	if (xdr_message(&x, (struct member_message *)m))
+	if (xdr_message(&x, (struct member_message *)m) &&
+	    xdr_notes(&x, (struct member_message *)m, m->nnote > 0))
 		n = xdr_getpos(&x);
 	xdr_destroy(&x);
 	return n;
@@ -145,7 +171,7 @@
 
 	memset(m, 0, sizeof *m);
 	xdrmem_create(&x, (char *)buf, (u_int)n, XDR_DECODE);
-	if (xdr_message(&x, m))
+	if (xdr_message(&x, m) && xdr_notes(&x, m, xdr_getpos(&x) < n))
 		used = xdr_getpos(&x);
 	xdr_destroy(&x);
 	return used;
--- a/src/core/member/gossip.c
+++ b/src/core/member/gossip.c
@@ -18,7 +18,7 @@
 	if (now < t->gossip_at)
 		return;
 	t->gossip_at = now + t->limits.gossip_period;
-	if (t->queue->len == 0 && t->notify_rounds == 0)
+	if (t->queue->len == 0 && t->notify_rounds == 0 && !member_has_notes(t))
 		return;
 	if (send_gossip_round(t) > 0 && t->notify_rounds > 0)
 		t->notify_rounds--;
--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -124,8 +124,21 @@
 	struct member_address seed[MEMBER_SEEDS_MAX];
 };
 
+/** struct note - a note that is known
+ * @at: time at which it was told first, by our clock
+ * @sends: times that it was gossiped
+ * @in_message: it is in the message that is being built */
+struct note {
+	struct member_note note;
+	int64_t at;
+	int sends;
+	int in_message;
+};
+
 /**
  * struct member_table - see member.h
+ * @notes: struct note, in the order in which they came
+ * @note_cursor: index of the note that the next page begins with
  * @rows: struct row by handle, NULL where free
  * @by_id: struct row by incarnation
  * @live: handles of others that are alive or suspect, in no order
@@ -158,6 +171,8 @@
 	guint order_next;
 	GArray *queue;
 	GArray *suspects;
+	GArray *notes;
+	guint note_cursor;
 	struct member_limits limits;
 	struct member_counts counts;
 	const struct member_ops *ops;
@@ -240,6 +255,20 @@
 int member_append_update(struct member_table *, struct member_message *,
     int handle, int with_info, size_t bytes);
 
+/* note.c */
+void member_receive_notes(struct member_table *, const struct member_message *,
+    int64_t now);
+/** member_has_notes() - whether a note still has to be gossiped */
+int member_has_notes(const struct member_table *);
+/** member_append_notes() - add notes to be gossiped, up to a message size of
+ * @bytes */
+void member_append_notes(struct member_table *, struct member_message *,
+    size_t bytes);
+/** member_append_kept_notes() - add kept notes, beginning where the last
+ * message ended */
+void member_append_kept_notes(struct member_table *, struct member_message *,
+    size_t bytes);
+
 /* message.c */
 /** member_begin_message() - begin a message to an incarnation, without
  * updates; valid until the next call, as the table has one message buffer */
--- a/src/core/member/message.c
+++ b/src/core/member/message.c
@@ -72,7 +72,9 @@
 {
 	struct member_message *msg = member_begin_message(t, MEMBER_GOSSIP,
 	    member_row(t, handle)->m.info.id);
+	size_t bytes = (size_t)t->limits.datagram_bytes;
 
-	member_send_piggybacked(t, handle, msg,
-	    (size_t)t->limits.datagram_bytes);
+	member_piggyback(t, msg, bytes);
+	member_append_notes(t, msg, bytes);
+	member_send(t, &member_row(t, handle)->m.info.address, msg);
 }
--- a/src/core/member/receive.c
+++ b/src/core/member/receive.c
@@ -153,6 +153,7 @@
 		refute_view(t, msg);
 		note_config_version(t, msg);
 		member_note_reading(t, msg, now);
+		member_receive_notes(t, msg, now);
 		check_sender(t, msg);
 	}
 	dispatch(t, msg, now);
--- a/src/core/member/size.c
+++ b/src/core/member/size.c
@@ -9,6 +9,8 @@
 #define UPDATE_BYTES 20 /* id, state, two sequence numbers */
 #define ADDRESS_BYTES 16 /* IP number and three ports */
 #define WANT_BYTES 8
+#define NOTE_COUNT_BYTES 4 /* only if there are notes */
+#define NOTE_BYTES 20 /* id, age, time kept and length */
 
 /* An XDR string: 4 bytes of length, then the text padded to a multiple of 4. */
 static size_t
@@ -34,5 +36,10 @@
 
 	for (i = 0; i < msg->nupdate; i++)
 		n += update_bytes(&msg->update[i]);
-	return n + (size_t)msg->nwant * WANT_BYTES;
+	n += (size_t)msg->nwant * WANT_BYTES;
+	if (msg->nnote)
+		n += NOTE_COUNT_BYTES;
+	for (i = 0; i < msg->nnote; i++)
+		n += NOTE_BYTES + (msg->note[i].len + 3) / 4 * 4;
+	return n;
 }
--- a/src/core/member/sync.c
+++ b/src/core/member/sync.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define JOIN_NOTES_BYTES 700 /* of a page with notes, before its rows */
+
 /* Adds rows from handle @from on until the message is full. Returns the handle
  * of the first row left out, or 0 if there is none. */
 static uint32_t
@@ -33,6 +35,7 @@
 		return;
 	msg = member_begin_message(t, MEMBER_PAGE, member_row(t, h)->m.info.id);
 	t->sync_cursor = fill_page(t, msg, t->sync_cursor, 0);
+	member_append_kept_notes(t, msg, (size_t)t->limits.datagram_bytes);
 	member_send(t, &member_row(t, h)->m.info.address, msg);
 }
 
@@ -151,6 +154,7 @@
 	    member_begin_message(t, MEMBER_PAGE, pull->from);
 
 	msg->seq = pull->seq;
+	member_append_kept_notes(t, msg, JOIN_NOTES_BYTES);
 	msg->cursor = fill_page(t, msg, pull->cursor, 1);
 	member_send(t, &pull->source, msg);
 }
--- a/src/core/member/table.c
+++ b/src/core/member/table.c
@@ -14,6 +14,7 @@
 	t->order = g_array_new(FALSE, FALSE, sizeof(int));
 	t->queue = g_array_new(FALSE, FALSE, sizeof(int));
 	t->suspects = g_array_new(FALSE, FALSE, sizeof(int));
+	t->notes = g_array_new(FALSE, FALSE, sizeof(struct note));
 	t->limits = *limits;
 	t->rng_state = seed ^ self->id;
 	t->ops = ops;
@@ -44,6 +45,7 @@
 	g_array_free(t->order, TRUE);
 	g_array_free(t->queue, TRUE);
 	g_array_free(t->suspects, TRUE);
+	g_array_free(t->notes, TRUE);
 	g_free(t);
 }
 
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -168,6 +168,15 @@
 	task_post(&c->task, control_send_spans, c, text);
 }
 
+static void
+on_crash_news(void *ctx, const struct crash_news *n)
+{
+	struct control *c = ctx;
+
+	task_post(&c->task, control_tell_crash_news, c,
+	    g_memdup2(n, sizeof *n));
+}
+
 const struct data_events control_data_events = {
 	.config_behind = on_newer_version,
 	.pull_received = on_pull,
@@ -178,6 +187,7 @@
 	.target_leaves = on_target_leaves,
 	.peer_silent = on_peer_silent,
 	.spans_ready = on_spans,
+	.crash_news = on_crash_news,
 };
 
 /* Drains the target and tells the members and the platform that this daemon
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -4,6 +4,7 @@
 #include <libsoup/soup.h>
 
 #include "config.h"
+#include "crash.h"
 #include "dialect.h"
 #include "daemon/control/control.h"
 #include "log.h"
@@ -190,6 +191,8 @@
 /* Path of the health check of a service that routes name; 0 or -1. */
 int control_health_path(struct control *, const char *service, char *path,
     size_t size);
+/* Tells the members news of the data task, which are freed. */
+void control_tell_crash_news(void *ctx, void *message);
 /* Asks another daemon for newer objects, unless a pull is in flight. */
 void control_pull_config(struct control *, uint64_t incarnation);
 
--- a/src/daemon/control/member.c
+++ b/src/daemon/control/member.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "crash_codec.h"
 #include "daemon/control/impl.h"
 
 #define RECEIVE_MAX 2048 /* bytes of a datagram */
@@ -107,10 +108,42 @@
 	control_pull_config(c, member_at(c->members, source)->info.id);
 }
 
+static void
+on_note(void *ctx, const struct member_note *note, int64_t at)
+{
+	struct control *c = ctx;
+	struct crash_news n;
+
+	if (crash_news_decode(&n, note->data, note->len))
+		log_event(EVENT_DATAGRAM_REFUSED, G_LOG_LEVEL_INFO,
+		    control_now(c), "note of a member refused bytes=%u",
+		    note->len);
+	else
+		data_crash_news(c->data, &n, at);
+}
+
+void
+control_tell_crash_news(void *ctx, void *message)
+{
+	struct member_note note = { 0 };
+	struct crash_news *n = message;
+	struct control *c = ctx;
+
+	G_STATIC_ASSERT(
+	    sizeof(struct crash_news) <= sizeof note.data + sizeof(uint64_t));
+	note.id = crash_news_id(n);
+	note.keep_ms = n->kind == CRASH_REFUSED ? CRASH_REFUSE_US / 1000 : 0;
+	note.len = crash_news_encode(n, note.data, sizeof note.data);
+	g_free(n);
+	member_tell(c->members, &note, control_now(c));
+	control_schedule_member_tick(c);
+}
+
 const struct member_ops control_member_ops = {
 	.send = send_message,
 	.event = on_event,
 	.behind = on_newer_version,
+	.note = on_note,
 };
 
 /* After a pause this daemon takes no new work until another member has
--- a/src/daemon/data/data.c
+++ b/src/daemon/data/data.c
@@ -137,6 +137,9 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->in_calls = g_hash_table_new(g_direct_hash, g_direct_equal);
 	d->measure_body = g_string_new(NULL);
+	d->crashes = crash_new();
+	d->lost_runs = g_array_new(FALSE, FALSE, sizeof(struct lost_run));
+	d->end_fd = -1;
 	d->once = once_new(d->incarnation, &limits, inbound_once_reply, d);
 	d->view = g_new0(struct view, 1);
 	d->view->may_act = 1;
@@ -229,11 +232,14 @@
 	io_timer_clear(d->task.loop, &d->silence_timer);
 	io_timer_clear(d->task.loop, &d->drain_timer);
 	io_timer_clear(d->task.loop, &d->pause_timer);
+	inbound_stop_end_check(d);
 	if (d->pool)
 		http_pool_free(d->pool);
 	if (d->admit)
 		admit_free(d->admit);
 	once_free(d->once);
+	crash_free(d->crashes);
+	g_array_unref(d->lost_runs);
 	g_hash_table_unref(d->peers);
 	g_hash_table_unref(d->services);
 	g_hash_table_unref(d->out_calls);
--- a/src/daemon/data/data.h
+++ b/src/daemon/data/data.h
@@ -56,11 +56,13 @@
  * @peer_silent: daemon @incarnation leaves calls and a probe unanswered
  * @target_leaves: an answer of target @id says that the target leaves; it
  *                 already gets no new work
+ * @crash_news: news for the other daemons
  * @target_idle: no request is in flight at the target any more after
  *               data_drain_target()
  */
 struct config_batch;
 struct config_pull;
+struct crash_news;
 struct data_events {
 	void (
 	    *config_behind)(void *ctx, uint64_t version, uint64_t incarnation);
@@ -74,6 +76,7 @@
 	void (*paused)(void *ctx, uint32_t number);
 	void (*peer_silent)(void *ctx, uint64_t incarnation);
 	void (*spans_ready)(void *ctx, GString *otlp);
+	void (*crash_news)(void *ctx, const struct crash_news *);
 };
 
 struct data *data_new(const struct settings *, uint64_t incarnation,
@@ -98,6 +101,9 @@
 /** data_set_suspected() - set whether an instance is suspected to have failed
  */
 void data_set_suspected(struct data *, uint64_t incarnation, int suspected);
+/** data_crash_news() - pass on news of another daemon, copied
+ * @at: time of what they tell */
+void data_crash_news(struct data *, const struct crash_news *, int64_t at);
 /** data_drain() - refuse new requests and finish those in flight, as this
  * daemon is stopping; @drained follows */
 void data_drain(struct data *);
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -4,6 +4,7 @@
 #include "admit.h"
 #include "budget.h"
 #include "config.h"
+#include "crash.h"
 #include "daemon/data/data.h"
 #include "dialect.h"
 #include "histogram.h"
@@ -43,6 +44,15 @@
 struct out_peer;
 struct in_call;
 
+/** struct lost_run - request whose answer the target broke off
+ * @id: of the request, for the log */
+struct lost_run {
+	uint64_t digest;
+	int64_t started;
+	int64_t lost_at;
+	char id[REQUEST_ID_MAX];
+};
+
 /* Totals since the start; in_* are those of the inbound side. */
 struct counters {
 	uint64_t calls; /* requests from callers */
@@ -62,6 +72,8 @@
 	uint64_t
 	    measure_requests; /* load or health requests sent to the target */
 	uint64_t probes; /* sent to other daemons */
+	uint64_t target_ends; /* of the target, while it ran requests */
+	uint64_t crash_refused; /* requests that crash targets */
 };
 
 struct data {
@@ -116,6 +128,11 @@
 	struct knee knee; /* of the target */
 	GHashTable *route_work; /* host and prefix to struct work */
 	struct http_pool *pool;
+	struct crash_table *crashes;
+	GArray *lost_runs; /* struct lost_run, see inbound/ended.c */
+	int end_fd; /* connection that checks whether the target ended, or -1 */
+	struct io_watch end_watch;
+	struct io_timer end_timer; /* of that check: its start or its timeout */
 	struct admit *admit;
 	struct budget measure_budget;
 	struct once *once;
@@ -147,6 +164,20 @@
 /* Whether a field applies to one connection only and is not forwarded. */
 int field_is_hop_by_hop(const char *name);
 
+/** data_request_digest() - digest by which a request is known again, whatever
+ * its id and the daemon that it came to: of method, path, host, the caller's
+ * credentials and the first @n bytes of the body, at most WIRE_CHUNK_MAX */
+uint64_t
+data_request_digest(const struct head_copy *, const void *body, size_t n);
+uint64_t data_text_digest(const char *);
+/** data_apply_crash_news() - take news of other daemons */
+void
+data_apply_crash_news(struct data *, const struct crash_news *, int64_t at);
+/** data_tell_crash_news() - take news of this daemon, and tell the others */
+void data_tell_crash_news(struct data *, const struct crash_news *);
+/** data_note_answered() - note that a target answered a request */
+void data_note_answered(struct data *, uint64_t digest);
+
 void data_write_metrics(struct data *, GString *);
 void data_write_targets(struct data *, GString *);
 void data_write_explain(struct data *, GString *);
--- a/src/daemon/data/report.c
+++ b/src/daemon/data/report.c
@@ -84,6 +84,15 @@
 	    c->in_calls);
 	write_counter(t, "inbound_repeats_total",
 	    "Repeats of a known request id", c->in_repeats);
+	write_counter(t, "target_ends_total",
+	    "Ends of the target while it ran requests", c->target_ends);
+	write_counter(t, "crashing_refused_total",
+	    "Requests refused as they crash targets", c->crash_refused);
+	write_gauge(t, "crashing_requests", "Requests known to crash targets",
+	    crash_count(d->crashes, 1, data_now(d)));
+	write_gauge(t, "suspect_requests",
+	    "Requests that ran at a target that ended",
+	    crash_count(d->crashes, 0, data_now(d)));
 	write_refusals(d, t);
 	write_histogram(t, "call_seconds", "Calls with a whole answer",
 	    &d->call_us);
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -82,6 +82,7 @@
 	c->body = g_byte_array_new();
 	g_byte_array_append(c->body, m->body, m->body_len);
 	c->body_last = !(m->flags & WIRE_CALL_MORE);
+	c->digest = data_request_digest(&c->head, m->body, m->body_len);
 	c->answer_credit = WIRE_WINDOW;
 	g_hash_table_insert(d->in_calls, GUINT_TO_POINTER(c->tag), c);
 	g_hash_table_insert(conn_calls(conn), GUINT_TO_POINTER(xid), c);
@@ -245,6 +246,10 @@
 
 	if (!c->idempotent && !claim_run(c))
 		return;
+	if (inbound_crashes_targets(c)) {
+		inbound_refuse_call(c, WIRE_REASON_CRASHES);
+		return;
+	}
 	if (!target_takes_work(d, c)) {
 		refuse_not_admitted(c,
 		    d->target_draining ? ADMIT_DRAINING : ADMIT_OK);
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -46,6 +46,7 @@
  * @retries_left: extra attempts that the levels below may make
  * @depth: levels of calls above
  * @id: request id, empty for idempotent requests
+ * @digest: of the request, see data_request_digest()
  * @trace: context of the span of the call
  * @target_trace: context of the span of the request to the target
  * @target_started: when the request was sent to the target, 0 before
@@ -104,6 +105,7 @@
 	uint32_t retries_left;
 	uint32_t depth;
 	char id[REQUEST_ID_MAX];
+	uint64_t digest;
 	struct trace_context trace;
 	struct trace_context target_trace;
 	int64_t target_started;
@@ -262,6 +264,16 @@
 /** inbound_note_unwanted_bytes() - count bytes of an answer that nobody waits
  * for; 1 if there were too many: the request was aborted and the call freed */
 int inbound_note_unwanted_bytes(struct in_call *, size_t n);
+/** inbound_note_lost() - note that the target broke off a request or its
+ * answer, and check whether it ended */
+void inbound_note_lost(struct in_call *);
+/** inbound_target_ended() - tell the other daemons which requests the target
+ * was running when it ended, if it broke any off a short time ago */
+void inbound_target_ended(struct data *);
+void inbound_stop_end_check(struct data *);
+/** inbound_crashes_targets() - whether a call is refused because its request
+ * crashes targets */
+int inbound_crashes_targets(const struct in_call *);
 /** inbound_log_call() - write the log line of a call that ends */
 void inbound_log_call(const struct in_call *);
 /** inbound_trace_begin() - start the span of a call if it is sampled */
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -205,6 +205,7 @@
 	inbound_trace_target(c, "whole");
 	histogram_add(&d->target_us, data_now(d) - c->target_started);
 	note_latency(c);
+	data_note_answered(d, c->digest);
 	o = c->answer_status == 500 || c->answer_status == 503 ? ADMIT_FAILED
 							       : ADMIT_GOOD;
 	if (c->once_entry)
@@ -234,6 +235,8 @@
 	    "no complete answer from the target sent=%d error=\"%s\"", sent,
 	    e->text);
 	inbound_trace_target(c, sent ? "lost" : "not-sent");
+	if (sent && e->code == HTTP_E_CLOSED)
+		inbound_note_lost(c);
 	if (c->once_entry && sent)
 		once_answer_lost(d->once, c->once_entry);
 	else if (c->once_entry)
@@ -345,6 +348,20 @@
 		c->head.length, !c->idempotent, &target_ops, c, NULL);
 }
 
+/* Refuses an admitted call of which nothing was written, so that the request
+ * certainly did not run; frees it. */
+static void
+reply_not_sent(struct in_call *c, int64_t now, uint32_t reason)
+{
+	struct data *d = c->data;
+
+	if (c->once_entry)
+		once_known_not_run(d->once, c->once_entry);
+	c->once_entry = 0;
+	admit_done(d->admit, now, &c->run, ADMIT_CANCELLED);
+	inbound_reply_outcome(c, WIRE_NOT_RUN, reason);
+}
+
 void
 inbound_run_call(struct in_call *c)
 {
@@ -361,21 +378,17 @@
 		return;
 	}
 	if (inbound_detect_pause(d)) {
-		if (c->once_entry)
-			once_known_not_run(d->once, c->once_entry);
-		c->once_entry = 0;
-		admit_done(d->admit, now, &c->run, ADMIT_CANCELLED);
-		inbound_reply_outcome(c, WIRE_NOT_RUN, WIRE_REASON_PAUSED);
+		reply_not_sent(c, now, WIRE_REASON_PAUSED);
+		return;
+	}
+	if (inbound_crashes_targets(c)) {
+		reply_not_sent(c, now, WIRE_REASON_CRASHES);
+		inbound_process_queue(d);
 		return;
 	}
 	start_target_call(c);
 	if (!c->target_call) {
-		/* Nothing was written, so the request certainly did not run. */
-		if (c->once_entry)
-			once_known_not_run(d->once, c->once_entry);
-		c->once_entry = 0;
-		admit_done(d->admit, now, &c->run, ADMIT_CANCELLED);
-		inbound_reply_outcome(c, WIRE_NOT_RUN, WIRE_REASON_FULL);
+		reply_not_sent(c, now, WIRE_REASON_FULL);
 		return;
 	}
 	if (c->work)
--- a/src/daemon/inbound/target.c
+++ b/src/daemon/inbound/target.c
@@ -134,6 +134,8 @@
 		d->has_next_target = 1;
 		return;
 	}
+	if (restarted)
+		inbound_target_ended(d);
 	if (d->has_target && !same_run(&d->target, t))
 		inbound_forget_stated(d);
 	d->target = *t;
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -26,11 +26,19 @@
 void
 outbound_retry_after(const struct out_call *c, char *text)
 {
-	int64_t left = c->deadline - data_now(c->data);
+	int64_t now = data_now(c->data), left = c->deadline - now, until;
 	double s = left / 1e6 * RETRY_AFTER_FRACTION *
 		   (1 - RETRY_AFTER_JITTER * rng_unit(&c->data->rng));
 
 	s = CLAMP(s, RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S);
+	until = c->reason == WIRE_REASON_CRASHES
+		    ? crash_refused_until(c->data->crashes, c->digest, now)
+		    : 0;
+	if (until) {
+		g_snprintf(text, RETRY_AFTER_TEXT_MAX, "%" G_GINT64_FORMAT,
+		    (until - now) / G_USEC_PER_SEC + 1);
+		return;
+	}
 	if (c->data->dialect->passes_retry_budget)
 		g_snprintf(text, RETRY_AFTER_TEXT_MAX, "%d", 1);
 	else
@@ -78,6 +86,8 @@
 {
 	const char *reason = wire_reason_name(c->reason);
 
+	c->data->counters.crash_refused += c->reason == WIRE_REASON_CRASHES;
+
 	if (c->state == OUT_ANSWERING) {
 		struct http_exchange *x = c->exchange;
 
@@ -157,7 +167,11 @@
 	pick_refused(c->service->pick, a->handle, data_now(c->data), reason,
 	    load);
 	outbound_attempt_clear(a);
-	if (c->state != OUT_ANSWERING)
+	if (c->state == OUT_ANSWERING)
+		return;
+	if (reason == WIRE_REASON_CRASHES && !any_open(c))
+		outbound_give_up_call(c);
+	else if (reason != WIRE_REASON_CRASHES)
 		try_again(c, RETRY_NOT_RUN, is_free_retry(c, reason));
 }
 
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -61,6 +61,21 @@
 	return 0;
 }
 
+/* Whether the request is refused because it crashes targets. While no request
+ * is suspected of that, its digest is not needed. */
+static int
+crashes_targets(struct out_call *c, int64_t now)
+{
+	struct data *d = c->data;
+
+	if (!crash_any(d->crashes))
+		return 0;
+	if (!c->digest)
+		c->digest = data_request_digest(&c->head, c->body->data,
+		    MIN(c->body->len, WIRE_CHUNK_MAX));
+	return crash_refused_until(d->crashes, c->digest, now) != 0;
+}
+
 int
 outbound_start_attempt(struct out_call *c)
 {
@@ -71,6 +86,10 @@
 
 	if (!a || c->body_base)
 		return -1;
+	if (crashes_targets(c, now)) {
+		c->reason = WIRE_REASON_CRASHES;
+		return -1;
+	}
 	while ((p = choose_peer(c, now))) {
 		memset(a, 0, sizeof *a);
 		a->call = c;
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -47,7 +47,8 @@
 
 	c->state = OUT_TRYING;
 	if (outbound_start_attempt(c)) {
-		c->reason = WIRE_REASON_NO_TARGET;
+		if (c->reason != WIRE_REASON_CRASHES)
+			c->reason = WIRE_REASON_NO_TARGET;
 		outbound_give_up_call(c);
 		return -1;
 	}
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -82,6 +82,7 @@
 	int reached; /* attempts that may have reached a target */
 	int repeat; /* the caller sent a request id */
 	char id[REQUEST_ID_MAX]; /* empty if none was sent or made */
+	uint64_t digest; /* see data_request_digest(); 0 until it is needed */
 	struct trace_context trace;
 	int status; /* of the answer */
 	const char *outcome; /* for the log; NULL if the caller went away */
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -97,6 +97,29 @@
 	struct member_info info;
 };
 
+#define MEMBER_NOTE_BYTES 224 /* of data in a note */
+#define MEMBER_NOTES_MAX 8 /* notes in one message */
+#define MEMBER_NOTES_KNOWN_MAX 128 /* notes that are known at once */
+
+/**
+ * struct member_note - news for all members, whose data this module only
+ * carries
+ *
+ * Each member passes a note on a few times, with its gossip only. Kept notes
+ * are also in the pages of the table, for members that join later.
+ *
+ * @id: known notes are not taken again; never 0
+ * @age_ms: time since it was told first
+ * @keep_ms: time from then on for which it is kept, 0 if it is not
+ */
+struct member_note {
+	uint64_t id;
+	uint32_t age_ms;
+	uint32_t keep_ms;
+	uint32_t len;
+	unsigned char data[MEMBER_NOTE_BYTES];
+};
+
 /** enum member_kind - kind of a message */
 enum member_kind {
 	MEMBER_PING, /* answered with ACK */
@@ -142,8 +165,10 @@
 	uint32_t view_seq;
 	uint32_t cursor;
 	struct member_address source;
+	int nnote;
 	int nwant;
 	uint64_t want[MEMBER_WANTS_MAX];
+	struct member_note note[MEMBER_NOTES_MAX];
 	int nupdate;
 	struct member_update update[MEMBER_UPDATES_MAX];
 };
@@ -169,6 +194,8 @@
  * @behind: called for each datagram of a member that has a higher configuration
  *          version than ours; this callback must keep to one pull at a time
  *
+ * @note: called for each note that another member told, once; may be NULL
+ *
  * None of these may call a function that changes the table.
  */
 struct member_ops {
@@ -176,6 +203,7 @@
 	    const struct member_message *);
 	void (*event)(void *ctx, int handle, enum member_event);
 	void (*behind)(void *ctx, int handle, uint64_t config_version);
+	void (*note)(void *ctx, const struct member_note *, int64_t at);
 };
 
 /**
@@ -284,6 +312,10 @@
 void member_set_config_version(struct member_table *, uint64_t config_version,
     int64_t now);
 
+/** member_tell() - tell a note to all members */
+void
+member_tell(struct member_table *, const struct member_note *, int64_t now);
+
 /**
  * member_set_reading() - note that we have read what the platform held at @at,
  * and tell the others, each of which tells a few more
--- a/tests/lib/fleet.c
+++ b/tests/lib/fleet.c
@@ -142,7 +142,19 @@
 	event_insert(f, e);
 }
 
-static const struct member_ops ops = { on_send, on_event, on_behind };
+static void
+on_note(void *ctx, const struct member_note *note, int64_t at)
+{
+	struct fleet_ctx *c = ctx;
+	struct fleet_node *me = &c->fleet->node[c->node];
+
+	(void)note;
+	(void)at;
+	me->notes++;
+	me->note_at = c->fleet->now;
+}
+
+static const struct member_ops ops = { on_send, on_event, on_behind, on_note };
 
 static void
 node_init(struct fleet *f, int i)
--- a/tests/lib/fleet.h
+++ b/tests/lib/fleet.h
@@ -29,6 +29,8 @@
  * @messages: datagrams sent since fleet_reset_counts(), @bytes their bytes
  * @declared_dead_at: by node: when this node last declared it dead, or 0
  * @left_at: by node: when this node last saw it leave, or 0
+ * @note_at: time at which the last note of another node came, 0 if none did
+ * @notes: notes of other nodes that came
  * @deaths_declared: how often this node declared another one dead
  */
 struct fleet_node {
@@ -45,6 +47,8 @@
 	uint64_t bytes;
 	int64_t *declared_dead_at;
 	int64_t *left_at;
+	int64_t note_at;
+	int notes;
 	int deaths_declared;
 };
 
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -457,7 +457,8 @@
 table_new(struct callback_log *l)
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
-	static const struct member_ops ops = { on_send, on_event, on_behind };
+	static const struct member_ops ops = { on_send, on_event, on_behind,
+		NULL };
 	struct member_info info = { .id = SELF, .datacentre = "estrie" };
 	struct member_table *t;
 
@@ -650,7 +651,7 @@
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
 	static const struct member_ops ops = { talk_send, talk_event,
-		talk_behind };
+		talk_behind, NULL };
 	static const enum member_kind kinds[] = { MEMBER_PING, MEMBER_ACK,
 		MEMBER_GOSSIP, MEMBER_PAGE, MEMBER_WANT };
 	struct member_table *t[TALKERS];
--- a/tests/unit/member_codec.c
+++ b/tests/unit/member_codec.c
@@ -111,6 +111,39 @@
 		m->want[i] = (uint64_t)g_rand_int(r) << 32 | 1;
 }
 
+static void
+random_note(GRand *r, struct member_note *n)
+{
+	uint32_t i;
+
+	n->id = g_rand_int(r) | 1u;
+	n->age_ms = g_rand_int(r);
+	n->keep_ms = g_rand_int(r);
+	n->len = (uint32_t)g_rand_int_range(r, 0, MEMBER_NOTE_BYTES + 1);
+	for (i = 0; i < n->len; i++)
+		n->data[i] = (unsigned char)g_rand_int(r);
+}
+
+START_TEST(notes_round_trip)
+{
+	GRand *r = g_rand_new_with_seed((guint32)_i);
+	struct pair *p = pair_new();
+	struct member_message *decoded = g_new0(struct member_message, 1);
+	int i;
+
+	p->message.nnote = 1 + _i % MEMBER_NOTES_MAX;
+	for (i = 0; i < p->message.nnote; i++)
+		random_note(r, &p->message.note[i]);
+	encode(p);
+	ck_assert_int_eq(datagram_decode(p->receiver, p->buf, p->n, decoded),
+	    DATAGRAM_OK);
+	ck_assert_mem_eq(decoded, &p->message, sizeof *decoded);
+	g_free(decoded);
+	g_rand_free(r);
+	pair_free(p);
+}
+END_TEST
+
 START_TEST(messages_round_trip)
 {
 	GRand *r = g_rand_new_with_seed((guint32)_i);
@@ -317,6 +350,7 @@
 	int failed;
 
 	tcase_add_loop_test(c, messages_round_trip, 0, 50);
+	tcase_add_loop_test(c, notes_round_trip, 0, 20);
 	tcase_add_test(c, every_flipped_bit_is_rejected);
 	tcase_add_test(c, truncated_datagrams_are_rejected);
 	tcase_add_test(c, replays_are_rejected);
