inbound: an answer that names no attempt counts only as the first one on its connection

A caller got the failure of another request, and a request that the target was running was taken for one that it had not run and was sent again, when a target wrote an earlier refusal, failure or answer to a health check once more on a kept connection without naming the attempt (report of operators; also seen by the review as a 503 of a health check).

Cause: an answer that names no attempt was refused only if it was a success. Now one without it is believed only if nothing came before on its connection, where it can't be a copy.

Evidence: tests/system/second-answer.sh has two more kinds, "not run" and a failure without the attempt's id; before, two of twelve requests got the failure of another one. Requests that are not idempotent always had a connection of their own, so that none ran twice or was refused after it ran: the test found no such case before either. Ruled out: a connection of its own for health checks, as requests can meet copies of each other's answers all the same.

--- a/src/adapter/http/call.c
+++ b/src/adapter/http/call.c
@@ -179,6 +179,12 @@
 	return 1;
 }
 
+int
+http_call_is_first(const struct http_call *c)
+{
+	return c->link && !c->link->answered;
+}
+
 void
 http_call_pause(struct http_call *c, int on)
 {
--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -397,6 +397,7 @@
  * @read_disabled: the socket was readable while the call was paused, so that
  *                 it is no longer watched for input
  * @interim: the message being read is a 1xx response
+ * @answered: a response to an earlier call was complete
  * @last_byte: when the last byte was sent or received, or when the connection
  *             or its call began, if later
  */
@@ -414,6 +415,7 @@
 	int corked;
 	int read_disabled;
 	int interim;
+	int answered;
 	int64_t last_byte;
 	struct io_watch watch;
 	struct io_timer timer;
--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -106,6 +106,7 @@
 
 	l->call = NULL;
 	c->link = NULL;
+	l->answered = 1;
 	if (reuse) {
 		in_pause(&l->in, 0);
 		in_next_message(&l->in);
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -15,8 +15,8 @@
 }
 
 /* Whether an answer is to another request, as a late second answer to an
- * earlier request on the connection: it names the id of another attempt, or is
- * a success without one. */
+ * earlier request or health check on the connection: it names the id of another
+ * attempt, or names none and is a success or not the connection's first. */
 static int
 answers_other_request(const struct in_call *c, const struct http_head *h)
 {
@@ -28,7 +28,8 @@
 		return 0;
 	echo = http_head_find(h, field);
 	if (!echo)
-		return h->status >= 200 && h->status < 300;
+		return (h->status >= 200 && h->status < 300) ||
+		       !http_call_is_first(c->target_call);
 	return strcmp(echo, attempt) != 0;
 }
 
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -80,11 +80,11 @@
 	int kind; /* enum config_kind */
 	int removed;
 	int invalid;
+	uint32_t unpacked_size;
 	uint64_t version;
 	uint64_t serial;
 	char name[CONFIG_NAME_MAX];
 	GBytes *value;
-	uint32_t unpacked_size;
 };
 
 /**
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -273,6 +273,9 @@
  * nothing was done.
  */
 int http_call_shutdown(struct http_call *);
+/** http_call_is_first() - whether no response came before on the connection of
+ * a call, so that what comes can't be a copy of an earlier one */
+int http_call_is_first(const struct http_call *);
 /** http_call_pause() - suspend (@on nonzero) or resume reading the response */
 void http_call_pause(struct http_call *, int on);
 
--- a/tests/fake/target/second.c
+++ b/tests/fake/target/second.c
@@ -10,9 +10,15 @@
 {
 	char id[KEY_MAX + 32] = "";
 
-	if (kind != SECOND_NO_ID)
+	if (kind != SECOND_NO_ID && kind != SECOND_NOT_RUN_NO_ID &&
+	    kind != SECOND_FAILED_NO_ID)
 		g_snprintf(id, sizeof id, "X-Attempt-Id: %s\r\n", c->key);
-	if (kind == SECOND_NOT_RUN) {
+	if (kind == SECOND_FAILED_NO_ID) {
+		g_string_append(t, "HTTP/1.1 500 Internal Server Error\r\n"
+				   "Content-Length: 6\r\n\r\nsecond");
+		return;
+	}
+	if (kind == SECOND_NOT_RUN || kind == SECOND_NOT_RUN_NO_ID) {
 		g_string_append_printf(t,
 		    "HTTP/1.1 503 Service Unavailable\r\n%s"
 		    "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -107,7 +107,10 @@
 	SECOND_NOT_RUN, /* that the request was not run */
 	SECOND_NO_ID, /* the first answer without the attempt's id */
 	SECOND_CUT, /* the first half of the first answer */
-	SECOND_AT_ONCE /* the first answer again, in one segment with it */
+	SECOND_AT_ONCE, /* the first answer again, in one segment with it */
+	/* that the request was not run, without the attempt's id */
+	SECOND_NOT_RUN_NO_ID,
+	SECOND_FAILED_NO_ID /* a failure, without the attempt's id */
 };
 
 /** enum flood - bytes without end, sent until the caller closes the connection
--- a/tests/system/second-answer.sh
+++ b/tests/system/second-answer.sh
@@ -31,7 +31,7 @@
 fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
 fleet_targets 1 || fleet_fail "the target is not known"
 fleet_wait_until 5 curl -sf -m 2 -o /dev/null -H "Host: h.example" -H "X-Attempt-Id: first" -H "X-Deadline-Ms: 900" "http://$at/s/1"
-for kind in 1 2 3 4 5; do
+for kind in 1 2 3 4 5 6 7; do
 	whole=0
 	for n in $(seq $ROUNDS); do
 		set_target "second=1&second_kind=$kind"
@@ -44,6 +44,8 @@
 			whole=$((whole + 1))
 			grep -qi "^X-Attempt-Id: $id" "$fleet_dir/head" || fleet_fail "kind $kind: $id got another request's answer"
 			grep -q "^$id" "$fleet_dir/body" || fleet_fail "kind $kind: $id got another body: $(head -c 40 "$fleet_dir/body")"
+		elif [ "$status" = 500 ]; then
+			grep -qi "^X-Attempt-Id: $id" "$fleet_dir/head" || fleet_fail "kind $kind: $id got the failure of another request"
 		elif [ "$status" = 503 ] && [ "$(ran "$id")" != 0 ]; then
 			fleet_fail "kind $kind: $id ran and was refused"
 		fi
