--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -168,9 +168,9 @@
 	int nnote;
 	int nwant;
 	uint64_t want[MEMBER_WANTS_MAX];
-	struct member_note note[MEMBER_NOTES_MAX];
 	int nupdate;
 	struct member_update update[MEMBER_UPDATES_MAX];
+	struct member_note note[MEMBER_NOTES_MAX];
 };
 
 /** enum member_event - what happened to a member */
--- a/tests/lib/fleet.c
+++ b/tests/lib/fleet.c
@@ -76,7 +76,9 @@
 	struct fleet *f = c->fleet;
 	struct event *e;
 	size_t head = offsetof(struct member_message, update);
-	size_t n = head + (size_t)msg->nupdate * sizeof msg->update[0];
+	size_t n = msg->nnote
+		       ? sizeof *msg
+		       : head + (size_t)msg->nupdate * sizeof msg->update[0];
 
 	f->node[c->node].messages++;
 	f->node[c->node].bytes += member_message_size(msg);
@@ -229,6 +231,8 @@
 	memcpy(&msg, m, offsetof(struct member_message, update));
 	memcpy(msg.update, m->update,
 	    (size_t)m->nupdate * sizeof msg.update[0]);
+	if (m->nnote)
+		memcpy(msg.note, m->note, sizeof msg.note);
 	msg.source.ip = f->node[node_by_id(m->from)].info.address.ip;
 	msg.source.port = 0;
 	member_receive(f->node[e->node].table, &msg, f->now);
