A configuration is read part by part where it can't be read as a whole

After the entries beside it, the configuration itself was still one text to the JSON reader: one number out of range, a deep or doubled member or an unpaired surrogate anywhere in it, also in members that are not used here, kept all routes out of force. Resources of kinds that are not used here don't count as invalid any more.

Evidence: tests/unit/platform_form.c, unreadable_part_of_a_configuration_costs_only_itself (5 cases; before, the object is invalid). tests/system/dialect.sh sent heartbeats without zone and version, or with a start in the year 5138, in three checks about the address, the service and the start; they are whole now, so that each is refused, or found stale, for what the check names.

--- a/src/core/member/note.c
+++ b/src/core/member/note.c
@@ -34,7 +34,20 @@
 			       : NOTE_KNOWN_US;
 }
 
-/* Removes notes that are over and, if there are too many, the oldest one. */
+/* Index of the note to be removed if there are too many: the oldest one that is
+ * not kept, else the oldest one. */
+static guint
+least_needed(const struct member_table *t)
+{
+	guint i;
+
+	for (i = 0; i < t->notes->len; i++)
+		if (!note_at(t, i)->note.keep_ms)
+			return i;
+	return 0;
+}
+
+/* Removes notes that are over and, if there are too many, one more. */
 static void
 remove_old(struct member_table *t, int64_t now)
 {
@@ -47,7 +60,7 @@
 			i++;
 	}
 	if (t->notes->len >= MEMBER_NOTES_KNOWN_MAX)
-		g_array_remove_index(t->notes, 0);
+		g_array_remove_index(t->notes, least_needed(t));
 }
 
 static void
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -74,7 +74,7 @@
 	uint64_t datagram_bytes_out;
 	uint64_t datagrams_refused;
 	uint64_t reports_refused; /* of targets */
-	uint64_t objects_invalid; /* each version once */
+	uint64_t objects_invalid; /* all of an answer with a new one */
 	uint64_t platform_calls;
 	uint64_t platform_failures;
 	uint64_t pulls;
@@ -259,7 +259,8 @@
 void control_seeds_stop(struct control *);
 /* Whether feed @i is watched; others are only listed. */
 int control_is_watched_feed(const struct control *, int i);
-/* Logs and counts entries of a feed that can't be used, each version once. */
+/* Logs and counts entries of an answer that can't be used, if one of them is
+ * new. */
 void control_note_invalid(struct feed *, const struct platform_result *);
 /* Applies objects of one of several feeds; 0, or -1 if their version is below
  * the one that the feed has reached or, for a watched feed, below the complete
--- a/src/daemon/control/member.c
+++ b/src/daemon/control/member.c
@@ -129,8 +129,7 @@
 	struct crash_news *n = message;
 	struct control *c = ctx;
 
-	G_STATIC_ASSERT(
-	    sizeof(struct crash_news) <= sizeof note.data + sizeof(uint64_t));
+	G_STATIC_ASSERT(CRASH_NEWS_BYTES <= MEMBER_NOTE_BYTES);
 	note.id = crash_news_id(n);
 	note.keep_ms = n->kind == CRASH_REFUSED ? CRASH_REFUSE_US / 1000 : 0;
 	note.len = crash_news_encode(n, note.data, sizeof note.data);
--- a/src/daemon/control/metrics.c
+++ b/src/daemon/control/metrics.c
@@ -41,7 +41,8 @@
 	    "target beside this daemon",
 	    n->reports_refused);
 	counter(t, "objects_invalid_total",
-	    "Versions of objects that could not be used, or not in full",
+	    "Objects that could not be used, or not in full, in answers with a "
+	    "new one",
 	    n->objects_invalid);
 	gauge(t, "config_parts_invalid",
 	    "Routes, services and limits in force that are invalid",
--- a/src/internal/crash_codec.h
+++ b/src/internal/crash_codec.h
@@ -10,6 +10,9 @@
  * (member.h), in XDR (RFC 4506).
  */
 
+/* bytes of the longest news: kind, start, count and digests */
+#define CRASH_NEWS_BYTES (16 + 8 * CRASH_GROUP_MAX)
+
 /** crash_news_encode() - Return: bytes written, 0 if they do not fit */
 size_t
 crash_news_encode(const struct crash_news *, unsigned char *buf, size_t size);
--- a/tests/system/dialect.sh
+++ b/tests/system/dialect.sh
@@ -126,11 +126,11 @@
 
 expect_equal "malformed heartbeat" 400 "$(report heartbeat i-x '{"service":7}')"
 expect_equal "heartbeat of another address" 400 "$(report heartbeat i-x '{"service":"codebook","address":"10.9.9.9:1",
-	"slots":3,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":99999999999999}')"
+	"zone":"dc2","version":"v1","slots":3,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":1760000000000}')"
 expect_equal "heartbeat of an unknown service" 400 "$(report heartbeat i-x "{\"service\":\"other\",\"address\":\"$fleet_net.2.1:9001\",
-	\"slots\":3,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":99999999999999}")"
+	\"zone\":\"dc2\",\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1760000000000}")"
 expect_equal "delayed heartbeat of an earlier start" 200 "$(report heartbeat i-x "{\"service\":\"codebook\",\"address\":\"$fleet_net.2.1:9001\",
-	\"slots\":3,\"state\":\"draining\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":5}")"
+	\"zone\":\"dc2\",\"version\":\"v1\",\"slots\":3,\"state\":\"draining\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":5}")"
 expect_soon "all four reports are logged as bad or old" 4 logged 'event=20[23]'
 
 # The machines of two targets run at 500 % of the usual time, so the third gets the
--- a/tests/unit/platform_form.c
+++ b/tests/unit/platform_form.c
@@ -331,6 +331,64 @@
 }
 END_TEST
 
+/* Members and resources of a configuration that the JSON reader refuses. */
+static const struct {
+	const char *member; /* in the route to /p/ */
+	const char *resource; /* beside it */
+	int ninvalid;
+} unreadable_parts[] = {
+	{ "\"note\":" DEEP, "{\"resource_kind\":\"other\"}", 0 },
+	{ "\"note\":" DEEP, "{\"resource_kind\":\"services\"}", 1 },
+	{ "\"note\":1e999", "{\"resource_kind\":1e999}", 1 },
+	{ "\"note\":\"\\ud800\"",
+	    "{\"resource_kind\":\"routes\",\"specification\":"
+	    "{\"host\":\"\\ud800\",\"path_prefix\":\"/x/\"}}",
+	    1 },
+	{ "\"a\":1,\"a\":2",
+	    "{\"resource_kind\":\"routes\",\"specification\":"
+	    "{\"host\":\"o.example\",\"path_prefix\":\"/x/\","
+	    "\"timeout_ms\":1e999,\"traffic_split\":" DEEP "}}",
+	    1 },
+};
+
+START_TEST(unreadable_part_of_a_configuration_costs_only_itself)
+{
+	struct kq_error e = { 0 };
+	struct store_page p;
+	struct routing *r;
+	char text[2048];
+	const char *v;
+	gsize n;
+	int i;
+
+	g_snprintf(text, sizeof text,
+	    "{\"items\":[{\"metadata\":{\"name\":\"main\",\"revision\":8},"
+	    "\"specification\":{\"version\":4,\"resources\":["
+	    "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"r\"},"
+	    "\"specification\":{\"host\":\"h.example\","
+	    "\"path_prefix\":\"/p/\",\"kind\":\"safe\",\"timeout_ms\":900,"
+	    "%s,\"service\":\"a\"}},%s,"
+	    "{\"resource_kind\":\"services\",\"metadata\":{\"name\":\"a\"},"
+	    "\"specification\":{\"health_path\":\"/health\"}}]}}],\"at\":9}",
+	    unreadable_parts[_i].member, unreadable_parts[_i].resource);
+	ck_assert_int_eq(read_page(&p, FEED_CONFIG, 1, text, &e), 0);
+	ck_assert_int_eq(p.batch->nobject, 1);
+	ck_assert_int_eq(p.batch->object[0].invalid, 0);
+	ck_assert_uint_eq(p.batch->object[0].serial, 4);
+	v = g_bytes_get_data(p.batch->object[0].value, &n);
+	r = routing_read(v, n, &e);
+	ck_assert_msg(r != NULL, "%s in %.*s", e.text, (int)n, v);
+	i = routing_find(r, "h.example", "/p/1");
+	ck_assert_int_ne(i, ROUTE_NONE);
+	ck_assert_int_eq(r->route[i].npart, 1);
+	ck_assert_int_eq(r->route[i].timeout_ms, 900);
+	ck_assert_ptr_nonnull(routing_service(r, "a"));
+	ck_assert_int_eq(r->ninvalid, unreadable_parts[_i].ninvalid);
+	routing_unref(r);
+	page_clear(&p);
+}
+END_TEST
+
 START_TEST(unreadable_object_can_be_deleted)
 {
 	struct store_page p;
@@ -570,6 +628,9 @@
 	tcase_add_test(c, list_without_the_name_to_go_on_after_is_an_error);
 	tcase_add_loop_test(c, unreadable_object_costs_only_itself, 0,
 	    sizeof unreadable / sizeof *unreadable);
+	tcase_add_loop_test(c,
+	    unreadable_part_of_a_configuration_costs_only_itself, 0,
+	    sizeof unreadable_parts / sizeof *unreadable_parts);
 	tcase_add_test(c, unreadable_object_can_be_deleted);
 	tcase_add_loop_test(c, version_of_an_unused_object_counts, 0,
 	    sizeof unused_events / sizeof *unused_events);
