http: a stop cuts no connection whose handshake had begun

Cause: the accept queue is emptied, then the listening socket is closed; a handshake that completes in between, in the kernel, leaves a connection in the queue, and closing resets it. Now a filter on the listening socket lets no further handshake begin, those that had begun are accepted for 2 ms more, and then it is closed. Where the system has no such filter, the socket is closed as before. A caller whose first segment falls into the 2 ms tries again after a second and is refused then, as it would have been at once.

Ruled out: shutdown() of the listening socket, which resets the queue; a backlog of 0, which still takes one.

--- a/src/adapter/http/server.c
+++ b/src/adapter/http/server.c
@@ -1,11 +1,17 @@
 #include "http_impl.h"
 
 #include <errno.h>
+#include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define ACCEPT_BATCH 32
+#define TCP_FLAGS_OFFSET 13 /* in the header of a segment */
+/* for handshakes that have begun; callers whose own is dropped meanwhile try
+ * again after a second */
+#define LAST_ACCEPT_US 2000
 
 static int
 is_full(const struct http_server *s)
@@ -52,7 +58,7 @@
 	struct http_server *s = ctx;
 
 	(void)ready;
-	if (accept_some(s, ACCEPT_BATCH) == 0)
+	if (accept_some(s, ACCEPT_BATCH) == 0 || s->stopping)
 		return;
 	io_watch_events(s->loop, &s->watch, 0);
 	io_timer_set(s->loop, &s->timer,
@@ -131,13 +137,43 @@
 	s->no_keepalive = 1;
 }
 
+/* Lets no further handshake begin; 0 or -1. A connection that is established
+ * between the last accept and the close of the listening socket would be reset,
+ * perhaps with a request on it. */
+static int
+drop_new_handshakes(int fd)
+{
+	struct sock_filter code[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+		BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = { sizeof code / sizeof *code, code };
+
+	return setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+	    sizeof program);
+}
+
+static void
+on_last_accept(void *ctx, int64_t now)
+{
+	struct http_server *s = ctx;
+
+	(void)now;
+	accept_some(s, s->limits.connections);
+	stop_listening(s);
+}
+
 void
 http_server_stop(struct http_server *s)
 {
 	struct http_conn *c;
+	int filtered;
 
 	if (s->stopping)
 		return;
+	filtered = !drop_new_handshakes(s->fd);
 	/* closing the listening socket would reset the connections that are in
 	 * its accept queue */
 	accept_some(s, s->limits.connections);
@@ -145,7 +181,13 @@
 	s->close_idle_at =
 	    io_now(s->loop) +
 	    (s->no_keepalive ? HTTP_STOP_GRACE_SHORT_US : HTTP_STOP_GRACE_US);
-	stop_listening(s);
+	if (filtered) {
+		s->timer.fire = on_last_accept;
+		io_timer_set(s->loop, &s->timer,
+		    io_now(s->loop) + LAST_ACCEPT_US);
+	} else {
+		stop_listening(s);
+	}
 	for (c = s->conns; c; c = c->next)
 		conn_update_timer(c);
 }
@@ -156,6 +198,12 @@
 	return s->nconn;
 }
 
+int
+http_server_is_listening(const struct http_server *s)
+{
+	return s->fd >= 0;
+}
+
 void
 http_server_free(struct http_server *s)
 {
--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -181,7 +181,8 @@
 		return;
 	if (g_hash_table_size(d->out_calls) || g_hash_table_size(d->in_calls))
 		return;
-	if (http_server_connections(d->server) &&
+	if ((http_server_connections(d->server) ||
+		http_server_is_listening(d->server)) &&
 	    data_now(d) - d->drain_started < DRAIN_CONNECTIONS_MAX_US) {
 		d->drain_timer.fire = check_drained_again;
 		d->drain_timer.ctx = d;
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -167,6 +167,9 @@
 /** http_server_connections() - number of open connections, without those
  * beyond the limit */
 int http_server_connections(const struct http_server *);
+/** http_server_is_listening() - whether connections are still accepted; for a
+ * moment after a stop, those whose handshake had begun are */
+int http_server_is_listening(const struct http_server *);
 /** http_server_free() - close all connections; open exchanges get no callback
  */
 void http_server_free(struct http_server *);
--- /dev/null
+++ b/tests/unit/http_stop.c
@@ -0,0 +1,119 @@
+#include <pthread.h>
+
+#include "http_bed.h"
+
+/* A server stops while callers open connections as fast as they can: none that
+ * was opened is closed without an answer to its request. */
+
+#define CALLERS 6
+#define ROUNDS 150
+#define SERVE_US 3000 /* from the start of a round to the stop */
+#define CONNECT_US 20000 /* a connection that takes longer is given up */
+
+static const char request[] = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+struct callers {
+	int port;
+	int stop;
+	int answered;
+	int cut; /* connections that were opened and closed without an answer */
+};
+
+static struct callers callers;
+
+/* Opens a connection and sends a request; returns 1 with an answer, 0 if the
+ * connection could not be opened, -1 if it ended without an answer. */
+static int
+call_once(void)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET };
+	struct timeval timeout = { .tv_usec = CONNECT_US };
+	int fd = socket(AF_INET, SOCK_STREAM, 0), r = -1;
+	char b[512];
+
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+
+	a.sin_port = htons((uint16_t)g_atomic_int_get(&callers.port));
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (connect(fd, (struct sockaddr *)&a, sizeof a) < 0)
+		r = 0;
+	else if (send(fd, request, sizeof request - 1, MSG_NOSIGNAL) > 0 &&
+		 recv(fd, b, sizeof b, 0) > 0)
+		r = 1;
+	close(fd);
+	return r;
+}
+
+static void *
+run_caller(void *unused)
+{
+	int r;
+
+	(void)unused;
+	while (!g_atomic_int_get(&callers.stop)) {
+		r = call_once();
+		if (r == 1)
+			g_atomic_int_inc(&callers.answered);
+		else if (r == -1)
+			g_atomic_int_inc(&callers.cut);
+	}
+	return NULL;
+}
+
+START_TEST(stop_cuts_no_connection_that_was_opened)
+{
+	const struct http_limits limits = HTTP_LIMITS_DEFAULT;
+	pthread_t thread[CALLERS];
+	int64_t until;
+	int i;
+
+	bed_setup();
+	memset(&callers, 0, sizeof callers);
+	for (i = 0; i < ROUNDS; i++) {
+		bed.server = NULL;
+		bed_server_start(&limits, &bed_ops);
+		g_atomic_int_set(&callers.port, bed.port);
+		if (!i) {
+			int k;
+
+			for (k = 0; k < CALLERS; k++)
+				pthread_create(&thread[k], NULL, run_caller,
+				    NULL);
+		}
+		for (until = io_clock() + SERVE_US; io_clock() < until;)
+			bed_step(bed_timeout_at());
+		http_server_disable_keepalive(bed.server);
+		http_server_stop(bed.server);
+		while (http_server_connections(bed.server) ||
+		       http_server_is_listening(bed.server))
+			bed_step(bed_timeout_at());
+		http_server_free(bed.server);
+	}
+	g_atomic_int_set(&callers.stop, 1);
+	for (i = 0; i < CALLERS; i++)
+		pthread_join(thread[i], NULL);
+	ck_assert_int_gt(callers.answered, ROUNDS);
+	ck_assert_msg(callers.cut == 0, "%d of %d were cut", callers.cut,
+	    callers.answered + callers.cut);
+	bed.server = NULL;
+	bed_teardown();
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("http_stop");
+	TCase *c = tcase_create("http_stop");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(c, 120);
+	tcase_add_test(c, stop_cuts_no_connection_that_was_opened);
+	suite_add_tcase(s, c);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
