--- a/src/adapter/rpc/member_xdr.c
+++ b/src/adapter/rpc/member_xdr.c
@@ -119,7 +119,7 @@
 
 	if (!present)
 		return 1;
-	if (!xdr_count(x, &m->nnote, MEMBER_NOTES_MAX))
+	if (!xdr_count(x, &m->nnote, MEMBER_NOTES_MAX) || !m->nnote)
 		return 0;
 	for (i = 0; i < m->nnote; i++)
 		if (!xdr_note(x, &m->note[i]))
--- a/tests/fuzz/datagram.c
+++ b/tests/fuzz/datagram.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "crash_codec.h"
 #include "member_codec.h"
 
 /*
@@ -45,13 +46,29 @@
 	(void)digest;
 }
 
+/* News that are valid have the same encoding after a second decoding. */
+static void
+on_note(void *ctx, const struct member_note *note, int64_t at)
+{
+	unsigned char buf[MEMBER_NOTE_BYTES];
+	struct crash_news n;
+
+	(void)ctx;
+	(void)at;
+	if (!crash_news_decode(&n, note->data, note->len) &&
+	    (crash_news_encode(&n, buf, sizeof buf) != note->len ||
+		memcmp(buf, note->data, note->len) != 0))
+		abort();
+}
+
 /* Gives the message to a new table once a second, five times, with the table's
  * own member as receiver (0 in a join). */
 static void
 feed_table(struct datagram_codec *codec, struct member_message *m)
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
-	static const struct member_ops ops = { on_send, on_event, on_behind };
+	static const struct member_ops ops = { on_send, on_event, on_behind,
+		on_note };
 	static const struct member_info self = { .id = SELF_ID,
 		.datacentre = "luzon-a" };
 	struct member_table *t = member_new(&self, &limits, 1, &ops, codec, 0);
