http: a stop answers all requests that were read from a connection

Cause: the first answer after a stop closed its connection, whatever had been read behind it. Now the last one that was read does, and no more is read behind a request once the server stops or ends its connections, so that this ends.

Evidence: tests/unit/http_stop.c, stop_answers_all_requests_that_were_read: one of three answered before, three now.

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -251,7 +251,7 @@
 	exchange_retire(c, x);
 	if (c->closed)
 		return;
-	if (!keep_alive || c->server->stopping) {
+	if (!keep_alive || (c->server->stopping && !c->first)) {
 		fail_queued(c);
 		conn_linger(c);
 		return;
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -146,10 +146,13 @@
 }
 
 /* Whether another request may be read: there is no exchange, or the newest one
- * allows requests after it and there are fewer than HTTP_PIPELINE_MAX. */
+ * allows requests after it, there are fewer than HTTP_PIPELINE_MAX and the
+ * connection is not to be closed after the newest one. */
 static int
 may_read_request(const struct http_conn *c)
 {
+	if (c->newest && (c->server->stopping || c->server->no_keepalive))
+		return 0;
 	return !c->newest || (c->newest->pipelinable && !c->paused &&
 				 c->nexchange < HTTP_PIPELINE_MAX);
 }
--- a/src/adapter/http/exchange.c
+++ b/src/adapter/http/exchange.c
@@ -63,8 +63,10 @@
 	x->chunked = length == HTTP_LENGTH_CHUNKED && !x->http10 &&
 		     !http_no_body(status);
 	/* without "100 Continue" the caller may never send the body */
-	if (x->expect_continue || c->server->stopping ||
-	    c->server->no_keepalive)
+	if (x->expect_continue)
+		x->keep_alive = 0;
+	/* Requests behind it that were read are answered first. */
+	if ((c->server->stopping || c->server->no_keepalive) && !x->next)
 		x->keep_alive = 0;
 	put_status(out, status);
 	for (i = 0; i < nfield; i++)
--- a/tests/unit/http_stop.c
+++ b/tests/unit/http_stop.c
@@ -100,6 +100,66 @@
 }
 END_TEST
 
+#define PIPELINED 3
+
+static struct http_exchange *held[PIPELINED];
+static int nheld;
+
+static void
+hold_request(void *ctx, struct http_exchange *x)
+{
+	(void)ctx;
+	held[nheld++] = x;
+}
+
+/* Requests that were read behind others on their connection are answered, too,
+ * and the last answer closes the connection. */
+START_TEST(stop_answers_all_requests_that_were_read)
+{
+	const struct http_limits limits = HTTP_LIMITS_DEFAULT;
+	struct http_server_ops ops = bed_ops;
+	int64_t until = bed_timeout_at();
+	char buf[2048] = "";
+	size_t n = 0;
+	int fd, i;
+
+	bed_setup();
+	ops.end = hold_request;
+	nheld = 0;
+	bed_server_start(&limits, &ops);
+	fd = io_connect_tcp("127.0.0.1", bed.port);
+	for (i = 0; i < PIPELINED; i++)
+		while (send(fd, request, sizeof request - 1, MSG_NOSIGNAL) < 0)
+			bed_step(until);
+	while (nheld < PIPELINED)
+		bed_step(until);
+	if (_i)
+		http_server_disable_keepalive(bed.server);
+	http_server_stop(bed.server);
+	/* the last one first */
+	for (i = PIPELINED; i-- > 0;)
+		bed_respond(held[i]);
+	while (!strstr(buf, "Connection: close")) {
+		ssize_t got =
+		    recv(fd, buf + n, sizeof buf - 1 - n, MSG_DONTWAIT);
+
+		ck_assert_int_ne(got, 0);
+		n += got > 0 ? (size_t)got : 0;
+		bed_step(until);
+	}
+	ck_assert_int_eq(bed.nfailed, 0);
+	for (i = 0, n = 0; strstr(buf + n, "200 OK"); i++)
+		n = (size_t)(strstr(buf + n, "200 OK") - buf) + 1;
+	ck_assert_int_eq(i, PIPELINED);
+	close(fd);
+	while (http_server_connections(bed.server))
+		bed_step(until);
+	http_server_free(bed.server);
+	bed.server = NULL;
+	bed_teardown();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -110,6 +170,7 @@
 
 	tcase_set_timeout(c, 120);
 	tcase_add_test(c, stop_cuts_no_connection_that_was_opened);
+	tcase_add_loop_test(c, stop_answers_all_requests_that_were_read, 0, 2);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
