inbound: connections to a target are not closed from within their own callbacks

A daemon used freed memory, and lost requests, when a changed target came into use as the last request at the one before ended.

Cause: the switch to the next target was made by the call that ended last, within a callback of the connections that it frees, which http_pool_free() does not allow. The switch is made by the loop now, in its next iteration.

Evidence: tests/system/busy-target.sh with the build of make sanitize: heap-use-after-free in call_free(), called from read_input(), in two of two runs before. Without the sanitizer the test passes before, as the freed memory is not used again at once. Ruled out: MALLOC_PERTURB_, which the test sets now, does not show it either (three of three runs passed). Unit tests of the store's requests free their paths.

--- a/src/daemon/data/data.c
+++ b/src/daemon/data/data.c
@@ -232,6 +232,7 @@
 	io_timer_clear(d->task.loop, &d->silence_timer);
 	io_timer_clear(d->task.loop, &d->drain_timer);
 	io_timer_clear(d->task.loop, &d->pause_timer);
+	io_timer_clear(d->task.loop, &d->switch_timer);
 	inbound_stop_end_check(d);
 	if (d->pool)
 		http_pool_free(d->pool);
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -115,6 +115,7 @@
 	int has_target;
 	struct data_target next_target; /* replaces @target once it is idle */
 	int has_next_target;
+	struct io_timer switch_timer; /* due when it is to be used */
 	int idle_wanted; /* send the target_idle event when it is idle */
 	int target_draining;
 	char health_path[HEALTH_PATH_MAX]; /* empty: GET /load is used */
--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -158,6 +158,16 @@
 	task_post(&d->task, drain, d, NULL);
 }
 
+/* Switches to the next target if nothing is in flight any more. */
+static void
+switch_due(void *ctx, int64_t now)
+{
+	struct data *d = ctx;
+
+	if (d->has_next_target && !admit_in_flight(d->admit))
+		inbound_set_target(d, &d->next_target);
+}
+
 static void
 check_drained_again(void *ctx, int64_t now)
 {
@@ -169,9 +179,12 @@
 {
 	if (d->stopped)
 		return;
+	/* Later, as this may be within a callback of the connections that are
+	 * closed then. */
 	if (d->has_next_target && !admit_in_flight(d->admit)) {
-		d->has_next_target = 0;
-		inbound_set_target(d, &d->next_target);
+		d->switch_timer.fire = switch_due;
+		d->switch_timer.ctx = d;
+		io_timer_set(d->task.loop, &d->switch_timer, data_now(d));
 	}
 	if (d->idle_wanted && (!d->admit || !admit_in_flight(d->admit))) {
 		d->idle_wanted = 0;
--- a/tests/system/busy-target.sh
+++ b/tests/system/busy-target.sh
@@ -5,6 +5,7 @@
 set -u
 . scripts/fleet.sh
 . scripts/dialect.sh
+export MALLOC_PERTURB_=165 # a use of freed memory ends the daemon
 fleet_open "$1"
 trap fleet_close EXIT
 failed=0
--- a/tests/unit/platform_form.c
+++ b/tests/unit/platform_form.c
@@ -210,6 +210,7 @@
 		NULL),
 	    0);
 	ck_assert_str_eq(p.after, "z-1");
+	g_free(p.after);
 	page_clear(&p);
 }
 END_TEST
@@ -445,18 +446,21 @@
 	ck_assert_str_eq(q.path, "/v1/objects/kumquatrock-daemons");
 	ck_assert_str_eq(q.body->str,
 	    "{\"metadata\":{\"name\":\"ab\"},\"specification\":{\"x\":1}}");
+	g_free(q.path);
 	g_string_truncate(q.body, 0);
 	platform_store_form.write_put(&q, CONFIG_ADDRESS, "ab", "{}", 12);
 	ck_assert_str_eq(q.method, "PUT");
 	ck_assert_str_eq(q.body->str,
 	    "{\"metadata\":{\"name\":\"ab\",\"revision\":12},"
 	    "\"specification\":{}}");
+	g_free(q.path);
 	platform_store_form.write_remove(&q, CONFIG_ADDRESS, "ab", 12);
 	ck_assert_str_eq(q.path,
 	    "/v1/objects/kumquatrock-daemons/ab?revision=12");
 	ck_assert_uint_eq(platform_store_form.read_object_answer(NULL,
 			      CONFIG_ADDRESS, written, strlen(written), NULL),
 	    33);
+	g_free(q.path);
 	g_string_free(q.body, TRUE);
 }
 END_TEST
