member: a note that is over is not taken again

Found by reading: a kept note that one member had forgotten came back with a page of another that had not yet, and was gossiped anew, so that members could tell each other an expired note without end. A note older than it is kept is neither taken nor put into a page. tests/unit/member_note.c, late_note_is_not_taken.

--- a/src/core/member/note.c
+++ b/src/core/member/note.c
@@ -27,11 +27,14 @@
 	return 0;
 }
 
-static int64_t
-known_for(const struct note *n)
+/* Whether a note that was told first at @at is over. */
+static int
+is_over(const struct member_note *n, int64_t at, int64_t now)
 {
-	return n->note.keep_ms ? n->note.keep_ms * (int64_t)US_PER_MS
-			       : NOTE_KNOWN_US;
+	int64_t known_for =
+	    n->keep_ms ? n->keep_ms * (int64_t)US_PER_MS : NOTE_KNOWN_US;
+
+	return now - at > known_for;
 }
 
 /* Index of the note to be removed if there are too many: the oldest one that is
@@ -54,7 +57,7 @@
 	guint i = 0;
 
 	while (i < t->notes->len) {
-		if (now - note_at(t, i)->at > known_for(note_at(t, i)))
+		if (is_over(&note_at(t, i)->note, note_at(t, i)->at, now))
 			g_array_remove_index(t->notes, i);
 		else
 			i++;
@@ -93,7 +96,7 @@
 		const struct member_note *n = &msg->note[i];
 		int64_t at = now - n->age_ms * (int64_t)US_PER_MS;
 
-		if (is_known(t, n->id))
+		if (is_known(t, n->id) || is_over(n, at, now))
 			continue;
 		add_note(t, n, at, now);
 		if (t->ops->note)
@@ -175,7 +178,8 @@
 	for (i = 0; i < n; i++) {
 		const struct note *x = note_at(t, (t->note_cursor + i) % n);
 
-		if (x->note.keep_ms && !append_note(t, msg, x, bytes))
+		if (x->note.keep_ms && !is_over(&x->note, x->at, t->now) &&
+		    !append_note(t, msg, x, bytes))
 			break;
 	}
 	t->note_cursor = n ? (t->note_cursor + i) % n : 0;
--- a/src/daemon/inbound/ended.c
+++ b/src/daemon/inbound/ended.c
@@ -12,9 +12,8 @@
  * target is not there. A target that is there again already shows by its next
  * report, which names another start. */
 
-#define CHECK_DELAY_US                                         \
-	10000 /* the target's last connection closes meanwhile \
-	       */
+/* the target's last connection closes meanwhile */
+#define CHECK_DELAY_US 10000
 #define CHECK_TIMEOUT_US 1000000
 #define LOST_KEEP_US 5000000 /* a later end of the target is another matter */
 #define LOST_MAX 256 /* requests */
--- a/tests/unit/member_note.c
+++ b/tests/unit/member_note.c
@@ -88,6 +88,54 @@
 }
 END_TEST
 
+/* Members that forget a note at different times must not tell it each other for
+ * ever. */
+START_TEST(note_that_is_over_is_not_taken_again)
+{
+	struct fleet *f = fleet_new(5, 0, 9, 1);
+	struct member_note kept = note_of(1, 10000);
+	int64_t told;
+	int k;
+
+	f->node[4].partition = 1;
+	fleet_run(f, 2 * SECOND);
+	told = f->now;
+	member_tell(f->node[0].table, &kept, f->now);
+	fleet_run(f, told + 11 * SECOND);
+	f->node[4].partition = 0;
+	member_join(f->node[4].table, &f->node[0].info.address, 1, f->now);
+	/* with each new note, members forget what is over */
+	for (k = 0; k < 20; k++) {
+		struct member_note note = note_of(100 + (uint64_t)k, 0);
+
+		member_tell(f->node[k % 5].table, &note, f->now);
+		fleet_run(f, f->now + 2 * SECOND);
+	}
+	ck_assert_int_eq(f->node[4].notes, 16);
+	ck_assert_int_eq(f->node[1].notes, 17);
+	fleet_free(f);
+}
+END_TEST
+
+START_TEST(late_note_is_not_taken)
+{
+	struct fleet *f = fleet_new(2, 0, 11, 1);
+	struct member_message m = { .kind = MEMBER_GOSSIP, .nnote = 1 };
+
+	fleet_run(f, SECOND);
+	m.from = f->node[1].info.id;
+	m.to = f->node[0].info.id;
+	m.note[0] = note_of(7, 10000);
+	m.note[0].age_ms = 10001;
+	member_receive(f->node[0].table, &m, f->now);
+	ck_assert_int_eq(f->node[0].notes, 0);
+	m.note[0].age_ms = 9999;
+	member_receive(f->node[0].table, &m, f->now);
+	ck_assert_int_eq(f->node[0].notes, 1);
+	fleet_free(f);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -101,6 +149,8 @@
 	    sizeof fleets / sizeof *fleets);
 	tcase_add_test(c, many_notes_fit_into_the_datagrams);
 	tcase_add_test(c, member_that_joins_later_gets_kept_notes);
+	tcase_add_test(c, note_that_is_over_is_not_taken_again);
+	tcase_add_test(c, late_note_is_not_taken);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
