outbound: the service of origin is on each request that is passed on

Cause: the field was added only while there was room among 64, and room was counted before the fields that are not passed on were dropped.

Ruled out: one more field between daemons; a daemon of the version before would close the connection to the sender, with all calls on it.

Conclusion: what is not passed on is dropped first, the caller's deadline too, which travels as a number; where there is no room even then the request is refused with 431, not run.

--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -221,10 +221,19 @@
 	return of_dialect && !g_ascii_strcasecmp(name, of_dialect);
 }
 
-/* Copies the head without the fields that only the daemon may set: the service
- * in which the call began, which is then added, and the target that may run
- * it. */
-static void
+/* Whether a field of a caller's request is not passed on: it concerns the
+ * connection alone, or the daemons set it themselves. */
+static int
+is_dropped(const struct dialect *v, const char *name)
+{
+	return field_is_hop_by_hop(name) || same_name(name, v->origin_field) ||
+	       same_name(name, v->target_id_field) ||
+	       same_name(name, v->deadline_field);
+}
+
+/* Copies the head without the fields that are not passed on, and adds the
+ * service in which the call began; -1 when that makes too many fields. */
+static int
 copy_head(struct out_call *c, const struct http_head *h)
 {
 	const struct dialect *v = c->data->dialect;
@@ -232,13 +241,14 @@
 	int i, n = 0;
 
 	for (i = 0; i < h->nfield; i++)
-		if (!same_name(h->field[i].name, v->origin_field) &&
-		    !same_name(h->field[i].name, v->target_id_field))
+		if (!is_dropped(v, h->field[i].name))
 			f[n++] = h->field[i];
-	if (v->origin_field && n < HTTP_FIELDS_MAX)
+	if (v->origin_field)
 		f[n++] = (struct http_field){ v->origin_field,
 			c->data->settings.service };
-	head_copy(&c->head, h->method, h->path, h->length, f, n);
+	head_copy(&c->head, h->method, h->path, h->length, f,
+	    MIN(n, HTTP_FIELDS_MAX));
+	return n > HTTP_FIELDS_MAX ? -1 : 0;
 }
 
 static struct out_call *
@@ -257,7 +267,6 @@
 	c->objective = c->started + t->objective_ms * 1000;
 	c->attempts_max = t->attempts;
 	c->body = g_byte_array_new();
-	copy_head(c, h);
 	outbound_trace_begin(c, trace);
 	g_hash_table_add(d->out_calls, c);
 	http_exchange_set_ctx(x, c);
@@ -271,6 +280,11 @@
 {
 	const char *outcome;
 
+	if (copy_head(c, h)) {
+		outbound_answer_error(c, 431, "not-run", "too-many-fields",
+		    "the request has too many header fields\n");
+		return 1;
+	}
 	if (read_request_id(c, h)) {
 		outbound_answer_error(c, 400, "not-run", "bad-request-id",
 		    FIELD_REQUEST_ID " is not a valid request id\n");
