inbound: measurements of the target have a connection of their own

Cause: health checks shared connections with requests. A second copy of an earlier answer was taken as the answer to the health check; its own came when the connection was in use again, and an answer that names no attempt passes unless it is a success.

Class: two kinds of exchange on a connection, of which one can't name its answers.

Ruled out: an id of an attempt on health checks, which targets need not echo.

Conclusion: one connection of those that the target accepts is for measurements alone; as before, admission leaves it free. An answer to a health check can still be an earlier health check's copy, until the connection shows bytes that nobody asked for and is closed.

--- a/src/daemon/data/data.c
+++ b/src/daemon/data/data.c
@@ -234,8 +234,7 @@
 	io_timer_clear(d->task.loop, &d->pause_timer);
 	io_timer_clear(d->task.loop, &d->switch_timer);
 	inbound_stop_end_check(d);
-	if (d->pool)
-		http_pool_free(d->pool);
+	inbound_close_target(d);
 	if (d->admit)
 		admit_free(d->admit);
 	once_free(d->once);
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -128,7 +128,8 @@
 	struct pace pace; /* of the target's machine */
 	struct knee knee; /* of the target */
 	GHashTable *route_work; /* host and prefix to struct work */
-	struct http_pool *pool;
+	struct http_pool *pool; /* for requests to the target */
+	struct http_pool *measure_pool; /* one connection, for measurements */
 	struct crash_table *crashes;
 	GArray *lost_runs; /* struct lost_run, see inbound/ended.c */
 	int end_fd; /* connection that checks whether the target ended, or -1 */
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -205,6 +205,9 @@
 /** inbound_set_target() - use this target; if the previous one differs, it is
  * drained first */
 void inbound_set_target(struct data *, const struct data_target *);
+/** inbound_close_target() - close all connections to the target; requests on
+ * them get no callback */
+void inbound_close_target(struct data *);
 /** inbound_drain_target() - give the target no new work; waiting requests are
  * refused */
 void inbound_drain_target(struct data *);
--- a/src/daemon/inbound/measure.c
+++ b/src/daemon/inbound/measure.c
@@ -128,7 +128,7 @@
 	d->measure_sent = data_now(d);
 	pace_await_reading(&d->pace, data_now(d));
 	g_string_truncate(d->measure_body, 0);
-	d->measure_call = http_call_start(d->pool, "GET",
+	d->measure_call = http_call_start(d->measure_pool, "GET",
 	    d->health_path[0] ? d->health_path : "/load", f, 1,
 	    HTTP_LENGTH_NONE, 0, &load_ops, d, NULL);
 	if (!d->measure_call)
--- a/src/daemon/inbound/target.c
+++ b/src/daemon/inbound/target.c
@@ -19,12 +19,20 @@
 	return MAX(1, t->connections - margin);
 }
 
+/* One of them is left for measurements: a late second answer to a request is
+ * not taken for the answer to a measurement then, or the other way round. */
+static int
+request_connections(const struct data_target *t)
+{
+	return MAX(1, usable_connections(t) - 1);
+}
+
 static void
 fill_admit_config(const struct data *d, const struct service *s,
     struct admit_config *a)
 {
 	a->slots = d->target.slots;
-	a->connections = MAX(1, usable_connections(&d->target) - 1);
+	a->connections = request_connections(&d->target);
 	a->cold_limit = s ? s->cold_limit : COLD_LIMIT_UNKNOWN;
 	a->cold_calls = s ? s->cold_calls : 0;
 	a->cold_good_us = (s ? s->cold_good_ms : 100) * (int64_t)1000;
@@ -47,13 +55,35 @@
 	inbound_schedule_measure(d);
 }
 
+void
+inbound_close_target(struct data *d)
+{
+	inbound_cancel_measure(d);
+	if (d->pool)
+		http_pool_free(d->pool);
+	if (d->measure_pool)
+		http_pool_free(d->measure_pool);
+	d->pool = d->measure_pool = NULL;
+}
+
+static void
+open_target(struct data *d)
+{
+	struct http_limits limits = HTTP_LIMITS_DEFAULT;
+	const struct data_target *t = &d->target;
+
+	d->pool = http_pool_new(d->task.loop, t->ip, t->port,
+	    request_connections(t), TARGET_SPARE_CONNECTIONS, &limits);
+	d->measure_pool =
+	    http_pool_new(d->task.loop, t->ip, t->port, 1, 0, &limits);
+}
+
 /* Discards all state of the previous target and starts afresh, for a target
  * that differs by same_target() or returns after a drain. */
 static void
 replace_target(struct data *d, const struct service *s)
 {
 	struct admit_config a;
-	struct http_limits limits = HTTP_LIMITS_DEFAULT;
 
 	memset(&d->pace, 0, sizeof d->pace);
 	memset(&d->knee, 0, sizeof d->knee);
@@ -65,11 +95,8 @@
 	inbound_await_first_answer(d);
 	admit_set_out(d->admit,
 	    view_datacentre_out(d->view, d->settings.datacentre));
-	inbound_cancel_measure(d);
-	if (d->pool)
-		http_pool_free(d->pool);
-	d->pool = http_pool_new(d->task.loop, d->target.ip, d->target.port,
-	    usable_connections(&d->target), TARGET_SPARE_CONNECTIONS, &limits);
+	inbound_close_target(d);
+	open_target(d);
 	g_strlcpy(d->health_path, s ? s->health_path : "",
 	    sizeof d->health_path);
 	budget_init(&d->measure_budget, s ? s->measure_per_s : 0, data_now(d));
--- a/tests/fake/target/admin.c
+++ b/tests/fake/target/admin.c
@@ -24,8 +24,8 @@
 
 	(*count)++;
 	history_write(&t->history, io_clock(),
-	    "measure service=%s dc=%s kind=%s inflight=%d", t->service, t->dc,
-	    kind, job_inflight(t));
+	    "measure service=%s dc=%s kind=%s inflight=%d conn=%d", t->service,
+	    t->dc, kind, job_inflight(t), c->id);
 }
 
 /* The report as the knobs report_lag_ms and report_lie have it. */
--- a/tests/fake/target/conn.c
+++ b/tests/fake/target/conn.c
@@ -174,8 +174,10 @@
 conn_new(struct target *t, int fd)
 {
 	struct conn *c = g_new0(struct conn, 1);
+	static int last_id;
 
 	c->target = t;
+	c->id = ++last_id;
 	c->link.data = c->queue_link.data = c;
 	c->out = g_byte_array_new();
 	c->timer.fire = conn_opened;
--- a/tests/fake/target/job.c
+++ b/tests/fake/target/job.c
@@ -22,9 +22,9 @@
 	struct target *t = c->target;
 
 	history_write(&t->history, io_clock(),
-	    "%s service=%s dc=%s key=%s inflight=%d cold=%ld leaving=%d", event,
-	    t->service, t->dc, *c->key ? c->key : "-", job_inflight(t),
-	    t->knobs.cold, t->leaving);
+	    "%s service=%s dc=%s key=%s inflight=%d cold=%ld leaving=%d conn=%d",
+	    event, t->service, t->dc, *c->key ? c->key : "-", job_inflight(t),
+	    t->knobs.cold, t->leaving, c->id);
 }
 
 /* Answers that the request was not run; counts it in @count. */
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -139,6 +139,7 @@
 /** struct conn - a connection and its current request */
 struct conn {
 	struct target *target;
+	int id; /* number of the connection */
 	enum conn_state state;
 	struct io_watch watch;
 	struct io_timer timer; /* end of the delay, queueing or run */
