http: a caller's connection that ends with requests or bytes on it is reported

Cause: not looked at here.

Change: event 514 and three counters, connections_cut_total, connections_cut_requests_total and connections_left_total; one line for each connection, with the reason, the requests, how many were in work, and the bytes unsent. Callers that hang up are on level info.

Not fixed yet: the ends themselves.

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -1,7 +1,9 @@
 #include "http_impl.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -73,6 +75,36 @@
 	return c;
 }
 
+static size_t
+unsent_bytes(const struct http_conn *c)
+{
+	size_t n = out_pending(&c->out);
+	int unacked = 0;
+
+	if (c->reset && !ioctl(c->fd, SIOCOUTQ, &unacked))
+		n += (size_t)unacked;
+	return n;
+}
+
+/* Counts an exchange among those that the connection leaves. */
+static void
+count_left(struct http_conn *c, const struct http_exchange *x)
+{
+	c->left.exchanges++;
+	c->left.open += x->open;
+}
+
+void
+conn_report_end(struct http_conn *c)
+{
+	struct http_server *s = c->server;
+
+	c->left.unsent = unsent_bytes(c);
+	c->left.reason = c->why.text[0] ? c->why.text : "closed";
+	if (s->ops->ended && (c->left.exchanges || c->left.unsent))
+		s->ops->ended(s->ctx, &c->left);
+}
+
 void
 conn_close(struct http_conn *c)
 {
@@ -81,8 +113,11 @@
 	if (c->closed)
 		return;
 	c->closed = 1;
-	while (c->first)
+	while (c->first) {
+		count_left(c, c->first);
 		exchange_retire(c, c->first);
+	}
+	conn_report_end(c);
 	in_pause(&c->in, 1);
 	io_watch_remove(s->loop, &c->watch);
 	io_timer_clear(s->loop, &c->timer);
@@ -177,8 +212,11 @@
 	struct http_exchange *x;
 	int open;
 
+	if (c->first && !c->why.text[0])
+		c->why = *err;
 	while ((x = c->first)) {
 		open = x->open;
+		count_left(c, x);
 		exchange_retire(c, x);
 		if (open)
 			c->server->ops->failed(c->server->ctx, x, err);
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -111,6 +111,9 @@
 
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
 	    "caller disconnected: %s", e ? strerror(e) : "connection closed");
+	c->left.by_caller = 1;
+	if (!c->why.text[0])
+		c->why = err;
 	conn_fail_exchanges(c, &err);
 	if (!c->closed)
 		conn_close(c);
--- a/src/adapter/http/conn_time.c
+++ b/src/adapter/http/conn_time.c
@@ -73,8 +73,11 @@
 		close_idle(c);
 		return;
 	}
-	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_TIMEOUT,
-	    "request took too long");
+	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_TIMEOUT, "%s",
+	    out_pending(&c->out) ? "caller does not read"
+				 : "request took too long");
+	if (!c->why.text[0])
+		c->why = err;
 	answer = c->state == CONN_OPEN && !out_pending(&c->out) &&
 		 in_is_partial(&c->in) && conn_can_send_error(c);
 	conn_fail_exchanges(c, &err);
--- a/src/adapter/http/exchange.c
+++ b/src/adapter/http/exchange.c
@@ -154,6 +154,7 @@
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
 	    "connection reset by an aborted response");
 	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+	c->reset = 1;
 	conn_fail_exchanges(c, &err);
 	conn_close(c);
 }
--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -236,6 +236,9 @@
  * @head_since: when the first byte of the head being read came, 0 if none is
  *              being read
  * @discarded: bytes of the request's body that were dropped
+ * @left: what it leaves when it ends; @left.reason is unused
+ * @why: why its first exchange failed, or no text
+ * @reset: it is closed with a reset
  * @first: exchange whose response is sent next
  * @newest: exchange that began last
  * @reading: exchange whose request is being read, or NULL
@@ -261,6 +264,9 @@
 	int64_t last_byte;
 	int64_t head_since;
 	size_t discarded;
+	struct http_conn_end left;
+	struct kq_error why;
+	int reset;
 	struct io_watch watch;
 	struct io_timer timer;
 	struct http_out out;
@@ -345,6 +351,8 @@
  * the server's own name: no other response is due before, and no part of its
  * own was written */
 int conn_can_send_error(const struct http_conn *);
+/** conn_report_end() - tell the user what a connection left, if anything */
+void conn_report_end(struct http_conn *);
 /** conn_fail_exchanges() - end all exchanges and tell the users of those that
  * are open */
 void conn_fail_exchanges(struct http_conn *, const struct kq_error *);
--- a/src/adapter/http/server.c
+++ b/src/adapter/http/server.c
@@ -210,8 +210,12 @@
 	if (!s)
 		return;
 	stop_listening(s);
-	while (s->conns)
+	while (s->conns) {
+		if (!s->conns->why.text[0])
+			kq_error_set(&s->conns->why, KQ_LAYER_HTTP,
+			    HTTP_E_CLOSED, "server ended");
 		conn_close(s->conns);
+	}
 	conn_free_closed(s);
 	io_timer_clear(s->loop, &s->free_timer);
 	g_free(s->scratch);
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -74,6 +74,11 @@
 	uint64_t probes; /* sent to other daemons */
 	uint64_t target_ends; /* of the target, while it ran requests */
 	uint64_t crash_refused; /* requests that crash targets */
+	/* callers' connections that ended with requests unanswered or bytes
+	 * unsent, without and with the caller hanging up */
+	uint64_t conns_cut;
+	uint64_t conns_left;
+	uint64_t conns_cut_requests; /* requests on those of conns_cut */
 };
 
 struct data {
--- a/src/daemon/data/report.c
+++ b/src/daemon/data/report.c
@@ -71,6 +71,14 @@
 	write_counter(t, "unknown_total", "Answers unknown", c->unknown);
 	write_counter(t, "failed_total", "Answers failed or cut", c->failed);
 	write_counter(t, "bad_total", "Requests at fault", c->bad_requests);
+	write_counter(t, "connections_cut_total",
+	    "Connections of callers that this daemon ended with requests "
+	    "unanswered or bytes unsent",
+	    c->conns_cut);
+	write_counter(t, "connections_cut_requests_total",
+	    "Requests unanswered on them", c->conns_cut_requests);
+	write_counter(t, "connections_left_total",
+	    "The same, ended by the caller", c->conns_left);
 	write_counter(t, "retries_total", "Attempts after the first",
 	    c->retries);
 	write_counter(t, "hedges_total", "Attempts beside a late one",
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "daemon/outbound/outbound.h"
+#include "log.h"
 
 static void
 deadline_expired(void *ctx, int64_t now)
@@ -155,6 +156,24 @@
 	d->counters.bad_requests++;
 }
 
+static void
+conn_ended(void *ctx, const struct http_conn_end *e)
+{
+	struct data *d = ctx;
+
+	if (e->by_caller) {
+		d->counters.conns_left++;
+	} else {
+		d->counters.conns_cut++;
+		d->counters.conns_cut_requests += (uint64_t)e->exchanges;
+	}
+	log_event(EVENT_CONNECTION_CUT,
+	    e->by_caller ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING, data_now(d),
+	    "connection cut by=%s requests=%d open=%d unsent=%zu reason=%s",
+	    e->by_caller ? "caller" : "daemon", e->exchanges, e->open,
+	    e->unsent, e->reason);
+}
+
 void
 outbound_call_free(struct out_call *c)
 {
@@ -186,4 +205,5 @@
 	.became_first = request_turn,
 	.failed = caller_gone,
 	.rejected = bad_message,
+	.ended = conn_ended,
 };
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -117,6 +117,24 @@
 struct http_server;
 struct http_exchange; /* one request and its response */
 
+/**
+ * struct http_conn_end - what a caller's connection that ended had left
+ * @reason: why it ended
+ * @by_caller: the caller closed it
+ * @exchanges: requests that have no whole response, or whose response had to
+ *             wait for its turn
+ * @open: how many of them the user had not ended
+ * @unsent: bytes of responses that were not sent; if the connection was reset,
+ *          also those that the caller had not acknowledged
+ */
+struct http_conn_end {
+	const char *reason;
+	int by_caller;
+	int exchanges;
+	int open;
+	size_t unsent;
+};
+
 /**
  * struct http_server_ops - events of a server; @ctx is the server's
  * @request: request head is complete; set the exchange's context with
@@ -133,6 +151,8 @@
  *          http_exchange_abort().
  * @rejected: optional; the server itself answered a broken or late message with
  *            400, 408, 413 or 431
+ * @ended: optional; a connection was closed with requests unanswered or bytes
+ *         unsent, also by http_server_free(); at most once for each
  */
 struct http_server_ops {
 	void (*request)(void *ctx, struct http_exchange *,
@@ -144,6 +164,7 @@
 	void (*failed)(void *ctx, struct http_exchange *,
 	    const struct kq_error *err);
 	void (*rejected)(void *ctx, const struct kq_error *err);
+	void (*ended)(void *ctx, const struct http_conn_end *);
 };
 
 struct http_server *http_server_new(struct io_loop *, const char *ip, int port,
--- a/src/internal/log.h
+++ b/src/internal/log.h
@@ -69,7 +69,8 @@
 	EVENT_CALL = 510,
 	EVENT_ATTEMPT = 511,
 	EVENT_INBOUND_CALL = 512,
-	EVENT_BAD_REQUEST = 513
+	EVENT_BAD_REQUEST = 513,
+	EVENT_CONNECTION_CUT = 514
 };
 
 /** log_event() - write one event, unless its level or its rate limit excludes
