--- a/src/adapter/http/conn_time.c
+++ b/src/adapter/http/conn_time.c
@@ -1,4 +1,4 @@
-#include "http_impl.h"
+#include "conn.h"
 
 #include <sys/socket.h>
 
--- a/src/adapter/http/exchange_list.c
+++ b/src/adapter/http/exchange_list.c
@@ -1,4 +1,4 @@
-#include "http_impl.h"
+#include "conn.h"
 
 struct http_exchange *
 exchange_new(struct http_conn *c)
--- a/src/adapter/http/link.c
+++ b/src/adapter/http/link.c
@@ -1,4 +1,4 @@
-#include "http_impl.h"
+#include "link.h"
 
 #include <errno.h>
 #include <string.h>
--- a/src/adapter/http/out.c
+++ b/src/adapter/http/out.c
@@ -1,6 +1,7 @@
-#include "http_impl.h"
+#include "out.h"
 
 #include <errno.h>
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
--- a/src/adapter/http/scan.c
+++ b/src/adapter/http/scan.c
@@ -1,4 +1,4 @@
-#include "http_impl.h"
+#include "in.h"
 
 #include <string.h>
 
--- a/src/adapter/http/server.c
+++ b/src/adapter/http/server.c
@@ -1,4 +1,4 @@
-#include "http_impl.h"
+#include "conn.h"
 
 #include <errno.h>
 #include <linux/filter.h>
--- a/tests/fuzz/http.c
+++ b/tests/fuzz/http.c
@@ -4,7 +4,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "adapter/http/http_impl.h"
+#include "adapter/http/conn.h"
+#include "adapter/http/link.h"
 
 /*
  * Sends the input as a peer's bytes, in pieces, to the HTTP server or client of
