http: one module decides what the end of one request means for its connection

What callers saw: of two requests sent at once, the first, whole and from a sound target, arrives cut as the second breaks off, 8 of 8.

Cause and class: an end that looks at one exchange acts on the whole connection. exchange.c, conn.c, conn_read.c and conn_time.c each ended the connection by itself: http_exchange_abort() reset it with the bytes of whole responses unsent; a malformed, late, large or half-closed message failed every request before it; a dropped body closed it and freed exchanges without telling the user, which wrote on freed memory; a head that was half read as a response closed the connection was run and lost.

Change: line.c, without input or output, holds the requests of a connection and gives a verdict on each end; conn.c carries it out, and no file calls back into one above it. A response of which the caller has nothing is answered in its place, or, by http_exchange_take_back(), forgotten and its call tried again. One that breaks off midway ends the connection after its last byte, with a reset only where no framing shows it, once all bytes are acknowledged. A fault of the message being read fails that message alone. A connection that closes waits for acknowledgements as long as some come.

Tests that stated the fault as the promise: http_pipeline, "an aborted response fails the requests behind it" and "an abort behind others resets the connection when it is first". In their place the same scripts state that each request has an answer in its turn: the server's own for the aborted one, and that of the one behind; events and bodies are compared whole, as before.

Not fixed yet: requests behind an answer that breaks off after a part of it was sent count as not read.

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -7,33 +7,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-static void
-on_ready(void *ctx, int ready)
-{
-	conn_handle_ready(ctx, ready);
-}
-
-static void
-on_timer(void *ctx, int64_t now)
-{
-	conn_handle_timer(ctx, now);
-}
-
-static void
-list_add(struct http_conn *c)
-{
-	struct http_server *s = c->server;
-
-	c->next = s->conns;
-	if (c->next)
-		c->next->prev = c;
-	s->conns = c;
-	if (c->over_limit)
-		s->nrefused++;
-	else
-		s->nconn++;
-}
-
 static void
 list_remove(struct http_conn *c)
 {
@@ -51,55 +24,82 @@
 		s->nconn--;
 }
 
-struct http_conn *
-conn_new(struct http_server *s, int fd, int over_limit)
+struct http_exchange *
+conn_first(const struct http_conn *c)
 {
-	struct http_conn *c = g_new0(struct http_conn, 1);
-
-	c->server = s;
-	c->fd = fd;
-	c->over_limit = over_limit;
-	c->last_byte = io_now(s->loop);
-	c->timer.fire = on_timer;
-	c->timer.ctx = c;
-	if (io_watch_add(s->loop, &c->watch, fd, IO_READ, on_ready, c) < 0) {
-		g_free(c);
-		return NULL;
-	}
-	in_init(&c->in, HTTP_REQUEST, s->limits.head_bytes, &conn_in_ops, c);
-	list_add(c);
-	if (over_limit)
-		conn_send_error(c, 503, "too many connections", 0);
-	else
-		conn_update_timer(c);
-	return c;
+	return (struct http_exchange *)c->line.first;
+}
+
+struct http_exchange *
+conn_reading(const struct http_conn *c)
+{
+	return (struct http_exchange *)c->line.reading;
 }
 
-static size_t
-unsent_bytes(const struct http_conn *c)
+struct http_exchange *
+exchange_new(struct http_conn *c)
 {
-	size_t n = out_pending(&c->out);
-	int unacked = 0;
+	struct http_exchange *x = g_new0(struct http_exchange, 1);
 
-	if (c->reset && !ioctl(c->fd, SIOCOUTQ, &unacked))
-		n += (size_t)unacked;
-	return n;
+	x->conn = c;
+	x->item.open = 1;
+	line_add(&c->line, &x->item);
+	return x;
 }
 
-/* Counts an exchange among those that the connection leaves. */
+/* Keeps an exchange that is no longer on the line until
+ * exchange_free_retired(). */
 static void
-count_left(struct http_conn *c, const struct http_exchange *x)
+retire(struct http_conn *c, struct http_exchange *x)
 {
-	c->left.exchanges++;
-	c->left.open += x->open;
+	x->item.open = 0;
+	x->next_retired = c->retired;
+	c->retired = x;
 }
 
 void
-conn_report_end(struct http_conn *c)
+exchange_free_retired(struct http_conn *c)
+{
+	struct http_exchange *x;
+
+	while ((x = c->retired)) {
+		c->retired = x->next_retired;
+		out_clear(&x->queued_out);
+		g_free(x);
+	}
+}
+
+int
+conn_unacked(const struct http_conn *c)
+{
+	int n = 0;
+
+	return ioctl(c->fd, SIOCOUTQ, &n) ? 0 : n;
+}
+
+/* Takes the first exchange off the line; counts it among those that the
+ * connection leaves. Return: whether the user had not ended it. */
+static int
+leave_first(struct http_conn *c)
+{
+	struct http_exchange *x = conn_first(c);
+	int open = x->item.open;
+
+	c->left.exchanges++;
+	c->left.open += open;
+	line_remove(&c->line, &x->item);
+	retire(c, x);
+	return open;
+}
+
+static void
+report_end(struct http_conn *c)
 {
 	struct http_server *s = c->server;
 
-	c->left.unsent = unsent_bytes(c);
+	c->left.unsent = out_pending(&c->out);
+	if (c->reset)
+		c->left.unsent += (size_t)conn_unacked(c);
 	c->left.reason = c->why.text[0] ? c->why.text : "closed";
 	if (s->ops->ended && (c->left.exchanges || c->left.unsent))
 		s->ops->ended(s->ctx, &c->left);
@@ -108,19 +108,20 @@
 void
 conn_close(struct http_conn *c)
 {
+	struct linger reset = { 1, 0 };
 	struct http_server *s = c->server;
 
 	if (c->closed)
 		return;
 	c->closed = 1;
-	while (c->first) {
-		count_left(c, c->first);
-		exchange_retire(c, c->first);
-	}
-	conn_report_end(c);
+	while (c->line.first)
+		leave_first(c);
+	report_end(c);
 	in_pause(&c->in, 1);
 	io_watch_remove(s->loop, &c->watch);
 	io_timer_clear(s->loop, &c->timer);
+	if (c->reset)
+		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
 	close(c->fd);
 	list_remove(c);
 	c->next = s->closed;
@@ -165,158 +166,184 @@
 	conn_schedule(c);
 }
 
+/* All bytes are with the kernel: the time for the peer to take them begins. */
 static void
-shutdown_send(struct http_conn *c)
+all_sent(struct http_conn *c)
 {
-	shutdown(c->fd, SHUT_WR);
-	if (c->eof)
+	c->linger_until = io_now(c->server->loop) + HTTP_LINGER_US;
+	if (!c->reset)
+		shutdown(c->fd, SHUT_WR);
+	if (c->eof && c->state == CONN_LINGER)
 		conn_close(c);
 }
 
 void
 conn_flush(struct http_conn *c)
 {
+	struct http_exchange *x = conn_first(c);
+
 	if (c->closed || c->send_errno || !out_pending(&c->out))
 		return;
 	conn_note_send(c, out_send(&c->out, c->fd, NULL, 0));
 	if (c->send_errno || out_pending(&c->out))
 		return;
-	if (c->first && c->first->open && c->first->notify_drained) {
-		c->first->notify_drained = 0;
+	if (x && x->item.open && x->notify_drained) {
+		x->notify_drained = 0;
 		if (c->server->ops->drained)
-			c->server->ops->drained(c->server->ctx, c->first);
+			c->server->ops->drained(c->server->ctx, x);
 	}
-	if (!c->closed && c->state == CONN_LINGER && !out_pending(&c->out))
-		shutdown_send(c);
+	if (!c->closed && c->state != CONN_OPEN && !out_pending(&c->out))
+		all_sent(c);
 }
 
-void
-conn_linger(struct http_conn *c)
+static void
+enter_state(struct http_conn *c, enum conn_state state)
 {
-	if (c->closed || c->state == CONN_LINGER)
+	if (c->closed || c->state >= state)
 		return;
-	c->state = CONN_LINGER;
+	c->state = state;
+	c->head_since = 0;
 	in_pause(&c->in, 1);
-	c->linger_until = io_now(c->server->loop) + HTTP_LINGER_US;
 	if (out_pending(&c->out) && !c->send_errno)
 		conn_flush(c);
 	else
-		shutdown_send(c);
+		all_sent(c);
 	if (!c->closed)
 		conn_update_watch(c);
 }
 
 void
-conn_fail_exchanges(struct http_conn *c, const struct kq_error *err)
+conn_await_acks(struct http_conn *c)
 {
-	struct http_exchange *x;
-	int open;
-
-	if (c->first && !c->why.text[0])
-		c->why = *err;
-	while ((x = c->first)) {
-		open = x->open;
-		count_left(c, x);
-		exchange_retire(c, x);
-		if (open)
-			c->server->ops->failed(c->server->ctx, x, err);
-	}
+	c->look_at = io_now(c->server->loop) + HTTP_ACKS_US;
+	c->unacked = conn_unacked(c);
+	enter_state(c, CONN_ACKS);
 }
 
-void
-conn_send_error(struct http_conn *c, int status, const char *text,
-    int delivered)
+/* The exchanges are taken off the line before any user is told, so that no user
+ * writes behind a response that is broken. */
+static void
+fail_exchanges(struct http_conn *c, const struct kq_error *err)
 {
-	struct http_out *o = &c->out;
-
-	out_text(o, "HTTP/1.1 ");
-	out_int(o, status);
-	out_text(o, " ");
-	out_text(o, http_status_str((enum http_status)status));
-	out_text(o, "\r\nKumquatrock-Outcome: ");
-	out_text(o, delivered ? "unknown" : "not-run");
-	out_text(o, "\r\nContent-Type: text/plain\r\n"
-		    "Connection: close\r\nContent-Length: ");
-	out_int(o, (int64_t)strlen(text) + 1);
-	out_text(o, "\r\n\r\n");
-	out_text(o, text);
-	out_text(o, "\n");
-	conn_linger(c);
+	struct http_exchange *x, *open[HTTP_PIPELINE_MAX + 1];
+	int i, n = 0;
+
+	if ((c->line.first || c->left.exchanges) && !c->why.text[0])
+		c->why = *err;
+	while ((x = conn_first(c)))
+		if (leave_first(c))
+			open[n++] = x;
+	for (i = 0; i < n; i++)
+		c->server->ops->failed(c->server->ctx, open[i], err);
 }
 
-/* Fails the exchanges after one whose response closes the connection; to their
- * callers, these requests were never read. */
-static void
-fail_queued(struct http_conn *c)
+void
+conn_end(struct http_conn *c, enum line_verdict how, const struct kq_error *err)
 {
-	struct kq_error err;
-
-	if (!c->first)
+	fail_exchanges(c, err);
+	if (c->closed)
 		return;
-	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
-	    "connection closed by an earlier response");
-	conn_fail_exchanges(c, &err);
+	c->reset = how == LINE_RESET;
+	if (how == LINE_DROP)
+		conn_close(c);
+	else if (how == LINE_RESET)
+		conn_await_acks(c);
+	else
+		enter_state(c, CONN_LINGER);
 }
 
-/* Sends what the user already wrote of the response whose turn it is now. */
-static void
+/* Sends what was already written of the response whose turn it is now. Return:
+ * its exchange if that is all of it. */
+static struct http_exchange *
 start_next_response(struct http_conn *c)
 {
-	struct http_exchange *x = c->first;
+	struct http_exchange *x = conn_first(c);
 
 	out_add(&c->out, x->queued_out.data + x->queued_out.off,
 	    out_pending(&x->queued_out));
 	out_clear(&x->queued_out);
-	if (x->aborted) {
-		conn_send_reset(c);
-		return;
-	}
+	if (x->item.whole)
+		return x;
 	if (out_pending(&c->out) && !c->send_errno) {
 		x->notify_drained = 1;
 		conn_flush(c);
 	}
-	if (!c->closed && c->first == x && x->open &&
+	if (!c->closed && conn_first(c) == x && x->item.open &&
 	    c->server->ops->became_first)
 		c->server->ops->became_first(c->server->ctx, x);
+	return NULL;
 }
 
-void
-conn_finish_exchange(struct http_conn *c)
+/* Removes an exchange whose response is complete. Return: the next one if its
+ * response is, too. */
+static struct http_exchange *
+finish_first(struct http_conn *c, struct http_exchange *x)
 {
-	struct http_exchange *x = c->first;
-	int keep_alive = x->keep_alive;
+	enum line_verdict v =
+	    line_finish(&c->line, &x->item, c->server->stopping);
+	struct kq_error err;
 
-	exchange_retire(c, x);
-	if (c->closed)
-		return;
-	if (!keep_alive || (c->server->stopping && !c->first)) {
-		fail_queued(c);
-		conn_linger(c);
-		return;
+	retire(c, x);
+	if (v == LINE_CLOSE) {
+		kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
+		    "connection closed by an earlier response");
+		conn_end(c, v, &err);
+		return NULL;
 	}
 	if (c->paused) {
 		c->paused = 0;
 		in_pause(&c->in, 0);
 	}
-	if (c->first) {
-		start_next_response(c);
-		if (!c->closed && c->first && c->first->done)
-			conn_finish_exchange(c);
+	return v == LINE_NEXT ? start_next_response(c) : NULL;
+}
+
+void
+conn_finish_exchange(struct http_conn *c, struct http_exchange *x)
+{
+	if (conn_first(c) != x) {
+		line_finish(&c->line, &x->item, c->server->stopping);
+		return;
 	}
-	if (c->closed)
+	while (x && c->state == CONN_OPEN && !c->closed)
+		x = finish_first(c, x);
+	if (c->closed || c->state != CONN_OPEN)
 		return;
+	if (out_pending(&c->out) && !c->corked)
+		conn_flush(c);
 	if (!c->in_callback)
 		conn_next_request(c);
 	else if (c->in.unparsed_len)
 		conn_schedule(c);
 }
 
-static int
-wants_read(const struct http_conn *c)
+int
+conn_may_read_request(const struct http_conn *c)
+{
+	const struct http_server *s = c->server;
+
+	return line_may_read(&c->line, s->stopping || s->no_keepalive) &&
+	       (!c->line.newest || !c->paused);
+}
+
+void
+conn_next_request(struct http_conn *c)
+{
+	if (c->in.ended && conn_may_read_request(c))
+		in_next_message(&c->in);
+	if (c->in.unparsed_len || c->eof)
+		conn_schedule(c);
+	else
+		conn_update_watch(c);
+}
+
+int
+conn_wants_read(const struct http_conn *c)
 {
-	if (c->eof)
+	if (c->eof || c->state == CONN_ACKS)
 		return 0;
-	return c->state == CONN_LINGER || (!c->paused && !c->in.unparsed_len);
+	if (c->state == CONN_LINGER)
+		return 1;
+	return !c->paused && !c->in.unparsed_len && !c->line.closing;
 }
 
 void
@@ -326,7 +353,7 @@
 
 	if (c->closed)
 		return;
-	if (wants_read(c))
+	if (conn_wants_read(c))
 		c->read_disabled = 0;
 	if (!c->eof && !c->read_disabled)
 		events |= IO_READ;
--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -2,14 +2,17 @@
 #define KQ_HTTP_CONN_H
 
 #include "in.h"
+#include "line.h"
 #include "out.h"
 
 /* bytes of input dropped after the request's exchange ended or the connection
- * began to close; with more, the connection is closed */
+ * began to close; after more, nothing is read */
 #define HTTP_DISCARD_BYTES 1048576
-/* a connection in CONN_LINGER is closed after this time even if the peer keeps
- * it open; while bytes are to be sent, idle_ms applies instead */
+/* a connection in CONN_LINGER or CONN_ACKS is closed after this time in which
+ * the peer acknowledged nothing; while bytes are to be sent, idle_ms applies
+ * instead */
 #define HTTP_LINGER_US 2000000
+#define HTTP_ACKS_US 5000 /* between looks for acknowledgements */
 #define HTTP_STOP_GRACE_US 1000000 /* idle connections outlive a stop */
 /* the same, if http_server_disable_keepalive() came before the stop */
 #define HTTP_STOP_GRACE_SHORT_US 300000
@@ -20,38 +23,30 @@
 
 /**
  * struct http_exchange - one request and its response
- * @next: the request after this one on the connection
- * @open: the user may act on it: neither ended, aborted nor failed
- * @done: the user ended or aborted it before its turn to be sent
- * @aborted: the user aborted it before its turn to be sent
+ * @item: its place on the connection; the first member
  * @queued_out: what the user wrote before its turn to be sent
+ * @put: bytes of the response that were written, sent or not
  * @expect_continue: the caller waits for "100 Continue"
  * @method_is_head: the request's method is HEAD
- * @pipelinable: requests after it may be read before it is answered
  * @http10: the request is HTTP/1.0
- * @keep_alive: the connection may serve another request
  * @head_written: the user wrote the response's head
  * @body_left: bytes of the response's body still to be written, or
  *             HTTP_LENGTH_*
- * @ninterim: interim responses received
  * @notify_drained: bytes are buffered; the callback drained is due once they
  *                  are sent
  * @interim_sent: "100 Continue" was sent to see whether the caller is still
  *                connected
  */
 struct http_exchange {
+	struct line_item item;
 	struct http_conn *conn;
-	struct http_exchange *next;
+	struct http_exchange *next_retired;
 	void *ctx;
-	int open;
-	int done;
-	int aborted;
 	struct http_out queued_out;
+	size_t put;
 	int expect_continue;
 	int method_is_head;
-	int pipelinable;
 	int http10;
-	int keep_alive;
 	int head_written;
 	int chunked;
 	int no_body;
@@ -60,15 +55,21 @@
 	int interim_sent;
 };
 
-/* CONN_LINGER: no request is read; once all bytes are sent, the sending side is
- * closed and what the peer still sends is dropped until it closes, too */
-enum conn_state { CONN_OPEN, CONN_LINGER };
+/**
+ * enum conn_state - use of a connection
+ * @CONN_LINGER: no request is read; once all bytes are sent, the sending side
+ *               is closed and what the peer still sends is dropped until it
+ *               closes, too
+ * @CONN_ACKS: nothing is read; once the peer has acknowledged all bytes, the
+ *             connection is closed
+ */
+enum conn_state { CONN_OPEN, CONN_LINGER, CONN_ACKS };
 
 /**
  * struct http_conn - connection of a caller
  * @over_limit: accepted beyond the limit of connections, to be answered 503
- * @in_callback: conn_handle_ready() or conn_handle_timer() is running; both
- *               update the watch and the timer before they return
+ * @in_callback: an event of the socket or the timer is being handled; the
+ *               watch and the timer are updated after it
  * @closed: closed; its memory is freed in the next iteration
  * @eof: the peer closed its sending side
  * @paused: the user suspended reading
@@ -78,8 +79,10 @@
  *          its body
  * @read_disabled: the socket was readable when nothing might be read, so that
  *                 it is no longer watched for input
- * @linger_until: when the connection is closed in CONN_LINGER, if all bytes are
- *                sent
+ * @linger_until: when the connection is closed in CONN_LINGER or CONN_ACKS, if
+ *                all bytes are sent and the peer acknowledges none
+ * @look_at: when it is looked for acknowledgements in CONN_ACKS
+ * @unacked: bytes that were not acknowledged when that was last looked for
  * @last_byte: when the last byte was sent or received; at first, when the
  *             connection was accepted
  * @head_since: when the first byte of the head being read came, 0 if none is
@@ -88,11 +91,9 @@
  * @left: what it leaves when it ends; @left.reason is unused
  * @why: why its first exchange failed, or no text
  * @reset: it is closed with a reset
- * @first: exchange whose response is sent next
- * @newest: exchange that began last
- * @reading: exchange whose request is being read, or NULL
- * @retired: exchanges that are over; freed at the end of conn_handle_ready()
- * and conn_handle_timer(), or with the connection
+ * @line: its exchanges
+ * @retired: exchanges that are over; freed after an event was handled, or
+ *           with the connection
  */
 struct http_conn {
 	struct http_server *server;
@@ -110,6 +111,8 @@
 	int corked;
 	int read_disabled;
 	int64_t linger_until;
+	int64_t look_at;
+	int unacked;
 	int64_t last_byte;
 	int64_t head_since;
 	size_t discarded;
@@ -120,11 +123,8 @@
 	struct io_timer timer;
 	struct http_out out;
 	struct http_in in;
-	struct http_exchange *first;
-	struct http_exchange *newest;
-	struct http_exchange *reading;
+	struct line line;
 	struct http_exchange *retired;
-	int nexchange;
 };
 
 /**
@@ -159,76 +159,98 @@
 	char *scratch;
 };
 
-/** conn_new() - serve an accepted socket; answers 503 and closes it if
- * @over_limit. Return: the connection, or NULL; then the caller closes @fd */
-struct http_conn *conn_new(struct http_server *, int fd, int over_limit);
+/* ---- conn.c: life of a connection, sending, what was decided ---- */
+
 /** conn_close() - close a connection at once; its memory is freed in the next
  * iteration */
 void conn_close(struct http_conn *);
 /** conn_free_closed() - free the memory of closed connections */
 void conn_free_closed(struct http_server *);
-/** conn_schedule() - have conn_handle_timer() called in the next iteration */
+/** conn_schedule() - have the timer fire in the next iteration */
 void conn_schedule(struct http_conn *);
 /** conn_flush() - send buffered bytes */
 void conn_flush(struct http_conn *);
 /** conn_note_send() - account for the result of a send */
 void conn_note_send(struct http_conn *, ssize_t);
-/** conn_send_error() - answer a broken message, or a connection over the limit,
- * in the server's own name, then close the connection
- * @delivered: the user had the request's head already and may have acted on it
- */
-void conn_send_error(struct http_conn *, int status, const char *text,
-    int delivered);
-/** conn_finish_exchange() - retire the first exchange, whose response is
- * complete, and go on with the next one or close the connection */
-void conn_finish_exchange(struct http_conn *);
-/** conn_send_reset() - reset the connection, so that its caller sees a broken
- * response */
-void conn_send_reset(struct http_conn *);
-/** conn_linger() - read no more requests and close the connection once all
- * bytes are sent, see CONN_LINGER */
-void conn_linger(struct http_conn *);
-/** conn_update_timer() - have the timer fire by conn_timeout_time() */
-void conn_update_timer(struct http_conn *);
-/** conn_parse() - parse the unparsed bytes and then the given ones, as far as
- * requests may be read now */
-void conn_parse(struct http_conn *, const char *, size_t);
+/** conn_finish_exchange() - go on after a response that is complete */
+void conn_finish_exchange(struct http_conn *, struct http_exchange *);
+/** conn_end() - fail all exchanges and tell the users of those that are open;
+ * then close the connection as LINE_CLOSE, LINE_RESET or LINE_DROP says. The
+ * error may be NULL if there is no exchange */
+void conn_end(struct http_conn *, enum line_verdict, const struct kq_error *);
+/** conn_await_acks() - enter CONN_ACKS */
+void conn_await_acks(struct http_conn *);
+/** conn_wants_read() - whether input can be used now */
+int conn_wants_read(const struct http_conn *);
 /** conn_update_watch() - watch the socket for what the connection waits for,
  * and set the timer */
 void conn_update_watch(struct http_conn *);
-/** conn_can_send_error() - whether the message being read may be answered in
- * the server's own name: no other response is due before, and no part of its
- * own was written */
-int conn_can_send_error(const struct http_conn *);
-/** conn_report_end() - tell the user what a connection left, if anything */
-void conn_report_end(struct http_conn *);
-/** conn_fail_exchanges() - end all exchanges and tell the users of those that
- * are open */
-void conn_fail_exchanges(struct http_conn *, const struct kq_error *);
+/** conn_next_request() - go on reading requests after an exchange ended */
+void conn_next_request(struct http_conn *);
+/** conn_may_read_request() - whether another request may be read */
+int conn_may_read_request(const struct http_conn *);
+/** conn_unacked() - bytes given to the kernel that the peer did not
+ * acknowledge */
+int conn_unacked(const struct http_conn *);
+/** conn_first() - exchange whose response is sent now, or NULL */
+struct http_exchange *conn_first(const struct http_conn *);
+/** conn_reading() - exchange whose request is being read, or NULL */
+struct http_exchange *conn_reading(const struct http_conn *);
 /** exchange_new() - add an exchange after those of the connection */
 struct http_exchange *exchange_new(struct http_conn *);
-/** exchange_retire() - remove an exchange from the connection; its memory lasts
- * until exchange_free_retired() */
-void exchange_retire(struct http_conn *, struct http_exchange *);
 void exchange_free_retired(struct http_conn *);
-/** conn_has_exchange() - whether an exchange has no complete response */
-int conn_has_exchange(const struct http_conn *);
-/** conn_handle_ready() - handle the socket's IO_* bits that are ready */
-void conn_handle_ready(struct http_conn *, int ready);
-/** conn_handle_timer() - handle what was scheduled, and timeouts */
-void conn_handle_timer(struct http_conn *, int64_t now);
+
+/* ---- conn_answer.c: heads, and answers in the server's own name ---- */
+
+/** conn_put_head() - write status, fields and framing of a response */
+void conn_put_head(struct http_exchange *, int status,
+    const struct http_field *field, int nfield, int64_t length);
+/** conn_sent() - what the caller may have of a response */
+enum line_sent conn_sent(const struct http_exchange *);
+/** conn_take_back() - forget what was written of a response, of which the
+ * caller has nothing */
+void conn_take_back(struct http_exchange *);
+/** conn_answer() - answer an exchange in the server's own name, in its turn, in
+ * place of what was written of its response */
+void conn_answer(struct http_exchange *, int status, const char *outcome,
+    const char *text);
+/** conn_reject() - answer what is no exchange in the server's own name after
+ * all exchanges, then close the connection */
+void conn_reject(struct http_conn *, int status, const char *text);
+
+/* ---- conn_time.c: timeouts ---- */
+
+/** conn_update_timer() - have the timer fire by conn_timeout_time() */
+void conn_update_timer(struct http_conn *);
 /** conn_timeout_time() - when the connection will have waited too long for its
  * peer; 0 while it waits for the user */
 int64_t conn_timeout_time(const struct http_conn *);
-/** conn_handle_timeout() - close the connection, with a 408 if possible */
-void conn_handle_timeout(struct http_conn *);
 /** conn_is_idle() - whether no request is being received or answered */
 int conn_is_idle(const struct http_conn *);
+
+/* ---- conn_read.c: requests ---- */
+
+extern const struct http_in_ops conn_in_ops;
+/** conn_parse() - parse the unparsed bytes and then the given ones, as far as
+ * requests may be read now */
+void conn_parse(struct http_conn *, const char *, size_t);
 /** conn_send_continue() - send "100 Continue" if the caller waits for it, no
  * other response is due before and the user reads the body */
 void conn_send_continue(struct http_conn *);
-/** conn_next_request() - go on reading requests after an exchange ended */
-void conn_next_request(struct http_conn *);
-extern const struct http_in_ops conn_in_ops;
+/** conn_fault() - end the message being read, which is broken or late */
+void conn_fault(struct http_conn *, int status, const struct kq_error *);
+/** conn_handle_eof() - handle the end of the caller's input */
+void conn_handle_eof(struct http_conn *);
+/** conn_disconnected() - end the connection of a caller that is gone, with the
+ * socket's error or 0 */
+void conn_disconnected(struct http_conn *, int e);
+/** conn_read() - read from the socket */
+void conn_read(struct http_conn *);
+
+/* ---- conn_event.c: events of a socket ---- */
+
+/** conn_new() - serve an accepted socket; answers 503 and closes it if
+ * @over_limit. Return: the connection, or NULL; then the caller closes @fd */
+struct http_conn *conn_new(struct http_server *, int fd, int over_limit);
 
 #endif
--- /dev/null
+++ b/src/adapter/http/conn_event.c
@@ -0,0 +1,176 @@
+#include "conn.h"
+
+#include <errno.h>
+#include <sys/socket.h>
+
+static int
+has_input(int fd)
+{
+	char c;
+
+	return recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Closes an idle connection, unless a request has just arrived: it is still
+ * answered. */
+static void
+close_idle(struct http_conn *c)
+{
+	if (has_input(c->fd))
+		return;
+	if (c->server->stopping)
+		conn_end(c, LINE_CLOSE, NULL);
+	else
+		conn_close(c);
+}
+
+/* All bytes are sent. Closes the connection once they are acknowledged, or when
+ * the peer acknowledged none for HTTP_LINGER_US. */
+static void
+look_for_acks(struct http_conn *c, int64_t now)
+{
+	int n = conn_unacked(c);
+
+	if (n && n != c->unacked)
+		c->linger_until = now + HTTP_LINGER_US;
+	c->unacked = n;
+	c->look_at = now + HTTP_ACKS_US;
+	if ((!n && c->state == CONN_ACKS) || now >= c->linger_until)
+		conn_close(c);
+}
+
+static void
+handle_timeout(struct http_conn *c, int64_t now)
+{
+	int unsent = out_pending(&c->out) > 0;
+	struct kq_error err;
+	enum line_verdict v;
+
+	if (c->state != CONN_OPEN && !unsent) {
+		look_for_acks(c, now);
+		return;
+	}
+	if (conn_is_idle(c)) {
+		close_idle(c);
+		return;
+	}
+	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_TIMEOUT, "%s",
+	    unsent ? "caller does not read" : "request took too long");
+	v = line_timeout(unsent || c->line.closing, in_is_partial(&c->in));
+	if (v == LINE_FAULT) {
+		conn_fault(c, 408, &err);
+		return;
+	}
+	if (!c->why.text[0])
+		c->why = err;
+	conn_end(c, v, &err);
+}
+
+static void
+handle_readable(struct http_conn *c)
+{
+	if (!(c->watch.events & IO_READ))
+		conn_disconnected(c, 0);
+	else if (!conn_wants_read(c))
+		c->read_disabled = 1;
+	else
+		conn_read(c);
+}
+
+static void
+leave_callback(struct http_conn *c)
+{
+	if (!c->closed && c->corked)
+		conn_flush(c);
+	c->in_callback = 0;
+	if (c->closed)
+		return;
+	exchange_free_retired(c);
+	if (c->state == CONN_OPEN && !c->line.first && c->in.ended)
+		conn_next_request(c);
+	conn_update_watch(c);
+}
+
+static void
+on_ready(void *ctx, int ready)
+{
+	struct http_conn *c = ctx;
+
+	c->in_callback = 1;
+	if (ready & IO_WRITE)
+		conn_flush(c);
+	if (!c->closed && (ready & IO_READ))
+		handle_readable(c);
+	leave_callback(c);
+}
+
+static void
+run_scheduled(struct http_conn *c)
+{
+	c->scheduled = 0;
+	if (c->send_errno) {
+		conn_disconnected(c, c->send_errno);
+		return;
+	}
+	if (c->corked)
+		conn_flush(c);
+	conn_send_continue(c);
+	if (!c->closed)
+		conn_parse(c, NULL, 0);
+	if (c->eof)
+		conn_handle_eof(c);
+}
+
+static void
+on_timer(void *ctx, int64_t now)
+{
+	struct http_conn *c = ctx;
+	int64_t due;
+
+	c->in_callback = 1;
+	if (c->scheduled)
+		run_scheduled(c);
+	due = c->closed ? 0 : conn_timeout_time(c);
+	if (due && due <= now)
+		handle_timeout(c, now);
+	leave_callback(c);
+}
+
+static void
+list_add(struct http_conn *c)
+{
+	struct http_server *s = c->server;
+
+	c->next = s->conns;
+	if (c->next)
+		c->next->prev = c;
+	s->conns = c;
+	if (c->over_limit)
+		s->nrefused++;
+	else
+		s->nconn++;
+}
+
+struct http_conn *
+conn_new(struct http_server *s, int fd, int over_limit)
+{
+	struct http_conn *c = g_new0(struct http_conn, 1);
+
+	c->server = s;
+	c->fd = fd;
+	c->over_limit = over_limit;
+	c->last_byte = io_now(s->loop);
+	c->timer.fire = on_timer;
+	c->timer.ctx = c;
+	if (io_watch_add(s->loop, &c->watch, fd, IO_READ, on_ready, c) < 0) {
+		g_free(c);
+		return NULL;
+	}
+	in_init(&c->in, HTTP_REQUEST, s->limits.head_bytes, &conn_in_ops, c);
+	list_add(c);
+	if (over_limit)
+		conn_reject(c, 503, "too many connections");
+	else
+		conn_update_timer(c);
+	return c;
+}
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -81,6 +81,21 @@
 	outbound_call_free(c);
 }
 
+/* Takes an answer that broke off back, if nothing of it has reached the caller:
+ * the call is as if it had not come. Return: 0, or -1. */
+static int
+take_answer_back(struct out_call *c)
+{
+	if (!http_exchange_take_back(c->exchange))
+		return -1;
+	c->state = OUT_TRYING;
+	c->winner = NULL;
+	c->status = 0;
+	c->credit_owed = 0;
+	c->may_have_run = 1;
+	return 0;
+}
+
 void
 outbound_give_up_call(struct out_call *c)
 {
@@ -88,7 +103,7 @@
 
 	c->data->counters.crash_refused += c->reason == WIRE_REASON_CRASHES;
 
-	if (c->state == OUT_ANSWERING) {
+	if (c->state == OUT_ANSWERING && take_answer_back(c)) {
 		struct http_exchange *x = c->exchange;
 
 		c->data->counters.failed++;
@@ -189,7 +204,7 @@
 	c->may_have_run = 1;
 	if (!c->reason)
 		c->reason = WIRE_REASON_LOST;
-	if (c->winner == a) {
+	if (c->winner == a && take_answer_back(c)) {
 		outbound_give_up_call(c);
 		return;
 	}
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -219,10 +219,19 @@
  * has not come yet of the request's body is read and dropped; a long one closes
  * the connection. */
 void http_exchange_end(struct http_exchange *);
-/** http_exchange_abort() - reset the connection, once earlier responses are
- * complete, so that the caller sees a broken response; the exchange is invalid
- * after */
+/**
+ * http_exchange_abort() - give a response up; the exchange is invalid after
+ *
+ * If nothing of it has reached the caller, the server answers 502, outcome
+ * "unknown", in its turn, and the connection goes on. Otherwise the connection
+ * ends after the bytes that were written, with a reset only where the framing
+ * does not show that the response is broken, and requests behind it fail.
+ */
 void http_exchange_abort(struct http_exchange *);
+/** http_exchange_take_back() - forget the head and all bytes written of a
+ * response, if nothing of it was given to the kernel. Return: whether that was
+ * so; then another head may be written */
+int http_exchange_take_back(struct http_exchange *);
 /** http_exchange_pause() - suspend (@on nonzero) or resume reading from the
  * exchange's connection */
 void http_exchange_pause(struct http_exchange *, int on);
--- a/tests/fake/caller/caller.h
+++ b/tests/fake/caller/caller.h
@@ -47,4 +47,27 @@
  * Return: 0, or -1 if it could not be opened */
 int connection_play(struct caller *, enum way, GRand *);
 
+#define PAIR 2 /* requests at once on a connection */
+
+/** struct pair - two requests sent at once to a caller that reads slowly */
+struct pair {
+	struct sockaddr_in to;
+	const char *host[PAIR];
+	const char *path;
+	int kb_per_s;
+};
+
+/** struct pair_counts - answers to the first and the second request: whole ones
+ * with status 200, whole ones with another, and others of which a part came */
+struct pair_counts {
+	int pairs;
+	int whole[PAIR];
+	int error[PAIR];
+	int cut[PAIR];
+};
+
+/** pair_play() - send a pair and count its answers. Return: 0, or -1 if no
+ * connection could be opened */
+int pair_play(const struct pair *, struct pair_counts *);
+
 #endif
