outbound: an answer held as its turn comes gets its credit

Cause: an answer that waits for its turn gets no credit beyond 64 KiB unsent; the credit came as its bytes went out. Held, none go out.

Change: the credit that waited is given as its turn comes.

--- a/src/daemon/outbound/hold.c
+++ b/src/daemon/outbound/hold.c
@@ -70,6 +70,10 @@
 void
 outbound_hold_turn(struct out_call *c)
 {
-	if (c->hold.on && !http_exchange_next(c->exchange))
+	if (!c->hold.on)
+		return;
+	if (!http_exchange_next(c->exchange))
 		release(c);
+	else
+		outbound_drained(c->data, c->exchange);
 }
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -169,7 +169,7 @@
  * hold beyond its bounds. Return: how many of them count against credit */
 size_t outbound_hold_body(struct out_call *, size_t unsent);
 /** outbound_hold_turn() - end the hold of an answer whose turn it is if no
- * request follows on its connection */
+ * request follows on its connection, else give the credit that waited */
 void outbound_hold_turn(struct out_call *);
 /** outbound_hold_end() - forget the hold of an answer that was ended or taken
  * back */
--- a/tests/fake/caller/pair.c
+++ b/tests/fake/caller/batch.c
@@ -11,7 +11,7 @@
 #define LAST_CHUNK "\r\n0\r\n\r\n"
 
 static int
-open_slow(const struct pair *p)
+open_slow(const struct batch *p)
 {
 	struct timeval t = { TIMEOUT_S, 0 };
 	int bytes = RECEIVE_BUFFER, fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -25,12 +25,12 @@
 }
 
 static int
-send_pair(const struct pair *p, int fd)
+send_batch(const struct batch *p, int fd)
 {
 	GString *t = g_string_new(NULL);
 	int i, bad;
 
-	for (i = 0; i < PAIR; i++)
+	for (i = 0; i < BATCH_MAX && p->host[i]; i++)
 		g_string_append_printf(t, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
 		    p->path, p->host[i]);
 	bad = send(fd, t->str, t->len, MSG_NOSIGNAL) != (ssize_t)t->len;
@@ -61,22 +61,32 @@
 	return at + n <= in->len ? n : 0;
 }
 
-/* Reads as slowly as the pair says until both answers are whole or the
+static int
+all_whole(const struct batch *p, const GString *in)
+{
+	size_t at = 0, n;
+	int i, status;
+
+	for (i = 0; i < BATCH_MAX && p->host[i]; i++) {
+		n = whole_answer(in, at, &status);
+		if (!n)
+			return 0;
+		at += n;
+	}
+	return 1;
+}
+
+/* Reads as slowly as the batch says until all answers are whole or the
  * connection ends. */
 static void
-read_pair(const struct pair *p, int fd, GString *in)
+read_batch(const struct batch *p, int fd, GString *in)
 {
 	gulong pause =
 	    (READ_BYTES / 1024) * (gulong)G_USEC_PER_SEC / (gulong)p->kb_per_s;
 	char b[READ_BYTES];
-	size_t first;
 	ssize_t n;
-	int status;
 
-	for (;;) {
-		first = whole_answer(in, 0, &status);
-		if (first && whole_answer(in, first, &status))
-			return;
+	while (!all_whole(p, in)) {
 		n = recv(fd, b, sizeof b, 0);
 		if (n <= 0)
 			return;
@@ -86,12 +96,12 @@
 }
 
 static void
-count_pair(const GString *in, struct pair_counts *n)
+count_batch(const GString *in, struct batch_counts *n)
 {
 	size_t at = 0, length = 1;
 	int i, status;
 
-	for (i = 0; i < PAIR && length; i++) {
+	for (i = 0; i < BATCH_MAX && length; i++) {
 		length = whole_answer(in, at, &status);
 		n->whole[i] += length && status == 200;
 		n->error[i] += length && status != 200;
@@ -101,7 +111,7 @@
 }
 
 int
-pair_play(const struct pair *p, struct pair_counts *n)
+batch_play(const struct batch *p, struct batch_counts *n)
 {
 	GString *in;
 	int fd = open_slow(p);
@@ -109,10 +119,10 @@
 	if (fd < 0)
 		return -1;
 	in = g_string_new(NULL);
-	if (!send_pair(p, fd))
-		read_pair(p, fd, in);
-	count_pair(in, n);
-	n->pairs++;
+	if (!send_batch(p, fd))
+		read_batch(p, fd, in);
+	count_batch(in, n);
+	n->batches++;
 	g_string_free(in, TRUE);
 	close(fd);
 	return 0;
--- a/tests/fake/caller/caller.h
+++ b/tests/fake/caller/caller.h
@@ -47,27 +47,28 @@
  * Return: 0, or -1 if it could not be opened */
 int connection_play(struct caller *, enum way, GRand *);
 
-#define PAIR 2 /* requests at once on a connection */
+#define BATCH_MAX 3 /* requests at once on a connection */
 
-/** struct pair - two requests sent at once to a caller that reads slowly */
-struct pair {
+/** struct batch - requests sent at once by a caller that reads slowly; those
+ * beyond the second have the host NULL if there are none */
+struct batch {
 	struct sockaddr_in to;
-	const char *host[PAIR];
+	const char *host[BATCH_MAX];
 	const char *path;
 	int kb_per_s;
 };
 
-/** struct pair_counts - answers to the first and the second request: whole ones
- * with status 200, whole ones with another, and others of which a part came */
-struct pair_counts {
-	int pairs;
-	int whole[PAIR];
-	int error[PAIR];
-	int cut[PAIR];
+/** struct batch_counts - answers to each of the requests: whole ones with
+ * status 200, whole ones with another, and others of which a part came */
+struct batch_counts {
+	int batches;
+	int whole[BATCH_MAX];
+	int error[BATCH_MAX];
+	int cut[BATCH_MAX];
 };
 
-/** pair_play() - send a pair and count its answers. Return: 0, or -1 if no
+/** batch_play() - send a batch and count its answers. Return: 0, or -1 if no
  * connection could be opened */
-int pair_play(const struct pair *, struct pair_counts *);
+int batch_play(const struct batch *, struct batch_counts *);
 
 #endif
--- a/tests/fake/caller/main.c
+++ b/tests/fake/caller/main.c
@@ -71,21 +71,20 @@
 
 /* Returns -1 if a connection could not be opened. */
 static int
-play_pairs(const struct caller *c, const char *second, int kb_per_s, int n)
+play_batches(const struct batch *b, int n)
 {
-	struct pair p = { .to = c->to, .path = c->path, .kb_per_s = kb_per_s };
-	struct pair_counts k = { 0 };
+	static const char *const names[BATCH_MAX] = { "first", "second",
+		"third" };
+	struct batch_counts k = { 0 };
 	int i;
 
-	p.host[0] = c->host;
-	p.host[1] = second;
 	for (i = 0; i < n; i++)
-		if (pair_play(&p, &k))
+		if (batch_play(b, &k))
 			return -1;
-	printf("pairs %d\n", k.pairs);
-	for (i = 0; i < PAIR; i++)
-		printf("%s: whole %d error %d cut %d\n", i ? "second" : "first",
-		    k.whole[i], k.error[i], k.cut[i]);
+	printf("batches %d\n", k.batches);
+	for (i = 0; i < BATCH_MAX; i++)
+		printf("%s: whole %d error %d cut %d\n", names[i], k.whole[i],
+		    k.error[i], k.cut[i]);
 	return 0;
 }
 
@@ -97,16 +96,20 @@
 	struct arg_str *path = arg_str1(NULL, "path", "PATH", "path");
 	struct arg_int *seconds =
 	    arg_int1(NULL, "seconds", "N", "longest duration");
-	struct arg_int *pairs =
-	    arg_int0(NULL, "pairs", "N", "pairs of requests sent instead");
+	struct arg_int *batches =
+	    arg_int0(NULL, "batches", "N", "requests at once, N times");
 	struct arg_str *second =
 	    arg_str0(NULL, "second-host", "NAME", "Host field of the second");
+	struct arg_str *third =
+	    arg_str0(NULL, "third-host", "NAME", "Host field of the third");
 	struct arg_int *rate = arg_int0(NULL, "kb-per-s", "N", "read rate");
-	struct arg_end *end = arg_end(5);
-	void *table[] = { to, host, path, seconds, pairs, second, rate, end };
+	struct arg_end *end = arg_end(9);
+	void *table[] = { to, host, path, seconds, batches, second, third, rate,
+		end };
 	struct thread t[THREADS];
 	GThread *thread[THREADS];
 	struct caller c = { 0 };
+	struct batch b;
 	int i, cut;
 
 	if (arg_parse(argc, argv, table) > 0 ||
@@ -117,9 +120,12 @@
 	}
 	c.host = host->sval[0];
 	c.path = path->sval[0];
-	if (pairs->count && second->count && rate->count) {
-		cut = play_pairs(&c, second->sval[0], rate->ival[0],
-		    pairs->ival[0]);
+	if (batches->count && second->count && rate->count) {
+		b = (struct batch){ c.to,
+			{ c.host, second->sval[0],
+			    third->count ? third->sval[0] : NULL },
+			c.path, rate->ival[0] };
+		cut = play_batches(&b, batches->ival[0]);
 		arg_freetable(table, G_N_ELEMENTS(table));
 		return cut ? EXIT_FAILURE : EXIT_SUCCESS;
 	}
--- a/tests/system/shared-connection.sh
+++ b/tests/system/shared-connection.sh
@@ -28,13 +28,13 @@
 # Each answer to a second request breaks off, also those to its retries.
 curl -s -o /dev/null -X POST "http://$fleet_net.1.2:9001/fake/set?cut=1000"
 
-# play FIRST SECOND KB_PER_S: callers send pairs to these services
+# play FIRST SECOND KB_PER_S [THIRD]: callers send requests at once to these services
 play() {
 	rm -f "$fleet_dir"/caller-*.log
 	callers=
 	for n in 1 2 3 4; do
 		fleet_run "caller-$n" "$fleet_build/fake-caller" --to "$fleet_first" --host "$1" --path /x --seconds 1 \
-			--second-host "$2" --kb-per-s "$3" --pairs "$pairs"
+			--second-host "$2" --kb-per-s "$3" --batches "$pairs" ${4+--third-host "$4"}
 		callers="$callers $!"
 	done
 	for c in $callers; do
@@ -66,5 +66,10 @@
 	echo "first, large, chunked $chunked: whole $(total first: whole); second: whole $(total second: whole) of 12"
 	[ "$(total second: whole)" = 12 ] || fleet_fail "second answers behind a large one that are whole: $(total second: whole) of 12"
 done
+# The second answer is larger than what is sent without credit, and held as its turn comes.
+curl -s -o /dev/null -X POST "http://$fleet_net.1.2:9001/fake/set?body_bytes=128&chunked=0"
+play second first 5000 second
+echo "second, held as its turn comes: whole $(total second: whole); third: whole $(total third: whole) of 12"
+[ "$(total second: whole)" = 12 ] && [ "$(total third: whole)" = 12 ] || fleet_fail "not all second and third answers are whole"
 [ "$(fleet_metric 1 1 answer_bytes_held)" = 0 ] || fleet_fail "bytes held at the end: $(fleet_metric 1 1 answer_bytes_held)"
 exit $failed
