--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -74,6 +74,11 @@
 	uint64_t probes; /* sent to other daemons */
 	uint64_t target_ends; /* of the target, while it ran requests */
 	uint64_t crash_refused; /* requests that crash targets */
+	/* callers' connections that ended with requests unanswered or bytes
+	 * unsent, without and with the caller hanging up */
+	uint64_t conns_cut;
+	uint64_t conns_left;
+	uint64_t conns_cut_requests; /* requests on those of conns_cut */
 };
 
 struct data {
@@ -101,6 +106,7 @@
 	    *route_sequences; /* host and prefix to struct route_sequence */
 	GHashTable *peers; /* incarnation to struct out_peer */
 	int64_t body_bytes; /* request body bytes held in memory */
+	int64_t held_bytes; /* of answers held, see outbound_hold_begin() */
 	GHashTable *out_calls; /* set of struct out_call */
 	GHashTable *ramps; /* data centre name to struct ramp */
 	struct io_timer ramp_timer;
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -117,6 +117,24 @@
 struct http_server;
 struct http_exchange; /* one request and its response */
 
+/**
+ * struct http_conn_end - what a caller's connection that ended had left
+ * @reason: why it ended
+ * @by_caller: the caller closed it
+ * @exchanges: requests that have no whole response, or whose response had to
+ *             wait for its turn
+ * @open: how many of them the user had not ended
+ * @unsent: bytes of responses that were not sent; if the connection was reset,
+ *          also those that the caller had not acknowledged
+ */
+struct http_conn_end {
+	const char *reason;
+	int by_caller;
+	int exchanges;
+	int open;
+	size_t unsent;
+};
+
 /**
  * struct http_server_ops - events of a server; @ctx is the server's
  * @request: request head is complete; set the exchange's context with
@@ -133,6 +151,8 @@
  *          http_exchange_abort().
  * @rejected: optional; the server itself answered a broken or late message with
  *            400, 408, 413 or 431
+ * @ended: optional; a connection was closed with requests unanswered or bytes
+ *         unsent, also by http_server_free(); at most once for each
  */
 struct http_server_ops {
 	void (*request)(void *ctx, struct http_exchange *,
@@ -144,6 +164,7 @@
 	void (*failed)(void *ctx, struct http_exchange *,
 	    const struct kq_error *err);
 	void (*rejected)(void *ctx, const struct kq_error *err);
+	void (*ended)(void *ctx, const struct http_conn_end *);
 };
 
 struct http_server *http_server_new(struct io_loop *, const char *ip, int port,
@@ -185,6 +206,18 @@
  * run while this returns nonzero.
  */
 int http_exchange_has_predecessor(const struct http_exchange *);
+/** http_exchange_next() - the exchange right behind this one on the connection,
+ * or NULL; its context is NULL once the user has ended it */
+struct http_exchange *http_exchange_next(const struct http_exchange *);
+/** http_exchange_must_wait() - whether an earlier response on the connection is
+ * being sent piece by piece: if it breaks off, this request counts as never
+ * read */
+int http_exchange_must_wait(const struct http_exchange *);
+/** http_exchange_hold() - send nothing of a response, of which nothing was
+ * written yet, before it is complete or released */
+void http_exchange_hold(struct http_exchange *);
+/** http_exchange_release() - send what was held. Return: bytes not yet sent */
+size_t http_exchange_release(struct http_exchange *);
 /** http_exchange_write_head() - send status and fields of the response. The
  * adapter writes the framing fields (Content-Length, Transfer-Encoding,
  * Connection) from @length; they must not be among @field */
@@ -198,10 +231,19 @@
  * has not come yet of the request's body is read and dropped; a long one closes
  * the connection. */
 void http_exchange_end(struct http_exchange *);
-/** http_exchange_abort() - reset the connection, once earlier responses are
- * complete, so that the caller sees a broken response; the exchange is invalid
- * after */
+/**
+ * http_exchange_abort() - give a response up; the exchange is invalid after
+ *
+ * If nothing of it has reached the caller, the server answers 502, outcome
+ * "unknown", in its turn, and the connection goes on. Otherwise the connection
+ * ends after the bytes that were written, with a reset only where the framing
+ * does not show that the response is broken, and requests behind it fail.
+ */
 void http_exchange_abort(struct http_exchange *);
+/** http_exchange_take_back() - forget the head and all bytes written of a
+ * response, if nothing of it was given to the kernel. Return: whether that was
+ * so; then another head may be written */
+int http_exchange_take_back(struct http_exchange *);
 /** http_exchange_pause() - suspend (@on nonzero) or resume reading from the
  * exchange's connection */
 void http_exchange_pause(struct http_exchange *, int on);
--- a/tests/fake/caller/main.c
+++ b/tests/fake/caller/main.c
@@ -69,6 +69,25 @@
 	return cut;
 }
 
+/* Returns -1 if a connection could not be opened. */
+static int
+play_batches(const struct batch *b, int n)
+{
+	static const char *const names[BATCH_MAX] = { "first", "second",
+		"third" };
+	struct batch_counts k = { 0 };
+	int i;
+
+	for (i = 0; i < n; i++)
+		if (batch_play(b, &k))
+			return -1;
+	printf("batches %d\n", k.batches);
+	for (i = 0; i < BATCH_MAX; i++)
+		printf("%s: whole %d error %d cut %d\n", names[i], k.whole[i],
+		    k.error[i], k.cut[i]);
+	return 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -77,11 +96,20 @@
 	struct arg_str *path = arg_str1(NULL, "path", "PATH", "path");
 	struct arg_int *seconds =
 	    arg_int1(NULL, "seconds", "N", "longest duration");
-	struct arg_end *end = arg_end(5);
-	void *table[] = { to, host, path, seconds, end };
+	struct arg_int *batches =
+	    arg_int0(NULL, "batches", "N", "requests at once, N times");
+	struct arg_str *second =
+	    arg_str0(NULL, "second-host", "NAME", "Host field of the second");
+	struct arg_str *third =
+	    arg_str0(NULL, "third-host", "NAME", "Host field of the third");
+	struct arg_int *rate = arg_int0(NULL, "kb-per-s", "N", "read rate");
+	struct arg_end *end = arg_end(9);
+	void *table[] = { to, host, path, seconds, batches, second, third, rate,
+		end };
 	struct thread t[THREADS];
 	GThread *thread[THREADS];
 	struct caller c = { 0 };
+	struct batch b;
 	int i, cut;
 
 	if (arg_parse(argc, argv, table) > 0 ||
@@ -92,6 +120,15 @@
 	}
 	c.host = host->sval[0];
 	c.path = path->sval[0];
+	if (batches->count && second->count && rate->count) {
+		b = (struct batch){ c.to,
+			{ c.host, second->sval[0],
+			    third->count ? third->sval[0] : NULL },
+			c.path, rate->ival[0] };
+		cut = play_batches(&b, batches->ival[0]);
+		arg_freetable(table, G_N_ELEMENTS(table));
+		return cut ? EXIT_FAILURE : EXIT_SUCCESS;
+	}
 	c.end = g_get_monotonic_time() + seconds->ival[0] * G_USEC_PER_SEC;
 	for (i = 0; i < THREADS; i++) {
 		t[i] = (struct thread){ &c, (guint32)(SEED_FIRST + i) };
