member: events and a counter of checks, of silent peers and of suspicions

The logs did not tell whether a member was checked late, a check had no result, or the suspicion was late at the data task.

Event 405 tells how each check ended, 432 when calls left unanswered had a member checked, 433 when the data task was told of a suspicion and how long that took. member_checks_unconfirmed_total counts checks in which no other member said anything. The logging of members has a file of its own.

No logic is changed.

--- a/src/core/member/check.c
+++ b/src/core/member/check.c
@@ -80,8 +80,17 @@
 	int h = member_find(t, c->probed);
 
 	c->probed = 0;
-	if (h != MEMBER_NONE && c->nacked && !c->acked && !t->paused)
+	if (h == MEMBER_NONE || t->paused)
+		return;
+	if (c->acked) {
+		t->ops->event(t->ctx, h, MEMBER_EVENT_CHECK_ANSWERED);
+	} else if (c->nacked) {
+		t->ops->event(t->ctx, h, MEMBER_EVENT_CHECK_FAILED);
 		member_suspect(t, h, now);
+	} else {
+		t->counts.checks_unconfirmed++;
+		t->ops->event(t->ctx, h, MEMBER_EVENT_CHECK_UNCONFIRMED);
+	}
 }
 
 int64_t
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -222,6 +222,9 @@
 int control_open_udp(struct control *, struct kq_error *);
 /* Runs the member table's tick in the next iteration of the loop. */
 void control_schedule_member_tick(struct control *);
+/** control_log_member() - log what happened to a member */
+void
+control_log_member(struct control *, const struct member *, enum member_event);
 void control_member_start(struct control *);
 void control_start_rediscovery(struct control *);
 /* Adds the member that an instance object names; if the object was removed,
--- a/src/daemon/control/member.c
+++ b/src/daemon/control/member.c
@@ -38,26 +38,6 @@
 	sendto(c->udp_fd, buf, n, 0, (struct sockaddr *)&sa, sizeof sa);
 }
 
-static void
-log_member(struct control *c, const struct member *m, enum member_event ev)
-{
-	static const enum event numbers[] = {
-		[MEMBER_EVENT_JOINED] = EVENT_MEMBER_JOINED,
-		[MEMBER_EVENT_SUSPECTED] = EVENT_MEMBER_SUSPECTED,
-		[MEMBER_EVENT_ALIVE] = EVENT_MEMBER_ALIVE,
-		[MEMBER_EVENT_DEAD] = EVENT_MEMBER_DEAD,
-		[MEMBER_EVENT_LEFT] = EVENT_MEMBER_LEFT,
-	};
-	static const char *const words[] = { "joined", "suspected", "alive",
-		"dead", "left" };
-
-	if (ev >= MEMBER_EVENT_SERVICE)
-		return;
-	log_event(numbers[ev], G_LOG_LEVEL_INFO, control_now(c),
-	    "member %s incarnation=%016" G_GINT64_MODIFIER "x datacentre=%s",
-	    words[ev], m->info.id, m->info.datacentre);
-}
-
 /* The other members consider that this incarnation has left, which is final:
  * only a new incarnation can join, so this process stops gracefully, to be
  * restarted. */
@@ -76,7 +56,7 @@
 	struct control *c = ctx;
 	const struct member *m = member_at(c->members, handle);
 
-	log_member(c, m, ev);
+	control_log_member(c, m, ev);
 	if (handle == 0 && ev == MEMBER_EVENT_LEFT && !c->leaving)
 		stop_declared_left(c);
 	if (ev == MEMBER_EVENT_FORGOTTEN) {
@@ -88,7 +68,7 @@
 	if (ev == MEMBER_EVENT_SUSPECTED || ev == MEMBER_EVENT_ALIVE)
 		data_set_suspected(c->data, m->info.id,
 		    ev == MEMBER_EVENT_SUSPECTED);
-	if (ev != MEMBER_EVENT_SUSPECTED)
+	if (ev != MEMBER_EVENT_SUSPECTED && ev < MEMBER_EVENT_CHECK_ANSWERED)
 		c->view_dirty = 1;
 }
 
--- a/src/daemon/control/metrics.c
+++ b/src/daemon/control/metrics.c
@@ -68,6 +68,9 @@
 	    m.probes_failed);
 	counter(t, "member_checks_total", "Checks of members found silent",
 	    m.checks);
+	counter(t, "member_checks_unconfirmed_total",
+	    "Of these, checks without word of another member",
+	    m.checks_unconfirmed);
 	counter(t, "member_suspected_total", "Members suspected", m.suspected);
 	counter(t, "member_refuted_total", "Suspicions of us refuted",
 	    m.refuted);
--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -133,6 +133,7 @@
 struct suspicion {
 	uint64_t incarnation;
 	int suspected;
+	int64_t at;
 };
 
 static void
@@ -140,14 +141,14 @@
 {
 	struct suspicion *s = message;
 
-	outbound_set_suspected(ctx, s->incarnation, s->suspected);
+	outbound_set_suspected(ctx, s->incarnation, s->suspected, s->at);
 	g_free(s);
 }
 
 void
 data_set_suspected(struct data *d, uint64_t incarnation, int suspected)
 {
-	struct suspicion s = { incarnation, suspected };
+	struct suspicion s = { incarnation, suspected, io_clock() };
 
 	task_post(&d->task, suspect, d, g_memdup2(&s, sizeof s));
 }
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -176,7 +176,8 @@
 void out_peer_retire(struct out_peer *);
 /** outbound_set_suspected() - set whether an instance is suspected; new calls
  * avoid it while it is */
-void outbound_set_suspected(struct data *, uint64_t incarnation, int suspected);
+void outbound_set_suspected(struct data *, uint64_t incarnation, int suspected,
+    int64_t at);
 /** outbound_silence_start() - start the checks for peers that do not answer */
 void outbound_silence_start(struct data *);
 /** out_service_probe() - probe a candidate of a service if one is due */
--- a/src/daemon/outbound/silence.c
+++ b/src/daemon/outbound/silence.c
@@ -79,16 +79,37 @@
 }
 
 void
-outbound_set_suspected(struct data *d, uint64_t incarnation, int suspected)
+outbound_set_suspected(struct data *d, uint64_t incarnation, int suspected,
+    int64_t at)
 {
 	struct out_peer *p = g_hash_table_lookup(d->peers, &incarnation);
+	int64_t now = data_now(d);
 
 	if (!p)
 		return;
 	p->suspected = suspected;
-	if (suspected && p->service)
-		pick_note_unresponsive(p->service->pick, p->handle,
-		    data_now(d));
+	if (!suspected)
+		return;
+	log_event(EVENT_PEER_SUSPECTED, G_LOG_LEVEL_INFO, now,
+	    "new calls avoid a suspected instance "
+	    "incarnation=%016" G_GINT64_MODIFIER "x after_us=%" G_GINT64_FORMAT,
+	    incarnation, now - at);
+	if (p->service)
+		pick_note_unresponsive(p->service->pick, p->handle, now);
+}
+
+static void
+ask_check(struct out_peer *p, int64_t now)
+{
+	struct data *d = p->data;
+
+	log_event(EVENT_PEER_SILENT, G_LOG_LEVEL_INFO, now,
+	    "instance silent, members check it "
+	    "incarnation=%016" G_GINT64_MODIFIER "x silent_us=%" G_GINT64_FORMAT
+	    " attempts=%u",
+	    p->incarnation, now - peer_last_record_time(p->conn),
+	    g_hash_table_size(p->attempts));
+	d->events->peer_silent(d->events_ctx, p->incarnation);
 }
 
 /* Probes a silent peer. While the probe is unanswered, new calls avoid the
@@ -113,8 +134,7 @@
 		pick_note_unresponsive(p->service->pick, p->handle, now);
 	if (now - p->probed_at > CHECK_AFTER_US && !p->check_asked) {
 		p->check_asked = 1;
-		p->data->events->peer_silent(p->data->events_ctx,
-		    p->incarnation);
+		ask_check(p, now);
 	}
 	if (now - p->probed_at > CLOSE_AFTER_US) {
 		log_event(EVENT_PEER_TIMEOUT, G_LOG_LEVEL_WARNING, now,
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -182,6 +182,9 @@
 	MEMBER_EVENT_LEFT,
 	MEMBER_EVENT_SERVICE, /* the service of its target changed */
 	MEMBER_EVENT_CONFIRMED, /* @confirmed was set */
+	MEMBER_EVENT_CHECK_ANSWERED, /* to us or to a helper */
+	MEMBER_EVENT_CHECK_UNCONFIRMED, /* nobody said that it is silent */
+	MEMBER_EVENT_CHECK_FAILED, /* it becomes suspect, if it is not yet */
 	MEMBER_EVENT_FORGOTTEN /* its row is removed next, its handle freed */
 };
 
@@ -246,6 +249,7 @@
 	uint64_t probes;
 	uint64_t probes_failed;
 	uint64_t checks; /* of members found silent */
+	uint64_t checks_unconfirmed; /* of these, without word of another */
 	uint64_t suspected;
 	uint64_t refuted; /* suspicions of us that we refuted */
 	uint64_t died;
