outbound: an attempt whose caller gave up is logged

When a caller closed its connection, event 510 told that it was gone and no event told which instance had left the request unanswered, so that a request lost at a silent member could not be assigned to that member's suspicion (docs/incidents/silent-members.md). Event 511 with outcome=caller-gone does. No logic is changed.

--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -142,8 +142,12 @@
 	if (!c)
 		return;
 	c->exchange = NULL;
-	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++) {
+		if (c->attempt[i].state != ATTEMPT_UNUSED)
+			outbound_log_attempt(&c->attempt[i], "caller-gone", 0,
+			    NULL);
 		outbound_attempt_cancel(&c->attempt[i]);
+	}
 	outbound_call_free(c);
 }
 
