--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -8,6 +8,9 @@
 #define HEALTH_MAX 8 /* highest, i.e. worst, local health score (Lifeguard) */
 /* Times an update is sent, multiplied by member_log10_size(). */
 #define SEND_FACTOR 4
+/* The same for a suspicion: when many members fail at once, part of these
+ * sends go to members that are silent and not yet suspected. */
+#define SUSPECT_SEND_FACTOR 8
 /* Largest probe, JOIN, PULL or answer with queued updates, in bytes. Other
  * messages are limited by limits.datagram_bytes. */
 #define PIGGYBACK_BYTES 512
@@ -33,6 +36,7 @@
  *              has this row's update
  * @sends: times the state was sent since it was last queued
  * @with_info: nonzero if queued updates carry the whole info
+ * @checked: nonzero while we check it as callers found it silent
  * @check_at: time at which a suspect is pinged once more
  * @dead_at: time at which a suspect is declared dead
  */
@@ -44,6 +48,7 @@
 	int in_message;
 	int sends;
 	int with_info;
+	int checked;
 	int64_t check_at;
 	int64_t dead_at;
 };
@@ -75,12 +80,14 @@
  * struct check - a check of a member that callers found silent
  * @acked: nonzero once the member or a helper has sent an ACK
  * @nacked: nonzero once a helper has answered NACK
+ * @rounds: times that helpers were asked, 0 while the member got a ping alone
  * @seq: sequence number that the answers must carry
  * @probed: incarnation of the member, 0 if the entry is unused
  */
 struct check {
 	int acked;
 	int nacked;
+	int rounds;
 	uint32_t seq;
 	uint64_t probed;
 	int64_t ends_at;
@@ -213,7 +220,11 @@
 void member_confirm(struct member_table *, int handle);
 void member_shuffle(struct member_table *, GArray *handles);
 /** member_sample() - choose up to @k different live members at random, none of
- * which is @except; returns their count */
+ * which is @except; returns their count
+ *
+ * Suspects and members that are being checked are chosen only if there are no
+ * others.
+ */
 int member_sample(struct member_table *, int except, int k, int *handle);
 
 /* row.c */
--- a/src/core/member/queue.c
+++ b/src/core/member/queue.c
@@ -35,23 +35,26 @@
 	return 0;
 }
 
-/* Times that an update is sent before it is removed from the queue. */
+/* Times that a row's state is sent before it is removed from the queue. */
 static int
-send_limit(const struct member_table *t)
+send_limit(const struct member_table *t, const struct row *r)
 {
-	return (int)ceil(SEND_FACTOR * member_log10_size(t));
+	int factor =
+	    r->m.state == MEMBER_SUSPECT ? SUSPECT_SEND_FACTOR : SEND_FACTOR;
+
+	return (int)ceil(factor * member_log10_size(t));
 }
 
 /* Removes the rows from the queue whose state was sent often enough. */
 static void
-remove_sent(struct member_table *t, int limit)
+remove_sent(struct member_table *t)
 {
 	guint i = 0;
 
 	while (i < t->queue->len) {
 		struct row *r = member_row(t, g_array_index(t->queue, int, i));
 
-		if (r->sends < limit) {
+		if (r->sends < send_limit(t, r)) {
 			i++;
 			continue;
 		}
@@ -65,7 +68,8 @@
 member_piggyback(struct member_table *t, struct member_message *msg,
     size_t bytes)
 {
-	int level, limit = send_limit(t);
+	int limit = (int)ceil(SUSPECT_SEND_FACTOR * member_log10_size(t));
+	int level;
 	guint i, n = t->queue->len;
 	int full = 0;
 
@@ -87,5 +91,5 @@
 	}
 	for (i = 0; i < n; i++)
 		member_row(t, g_array_index(t->queue, int, i))->in_message = 0;
-	remove_sent(t, limit);
+	remove_sent(t);
 }
--- a/src/core/member/random.c
+++ b/src/core/member/random.c
@@ -35,8 +35,17 @@
 	}
 }
 
-int
-member_sample(struct member_table *t, int except, int k, int *handle)
+/* Whether messages are expected to reach a member. */
+static int
+seems_reachable(const struct member_table *t, int handle)
+{
+	const struct row *r = member_row(t, handle);
+
+	return r->m.state == MEMBER_ALIVE && !r->checked;
+}
+
+static int
+sample(struct member_table *t, int except, int k, int reachable, int *handle)
 {
 	int i, n = 0, tries = k * SAMPLE_TRIES;
 
@@ -44,10 +53,20 @@
 		int h = g_array_index(t->live, int,
 		    member_random_below(t, t->live->len));
 
+		if (h == except || (reachable && !seems_reachable(t, h)))
+			continue;
 		for (i = 0; i < n && handle[i] != h; i++)
 			;
-		if (i == n && h != except)
+		if (i == n)
 			handle[n++] = h;
 	}
 	return n;
 }
+
+int
+member_sample(struct member_table *t, int except, int k, int *handle)
+{
+	int n = sample(t, except, k, 1, handle);
+
+	return n ? n : sample(t, except, k, 0, handle);
+}
