Stop: what can't be finished is refused at once, the rest gets an answer

What callers saw: in a planned stop in calm with work of 4.5 s (grace_s 6, leave_ms 2600), requests that came 1.1 to 2.6 s after SIGTERM were taken, passed on and cut with no answer 5.6 s after it; callers of other daemons whose requests ran at the stopping daemon's target got 504 or 502 then.

Cause: nothing compared the time that a request needs with the time that is left. Class: work taken that the time left can't hold. From SIGTERM on the end of the process is known (struct leave_plan, made once). Each start of an attempt (first ones, also after a late body, retries, hedges) and each start at the target asks leave_fits(): its deadline lies before the end, or the usual time of its route, with its spread, fits in. Requests that wait for their body, in the queue or for the configuration are asked again each 50 ms. What does not fit is refused as not run: 503 for callers, "draining" for other daemons, which try another target free of charge, each at most once, and which older daemons know. Repeats by id are always taken; at the target one that never ran is refused for good, so that its "not run" stays true.

0.1 s before the end what still runs is ended with an answer: 504 for callers, "unknown" for other daemons. Those that wait are ended first, since the end of a running one would start them. A reload no longer moves a stop that is under way, and leave_ms is shortened where grace_s leaves no time after it.

Event 106 and four counters tell what a stop refused and ended; events 510 and 512 give the reason of each. Logs lacked all of it.

--- /dev/null
+++ b/src/core/leave/plan.c
@@ -0,0 +1,31 @@
+#include "leave.h"
+
+#define EXIT_US 400000 /* the process ends this long before it is killed */
+#define ANSWER_US 100000 /* for the last answers to be sent */
+/* At least this long is left to finish requests after the ports have closed. */
+#define FINISH_US 500000
+#define WAY_US 50000 /* of a request and its answer */
+
+void
+leave_plan_init(struct leave_plan *p, int64_t now, int64_t serve_us,
+    int64_t grace_us)
+{
+	p->end = now + (grace_us > EXIT_US ? grace_us - EXIT_US : 0);
+	p->answer_by = p->end - ANSWER_US;
+	if (p->answer_by < now)
+		p->answer_by = now;
+	p->serve_until = p->answer_by - FINISH_US;
+	if (p->serve_until > now + serve_us)
+		p->serve_until = now + serve_us;
+	if (p->serve_until < now)
+		p->serve_until = now;
+}
+
+int
+leave_fits(const struct leave_plan *p, int64_t now, int64_t deadline,
+    int64_t usual_us)
+{
+	if (!p->end || deadline <= p->answer_by)
+		return 1;
+	return usual_us && now + usual_us + WAY_US <= p->answer_by;
+}
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -211,17 +211,14 @@
 leave_step(void *ctx, int64_t now)
 {
 	struct control *c = ctx;
-	int64_t since = now - c->leave_started;
-	int64_t serve = c->settings.leave_ms * INT64_C(1000);
-	int64_t limit = (int64_t)(c->settings.grace_s * 1e6) - LEAVE_MARGIN_US;
+	int closed = now >= c->leave.serve_until;
 
-	if (since >= serve - LEAVE_ANNOUNCE_US)
+	if (now >= c->leave.serve_until - LEAVE_ANNOUNCE_US)
 		announce_leave(c);
-	if (since >= serve && c->data_drained < 1)
+	if (closed && c->data_drained < 1)
 		data_drain(c->data);
-	if ((c->data_drained && since >= serve &&
-		c->registration != REG_WRITING) ||
-	    since >= limit) {
+	if ((c->data_drained && closed && c->registration != REG_WRITING) ||
+	    now >= c->leave.end) {
 		c->leave_done(c->leave_ctx);
 		return;
 	}
@@ -236,15 +233,17 @@
 	if (c->leaving)
 		return;
 	c->leaving = 1;
-	c->leave_started = control_now(c);
+	leave_plan_init(&c->leave, control_now(c),
+	    c->settings.leave_ms * INT64_C(1000),
+	    (int64_t)(c->settings.grace_s * 1e6));
 	log_event(EVENT_STOPPING, G_LOG_LEVEL_MESSAGE, control_now(c),
 	    "stopping: callers are told to use other daemons, requests in flight"
 	    " are finished leave_ms=%d grace_s=%.1f",
 	    c->settings.leave_ms, c->settings.grace_s);
-	data_end_keepalive(c->data);
+	data_leave(c->data, &c->leave);
 	c->leave_timer.fire = leave_step;
 	c->leave_timer.ctx = c;
-	leave_step(c, c->leave_started);
+	leave_step(c, control_now(c));
 }
 
 static void
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -7,6 +7,7 @@
 #include "crash.h"
 #include "dialect.h"
 #include "daemon/control/control.h"
+#include "leave.h"
 #include "log.h"
 #include "member.h"
 #include "member_codec.h"
@@ -31,7 +32,6 @@
 #define REDISCOVER_US 5000000
 #define LEAVE_ANNOUNCE_US 300000 /* members are told before the ports close */
 #define LEAVE_STEP_US 20000
-#define LEAVE_MARGIN_US 400000 /* exit this long before being killed */
 
 enum registration { REG_NONE, REG_WRITING, REG_DONE, REG_REMOVED };
 
@@ -161,7 +161,7 @@
 	int leaving;
 	int leave_announced;
 	int data_drained; /* the data task has nothing in flight */
-	int64_t leave_started;
+	struct leave_plan leave;
 	struct io_timer leave_timer;
 	void (*leave_done)(void *ctx);
 	void *leave_ctx;
--- a/src/daemon/data/data.c
+++ b/src/daemon/data/data.c
@@ -128,7 +128,7 @@
 	d->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 	    out_peer_free);
 	d->out_calls = g_hash_table_new(g_direct_hash, g_direct_equal);
-	d->route_sequences =
+	d->out_routes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->ramps = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	d->conns = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -195,23 +195,32 @@
 	task_start(&d->task);
 }
 
-static void
-abort_calls(struct data *d)
+static struct in_call *
+find_call(struct data *d, int at_target)
 {
 	GHashTableIter it;
 	struct in_call *c;
 	gpointer v;
 
-	for (;;) {
-		g_hash_table_iter_init(&it, d->in_calls);
-		if (!g_hash_table_iter_next(&it, NULL, &v))
-			return;
+	g_hash_table_iter_init(&it, d->in_calls);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		c = v;
-		if (c->target_call)
-			inbound_abort_run(c);
-		else
-			inbound_abandon_call(c);
+		if (!c->target_call == !at_target)
+			return c;
 	}
+	return NULL;
+}
+
+/* Those that wait come first: the end of a running one would start them. */
+static void
+abort_calls(struct data *d)
+{
+	struct in_call *c;
+
+	while ((c = find_call(d, 0)))
+		inbound_abandon_call(c);
+	while ((c = find_call(d, 1)))
+		inbound_abort_run(c);
 }
 
 void
@@ -219,6 +228,9 @@
 {
 	task_stop(&d->task);
 	d->stopped = 1;
+	if (d->leave.end)
+		data_end_calls(d);
+	data_log_leave(d);
 	abort_calls(d);
 	if (d->server)
 		http_server_free(d->server);
@@ -231,6 +243,7 @@
 	io_timer_clear(d->task.loop, &d->ramp_timer);
 	io_timer_clear(d->task.loop, &d->silence_timer);
 	io_timer_clear(d->task.loop, &d->drain_timer);
+	io_timer_clear(d->task.loop, &d->leave_timer);
 	io_timer_clear(d->task.loop, &d->pause_timer);
 	io_timer_clear(d->task.loop, &d->switch_timer);
 	inbound_stop_end_check(d);
@@ -244,7 +257,7 @@
 	g_hash_table_unref(d->services);
 	g_hash_table_unref(d->out_calls);
 	g_hash_table_unref(d->ramps);
-	g_hash_table_unref(d->route_sequences);
+	g_hash_table_unref(d->out_routes);
 	g_hash_table_unref(d->conns);
 	g_hash_table_unref(d->in_calls);
 	g_hash_table_unref(d->route_work);
--- a/src/daemon/data/data.h
+++ b/src/daemon/data/data.h
@@ -63,6 +63,7 @@
 struct config_batch;
 struct config_pull;
 struct crash_news;
+struct leave_plan;
 struct data_events {
 	void (
 	    *config_behind)(void *ctx, uint64_t version, uint64_t incarnation);
@@ -95,9 +96,10 @@
 void data_drain_target(struct data *);
 /** data_set_settings() - apply reloaded settings, copied */
 void data_set_settings(struct data *, const struct settings *);
-/** data_end_keepalive() - close the connection of each caller after its next
- * response, so that callers connect elsewhere; requests are still served */
-void data_end_keepalive(struct data *);
+/** data_leave() - close the connection of each caller after its next response,
+ * so that callers connect elsewhere; requests are still served, except those
+ * that can't be finished within the plan, copied */
+void data_leave(struct data *, const struct leave_plan *);
 /** data_set_suspected() - set whether an instance is suspected to have failed
  */
 void data_set_suspected(struct data *, uint64_t incarnation, int suspected);
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -9,6 +9,7 @@
 #include "dialect.h"
 #include "histogram.h"
 #include "http.h"
+#include "leave.h"
 #include "once.h"
 #include "pace.h"
 #include "peer.h"
@@ -74,6 +75,10 @@
 	uint64_t probes; /* sent to other daemons */
 	uint64_t target_ends; /* of the target, while it ran requests */
 	uint64_t crash_refused; /* requests that crash targets */
+	uint64_t leave_refused; /* requests that did not fit into a stop */
+	uint64_t leave_ended; /* calls that ran when a stop ended them */
+	uint64_t in_leave_refused;
+	uint64_t in_leave_ended;
 };
 
 struct data {
@@ -90,15 +95,17 @@
 	uint32_t pause_number; /* number of the last pause of this task */
 	int suspended; /* paused and has not caught up since */
 	int draining; /* the daemon is stopping */
+	int calls_ended; /* data_end_calls() has run */
 	int64_t drain_started;
 	struct io_timer drain_timer;
 	int drained_sent; /* the drained event was sent */
 	int stopped; /* the task has ended and is being freed */
+	struct leave_plan leave;
+	struct io_timer leave_timer;
 
 	struct http_server *server;
 	GHashTable *services; /* name to struct out_service */
-	GHashTable
-	    *route_sequences; /* host and prefix to struct route_sequence */
+	GHashTable *out_routes; /* host and prefix to struct out_route */
 	GHashTable *peers; /* incarnation to struct out_peer */
 	int64_t body_bytes; /* request body bytes held in memory */
 	GHashTable *out_calls; /* set of struct out_call */
@@ -128,6 +135,7 @@
 	struct pace pace; /* of the target's machine */
 	struct knee knee; /* of the target */
 	GHashTable *route_work; /* host and prefix to struct work */
+	struct answer_time target_time; /* at the target, without a route */
 	struct http_pool *pool; /* for requests to the target */
 	struct http_pool *measure_pool; /* one connection, for measurements */
 	struct crash_table *crashes;
@@ -187,5 +195,13 @@
  * or the daemon to be idle: switch to the next target, send the target_idle and
  * drained events */
 void data_check_drained(struct data *);
+/** data_leave_fits() - whether a request that starts now can be finished before
+ * this daemon ends; always while it was not told to stop */
+int
+data_leave_fits(struct data *, int64_t deadline, const struct answer_time *);
+/** data_end_calls() - end all calls in flight with an answer; only once */
+void data_end_calls(struct data *);
+/** data_log_leave() - write to the log what a stop refused and ended */
+void data_log_leave(struct data *);
 
 #endif
--- /dev/null
+++ b/src/daemon/data/leave.c
@@ -0,0 +1,74 @@
+#include "daemon/inbound/inbound.h"
+#include "daemon/outbound/outbound.h"
+#include "log.h"
+
+#define CHECK_US 50000 /* between checks for requests that no longer fit */
+
+void
+data_end_calls(struct data *d)
+{
+	if (d->calls_ended)
+		return;
+	d->calls_ended = 1;
+	outbound_end_calls(d);
+	inbound_end_calls(d);
+}
+
+static void
+leave_due(void *ctx, int64_t now)
+{
+	struct data *d = ctx;
+
+	if (now >= d->leave.answer_by) {
+		data_end_calls(d);
+		return;
+	}
+	outbound_refuse_late(d);
+	inbound_refuse_late(d);
+	io_timer_set(d->task.loop, &d->leave_timer,
+	    MIN(now + CHECK_US, d->leave.answer_by));
+}
+
+static void
+leave(void *ctx, void *message)
+{
+	struct data *d = ctx;
+
+	d->leave = *(struct leave_plan *)message;
+	g_free(message);
+	http_server_disable_keepalive(d->server);
+	d->leave_timer.fire = leave_due;
+	d->leave_timer.ctx = d;
+	leave_due(d, data_now(d));
+}
+
+void
+data_leave(struct data *d, const struct leave_plan *p)
+{
+	task_post(&d->task, leave, d, g_memdup2(p, sizeof *p));
+}
+
+int
+data_leave_fits(struct data *d, int64_t deadline, const struct answer_time *t)
+{
+	return leave_fits(&d->leave, data_now(d), deadline,
+	    answer_time_most(t));
+}
+
+void
+data_log_leave(struct data *d)
+{
+	const struct counters *n = &d->counters;
+	uint64_t ended = n->leave_ended + n->in_leave_ended;
+
+	if (!d->leave.end)
+		return;
+	log_event(EVENT_STOP_CALLS,
+	    ended ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE, data_now(d),
+	    "requests that the stop refused, not run, and that it ended while "
+	    "they ran refused=%" G_GUINT64_FORMAT
+	    " refused_peers=%" G_GUINT64_FORMAT " ended=%" G_GUINT64_FORMAT
+	    " ended_peers=%" G_GUINT64_FORMAT,
+	    n->leave_refused, n->in_leave_refused, n->leave_ended,
+	    n->in_leave_ended);
+}
--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -116,20 +116,6 @@
 	task_post(&d->task, set_settings, d, g_memdup2(s, sizeof *s));
 }
 
-static void
-close_callers(void *ctx, void *message)
-{
-	struct data *d = ctx;
-
-	http_server_disable_keepalive(d->server);
-}
-
-void
-data_end_keepalive(struct data *d)
-{
-	task_post(&d->task, close_callers, d, NULL);
-}
-
 struct suspicion {
 	uint64_t incarnation;
 	int suspected;
--- a/src/daemon/data/report.c
+++ b/src/daemon/data/report.c
@@ -88,6 +88,17 @@
 	    "Ends of the target while it ran requests", c->target_ends);
 	write_counter(t, "crashing_refused_total",
 	    "Requests refused as they crash targets", c->crash_refused);
+	write_counter(t, "stop_refused_total",
+	    "Calls not run, as they did not fit into the stop",
+	    c->leave_refused);
+	write_counter(t, "stop_ended_total",
+	    "Calls in flight that the stop ended", c->leave_ended);
+	write_counter(t, "inbound_stop_refused_total",
+	    "Calls from daemons not run, as they did not fit into the stop",
+	    c->in_leave_refused);
+	write_counter(t, "inbound_stop_ended_total",
+	    "Calls from daemons in flight that the stop ended",
+	    c->in_leave_ended);
 	write_gauge(t, "crashing_requests", "Requests known to crash targets",
 	    crash_count(d->crashes, 1, data_now(d)));
 	write_gauge(t, "suspect_requests",
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -43,9 +43,11 @@
 	const char *host = r ? head_copy_find(&c->head, "Host") : NULL;
 	int i = host ? routing_find(r, host, c->head.path) : ROUTE_NONE;
 
+	c->time = &c->data->target_time;
 	if (i == ROUTE_NONE)
 		return;
 	c->work = work_of_route(c->data, r, i);
+	c->time = &c->work->time;
 	c->rank = r->route[i].priority;
 	c->default_need_us =
 	    r->route[i].objective_ms * INT64_C(1000) / OBJECTIVE_DIVISOR;
@@ -246,6 +248,10 @@
 
 	if (!c->idempotent && !claim_run(c))
 		return;
+	if (!inbound_fits(c)) {
+		inbound_refuse_leaving(c);
+		return;
+	}
 	if (inbound_crashes_targets(c)) {
 		inbound_refuse_call(c, WIRE_REASON_CRASHES);
 		return;
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -61,6 +61,7 @@
  *	without
  * @queue_handle: handle in the admission queue while IN_QUEUED
  * @work: usual time of the route's requests at the target, NULL without a route
+ * @time: time of such requests at the target at whatever pace
  * @default_need_us: time at the target to expect by the route's objective,
  *	while too little is known in @work
  * @need_us: time expected at the target, microseconds; 0 when not known
@@ -119,6 +120,7 @@
 	uint32_t queue_handle;
 	struct admit_run run;
 	struct work *work;
+	struct answer_time *time;
 	int64_t default_need_us;
 	int64_t need_us;
 	int rank;
@@ -185,6 +187,18 @@
 /** inbound_conn_closed() - abandon the calls of a closed connection, and free
  * it */
 void inbound_conn_closed(struct data *, struct peer_conn *);
+/** inbound_fits() - whether the request, sent to the target now, can be
+ * finished before this daemon ends */
+int inbound_fits(const struct in_call *);
+/** inbound_refuse_leaving() - refuse a call that was not sent to the target and
+ * can't be finished before this daemon ends; frees it */
+void inbound_refuse_leaving(struct in_call *);
+/** inbound_refuse_late() - refuse the waiting calls that can't be finished any
+ * more before this daemon ends */
+void inbound_refuse_late(struct data *);
+/** inbound_end_calls() - end all calls that outbound sides wait for, as this
+ * daemon ends */
+void inbound_end_calls(struct data *);
 /** inbound_process_queue() - run or refuse the calls that leave the admission
  * queue now, and set the timer for the next ones */
 void inbound_process_queue(struct data *);
@@ -255,6 +269,9 @@
 /** inbound_pace_reading_failed() - stop waiting for the reading of the pace
  * that was asked for */
 void inbound_pace_reading_failed(struct data *);
+/** inbound_note_latency() - record the time at the target for the route, and
+ * for detecting whether the target slows down when nearly full */
+void inbound_note_latency(struct in_call *);
 /** inbound_abort_run() - abort the request to the target at once; frees the
  * call */
 void inbound_abort_run(struct in_call *);
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -168,28 +168,6 @@
 	inbound_forward_answer(c, p, n, 0, 0);
 }
 
-/* Records the time at the target for the route, and for detecting whether the
- * target slows down when nearly full. */
-static void
-note_latency(struct in_call *c)
-{
-	struct data *d = c->data;
-	double us = (double)(data_now(d) - c->target_started);
-
-	if (!c->work || c->answer_status >= 300)
-		return;
-	if (knee_note_time(&d->knee, c->work, us, c->begun_pace,
-		c->begun_in_flight, d->target.slots)) {
-		log_event(EVENT_TARGET_KNEE, G_LOG_LEVEL_INFO, data_now(d),
-		    "target slows down when nearly full id=%s limit=%d slots=%d "
-		    "low=%.2f high=%.2f",
-		    d->target.id, knee_limit(&d->knee, d->target.slots),
-		    d->target.slots, d->knee.low, d->knee.high);
-		admit_set_knee(d->admit, knee_limit(&d->knee, d->target.slots));
-	}
-	work_note_time(c->work, us, c->begun_pace);
-}
-
 static void
 target_done(void *ctx)
 {
@@ -205,7 +183,7 @@
 	}
 	inbound_trace_target(c, "whole");
 	histogram_add(&d->target_us, data_now(d) - c->target_started);
-	note_latency(c);
+	inbound_note_latency(c);
 	data_note_answered(d, c->digest);
 	o = c->answer_status == 500 || c->answer_status == 503 ? ADMIT_FAILED
 							       : ADMIT_GOOD;
@@ -279,7 +257,7 @@
 	else
 		inbound_reply_outcome(c,
 		    c->was_sent ? WIRE_UNKNOWN : WIRE_NOT_RUN,
-		    WIRE_REASON_LOST);
+		    d->calls_ended ? WIRE_REASON_DRAINING : WIRE_REASON_LOST);
 	inbound_process_queue(d);
 }
 
@@ -382,6 +360,12 @@
 		reply_not_sent(c, now, WIRE_REASON_PAUSED);
 		return;
 	}
+	if (!inbound_fits(c)) {
+		d->counters.in_leave_refused++;
+		reply_not_sent(c, now, WIRE_REASON_DRAINING);
+		inbound_process_queue(d);
+		return;
+	}
 	if (inbound_crashes_targets(c)) {
 		reply_not_sent(c, now, WIRE_REASON_CRASHES);
 		inbound_process_queue(d);
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -81,6 +81,20 @@
 	outbound_call_free(c);
 }
 
+void
+outbound_answer_unknown(struct out_call *c)
+{
+	const char *reason = wire_reason_name(c->reason);
+
+	if (!c->idempotent)
+		log_event(EVENT_OUTCOME_UNKNOWN, G_LOG_LEVEL_WARNING,
+		    data_now(c->data),
+		    "outcome unknown service=%s request_id=%s reason=%s",
+		    c->service->conf.name, c->id, reason);
+	outbound_answer_error(c, 504, "unknown", reason,
+	    "no whole answer was received; the request may have run\n");
+}
+
 void
 outbound_give_up_call(struct out_call *c)
 {
@@ -109,13 +123,7 @@
 		    "the request failed on each target tried\n");
 		return;
 	}
-	if (!c->idempotent)
-		log_event(EVENT_OUTCOME_UNKNOWN, G_LOG_LEVEL_WARNING,
-		    data_now(c->data),
-		    "outcome unknown service=%s request_id=%s reason=%s",
-		    c->service->conf.name, c->id, reason);
-	outbound_answer_error(c, 504, "unknown", reason,
-	    "no whole answer was received; the request may have run\n");
+	outbound_answer_unknown(c);
 }
 
 /* Starts another attempt, at no cost in retry budget if @is_free; ends the call
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -84,7 +84,7 @@
 	struct out_service *s = c->service;
 	struct out_peer *p;
 
-	if (!a || c->body_base)
+	if (!a || c->body_base || !outbound_fits(c))
 		return -1;
 	if (crashes_targets(c, now)) {
 		c->reason = WIRE_REASON_CRASHES;
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -45,7 +45,12 @@
 {
 	int64_t delay;
 
+	if (!outbound_fits(c)) {
+		outbound_refuse_leaving(c);
+		return -1;
+	}
 	c->state = OUT_TRYING;
+	c->tried_at = data_now(c->data);
 	if (outbound_start_attempt(c)) {
 		if (c->reason != WIRE_REASON_CRASHES)
 			c->reason = WIRE_REASON_NO_TARGET;
--- /dev/null
+++ b/src/daemon/outbound/leave.c
@@ -0,0 +1,71 @@
+#include "daemon/outbound/outbound.h"
+
+/* A repeat always goes on: its earlier run may have an answer already. */
+int
+outbound_fits(const struct out_call *c)
+{
+	return c->repeat || data_leave_fits(c->data, c->deadline, c->time);
+}
+
+void
+outbound_refuse_leaving(struct out_call *c)
+{
+	c->data->counters.leave_refused++;
+	c->reason = WIRE_REASON_DRAINING;
+	outbound_give_up_call(c);
+}
+
+/* Calls @fn for each call; it may end that call and others. */
+static void
+for_each_call(struct data *d, void (*fn)(struct out_call *))
+{
+	guint i, n;
+	gpointer *call = g_hash_table_get_keys_as_array(d->out_calls, &n);
+
+	for (i = 0; i < n; i++)
+		if (g_hash_table_contains(d->out_calls, call[i]))
+			fn(call[i]);
+	g_free(call);
+}
+
+static void
+refuse_late(struct out_call *c)
+{
+	if (c->state == OUT_READING && !outbound_fits(c))
+		outbound_refuse_leaving(c);
+}
+
+void
+outbound_refuse_late(struct data *d)
+{
+	for_each_call(d, refuse_late);
+}
+
+/* An attempt that waits for its connection has not run. */
+static void
+end_call(struct out_call *c)
+{
+	int i, sent = 0;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++) {
+		sent |= c->attempt[i].state == ATTEMPT_SENT;
+		if (c->attempt[i].state == ATTEMPT_WAITING)
+			outbound_attempt_cancel(&c->attempt[i]);
+	}
+	if (!sent && !c->may_have_run) {
+		outbound_refuse_leaving(c);
+		return;
+	}
+	c->data->counters.leave_ended++;
+	c->reason = WIRE_REASON_DRAINING;
+	if (c->state == OUT_ANSWERING)
+		outbound_give_up_call(c);
+	else
+		outbound_answer_unknown(c);
+}
+
+void
+outbound_end_calls(struct data *d)
+{
+	for_each_call(d, end_call);
+}
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -20,6 +20,13 @@
 	struct retry retry;
 	GHashTable *by_handle; /* pick handle to struct out_peer */
 	int called; /* a call came; new candidates are connected in advance */
+	struct answer_time time; /* of calls without a route */
+};
+
+/* What is kept of a route between configurations. */
+struct out_route {
+	struct route_sequence sequence;
+	struct answer_time time; /* from the first attempt */
 };
 
 /* Another daemon and the connection to it, for calls and for pulls of the
@@ -74,6 +81,8 @@
 	struct head_copy head;
 	enum out_state state;
 	int64_t started;
+	int64_t tried_at; /* start of the first attempt */
+	struct answer_time *time; /* of its route or service */
 	int64_t deadline;
 	int idempotent;
 	int priority; /* 0 is the highest */
@@ -137,6 +146,20 @@
 /** outbound_give_up_call() - end a call that no open attempt can answer any
  * more; frees it */
 void outbound_give_up_call(struct out_call *);
+/** outbound_answer_unknown() - end a call that may have run and has no whole
+ * answer; frees it */
+void outbound_answer_unknown(struct out_call *);
+/** outbound_fits() - whether an attempt that starts now can be finished before
+ * this daemon ends */
+int outbound_fits(const struct out_call *);
+/** outbound_refuse_leaving() - end a call that can't be finished before this
+ * daemon ends; frees it */
+void outbound_refuse_leaving(struct out_call *);
+/** outbound_refuse_late() - refuse the calls without an attempt that can't be
+ * finished any more before this daemon ends */
+void outbound_refuse_late(struct data *);
+/** outbound_end_calls() - end all calls, as this daemon ends */
+void outbound_end_calls(struct data *);
 /** outbound_call_free() - write the log line and span of a call, and free it */
 void outbound_call_free(struct out_call *);
 /* The next five each handle a message from a peer; one that belongs to no open
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -24,6 +24,8 @@
 	outbound_attempt_clear(a);
 	if (outcome == PICK_GOOD)
 		retry_success(&c->service->retry, now - a->started);
+	if (c->status < 300)
+		answer_time_note(c->time, now - c->tried_at);
 	c->data->counters.whole++;
 	histogram_add(&c->data->call_us, now - c->started);
 	c->outcome = "whole";
--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -86,6 +86,7 @@
 	int64_t objective_ms;
 	int priority;
 	int attempts;
+	struct answer_time *time;
 };
 
 static struct out_service *
@@ -96,21 +97,21 @@
 	return s && !s->conf.removed ? s : NULL;
 }
 
-/* Sequence that spreads the requests of a route over its parts; made with a
- * random start at the first request. */
-static struct route_sequence *
-sequence_of(struct data *d, const struct route *r)
+/* What is kept of a route, made at the first request, with a random start of
+ * the sequence that spreads its requests over its parts. */
+static struct out_route *
+kept_of(struct data *d, const struct route *r)
 {
 	char *key = g_strconcat(r->host, r->prefix, NULL);
-	struct route_sequence *t = g_hash_table_lookup(d->route_sequences, key);
+	struct out_route *t = g_hash_table_lookup(d->out_routes, key);
 
 	if (t) {
 		g_free(key);
 		return t;
 	}
-	t = g_new(struct route_sequence, 1);
-	t->point = rng_unit(&d->rng);
-	g_hash_table_insert(d->route_sequences, key, t);
+	t = g_new0(struct out_route, 1);
+	t->sequence.point = rng_unit(&d->rng);
+	g_hash_table_insert(d->out_routes, key, t);
 	return t;
 }
 
@@ -122,6 +123,7 @@
 {
 	const char *host = http_head_find(h, "Host");
 	const struct route *r;
+	struct out_route *kept;
 	int i;
 
 	i = host ? routing_find(d->view->routing, host, h->path) : ROUTE_NONE;
@@ -136,8 +138,10 @@
 		    "the route of this host and path is invalid\n");
 		return -1;
 	}
+	kept = kept_of(d, r);
+	t->time = &kept->time;
 	t->service = known_service(d,
-	    r->part[route_next_part(r, sequence_of(d, r))].service);
+	    r->part[route_next_part(r, &kept->sequence)].service);
 	if (!t->service) {
 		refuse_request(d, x, h, 503, "unknown-service",
 		    "the route names a service that is not known\n");
@@ -177,6 +181,7 @@
 	t->objective_ms = t->timeout_ms;
 	t->priority = 0;
 	t->attempts = TRIED_MAX;
+	t->time = &t->service->time;
 	return 0;
 }
 
@@ -264,6 +269,7 @@
 	c->started = data_now(d);
 	c->idempotent = t->idempotent;
 	c->priority = t->priority;
+	c->time = t->time;
 	c->objective = c->started + t->objective_ms * 1000;
 	c->attempts_max = t->attempts;
 	c->body = g_byte_array_new();
@@ -348,5 +354,8 @@
 	c->deadline = c->started + left_ms * 1000;
 	retry_call_start(&c->service->retry, &c->retry, depth < 0 ? 0 : depth,
 	    left < 0 ? 0 : left, c->idempotent, c->deadline);
-	outbound_start_call(c);
+	if (outbound_fits(c))
+		outbound_start_call(c);
+	else
+		outbound_refuse_leaving(c);
 }
--- /dev/null
+++ b/src/internal/leave.h
@@ -0,0 +1,55 @@
+#ifndef KQ_LEAVE_H
+#define KQ_LEAVE_H
+
+#include <stdint.h>
+
+/**
+ * DOC: What a daemon that was told to stop may still take.
+ *
+ * The time at which the process ends is known from the order to stop on. A
+ * request that can't be finished by then is refused at once, while it is
+ * certain that it did not run, in place of being cut later. How long requests
+ * take is estimated by a smoothed mean and a smoothed mean deviation (Jacobson,
+ * "Congestion avoidance and control", SIGCOMM 1988; RFC 6298).
+ */
+
+/** struct leave_plan - times of a stop; all 0 before the order to stop
+ * @serve_until: the ports close then
+ * @answer_by: what is still in flight then is ended with an answer
+ * @end: the process ends then */
+struct leave_plan {
+	int64_t serve_until;
+	int64_t answer_by;
+	int64_t end;
+};
+
+/** leave_plan_init() - plan a stop that was ordered at @now
+ * @serve_us: time for which callers are to be served, shortened where
+ *	@grace_us leaves no time to finish after it
+ * @grace_us: time from the order to forced termination */
+void leave_plan_init(struct leave_plan *, int64_t now, int64_t serve_us,
+    int64_t grace_us);
+/** leave_fits() - whether a request that starts at @now is finished or past its
+ * @deadline before the stop ends it; always before the order to stop
+ * @usual_us: time that such requests take at most as a rule, 0 if not known */
+int leave_fits(const struct leave_plan *, int64_t now, int64_t deadline,
+    int64_t usual_us);
+
+/** struct answer_time - time from the start of requests of one kind until their
+ * whole answers; zero it before first use
+ * @us: smoothed mean, microseconds
+ * @deviation_us: smoothed mean deviation, microseconds
+ * @n: number of answers */
+struct answer_time {
+	double us;
+	double deviation_us;
+	uint32_t n;
+};
+
+/** answer_time_note() - record a whole answer after @us microseconds */
+void answer_time_note(struct answer_time *, int64_t us);
+/** answer_time_most() - time within which nearly all answers come, in
+ * microseconds; 0 after too few answers */
+int64_t answer_time_most(const struct answer_time *);
+
+#endif
--- a/src/internal/work.h
+++ b/src/internal/work.h
@@ -3,6 +3,8 @@
 
 #include <stdint.h>
 
+#include "leave.h"
+
 /**
  * DOC: How long requests take at a target, and above which load it slows down.
  *
@@ -22,11 +24,13 @@
  * @us: smoothed time at the usual pace, microseconds; 0 when not known
  * @refused_share: smoothed share of requests that were refused because there
  *	was no capacity for them
- * @n: number of answered requests */
+ * @n: number of answered requests
+ * @time: time at the target at whatever pace */
 struct work {
 	double us;
 	double refused_share;
 	uint32_t n;
+	struct answer_time time;
 };
 
 /** struct knee - load above which one target slows down; zero it before first
--- a/tests/system/stop-unfinished.sh
+++ b/tests/system/stop-unfinished.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # A daemon whose longest wait ends while requests of its own callers run, and requests of
-# another daemon's callers run at its target, ends by itself with status 0.
+# another daemon's callers run at its target, ends by itself with status 0. Each request
+# gets an answer.
 # usage: stop-unfinished.sh BUILD-DIRECTORY
 set -u
 . scripts/fleet.sh
@@ -41,4 +42,12 @@
 wait "$fleet_daemon_1_1"
 code=$?
 [ $code = 0 ] || fleet_fail "the daemon ended with $code"
+sleep 9
+count() { grep -c "$1" "$fleet_dir/answers"; }
+[ "$(count daemon=1.status=504)" = $((2 * CALLERS)) ] || fleet_fail "not all own callers got 504"
+[ "$(count daemon=2.status=)" = $((2 * CALLERS)) ] || fleet_fail "requests to the other daemon have no result"
+[ "$(count status=000)" = 0 ] || fleet_fail "$(count status=000) requests were cut"
+[ "$(count s2.*status=504)" = 0 ] || fleet_fail "safe requests of the other daemon were not tried elsewhere"
+sort "$fleet_dir/answers" | sed 's/-[0-9]* / /' | uniq -c
+grep -h event=106 "$fleet_dir/daemon-1-1.log" | sed 's/.*they ran //'
 exit $failed
--- /dev/null
+++ b/tests/unit/leave.c
@@ -0,0 +1,160 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "leave.h"
+
+#define MS INT64_C(1000)
+#define NOW (INT64_C(1000) * 1000 * MS)
+
+struct plan_case {
+	int64_t serve_ms;
+	int64_t grace_ms;
+	int64_t serve_until_ms;
+	int64_t answer_by_ms;
+	int64_t end_ms;
+};
+
+static const struct plan_case plans[] = {
+	{ 2600, 6000, 2600, 5500, 5600 },
+	{ 0, 6000, 0, 5500, 5600 },
+	/* no time would be left to finish what is in flight */
+	{ 5400, 6000, 5000, 5500, 5600 },
+	{ 9000, 6000, 5000, 5500, 5600 },
+	{ 2600, 1000, 0, 500, 600 },
+	{ 2600, 450, 0, 0, 50 },
+	{ 2600, 0, 0, 0, 0 },
+};
+
+START_TEST(plan_leaves_time_to_finish)
+{
+	const struct plan_case *t = &plans[_i];
+	struct leave_plan p;
+
+	leave_plan_init(&p, NOW, t->serve_ms * MS, t->grace_ms * MS);
+	ck_assert_int_eq(p.serve_until, NOW + t->serve_until_ms * MS);
+	ck_assert_int_eq(p.answer_by, NOW + t->answer_by_ms * MS);
+	ck_assert_int_eq(p.end, NOW + t->end_ms * MS);
+}
+END_TEST
+
+struct fits_case {
+	int64_t at_ms; /* after the order to stop */
+	int64_t deadline_ms;
+	int64_t usual_ms; /* 0: not known */
+	int fits;
+};
+
+static const struct fits_case fits[] = {
+	/* a known route */
+	{ 0, 8500, 4500, 1 },
+	{ 950, 9450, 4500, 1 },
+	{ 951, 9451, 4500, 0 },
+	{ 2600, 11100, 1000, 1 },
+	{ 4450, 12950, 1000, 1 },
+	{ 4451, 12951, 1000, 0 },
+	/* the deadline lies before the end, whatever the route takes */
+	{ 1200, 5500, 4500, 1 },
+	{ 1200, 5501, 4500, 0 },
+	/* a route without a record is judged by the deadline alone */
+	{ 0, 5500, 0, 1 },
+	{ 0, 5501, 0, 0 },
+	/* after the end */
+	{ 5500, 5600, 10, 0 },
+	{ 5700, 9000, 0, 0 },
+};
+
+START_TEST(request_that_cannot_be_finished_does_not_fit)
+{
+	const struct fits_case *t = &fits[_i];
+	struct leave_plan p;
+
+	leave_plan_init(&p, NOW, 2600 * MS, 6000 * MS);
+	ck_assert_int_eq(leave_fits(&p, NOW + t->at_ms * MS,
+			     NOW + t->deadline_ms * MS, t->usual_ms * MS),
+	    t->fits);
+}
+END_TEST
+
+START_TEST(everything_fits_before_the_order)
+{
+	struct leave_plan p = { 0 };
+
+	ck_assert_int_eq(leave_fits(&p, NOW, NOW + 600000 * MS, 0), 1);
+}
+END_TEST
+
+START_TEST(time_is_unknown_after_few_answers)
+{
+	struct answer_time t = { 0 };
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		answer_time_note(&t, 200 * MS);
+		ck_assert_int_eq(answer_time_most(&t), 0);
+	}
+	answer_time_note(&t, 200 * MS);
+	ck_assert_int_gt(answer_time_most(&t), 200 * MS);
+}
+END_TEST
+
+START_TEST(steady_time_has_little_spread)
+{
+	struct answer_time t = { 0 };
+	int i;
+
+	for (i = 0; i < 30; i++)
+		answer_time_note(&t, 4500 * MS);
+	ck_assert_int_ge(answer_time_most(&t), 4500 * MS);
+	ck_assert_int_le(answer_time_most(&t), 4510 * MS);
+}
+END_TEST
+
+/* Answers after 1 s and after 4.5 s in turn: the longer ones are within it. */
+START_TEST(spread_is_included)
+{
+	struct answer_time t = { 0 };
+	int i;
+
+	for (i = 0; i < 100; i++)
+		answer_time_note(&t, (i % 2 ? 4500 : 1000) * MS);
+	ck_assert_int_ge(answer_time_most(&t), 4500 * MS);
+}
+END_TEST
+
+START_TEST(longer_work_is_noticed_after_few_answers)
+{
+	struct answer_time t = { 0 };
+	int i;
+
+	for (i = 0; i < 1000; i++)
+		answer_time_note(&t, 200 * MS);
+	for (i = 0; i < 3; i++)
+		answer_time_note(&t, 4500 * MS);
+	ck_assert_int_ge(answer_time_most(&t), 4500 * MS);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *s = suite_create("leave");
+	TCase *t = tcase_create("leave");
+	SRunner *r;
+	int failed;
+
+	tcase_add_loop_test(t, plan_leaves_time_to_finish, 0,
+	    sizeof plans / sizeof *plans);
+	tcase_add_loop_test(t, request_that_cannot_be_finished_does_not_fit, 0,
+	    sizeof fits / sizeof *fits);
+	tcase_add_test(t, everything_fits_before_the_order);
+	tcase_add_test(t, time_is_unknown_after_few_answers);
+	tcase_add_test(t, steady_time_has_little_spread);
+	tcase_add_test(t, spread_is_included);
+	tcase_add_test(t, longer_work_is_noticed_after_few_answers);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
