inbound: event 106 counts own callers' requests only once

The figures for other daemons' calls included own callers' requests that ran at the own target: 16 to 65 with 40 calls of another daemon, about half of which ran there.

--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -190,6 +190,9 @@
 /** inbound_fits() - whether the request, sent to the target now, can be
  * finished before this daemon ends */
 int inbound_fits(const struct in_call *);
+/** inbound_note_leave_refusal() - count a call of another daemon that is
+ * refused since it can't be finished before this daemon ends */
+void inbound_note_leave_refusal(struct in_call *);
 /** inbound_refuse_leaving() - refuse a call that was not sent to the target and
  * can't be finished before this daemon ends; frees it */
 void inbound_refuse_leaving(struct in_call *);
--- a/src/daemon/inbound/leave.c
+++ b/src/daemon/inbound/leave.c
@@ -6,10 +6,23 @@
 	return data_leave_fits(c->data, c->deadline, c->time);
 }
 
+/* Own callers' requests are counted by the outbound side. */
+static int
+is_of_other(const struct in_call *c)
+{
+	return c->sender_incarnation != c->data->incarnation;
+}
+
+void
+inbound_note_leave_refusal(struct in_call *c)
+{
+	c->data->counters.in_leave_refused += is_of_other(c);
+}
+
 void
 inbound_refuse_leaving(struct in_call *c)
 {
-	c->data->counters.in_leave_refused++;
+	inbound_note_leave_refusal(c);
 	inbound_refuse_call(c, WIRE_REASON_DRAINING);
 }
 
@@ -27,7 +40,7 @@
 		once_cancel_waiter(d->once, c->once_waiter);
 	if (c->state == IN_WAITING_ANSWER ||
 	    (c->state == IN_WAITING_VERSION && c->repeat)) {
-		d->counters.in_leave_ended++;
+		d->counters.in_leave_ended += is_of_other(c);
 		inbound_reply_outcome(c, WIRE_UNKNOWN, WIRE_REASON_DRAINING);
 		return;
 	}
@@ -39,7 +52,7 @@
 static void
 end_running(struct in_call *c)
 {
-	c->data->counters.in_leave_ended++;
+	c->data->counters.in_leave_ended += is_of_other(c);
 	if (!c->target_call) {
 		inbound_forward_answer(c, NULL, 0, 1, 1);
 		return;
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -361,7 +361,7 @@
 		return;
 	}
 	if (!inbound_fits(c)) {
-		d->counters.in_leave_refused++;
+		inbound_note_leave_refusal(c);
 		reply_not_sent(c, now, WIRE_REASON_DRAINING);
 		inbound_process_queue(d);
 		return;
--- a/tests/system/stop-unfinished.sh
+++ b/tests/system/stop-unfinished.sh
@@ -54,11 +54,13 @@
 took=$(($(date +%s%3N) - start))
 [ $code = 0 ] && [ $took -le $(($2 * 1000)) ] || fleet_fail "the daemon ended with $code after $took ms"
 sleep 9
+at_target() { grep -c ' run .* key=[ns]2-' "$fleet_dir/target-1-1.history"; } # of the other daemon's callers
 count() { grep -c "$1" "$fleet_dir/answers"; }
 [ "$(count daemon=1.status=504)" = $((2 * CALLERS)) ] || fleet_fail "not all own callers got 504"
 [ "$(count daemon=2.status=)" = $((2 * CALLERS)) ] || fleet_fail "requests to the other daemon have no result"
 [ "$(count status=000)" = 0 ] || fleet_fail "$(count status=000) requests were cut"
 [ "$(count s2.*status=504)" = 0 ] || fleet_fail "safe requests of the other daemon were not tried elsewhere"
 sort "$fleet_dir/answers" | sed 's/-[0-9]* / /' | uniq -c
-grep -h event=106 "$fleet_dir/daemon-1-1.log" | sed 's/.*they ran //'
+grep -q "event=106 .* refused=0 refused_peers=0 ended=$((2 * CALLERS)) ended_peers=$(at_target)\$" "$fleet_dir/daemon-1-1.log" ||
+	fleet_fail "event 106 has other numbers: $(grep event=106 "$fleet_dir/daemon-1-1.log")"
 exit $failed
