tests: stop-late.sh also with two of three daemons that stop

The callers of the third daemon are those whose requests run at stopping targets; a refused one must not go from one stopping daemon to the next for ever. No change of code was needed: a target is tried once for a call.

--- a/tests/system/stop-late.sh
+++ b/tests/system/stop-late.sh
@@ -2,7 +2,8 @@
 # A daemon gets SIGTERM in calm, with work that the rest of its grace time can't hold if
 # it comes late, and with short work. No request that was read is cut; what can't be
 # finished is refused at once, "not run"; what can be finished is served.
-# usage: stop-late.sh BUILD-DIRECTORY [WORK-MS]...
+# The same with two of three daemons that stop, 0 and 1 s apart.
+# usage: stop-late.sh BUILD-DIRECTORY [WORK-MS[:APART-S]]...
 set -u
 . scripts/fleet.sh
 . scripts/dialect.sh
@@ -13,7 +14,7 @@
 EACH_MS=100 # between requests of one kind
 build=$1
 shift
-[ $# -gt 0 ] || set -- 4500 1000
+[ $# -gt 0 ] || set -- 4500 1000 4500:0 4500:1
 failed=0
 
 fleet_settings() {
@@ -82,7 +83,7 @@
 			ask $r "own-$r-$i" 1 &
 			ask_kept $r "kept-$r-$i" 1 1 &
 			ask_slow $r "slow-$r-$i" 1 &
-			ask $r "other-$r-$i" 2 &
+			ask $r "other-$r-$i" 3 &
 		done
 		i=$((i + 1))
 		sleep 0.$EACH_MS
@@ -90,10 +91,10 @@
 	wait
 }
 
-# judge WORK-MS: prints what is wrong with the results, then their numbers
+# judge WORK-MS TEXT: prints what is wrong with the results, then their numbers
 judge() {
 	cat "$fleet_dir"/target-1-*.history | awk -v work="$1" -v term="$term" -v leave=$LEAVE_MS -v grace=$GRACE_MS \
-		-v refused_ms=$REFUSED_MS '
+		-v refused_ms=$REFUSED_MS -v how="$2" '
 	FILENAME == "-" {
 		if ($3 == "run" && match($0, / key=[^ ]+/))
 			runs[substr($0, RSTART + 5, RLENGTH - 5)]++
@@ -116,12 +117,24 @@
 		if (id ~ /-n-/ && runs[id] > 1) bad("ran twice")
 	}
 	END {
-		printf "work of %d ms: %d whole, %d refused, %d found the port closed, %d wrong\n", work, whole, refused, closed, nbad
+		printf "work of %d ms%s: %d whole, %d refused, %d found the port closed, %d wrong\n", work, how, whole, refused, closed, nbad
 		exit nbad > 0
 	}' - "$fleet_dir/results"
 }
 
-for work in "$@"; do
+# expect_end S PID: a daemon that got SIGTERM S seconds after the first must end with
+# status 0 in its grace time
+expect_end() {
+	wait "$2"
+	code=$?
+	took=$(($(now_ms) - start - term))
+	[ $code = 0 ] && [ $took -le $((GRACE_MS + 1000 * $1)) ] || fleet_fail "the daemon ended with $code after $took ms"
+}
+
+for run in "$@"; do
+	work=${run%:*}
+	apart=${run#"$work"}
+	apart=${apart#:}
 	fleet_open "$build"
 	trap fleet_close EXIT
 	dialect_platform
@@ -135,8 +148,8 @@
 	fleet_targets 3 || exit 1
 	start=$(now_ms)
 	for i in $(seq 30); do
-		ask n "warm-n-$i" $((i % 2 + 1)) &
-		ask s "warm-s-$i" $((i % 2 + 1)) &
+		ask n "warm-n-$i" $((i % 2 * 2 + 1)) &
+		ask s "warm-s-$i" $((i % 2 * 2 + 1)) &
 		warm="${warm-} $!"
 		sleep 0.02
 	done
@@ -149,13 +162,16 @@
 	term=$(($(now_ms) - start))
 	# shellcheck disable=SC2154
 	kill "$fleet_daemon_1_1"
-	wait "$fleet_daemon_1_1"
-	code=$?
-	took=$(($(now_ms) - start - term))
-	[ $code = 0 ] && [ $took -le $GRACE_MS ] || fleet_fail "the daemon ended with $code after $took ms"
+	if [ -n "$apart" ]; then
+		sleep "$apart"
+		# shellcheck disable=SC2154
+		kill "$fleet_daemon_1_2"
+	fi
+	expect_end 0 "$fleet_daemon_1_1"
+	[ -z "$apart" ] || expect_end "$apart" "$fleet_daemon_1_2"
 	wait $sender
-	judge "$work" || failed=1
-	[ -z "${STOP_KEEP-}" ] || cp -r "$fleet_dir" "$STOP_KEEP-$work"
+	judge "$work" "${apart:+, two daemons $apart s apart}" || failed=1
+	[ -z "${STOP_KEEP-}" ] || cp -r "$fleet_dir" "$STOP_KEEP-$work-$apart"
 	fleet_close
 done
 trap - EXIT
