--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -199,7 +199,7 @@
  * this daemon ends; always while it was not told to stop */
 int
 data_leave_fits(struct data *, int64_t deadline, const struct answer_time *);
-/** data_end_calls() - end all calls in flight with an answer; only once */
+/** data_end_calls() - end all calls in flight with an answer */
 void data_end_calls(struct data *);
 /** data_log_leave() - write to the log what a stop refused and ended */
 void data_log_leave(struct data *);
--- a/src/daemon/data/leave.c
+++ b/src/daemon/data/leave.c
@@ -7,8 +7,6 @@
 void
 data_end_calls(struct data *d)
 {
-	if (d->calls_ended)
-		return;
 	d->calls_ended = 1;
 	outbound_end_calls(d);
 	inbound_end_calls(d);
