--- a/tests/system/stop-unfinished.sh
+++ b/tests/system/stop-unfinished.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # A daemon whose longest wait ends while requests of its own callers run, and requests of
 # another daemon's callers run at its target, ends by itself with status 0. Each request
-# gets an answer; also if leave_ms is longer than grace_s, and after a second SIGTERM.
+# gets an answer; also if leave_ms is longer than grace_s. A second SIGTERM and a reload
+# with a longer grace_s change nothing.
 # usage: stop-unfinished.sh BUILD-DIRECTORY [GRACE-S LEAVE-MS]
 set -u
 . scripts/fleet.sh
@@ -47,11 +48,14 @@
 # shellcheck disable=SC2154
 kill "$fleet_daemon_1_1"
 start=$(date +%s%3N)
+sed -i "s/\"grace_s\": $2/\"grace_s\": 60/" "$fleet_dir/dc1-1.json"
 sleep 0.1
+kill -HUP "$fleet_daemon_1_1"
 kill "$fleet_daemon_1_1"
 wait "$fleet_daemon_1_1"
 code=$?
 took=$(($(date +%s%3N) - start))
+grep -q 'event=105 .*grace_s' "$fleet_dir/daemon-1-1.log" || fleet_fail "the settings were not reloaded"
 [ $code = 0 ] && [ $took -le $(($2 * 1000)) ] || fleet_fail "the daemon ended with $code after $took ms"
 sleep 9
 at_target() { grep -c ' run .* key=[ns]2-' "$fleet_dir/target-1-1.history"; } # of the other daemon's callers
