--- a/src/adapter/http/server.c
+++ b/src/adapter/http/server.c
@@ -207,14 +207,17 @@
 void
 http_server_free(struct http_server *s)
 {
+	struct kq_error err;
+	struct http_conn *c;
+
 	if (!s)
 		return;
+	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED, "server ended");
 	stop_listening(s);
-	while (s->conns) {
-		if (!s->conns->why.text[0])
-			kq_error_set(&s->conns->why, KQ_LAYER_HTTP,
-			    HTTP_E_CLOSED, "server ended");
-		conn_close(s->conns);
+	while ((c = s->conns)) {
+		if (!c->why.text[0])
+			c->why = err;
+		conn_end(c, LINE_DROP, &err);
 	}
 	conn_free_closed(s);
 	io_timer_clear(s->loop, &s->free_timer);
