tests: a checker of the users' rules on lost requests

Nothing judged a run by the clauses of LOST as the users write them: the checker of histories knows a planned stop as a whole run in which nothing may be cut.

tests/history/planned.awk reads what callers and targets saw on their sockets and the times of SIGTERM, SIGHUP and configurations, and counts lost requests by clause (stop, SIGHUP, configuration, kept connection beside no planned work), with the exceptions of each; also non-idempotent requests that ran twice or ran and were refused, wrong bodies passed as complete, and processes that end by themselves.

--- /dev/null
+++ b/tests/history/planned.awk
@@ -0,0 +1,298 @@
+# Judges the history of a run of scripts/planned by the users' rules on lost
+# requests, from what callers and targets saw on their sockets. Reads the history,
+# sorted by time, after the logs of the daemons; ends with 1 if a rule is broken.
+# All times in us.
+BEGIN {
+	GRACE = 6000000		# grace_period_s
+	APPLY = 2000000		# configuration_apply_ms
+	SLACK = 200000		# loss_slack_ms
+	TOUCH = 3000000		# touch_ms
+	EARLY = 3000000		# after SIGTERM, up to which the grace excuses
+	OVER = 1000000		# after the grace, and after a version is applied
+	AT_ONCE = 50000		# between an answer and the end of its work
+	KEPT_MAX = 3		# losses beside no planned work
+	CONFIG_TIMES = 3	# as many cuts beside a configuration
+	FINDINGS_MAX = 8	# printed with their events
+	LINES_MAX = 40		# of these
+}
+
+function field(name, i) {
+	for (i = 4; i <= NF; i++)
+		if (index($i, name "=") == 1)
+			return substr($i, length(name) + 2)
+	return ""
+}
+
+function remember(what, line) { story[what, ++stories[what]] = line }
+
+# Log line of a daemon.
+$1 !~ /^[0-9]+$/ {
+	if (match($0, /request=[^ ]+/))
+		remember(substr($0, RSTART + 8, RLENGTH - 8), "  log " $0)
+	next
+}
+
+$2 == "plan" {
+	at = field("at")
+	if ($3 == "term" || $3 == "hup" || $3 == "start")
+		when[$3, at, ++count[$3, at]] = $1
+	else if ($3 == "config-sent")
+		version[++versions] = field("version")
+	if ($3 == "config-sent")
+		sent_at[field("version")] = $1
+	if ($3 == "config-acked")
+		acked[field("version")] = $1
+	if ($3 == "end" && field("status") != 0)
+		ended[++ends] = $0
+	if (at != "")
+		remember(at, $0)
+	next
+}
+
+$3 == "call" {
+	id = field("id")
+	ids[++calls] = id
+	to[id] = field("to")
+	conn[id] = $2 "/" field("conn")
+	behind[id] = field("behind") + 0
+	once[id] = field("once") + 0
+	sent[id] = $1
+	limit[id] = field("start") + 1000 * field("limit_ms")
+	time[id] = 1000 * field("limit_ms")
+	remember(id, $0)
+	remember(conn[id], $0)
+	next
+}
+
+$3 == "answer" {
+	id = field("id")
+	outcome[id] = field("outcome")
+	status[id] = field("status") + 0
+	sealed[id] = field("signed") + 0
+	over[id] = $1
+	remember(id, $0)
+	remember(conn[id], $0)
+	next
+}
+
+$3 ~ /^(run|done|cut|broke|shed)$/ {
+	id = field("key")
+	remember(id, $0)
+	if ($3 == "run") {
+		runs[id]++
+		run_end[id] = broke[id] = done[id] = 0
+	} else if ($3 == "broke") {
+		broke[id] = $1
+	} else if (runs[id]) {
+		run_end[id] = $1
+		done[id] = $3 == "done"
+		whole[id] = whole[id] || done[id]
+	}
+}
+
+# Last event of a kind at a machine that is not later than t, 0 if none.
+function last(kind, at, t, i, found) {
+	for (i = 1; i <= count[kind, at]; i++)
+		if (when[kind, at, i] <= t && when[kind, at, i] > found)
+			found = when[kind, at, i]
+	return found + 0
+}
+
+# SIGTERM whose time a request ended in, the first to that process; 0 if none.
+function stop_of(id, i, t, start, found) {
+	start = last("start", to[id], sent[id])
+	for (i = 1; i <= count["term", to[id]]; i++) {
+		t = when["term", to[id], i]
+		if (t >= start && t <= over[id] &&
+		    over[id] <= t + GRACE + OVER && (!found || t < found))
+			found = t
+	}
+	return found + 0
+}
+
+function beside_hup(id, i, t) {
+	for (i = 1; i <= count["hup", to[id]]; i++) {
+		t = when["hup", to[id], i]
+		if (t <= over[id] && sent[id] <= t + APPLY)
+			return 1
+	}
+	return 0
+}
+
+function beside_config(id, i, v) {
+	for (i = 1; i <= versions; i++) {
+		v = version[i]
+		if (sent_at[v] <= over[id] &&
+		    (!acked[v] || over[id] <= acked[v] + APPLY + OVER))
+			return 1
+	}
+	return 0
+}
+
+function in_touch(id) {
+	return over[id] - last("term", to[id], over[id]) > TOUCH &&
+	    over[id] - last("start", to[id], over[id]) > TOUCH
+}
+
+# Nonzero if the worker was at work in the last sixth of the grace on a request
+# that was sent early enough.
+function grace_excuses(id, t) {
+	return runs[id] && over[id] >= t + GRACE * 5 / 6 && sent[id] <= t + EARLY &&
+	    (!run_end[id] || run_end[id] >= t + GRACE * 5 / 6)
+}
+
+function at_work(id) {
+	return runs[id] && !broke[id] && !(done[id] && run_end[id] < over[id]) &&
+	    (!run_end[id] || run_end[id] >= over[id] - AT_ONCE)
+}
+
+function finding(rule, id) {
+	broken[rule]++
+	beside_break[rule] += conn[id] in conn_broke
+	rule_of[++findings] = rule
+	id_of[findings] = id
+}
+
+function excuse(why) { excused[why]++ }
+
+# A request that got no whole answer, or at whose work the daemon gave its own.
+function judge_loss(id, t) {
+	if (broke[id])
+		return excuse("worker broke off")
+	if (over[id] >= limit[id])
+		return excuse("deadline or timeout reached")
+	if (!runs[id] && behind[id])
+		return excuse("behind another, not passed on")
+	if (!runs[id] && over[id] <= sent[id] + SLACK)
+		return excuse("crossed the close, not passed on")
+	t = stop_of(id)
+	if (t && grace_excuses(id, t))
+		return excuse("worker at work in the last sixth")
+	if (t)
+		return finding("LOST-STOP", id)
+	if (outcome[id] != "cut")
+		return excuse("own answer, no SIGTERM of the machine")
+	if (beside_hup(id))
+		return finding("LOST-HUP", id)
+	if (beside_config(id)) {
+		if (over[id] - (limit[id] - time[id]) >= time[id] * 0.7)
+			return excuse("beside a configuration, seven tenths used")
+		near_cut[to[id]]++
+		candidate[++candidates] = id
+		return
+	}
+	far_cut[to[id]]++
+	if (runs[id] && in_touch(id))
+		kept[++kepts] = id
+	else
+		excuse("beside no planned work")
+}
+
+function judge_call(id, own) {
+	if (!(id in outcome))
+		return excuse("open at the end of the run")
+	if (beside_config(id))
+		near[to[id]]++
+	else
+		far[to[id]]++
+	if (once[id] && runs[id] > 1)
+		finding("TWICE", id)
+	if (once[id] && runs[id] && status[id] ~ /^(408|421|429|503)$/)
+		finding("REFUSED", id)
+	if (outcome[id] == "bad" || (outcome[id] == "whole" &&
+	    status[id] ~ /^2/ && (!sealed[id] || !whole[id])))
+		finding("MIXED", id)
+	own = outcome[id] == "whole" && status[id] >= 400 && !sealed[id] && at_work(id)
+	if (outcome[id] == "cut" || own)
+		judge_loss(id)
+	else if (outcome[id] == "behind")
+		excuse("behind an answer that closes")
+	else if (outcome[id] == "late")
+		excuse("the caller gave up")
+	if (outcome[id] == "whole")
+		answers[status[id]]++
+	if (status[id] == 503 || status[id] == 429)
+		wait[++waits] = over[id] - sent[id]
+}
+
+function judge_candidates(i, id, m) {
+	for (i = 1; i <= candidates; i++) {
+		id = candidate[i]
+		m = to[id]
+		if (near_cut[m] * (far[m] + !far[m]) > CONFIG_TIMES * far_cut[m] * near[m])
+			finding("LOST-CONFIG", id)
+		else if (runs[id] && in_touch(id))
+			kept[++kepts] = id
+		else
+			excuse("beside a configuration, as often as else")
+	}
+	for (i = 1; i <= kepts; i++)
+		if (kepts > KEPT_MAX)
+			finding("LOST-KEPT", kept[i])
+		else
+			excuse("no planned work, up to " KEPT_MAX)
+}
+
+# Prints what is known of a request in the order of its files: its own events,
+# those of its connection, the plan for its machine.
+function tell(what, from, to_time, i, n, t) {
+	for (i = 1; i <= stories[what] && n < LINES_MAX; i++) {
+		t = story[what, i] + 0
+		if (t && (t < from || t > to_time))
+			continue
+		print "    " story[what, i]
+		n++
+	}
+}
+
+function print_sorted(values, n, i, j, v) {
+	for (i = 2; i <= n; i++) {
+		v = values[i]
+		for (j = i - 1; j >= 1 && values[j] > v; j--)
+			values[j + 1] = values[j]
+		values[j + 1] = v
+	}
+	printf "refused %d", n
+	if (n)
+		printf ", waited ms: median %.1f, p99 %.1f, most %.1f",
+		    values[int((n + 1) / 2)] / 1000,
+		    values[int((n * 99 + 99) / 100)] / 1000, values[n] / 1000
+	print ""
+}
+
+END {
+	for (i = 1; i <= calls; i++)
+		if (broke[ids[i]])
+			conn_broke[conn[ids[i]]] = 1
+	for (i = 1; i <= calls; i++)
+		judge_call(ids[i])
+	judge_candidates()
+	for (i = 1; i <= findings; i++) {
+		id = id_of[i]
+		print rule_of[i] " " id " at " to[id] " on " conn[id]
+		if (i > FINDINGS_MAX)
+			continue
+		tell(id, 0, 1e18)
+		print "   its connection:"
+		tell(conn[id], sent[id] - SLACK, over[id])
+		print "   its machine:"
+		tell(to[id], sent[id] - GRACE - OVER, over[id])
+	}
+	for (i = 1; i <= ends; i++)
+		print "ENDED " ended[i]
+	printf "requests %d, whole answers by status:", calls
+	for (s = 100; s < 600; s++)
+		if (answers[s])
+			printf " %d: %d", s, answers[s]
+	print ""
+	for (why in excused)
+		print "excused " excused[why] ": " why | "sort"
+	close("sort")
+	print_sorted(wait, waits)
+	n = split("LOST-STOP LOST-HUP LOST-CONFIG LOST-KEPT TWICE REFUSED MIXED", name, " ")
+	for (i = 1; i <= n; i++)
+		print name[i] " " broken[name[i]] + 0 ", on a connection with an answer broken off: " \
+		    beside_break[name[i]] + 0
+	print "ENDED " ends + 0
+	exit (findings + ends > 0)
+}
