tests: a seeded soak of planned work

What callers saw: requests that ended without an answer, around planned work that no test played: the seeded faults restart a daemon now and then and judge answers by whether they were whole, and stop-accepted.sh has one kind of stop.

The target takes work, size and breaking off from the query of a request, so that callers know what they asked for.

--- /dev/null
+++ b/tests/fake/planned/planned.h
@@ -0,0 +1,103 @@
+#ifndef FAKE_PLANNED_H
+#define FAKE_PLANNED_H
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdint.h>
+
+#include "history.h"
+
+/**
+ * DOC: Stand-in for the callers of one daemon during planned work.
+ *
+ * Each thread opens connections one after the other and keeps sending requests
+ * on them until the daemon or the end of the run closes them. What was sent and
+ * what came back is written to a history, from which tests/history/planned.awk
+ * tells which requests were lost.
+ *
+ * request.c draws requests and sends them, answer.c reads answers, connection.c
+ * plays a connection.
+ */
+
+#define ID_MAX 48 /* bytes with the final NUL */
+#define BATCH_MAX 4 /* requests sent at once */
+
+/** enum way - how the requests of a connection are sent and read */
+enum way {
+	WAY_SINGLE, /* in one write, one after the other */
+	WAY_PIPELINED, /* several safe requests at once */
+	WAY_SLOW_READER, /* large answers, read slowly */
+	WAY_SLOW_BODY, /* with a body, sent slowly */
+	WAY_HALVES, /* the second half some time after the first */
+	WAY_IDLE, /* with a long time between requests */
+	WAYS
+};
+
+/** struct caller - what all threads share */
+struct caller {
+	struct sockaddr_in to;
+	const char *address; /* @to as text */
+	const char *host;
+	const char *name; /* first part of the ids of requests */
+	int timeout_ms; /* least time-out that the routes have */
+	int64_t end; /* io_clock() time at which no more requests are sent */
+	gint last_conn; /* number of the last connection */
+	gint last_request; /* number of the last request */
+	struct history history;
+};
+
+/** struct request - a request and what was asked for; times in us */
+struct request {
+	char id[ID_MAX];
+	int once; /* nonzero: on a route that isn't idempotent */
+	int breaks; /* nonzero: the target breaks its answer off */
+	int work_ms;
+	int bytes; /* of the answer */
+	int body_bytes; /* of the request */
+	int limit_ms; /* deadline, or the route's time-out if that is less */
+	int64_t start; /* of sending */
+};
+
+/** enum outcome - how a request ended, see outcome_names */
+enum outcome {
+	OUTCOME_WHOLE,
+	OUTCOME_CUT, /* the connection ended without a complete answer */
+	OUTCOME_BAD, /* complete, but not the target's answer to it */
+	OUTCOME_BEHIND, /* sent behind an answer that closes the connection */
+	OUTCOME_LATE /* the caller gave up */
+};
+
+/** struct answer - an answer, or that there was none */
+struct answer {
+	enum outcome outcome;
+	int status; /* 0 if there was no head */
+	int is_signed;
+	int closes; /* nonzero: it announces the end of the connection */
+};
+
+/** struct conn - a connection; @in holds bytes received and not yet used */
+struct conn {
+	struct caller *caller;
+	GRand *rand;
+	enum way way;
+	int id;
+	int fd;
+	size_t n;
+	char in[16385]; /* with a final NUL */
+};
+
+/** request_draw() - draw a request for a way of sending */
+void request_draw(struct conn *, struct request *);
+/** request_share_limit() - give requests that are sent at once the longest
+ * deadline among them, as each answer waits for those before it */
+void request_share_limit(struct request *, int n);
+/** request_send() - send requests at once and write that to the history;
+ * Return: 0, or -1 if the connection took only a part */
+int request_send(struct conn *, struct request *, int n);
+/** answer_read() - read the answer to a request */
+void answer_read(struct conn *, const struct request *, struct answer *);
+/** connection_play() - open a connection and send requests on it until it ends;
+ * Return: 0, or -1 if it could not be opened */
+int connection_play(struct caller *, enum way, GRand *);
+
+#endif
--- a/tests/fake/target/answer.c
+++ b/tests/fake/target/answer.c
@@ -82,6 +82,7 @@
 {
 	struct target *t = c->target;
 	const char *key = answer_key(c);
+	int64_t length = path_number(c, "bytes", t->knobs.body_bytes);
 	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
 	char fields[HEAD_MAX / 2];
 
@@ -92,13 +93,13 @@
 	}
 	g_snprintf(c->pattern, sizeof c->pattern, "%s\n", key);
 	c->pattern_at = 0;
-	digest_body(c, t->knobs.body_bytes, sum);
+	digest_body(c, length, sum);
 	g_snprintf(fields, sizeof fields,
 	    "Call-Key: %s\r\nBody-Digest: %s\r\nRequest-Digest: %s\r\n", key,
 	    g_checksum_get_string(sum), g_checksum_get_string(c->digest));
 	g_checksum_free(sum);
 	c->chunked = t->knobs.chunked != 0;
-	append_head(c, 200, fields, t->knobs.body_bytes);
+	append_head(c, 200, fields, length);
 	if (t->knobs.stop_next > 0) {
 		t->knobs.stop_next--;
 		c->stop_left = t->knobs.stop_at;
@@ -107,6 +108,10 @@
 		t->knobs.cut--;
 		c->body_stop = c->body_left / 2;
 	}
+	if (path_number(c, "breaks", 0)) {
+		job_log(c, "broke");
+		c->body_stop = c->body_left / 2;
+	}
 	answer_fill(c); /* so that head and body are sent together */
 	second_prepare(c, fields);
 	if (c->second && t->knobs.second_kind == SECOND_AT_ONCE) {
--- a/tests/fake/target/job.c
+++ b/tests/fake/target/job.c
@@ -16,8 +16,8 @@
 	return t->running + (int)t->queue.length;
 }
 
-static void
-log_job(struct conn *c, const char *event)
+void
+job_log(struct conn *c, const char *event)
 {
 	struct target *t = c->target;
 
@@ -32,7 +32,7 @@
 refuse(struct conn *c, long *count)
 {
 	(*count)++;
-	log_job(c, "shed");
+	job_log(c, "shed");
 	answer_text(c, 503,
 	    c->target->users ? USERS_NOT_RUN_FIELDS : NOT_RUN_FIELDS, "shed\n");
 }
@@ -51,11 +51,15 @@
 }
 
 static int64_t
-service_time(struct target *t)
+service_time(struct conn *c)
 {
+	struct target *t = c->target;
+	long ms = path_number(c, "work_ms", -1);
 	double s = (double)t->knobs.service_us;
 
-	if (!t->knobs.fixed)
+	if (ms >= 0)
+		s = (double)ms * 1000;
+	else if (!t->knobs.fixed)
 		s *= -log(1.0 - g_rand_double(t->rand));
 	if (t->knobs.cold)
 		s *= (double)t->knobs.cold_factor;
@@ -73,7 +77,7 @@
 	struct target *t = c->target;
 
 	(void)now;
-	log_job(c, "done");
+	job_log(c, "done");
 	t->running--;
 	if (t->knobs.cold && ++t->cold_done >= t->knobs.cold_calls) {
 		t->knobs.cold = 0;
@@ -102,7 +106,7 @@
 	t->running++;
 	t->counts.runs++;
 	count_duplicate(c);
-	log_job(c, "run");
+	job_log(c, "run");
 	if (t->knobs.crash && strstr(c->path, "/crash/")) {
 		history_write(&t->history, io_clock(), "crash path=%s",
 		    c->path);
@@ -123,7 +127,7 @@
 	}
 	c->timer.fire = finish_job;
 	c->timer.ctx = c;
-	io_timer_set(t->loop, &c->timer, io_now(t->loop) + service_time(t));
+	io_timer_set(t->loop, &c->timer, io_now(t->loop) + service_time(c));
 }
 
 /* The deadline of a queued request is over. */
@@ -264,10 +268,10 @@
 	t->counts.cancelled++;
 	if (was == CONN_QUEUED) {
 		g_queue_unlink(&t->queue, &c->queue_link);
-		log_job(c, "shed"); /* it has not run */
+		job_log(c, "shed"); /* it has not run */
 		return;
 	}
-	log_job(c, "cut");
+	job_log(c, "cut");
 	t->running--;
 	start_queued(t);
 }
--- a/tests/fake/target/parse.c
+++ b/tests/fake/target/parse.c
@@ -128,3 +128,18 @@
 {
 	return http_parser_execute(&c->parser, &settings, b, n) == n ? 0 : -1;
 }
+
+long
+path_number(const struct conn *c, const char *name, long otherwise)
+{
+	const char *at = strchr(c->path, '?');
+	size_t n = strlen(name);
+
+	while (at) {
+		at++;
+		if (!strncmp(at, name, n) && at[n] == '=')
+			return strtol(at + n + 1, NULL, 10);
+		at = strchr(at, '&');
+	}
+	return otherwise;
+}
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -249,10 +249,16 @@
  * be closed */
 int parse_bytes(struct conn *, const char *, size_t);
 
+/** path_number() - number NAME=N in the path of a request, @otherwise without
+ * it: work_ms, bytes and breaks act on that request as knobs do on all */
+long path_number(const struct conn *, const char *name, long otherwise);
+
 /** job_admit() - answer, run, queue or refuse a request that is whole */
 void job_admit(struct conn *);
 /** job_cancel() - cancel the request, if any, of a closing connection */
 void job_cancel(struct conn *);
+/** job_log() - write an event of a request to the history */
+void job_log(struct conn *, const char *event);
 /** job_inflight() - requests running, hung or queued */
 int job_inflight(const struct target *);
 /** job_noise_start() - start varying the noise factor */
