tests: the callers of planned work are seen to tell each outcome

tests/system/fakes.sh runs them against a target alone that cuts an answer, sends another request's body or id, or leaves out the signature, and checks what the target does on request (work, size, breaking off).

Found so: an answer with another request's bytes that is cut as well counted as cut; it now counts as a wrong one.

--- a/tests/fake/planned/answer.c
+++ b/tests/fake/planned/answer.c
@@ -134,7 +134,7 @@
 	length = read_head(c, r, a, end);
 	if (length >= 0 && !read_body(c, r, a, length, end))
 		return;
-	if (a->outcome == OUTCOME_BAD && length < 0)
+	if (a->outcome == OUTCOME_BAD)
 		return;
 	a->outcome = io_clock() >= end ? OUTCOME_LATE : OUTCOME_CUT;
 }
--- a/tests/system/fakes.sh
+++ b/tests/system/fakes.sh
@@ -183,6 +183,10 @@
 wait_ready $T
 sleep 0.2
 expect_equal announced 1 "$(count $B runs)"
+t=$(now_ms)
+expect_equal asked-bytes 77 "$(body "http://$T/x?work_ms=300&bytes=77" | wc -c)"
+expect asked-work $(($(now_ms) - t)) -ge 300
+expect_equal asked-to-break 18 "$(curl_code "http://$T/x?bytes=1000&breaks=1")"
 
 body -i -H 'Call-Key: k1' -d hello http://$T/x | tr -d '\r' >"$dir/answer"
 expect_equal request-digest "$(printf hello | sha256sum | cut -d' ' -f1)" \
@@ -318,6 +322,26 @@
 expect_equal load-wrong-exit 1 $?
 expect_equal load-wrong 1 "$(figure bad)"
 
+# ---- callers during planned work ----
+
+"$o/fake-target" --users --ip $ip --port 20103 --service s --dc a &
+pids="$pids $!"
+wait_ready $ip:20103
+# Runs a caller for two seconds, in whose first the target has the knob of $1; prints
+# how often requests ended in the way $2.
+planned_outcome() {
+	status -X POST "http://$ip:20103/fake/set?$1" >"$dir/set"
+	rm -f "$dir/planned"
+	"$o/fake-planned" --to $ip:20103 --host s --name c --history "$dir/planned" --seconds 2 \
+		--threads 1 --timeout-ms 7000 --seed 1
+	grep -c " answer .*$2" "$dir/planned"
+}
+expect caller-whole "$(planned_outcome cut=0 'outcome=whole status=200 signed=1')" -ge 2
+expect_equal caller-cut 1 "$(planned_outcome cut=1 outcome=cut)"
+expect_equal caller-wrong-body 1 "$(planned_outcome wrong=1 outcome=bad)"
+expect_equal caller-wrong-id 1 "$(planned_outcome other_id=1 outcome=bad)"
+expect_equal caller-unsigned 1 "$(planned_outcome unsigned_next=1 signed=0)"
+
 # ---- target leaves ----
 
 announced=$(count $B runs)
