Test of many callers that do not read, or send without end

Class: a bound for each call and none for the sum. tests/system/endless.sh has one caller at a time, so the sum was never seen.

--- a/tests/fake/caller/caller.h
+++ b/tests/fake/caller/caller.h
@@ -12,6 +12,9 @@
  * requests on them in several ways, until no connection can be opened. A
  * request counts as cut if all of it was sent, no earlier answer announced the
  * end of the connection, and the connection ends without a whole answer.
+ *
+ * With --slow, it stands in for callers that read slowly or not at all: each
+ * sends one request and reads its status, then so many bytes a second.
  */
 
 /** enum way - how requests are sent on a connection */
@@ -40,6 +43,7 @@
 	gint64
 	    end; /* monotonic time at which no further connection is opened */
 	gint next_id; /* of a request */
+	int sends_body; /* a slow caller sends a body without end */
 	struct counts counts;
 };
 
@@ -47,4 +51,15 @@
  * Return: 0, or -1 if it could not be opened */
 int connection_play(struct caller *, enum way, GRand *);
 
+/** struct slow_way - what callers that read slowly do */
+struct slow_way {
+	int connections; /* one request on each */
+	int open_per_s; /* connections opened a second */
+	gint64 bytes_per_s; /* read by each; 0 for the status alone */
+	int deadline_ms;
+};
+
+/** slow_play() - hold connections until the end, and print what came on them */
+void slow_play(const struct caller *, const struct slow_way *);
+
 #endif
--- a/tests/fake/caller/main.c
+++ b/tests/fake/caller/main.c
@@ -8,6 +8,8 @@
 
 #define THREADS 40
 #define SEED_FIRST 17 /* of the first thread's random numbers */
+#define DEADLINE_MS 4000 /* of requests whose answers are read slowly */
+#define OPEN_PER_S 400 /* connections whose answers are read slowly */
 #define RETRY_US 20000 /* after a connection that could not be opened */
 #define REFUSED_MAX 25 /* in a row, until a thread ends */
 
@@ -77,8 +79,20 @@
 	struct arg_str *path = arg_str1(NULL, "path", "PATH", "path");
 	struct arg_int *seconds =
 	    arg_int1(NULL, "seconds", "N", "longest duration");
+	struct arg_int *slow = arg_int0(NULL, "slow", "N",
+	    "only hold so many connections whose answers are read slowly");
+	struct arg_int *rate = arg_int0(NULL, "bytes-per-s", "N",
+	    "read by each of them; 0, which is the default: the status alone");
+	struct arg_int *deadline = arg_int0(NULL, "deadline-ms", "N",
+	    "of the requests of --slow, default 4000");
+	struct arg_int *per_s = arg_int0(NULL, "open-per-s", "N",
+	    "of them opened a second, default 400");
+	struct arg_lit *body =
+	    arg_lit0(NULL, "body", "with --slow, send bodies without end");
 	struct arg_end *end = arg_end(5);
-	void *table[] = { to, host, path, seconds, end };
+	void *table[] = { to, host, path, seconds, slow, rate, deadline, per_s,
+		body, end };
+	struct slow_way way;
 	struct thread t[THREADS];
 	GThread *thread[THREADS];
 	struct caller c = { 0 };
@@ -93,6 +107,17 @@
 	c.host = host->sval[0];
 	c.path = path->sval[0];
 	c.end = g_get_monotonic_time() + seconds->ival[0] * G_USEC_PER_SEC;
+	c.sends_body = body->count;
+	if (slow->count) {
+		way.connections = slow->ival[0];
+		way.bytes_per_s = rate->count ? rate->ival[0] : 0;
+		way.open_per_s = per_s->count ? per_s->ival[0] : OPEN_PER_S;
+		way.deadline_ms =
+		    deadline->count ? deadline->ival[0] : DEADLINE_MS;
+		slow_play(&c, &way);
+		arg_freetable(table, G_N_ELEMENTS(table));
+		return EXIT_SUCCESS;
+	}
 	for (i = 0; i < THREADS; i++) {
 		t[i] = (struct thread){ &c, (guint32)(SEED_FIRST + i) };
 		thread[i] = g_thread_new("caller", run, &t[i]);
