One limit on the bytes that a daemon holds for all calls

Cause: a bound for each call and none for the sum. A call held up to 256 KB of an answer and 64 KB unsent at the daemon asked, 128 KB beside the target, 320 KB of a request's body at the first and 512 KB at the second. The limit on request bodies was asked only until a request began to be passed on, after 32 KB. The kernel took up to 2.6 MB more for a caller that did not read.

Changes: limits.call_bytes counts what is held for calls, and what other daemons have been allowed to send. A call's windows are its share of what is free, never less than it needs to go on, so that callers and targets wait first. While the limit is reached, requests are refused before they are passed on (503, not run) and calls of other daemons as full; answers underway go on. The window for the answer travels in flags that a daemon of the version before ignores: it uses 256 KB as ever, and credit never exceeds what it has sent. Credit for a request's body waits while more than 64 KB of it are unsent to the target, in place of 256 KB. The kernel takes 64 KB unsent for a caller (TCP_NOTSENT_LOWAT). Gauges of what is held, by place; events 505 and 506 when the limit begins and ceases to hold. The buffers of sockets grow in steps of 64 KB beyond 64 KB.

The counts are changed where bytes move, so that no work per call grows with what is open; the gauges by place are summed when they are asked for.

Not fixed yet: input read ahead of a connection that waits, up to 64 KB each, and records being received from daemons have no sum; a window does not grow again during an answer; a caller that reads very slowly keeps its share.

--- a/src/adapter/http/call.c
+++ b/src/adapter/http/call.c
@@ -88,6 +88,7 @@
 	c->body_left = length;
 	c->link_replaceable = l->connected;
 	l->call = c;
+	l->out.limit = p->call_bytes;
 	l->last_byte = io_now(p->loop);
 	link_set_state(l, LINK_BUSY);
 	put_head(&l->out, p->host, method, path, field, nfield, length);
--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -1,6 +1,8 @@
 #include "http_impl.h"
 
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -49,6 +51,16 @@
 		s->nconn--;
 }
 
+/* Without this bound the kernel takes megabytes for a caller that does not
+ * read; they would not be counted. */
+static void
+limit_unsent(int fd)
+{
+	int n = HTTP_KERNEL_UNSENT_BYTES;
+
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &n, sizeof n);
+}
+
 struct http_conn *
 conn_new(struct http_server *s, int fd, int over_limit)
 {
@@ -60,6 +72,8 @@
 	c->last_byte = io_now(s->loop);
 	c->timer.fire = on_timer;
 	c->timer.ctx = c;
+	c->out.limit = s->call_bytes;
+	limit_unsent(fd);
 	if (io_watch_add(s->loop, &c->watch, fd, IO_READ, on_ready, c) < 0) {
 		g_free(c);
 		return NULL;
--- a/src/adapter/http/exchange_list.c
+++ b/src/adapter/http/exchange_list.c
@@ -7,6 +7,7 @@
 
 	x->conn = c;
 	x->open = 1;
+	x->queued_out.limit = c->server->call_bytes;
 	if (c->newest)
 		c->newest->next = x;
 	else
--- /dev/null
+++ b/src/adapter/http/held.c
@@ -0,0 +1,49 @@
+#include "http_impl.h"
+
+/* Bytes that connections hold. Those to be sent are counted in a limit that the
+ * user gives; the sums by place are made when they are asked for. */
+
+void
+http_server_set_call_bytes(struct http_server *s, struct byte_limit *b)
+{
+	s->call_bytes = b;
+}
+
+void
+http_pool_set_call_bytes(struct http_pool *p, struct byte_limit *b)
+{
+	p->call_bytes = b;
+}
+
+static size_t
+in_held(const struct http_in *in)
+{
+	return in->text_cap + in->unparsed_len;
+}
+
+void
+http_server_held(const struct http_server *s, struct http_held *h)
+{
+	const struct http_exchange *x;
+	const struct http_conn *c;
+
+	h->unsent = h->input = 0;
+	for (c = s->conns; c; c = c->next) {
+		h->unsent += out_pending(&c->out);
+		h->input += in_held(&c->in);
+		for (x = c->first; x; x = x->next)
+			h->unsent += out_pending(&x->queued_out);
+	}
+}
+
+void
+http_pool_held(const struct http_pool *p, struct http_held *h)
+{
+	const struct http_link *l;
+
+	h->unsent = h->input = 0;
+	for (l = p->links[LINK_BUSY]; l; l = l->next) {
+		h->unsent += out_pending(&l->out);
+		h->input += in_held(&l->in);
+	}
+}
--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -4,10 +4,12 @@
 #include <http_parser.h>
 #include <sys/uio.h>
 
+#include "byte_limit.h"
 #include "http.h"
 
 #define HTTP_READ_BYTES 65536 /* read from a socket at once */
 #define HTTP_LENGTH_MAX (1LL << 50) /* largest Content-Length, bytes */
+#define HTTP_KERNEL_UNSENT_BYTES 65536 /* taken by the kernel for a caller */
 #define HTTP_OUT_KEEP_BYTES 65536 /* larger buffers are freed if empty */
 /* bytes of input dropped after the request's exchange ended or the connection
  * began to close; with more, the connection is closed */
@@ -33,24 +35,24 @@
  * @off: bytes before it were sent
  * @len: end of the bytes to be sent, counted from @data
  * @cap: bytes allocated
+ * @limit: where bytes to be sent are counted, or NULL
  */
 struct http_out {
 	char *data;
 	size_t off;
 	size_t len;
 	size_t cap;
+	struct byte_limit *limit;
 };
 
 /** out_pending() - bytes not yet sent */
 size_t out_pending(const struct http_out *);
-/** out_reserve() - make room for @n more bytes. Return: where they go; the
- * caller then raises len */
-char *out_reserve(struct http_out *, size_t n);
 void out_add(struct http_out *, const void *, size_t n);
 void out_text(struct http_out *, const char *);
 void out_field(struct http_out *, const char *name, const char *value);
 /** out_int() - append a number in decimal */
 void out_int(struct http_out *, int64_t);
+/** out_clear() - drop all bytes and free the buffer */
 void out_clear(struct http_out *);
 /**
  * out_send() - send the buffered bytes and then @iov with one system call
@@ -284,6 +286,7 @@
  * @closed: closed connections, not yet freed
  * @free_timer: frees @closed
  * @scratch: receive buffer of HTTP_READ_BYTES, shared by all connections
+ * @call_bytes: where bytes to be sent are counted, or NULL
  */
 struct http_server {
 	struct io_loop *loop;
@@ -302,6 +305,7 @@
 	struct http_conn *closed;
 	struct io_timer free_timer;
 	char *scratch;
+	struct byte_limit *call_bytes;
 };
 
 /** conn_new() - serve an accepted socket; answers 503 and closes it if
@@ -471,6 +475,7 @@
  * @free_timer: frees @closed
  * @timer: opens spare connections after HTTP_SPARE_RETRY_US
  * @scratch: receive buffer of HTTP_READ_BYTES, shared by all connections
+ * @call_bytes: where bytes to be sent are counted, or NULL
  */
 struct http_pool {
 	struct io_loop *loop;
@@ -488,6 +493,7 @@
 	struct io_timer free_timer;
 	struct io_timer timer;
 	char *scratch;
+	struct byte_limit *call_bytes;
 };
 
 /** link_new() - open a connection to the pool's address, or NULL with the error
--- a/src/adapter/http/out.c
+++ b/src/adapter/http/out.c
@@ -8,6 +8,7 @@
 #define OUT_FIRST_BYTES 1024
 #define OUT_IOV_MAX 4
 #define CHUNK_HEAD_BYTES 24
+#define OUT_STEP_BYTES 65536 /* a larger buffer grows by as much */
 
 size_t
 out_pending(const struct http_out *o)
@@ -15,8 +16,9 @@
 	return o->len - o->off;
 }
 
-char *
-out_reserve(struct http_out *o, size_t n)
+/* Makes room for @n more bytes; returns where they go. */
+static char *
+reserve(struct http_out *o, size_t n)
 {
 	if (o->off > 0 && o->off >= o->len - o->off) {
 		memmove(o->data, o->data + o->off, o->len - o->off);
@@ -27,7 +29,7 @@
 		if (!o->cap)
 			o->cap = OUT_FIRST_BYTES;
 		while (o->cap - o->len < n)
-			o->cap *= 2;
+			o->cap += MIN(o->cap, OUT_STEP_BYTES);
 		o->data = g_realloc(o->data, o->cap);
 	}
 	return o->data + o->len;
@@ -38,8 +40,9 @@
 {
 	if (!n)
 		return;
-	memcpy(out_reserve(o, n), data, n);
+	memcpy(reserve(o, n), data, n);
 	o->len += n;
+	byte_limit_take(o->limit, n);
 }
 
 void
@@ -73,8 +76,10 @@
 void
 out_clear(struct http_out *o)
 {
+	byte_limit_give(o->limit, out_pending(o));
 	g_free(o->data);
-	memset(o, 0, sizeof *o);
+	o->data = NULL;
+	o->off = o->len = o->cap = 0;
 }
 
 static void
@@ -123,6 +128,7 @@
 	r = sendmsg(fd, &m, MSG_NOSIGNAL);
 	e = errno;
 	n = r < 0 ? 0 : (size_t)r;
+	byte_limit_give(o->limit, MIN(n, pending));
 	if (n >= pending)
 		reset_buffer(o);
 	else
--- a/src/adapter/rpc/peer_conn.c
+++ b/src/adapter/rpc/peer_conn.c
@@ -70,6 +70,13 @@
 		c->node->ops->opened(c->node->ctx, c);
 }
 
+void
+peer_drop_unsent(struct peer_conn *c)
+{
+	byte_limit_give(c->node->call_bytes, c->out->len);
+	g_byte_array_set_size(c->out, 0);
+}
+
 static void
 remove_conn(struct peer_node *n, struct peer_conn *c)
 {
@@ -94,6 +101,7 @@
 	io_watch_remove(n->loop, &c->watch);
 	close(c->fd);
 	remove_conn(n, c);
+	peer_drop_unsent(c);
 	n->depth++;
 	n->ops->closed(n->ctx, c);
 	n->depth--;
--- a/src/adapter/rpc/peer_flush.c
+++ b/src/adapter/rpc/peer_flush.c
@@ -31,6 +31,7 @@
 			break;
 		done += n;
 	}
+	byte_limit_give(c->node->call_bytes, done);
 	if (done == c->out->len && done > OUT_KEEP_MAX)
 		replace_buffer(c);
 	else if (done)
--- a/src/adapter/rpc/peer_impl.h
+++ b/src/adapter/rpc/peer_impl.h
@@ -56,6 +56,7 @@
 	GPtrArray *closed; /* to be freed when no callback is running */
 	int depth; /* nesting of running callbacks */
 	struct peer_counters counters;
+	struct byte_limit *call_bytes; /* counts unsent bytes, or NULL */
 	char *scratch; /* record mark and record being encoded */
 	char *arena; /* decoded strings of the current record */
 	char *read_buf; /* for recv() */
@@ -79,6 +80,8 @@
 void peer_conn_free(struct peer_conn *);
 void peer_conn_set_open(struct peer_conn *);
 void peer_conn_ready(void *ctx, int ready);
+/* peer_drop_unsent() - forget the bytes not yet accepted by the kernel */
+void peer_drop_unsent(struct peer_conn *);
 /* peer_reject() - count an invalid record and close the connection */
 void peer_reject(struct peer_conn *);
 
--- a/src/adapter/rpc/peer_node.c
+++ b/src/adapter/rpc/peer_node.c
@@ -84,6 +84,23 @@
 	g_free(n);
 }
 
+void
+peer_node_set_call_bytes(struct peer_node *n, struct byte_limit *b)
+{
+	n->call_bytes = b;
+}
+
+size_t
+peer_node_unsent_bytes(const struct peer_node *n)
+{
+	size_t sum = 0;
+	guint i;
+
+	for (i = 0; i < n->conns->len; i++)
+		sum += peer_unsent_bytes(g_ptr_array_index(n->conns, i));
+	return sum;
+}
+
 const struct peer_counters *
 peer_node_counters(const struct peer_node *n)
 {
--- a/src/adapter/rpc/peer_record.c
+++ b/src/adapter/rpc/peer_record.c
@@ -83,6 +83,7 @@
 	c->node->counters.bytes_out += len + RECORD_MARK_LEN;
 	g_byte_array_append(c->out, (guint8 *)c->node->scratch,
 	    len + RECORD_MARK_LEN);
+	byte_limit_take(c->node->call_bytes, len + RECORD_MARK_LEN);
 	peer_flush(c);
 	return 0;
 }
--- a/src/adapter/rpc/wire_call.c
+++ b/src/adapter/rpc/wire_call.c
@@ -16,3 +16,21 @@
 	       wire_fields(x, &c->nfield, c->field, a) &&
 	       wire_blob(x, &c->body, &c->body_len, WIRE_CHUNK_MAX);
 }
+
+uint32_t
+wire_window_flags(size_t window)
+{
+	return (uint32_t)(window / WIRE_CALL_WINDOW_UNIT)
+	       << WIRE_CALL_WINDOW_SHIFT;
+}
+
+size_t
+wire_window(uint32_t flags)
+{
+	size_t n =
+	    (size_t)(flags >> WIRE_CALL_WINDOW_SHIFT) * WIRE_CALL_WINDOW_UNIT;
+
+	if (!n || n > WIRE_WINDOW)
+		return WIRE_WINDOW;
+	return n < WIRE_CHUNK_MAX ? WIRE_CHUNK_MAX : n;
+}
--- a/src/adapter/settings/table.c
+++ b/src/adapter/settings/table.c
@@ -57,6 +57,11 @@
 	{ "limits", "body_in_flight_bytes", SETTING_INT64,
 	    AT(body_in_flight_bytes), 65536, 1e12, "67108864",
 	    "largest total of request bodies held in memory at once" },
+	{ "limits", "call_bytes", SETTING_INT64, AT(call_bytes), 1048576, 1e12,
+	    "67108864",
+	    "largest total of bytes held for all calls, or that other daemons "
+	    "may send for them; buffers can take twice that, so the default "
+	    "is a quarter of a machine of 260 MB" },
 	{ "limits", "connections", SETTING_INT, AT(connections), 1, 1000000,
 	    "1024", "most caller connections open at once" },
 	{ "limits", "idle_ms", SETTING_INT, AT(idle_ms), 1, 86400000, "60000",
--- /dev/null
+++ b/src/core/byte_limit.c
@@ -0,0 +1,31 @@
+#include "byte_limit.h"
+
+void
+byte_limit_take(struct byte_limit *b, size_t n)
+{
+	if (b)
+		b->used += (int64_t)n;
+}
+
+void
+byte_limit_give(struct byte_limit *b, size_t n)
+{
+	if (b)
+		b->used -= (int64_t)n;
+}
+
+int
+byte_limit_reached(const struct byte_limit *b)
+{
+	return b->used >= b->limit;
+}
+
+size_t
+byte_limit_share(const struct byte_limit *b, size_t least, size_t most)
+{
+	int64_t share = (b->limit - b->used) / BYTE_LIMIT_SHARES;
+
+	if (share < (int64_t)least)
+		return least;
+	return share < (int64_t)most ? (size_t)share : most;
+}
--- a/src/daemon/data/data.c
+++ b/src/daemon/data/data.c
@@ -155,13 +155,16 @@
 
 	keys.nkey = s->nkey;
 	memcpy(keys.key, s->fleet_key, sizeof keys.key);
+	d->call_bytes.limit = s->call_bytes;
 	d->node = peer_node_new(d->task.loop, d->incarnation, &keys, &ops, d);
+	peer_node_set_call_bytes(d->node, &d->call_bytes);
 	if (peer_node_listen(d->node, s->ip, s->peer_port, e))
 		return kq_error_wrap(e, KQ_LAYER_DAEMON, 1, "peer_port");
 	d->server = http_server_new(d->task.loop, s->ip, s->caller_port,
 	    &limits, &outbound_server_ops, d, e);
 	if (!d->server)
 		return kq_error_wrap(e, KQ_LAYER_DAEMON, 1, "caller_port");
+	http_server_set_call_bytes(d->server, &d->call_bytes);
 	return 0;
 }
 
--- /dev/null
+++ b/src/daemon/data/held.c
@@ -0,0 +1,74 @@
+#include "daemon/inbound/inbound.h"
+#include "daemon/outbound/outbound.h"
+
+/* What the daemon holds for calls, by place, added up when it is asked for. */
+
+struct held {
+	size_t promised; /* of answers, that other daemons may send */
+	size_t requests; /* of requests, at the outbound side */
+	size_t inbound; /* of requests and answers, at the inbound side */
+};
+
+static void
+add_outbound(const struct data *d, struct held *h)
+{
+	const struct out_call *c;
+	GHashTableIter it;
+	gpointer v;
+	int i;
+
+	g_hash_table_iter_init(&it, d->out_calls);
+	while (g_hash_table_iter_next(&it, &v, NULL)) {
+		c = v;
+		h->requests += c->body->len;
+		for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+			h->promised += c->attempt[i].promised;
+	}
+}
+
+static void
+add_inbound(const struct data *d, struct held *h)
+{
+	const struct in_call *c;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, d->in_calls);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		c = v;
+		h->inbound += c->body->len;
+		if (c->answer_body)
+			h->inbound += c->answer_body->len;
+	}
+}
+
+static void
+write_place(GString *t, const char *place, size_t n)
+{
+	g_string_append_printf(t, "kumquatrock_held_bytes{place=\"%s\"} %zu\n",
+	    place, n);
+}
+
+void
+data_write_held(const struct data *d, GString *t)
+{
+	struct http_held callers, target = { 0 };
+	struct held h = { 0 };
+
+	add_outbound(d, &h);
+	add_inbound(d, &h);
+	http_server_held(d->server, &callers);
+	if (d->pool)
+		http_pool_held(d->pool, &target);
+	g_string_append(t,
+	    "# HELP kumquatrock_held_bytes Held for calls, by place\n"
+	    "# TYPE kumquatrock_held_bytes gauge\n");
+	write_place(t, "promised", h.promised);
+	write_place(t, "requests", h.requests);
+	write_place(t, "inbound", h.inbound);
+	write_place(t, "to-callers", callers.unsent);
+	write_place(t, "from-callers", callers.input);
+	write_place(t, "to-target", target.unsent);
+	write_place(t, "from-target", target.input);
+	write_place(t, "to-daemons", peer_node_unsent_bytes(d->node));
+}
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -3,6 +3,7 @@
 
 #include "admit.h"
 #include "budget.h"
+#include "byte_limit.h"
 #include "config.h"
 #include "crash.h"
 #include "daemon/data/data.h"
@@ -89,6 +90,7 @@
 	struct io_timer pause_timer;
 	uint32_t pause_number; /* number of the last pause of this task */
 	int suspended; /* paused and has not caught up since */
+	int calls_refused; /* call_bytes was at its limit at the last call */
 	int draining; /* the daemon is stopping */
 	int64_t drain_started;
 	struct io_timer drain_timer;
@@ -101,6 +103,7 @@
 	    *route_sequences; /* host and prefix to struct route_sequence */
 	GHashTable *peers; /* incarnation to struct out_peer */
 	int64_t body_bytes; /* request body bytes held in memory */
+	struct byte_limit call_bytes; /* held for all calls, or promised */
 	GHashTable *out_calls; /* set of struct out_call */
 	GHashTable *ramps; /* data centre name to struct ramp */
 	struct io_timer ramp_timer;
@@ -180,6 +183,8 @@
 /** data_note_answered() - note that a target answered a request */
 void data_note_answered(struct data *, uint64_t digest);
 
+/** data_write_held() - write the metrics of what is held for calls */
+void data_write_held(const struct data *, GString *);
 void data_write_metrics(struct data *, GString *);
 void data_write_targets(struct data *, GString *);
 void data_write_explain(struct data *, GString *);
--- a/src/daemon/data/report.c
+++ b/src/daemon/data/report.c
@@ -108,6 +108,9 @@
 	    "Records with a wrong code or form", p->records_rejected);
 	write_gauge(t, "calls_open", "Calls in progress",
 	    g_hash_table_size(d->out_calls));
+	write_gauge(t, "call_bytes", "Bytes counted in limits.call_bytes",
+	    (double)d->call_bytes.used);
+	data_write_held(d, t);
 	write_gauge(t, "config_version", "Version in force",
 	    (double)d->view->complete_version);
 	if (!d->admit)
--- a/src/daemon/inbound/answer.c
+++ b/src/daemon/inbound/answer.c
@@ -72,8 +72,10 @@
 			return;
 		}
 	}
-	if (b && done)
+	if (b && done) {
 		g_byte_array_remove_range(b, 0, done);
+		byte_limit_give(&c->data->call_bytes, done);
+	}
 	if (c->answer_paused && c->target_call &&
 	    (!b || b->len < BUFFER_BYTES / 2)) {
 		c->answer_paused = 0;
@@ -95,6 +97,7 @@
 	if (!c->answer_body)
 		c->answer_body = g_byte_array_new();
 	g_byte_array_append(c->answer_body, p, n);
+	byte_limit_take(&c->data->call_bytes, n);
 	if (c->target_call && !c->answer_paused &&
 	    c->answer_body->len >= BUFFER_BYTES) {
 		c->answer_paused = 1;
@@ -102,6 +105,16 @@
 	}
 }
 
+void
+inbound_drop_answer(struct in_call *c)
+{
+	if (!c->answer_body)
+		return;
+	byte_limit_give(&c->data->call_bytes, c->answer_body->len);
+	g_byte_array_unref(c->answer_body);
+	c->answer_body = NULL;
+}
+
 /* Tells the outbound side that the answer broke off; frees the call. */
 static void
 send_broken(struct in_call *c)
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -81,9 +81,10 @@
 	set_route(c);
 	c->body = g_byte_array_new();
 	g_byte_array_append(c->body, m->body, m->body_len);
+	byte_limit_take(&d->call_bytes, m->body_len);
 	c->body_last = !(m->flags & WIRE_CALL_MORE);
 	c->digest = data_request_digest(&c->head, m->body, m->body_len);
-	c->answer_credit = WIRE_WINDOW;
+	c->answer_credit = wire_window(m->flags);
 	g_hash_table_insert(d->in_calls, GUINT_TO_POINTER(c->tag), c);
 	g_hash_table_insert(conn_calls(conn), GUINT_TO_POINTER(xid), c);
 	d->counters.in_calls++;
@@ -105,9 +106,9 @@
 	g_hash_table_remove(d->in_calls, GUINT_TO_POINTER(c->tag));
 	head_copy_clear(&c->head);
 	head_copy_clear(&c->answer);
+	byte_limit_give(&d->call_bytes, c->body->len);
 	g_byte_array_unref(c->body);
-	if (c->answer_body)
-		g_byte_array_unref(c->answer_body);
+	inbound_drop_answer(c);
 	g_free(c);
 	data_check_drained(d);
 }
@@ -330,6 +331,10 @@
 		inbound_reply_outcome(c, WIRE_NOT_RUN, WIRE_REASON_NO_TARGET);
 		return;
 	}
+	if (byte_limit_reached(&d->call_bytes) && !c->repeat) {
+		inbound_reply_outcome(c, WIRE_NOT_RUN, WIRE_REASON_FULL);
+		return;
+	}
 	if (c->config_version > d->view->rules_version)
 		wait_for_version(c);
 	else
--- a/src/daemon/inbound/conn.c
+++ b/src/daemon/inbound/conn.c
@@ -1,5 +1,7 @@
 #include "daemon/inbound/inbound.h"
 
+#define BODY_UNSENT_MAX 65536 /* bytes unsent before credit is held back */
+
 static struct in_call *
 find_call(struct peer_conn *conn, uint32_t xid)
 {
@@ -22,7 +24,7 @@
 }
 
 /* The HTTP call takes all bytes, and the credit for them waits until the target
- * has read enough of them, so that at most two windows are buffered. */
+ * has read most of them, so that little more than a window is buffered. */
 void
 inbound_flush_body(struct in_call *c)
 {
@@ -32,8 +34,9 @@
 		return;
 	unsent = http_call_write(c->target_call, c->body->data, c->body->len);
 	c->body_credit_owed += c->body->len;
+	byte_limit_give(&c->data->call_bytes, c->body->len);
 	g_byte_array_set_size(c->body, 0);
-	if (unsent <= WIRE_WINDOW)
+	if (unsent <= BODY_UNSENT_MAX)
 		return_credit(c);
 	if (c->body_last == 1) {
 		c->body_last = 2;
@@ -49,6 +52,7 @@
 	if (!c || c->body_last || c->body->len + m->body_len > WIRE_WINDOW)
 		return;
 	g_byte_array_append(c->body, m->body, m->body_len);
+	byte_limit_take(&c->data->call_bytes, m->body_len);
 	if (m->flags & WIRE_BODY_LAST)
 		c->body_last = 1;
 	inbound_flush_body(c);
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -172,6 +172,8 @@
 /** inbound_flush_answer() - send buffered bytes of the answer as far as credit
  * allows; frees the call after the last one */
 void inbound_flush_answer(struct in_call *);
+/** inbound_drop_answer() - drop the buffered bytes of the answer */
+void inbound_drop_answer(struct in_call *);
 void inbound_call_free(struct in_call *);
 /** inbound_receive_body() - handle further bytes of a request's body */
 void inbound_receive_body(struct peer_conn *, const struct wire_body *);
--- a/src/daemon/inbound/target.c
+++ b/src/daemon/inbound/target.c
@@ -74,6 +74,7 @@
 
 	d->pool = http_pool_new(d->task.loop, t->ip, t->port,
 	    request_connections(t), TARGET_SPARE_CONNECTIONS, &limits);
+	http_pool_set_call_bytes(d->pool, &d->call_bytes);
 	d->measure_pool =
 	    http_pool_new(d->task.loop, t->ip, t->port, 1, 0, &limits);
 }
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -96,7 +96,8 @@
 		a->peer = p;
 		a->handle = p->handle;
 		a->started = now;
-		a->credit = WIRE_WINDOW;
+		a->credit = byte_limit_share(&c->data->call_bytes,
+		    BODY_KEEP_MAX, WIRE_WINDOW);
 		pick_sent(s->pick, a->handle, now);
 		if (!send_or_wait(a)) {
 			out_service_probe(s);
@@ -192,6 +193,15 @@
 		m->flags |= WIRE_CALL_MORE;
 	else
 		a->end_sent = 1;
+	m->flags |= wire_window_flags(a->window);
+}
+
+/* Window for the answer, as the inbound side will read it from the call. */
+static size_t
+answer_window(const struct data *d)
+{
+	return wire_window(wire_window_flags(
+	    byte_limit_share(&d->call_bytes, WIRE_CHUNK_MAX, WIRE_WINDOW)));
 }
 
 int
@@ -203,11 +213,14 @@
 
 	if (mint_id(a, now))
 		return -1;
+	a->window = answer_window(c->data);
 	fill_call(a, &m, now);
 	a->xid = peer_send_call(a->peer->conn, &m);
 	if (!a->xid)
 		return -1;
 	a->state = ATTEMPT_SENT;
+	a->promised = a->window;
+	byte_limit_take(&c->data->call_bytes, a->promised);
 	a->body_sent = m.body_len;
 	a->credit -= m.body_len;
 	g_hash_table_insert(a->peer->attempts, GUINT_TO_POINTER(a->xid), a);
@@ -233,8 +246,9 @@
 		return;
 	g_byte_array_remove_range(c->body, 0, low - c->body_base);
 	c->data->body_bytes -= low - c->body_base;
+	byte_limit_give(&c->data->call_bytes, low - c->body_base);
 	c->body_base = low;
-	if (c->paused && c->body->len <= WIRE_WINDOW / 2) {
+	if (c->paused && c->body->len <= outbound_body_share(c) / 2) {
 		c->paused = 0;
 		http_exchange_pause(c->exchange, 0);
 	}
@@ -284,9 +298,12 @@
 {
 	if (a->state == ATTEMPT_WAITING)
 		g_ptr_array_remove_fast(a->peer->waiting, a);
-	if (a->state == ATTEMPT_SENT)
+	if (a->state == ATTEMPT_SENT) {
 		g_hash_table_remove(a->peer->attempts,
 		    GUINT_TO_POINTER(a->xid));
+		byte_limit_give(&a->call->data->call_bytes, a->promised);
+		a->promised = 0;
+	}
 	a->state = ATTEMPT_UNUSED;
 }
 
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "daemon/outbound/outbound.h"
+#include "log.h"
 
 static void
 deadline_expired(void *ctx, int64_t now)
@@ -38,6 +39,45 @@
 	c->hedge_timer.ctx = c;
 }
 
+/* Refuses a call of which no attempt has started. */
+static void
+refuse_too_many(struct out_call *c, const char *reason)
+{
+	if (c->repeat)
+		outbound_answer_error(c, 504, "unknown", reason,
+		    "too many bytes are in flight; whether it ran before is "
+		    "not known\n");
+	else
+		outbound_answer_error(c, 503, "not-run", reason,
+		    "too many bytes are in flight\n");
+}
+
+/* Logs when calls begin to be refused and when they no longer are. */
+static void
+note_limit(struct data *d, int reached)
+{
+	if (reached == d->calls_refused)
+		return;
+	d->calls_refused = reached;
+	log_event(reached ? EVENT_CALL_BYTES_REACHED : EVENT_CALL_BYTES_FREE,
+	    reached ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE, data_now(d),
+	    "%s bytes=%" G_GINT64_FORMAT " limit=%" G_GINT64_FORMAT,
+	    reached ? "requests are refused: too many bytes are in flight"
+		    : "requests are taken again",
+	    d->call_bytes.used, d->call_bytes.limit);
+}
+
+int
+outbound_refuse_at_limit(struct out_call *c)
+{
+	int reached = byte_limit_reached(&c->data->call_bytes);
+
+	note_limit(c->data, reached);
+	if (reached)
+		refuse_too_many(c, "bytes-in-flight");
+	return reached;
+}
+
 /* Starts the first attempt and, if the call may be hedged, the timer for its
  * hedge; -1 when no attempt could be started; the call is freed then. */
 static int
@@ -80,6 +120,13 @@
 		start_first_attempt(c);
 }
 
+size_t
+outbound_body_share(const struct out_call *c)
+{
+	return byte_limit_share(&c->data->call_bytes, BODY_KEEP_MAX,
+	    WIRE_WINDOW);
+}
+
 static void
 request_body(void *ctx, struct http_exchange *x, const void *p, size_t n)
 {
@@ -90,17 +137,10 @@
 		return;
 	g_byte_array_append(c->body, p, n);
 	c->data->body_bytes += n;
+	byte_limit_take(&c->data->call_bytes, n);
 	if (c->data->body_bytes > c->data->settings.body_in_flight_bytes &&
 	    c->state == OUT_READING) {
-		if (c->repeat)
-			outbound_answer_error(c, 504, "unknown",
-			    "body-in-flight",
-			    "too many bytes of request bodies are in flight; "
-			    "whether it ran before is not known\n");
-		else
-			outbound_answer_error(c, 503, "not-run",
-			    "body-in-flight",
-			    "too many bytes of request bodies are in flight\n");
+		refuse_too_many(c, "body-in-flight");
 		return;
 	}
 	if (c->state == OUT_READING && c->body->len >= WIRE_CHUNK_MAX &&
@@ -109,7 +149,7 @@
 	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
 		if (c->attempt[i].state == ATTEMPT_SENT)
 			outbound_send_body(&c->attempt[i]);
-	if (!c->paused && c->body->len > WIRE_WINDOW) {
+	if (!c->paused && c->body->len > outbound_body_share(c)) {
 		c->paused = 1;
 		http_exchange_pause(x, 1);
 	}
@@ -172,6 +212,7 @@
 		retry_call_end(&c->service->retry, &c->retry);
 	head_copy_clear(&c->head);
 	d->body_bytes -= c->body->len;
+	byte_limit_give(&d->call_bytes, c->body->len);
 	g_byte_array_unref(c->body);
 	g_hash_table_remove(d->out_calls, c);
 	g_free(c);
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -11,7 +11,6 @@
 
 #define ATTEMPTS_OPEN_MAX 2 /* open attempts of one call */
 #define BODY_KEEP_MAX 65536 /* bytes of a request kept for another attempt */
-#define ANSWER_UNSENT_MAX 65536 /* bytes unsent before credit is held back */
 
 struct out_service {
 	struct data *data;
@@ -60,6 +59,8 @@
 	size_t body_sent; /* bytes of the body */
 	int end_sent; /* the last message of the body was sent */
 	size_t credit; /* bytes of the body that may still be sent */
+	size_t window; /* most bytes of the answer given credit at once */
+	size_t promised; /* bytes of the answer that may still come */
 	struct trace_context trace;
 };
 
@@ -93,7 +94,6 @@
 	struct retry_call retry;
 	struct out_attempt attempt[ATTEMPTS_OPEN_MAX];
 	struct out_attempt *winner; /* whose answer goes to the caller */
-	size_t credit_owed; /* bytes passed to the caller, credit not given */
 	struct tried tried;
 	int may_have_run;
 	int resent; /* resend_calls() handled it; it does so only once */
@@ -108,12 +108,18 @@
 outbound_request(void *ctx, struct http_exchange *, const struct http_head *);
 /** outbound_start_call() - start the deadline timer of a call */
 void outbound_start_call(struct out_call *);
+/** outbound_refuse_at_limit() - refuse a call that did not start yet while the
+ * daemon holds too many bytes. Return: nonzero if it did; the call is freed */
+int outbound_refuse_at_limit(struct out_call *);
 /** outbound_start_attempt() - start an attempt of a call. Return: 0, or -1 when
  * ATTEMPTS_OPEN_MAX are open, bytes of the body were freed, or no attempt or
  * target is left */
 int outbound_start_attempt(struct out_call *);
 /** outbound_attempt_send() - send an attempt on its open connection; 0 or -1 */
 int outbound_attempt_send(struct out_attempt *);
+/** outbound_body_share() - get how many bytes of a request's body may be held
+ * before its caller has to wait; more than are kept for another attempt */
+size_t outbound_body_share(const struct out_call *);
 /** outbound_send_body() - send what credit allows of the request's body */
 void outbound_send_body(struct out_attempt *);
 /** outbound_attempt_clear() - forget an attempt; its place is free again */
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -2,6 +2,10 @@
 
 #include "daemon/outbound/outbound.h"
 
+/* Credit is given once it is this part of the window or more, and held back
+ * while more than this part is unsent. */
+#define CREDIT_PARTS 4
+
 /* Whether a target reports a failure by this status. */
 static int
 status_failed(int status)
@@ -43,19 +47,33 @@
 	io_timer_clear(c->data->task.loop, &c->hedge_timer);
 }
 
-/* Allows the peer to send as many further bytes of the answer as were passed
- * on to the caller since the last credit. */
+/* Allows the peer to send further bytes of the answer, up to this call's share
+ * of what the daemon may hold, which never exceeds the window that the call
+ * began with. */
 static void
 give_credit(struct out_call *c, struct out_attempt *a)
 {
-	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, c->credit_owed };
+	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, 0 };
+	struct byte_limit *b = &c->data->call_bytes;
+	size_t share = byte_limit_share(b, WIRE_CHUNK_MAX, a->window);
 
-	if (!c->credit_owed || !a->peer->conn)
+	if (!a->peer->conn || a->promised + share / CREDIT_PARTS > share)
 		return;
-	c->credit_owed = 0;
+	m.bytes = share - a->promised;
+	byte_limit_take(b, m.bytes);
+	a->promised = share;
 	peer_send_credit(a->peer->conn, &m);
 }
 
+/* A daemon of an earlier version may send more than it was promised. */
+static void
+note_received(struct out_attempt *a, size_t n)
+{
+	n = MIN(n, a->promised);
+	a->promised -= n;
+	byte_limit_give(&a->call->data->call_bytes, n);
+}
+
 /* Passes bytes of the answer on to the caller. Credit for them waits until
  * outbound_drained() while too many bytes are unsent. */
 static void
@@ -65,9 +83,8 @@
 
 	if (!n)
 		return;
-	c->credit_owed += n;
-	if (http_exchange_write(c->exchange, p, n) <= ANSWER_UNSENT_MAX &&
-	    c->credit_owed >= WIRE_WINDOW / 4)
+	note_received(a, n);
+	if (http_exchange_write(c->exchange, p, n) <= a->window / CREDIT_PARTS)
 		give_credit(c, a);
 }
 
--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -349,4 +349,5 @@
 	retry_call_start(&c->service->retry, &c->retry, depth < 0 ? 0 : depth,
 	    left < 0 ? 0 : left, c->idempotent, c->deadline);
 	outbound_start_call(c);
+	outbound_refuse_at_limit(c);
 }
--- /dev/null
+++ b/src/internal/byte_limit.h
@@ -0,0 +1,41 @@
+#ifndef KQ_BYTE_LIMIT_H
+#define KQ_BYTE_LIMIT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * DOC: Limit on the bytes that a daemon holds for all calls together.
+ *
+ * Whatever holds bytes of a call takes them here and gives them back. So does
+ * one that has allowed a peer to send bytes, before they come. A holder that
+ * can wait asks for its share, which becomes smaller while the limit is being
+ * used up, and never smaller than what it needs to go on. So the limit can be
+ * exceeded by those least shares alone; what would hold more is refused while
+ * the limit is reached.
+ */
+
+/* a holder's share is this part of the bytes that are free */
+#define BYTE_LIMIT_SHARES 512
+
+/**
+ * struct byte_limit - bytes in use and their limit
+ * @used: bytes that are held or may come
+ */
+struct byte_limit {
+	int64_t limit;
+	int64_t used;
+};
+
+/** byte_limit_take() - count bytes that are held or may come; without a limit,
+ * when it is NULL, this does nothing */
+void byte_limit_take(struct byte_limit *, size_t n);
+/** byte_limit_give() - count bytes that are no longer held; NULL as above */
+void byte_limit_give(struct byte_limit *, size_t n);
+/** byte_limit_reached() - whether nothing new is to be held */
+int byte_limit_reached(const struct byte_limit *);
+/** byte_limit_share() - get the bytes, from @least to @most, that one holder
+ * may hold now */
+size_t byte_limit_share(const struct byte_limit *, size_t least, size_t most);
+
+#endif
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "byte_limit.h"
 #include "error.h"
 #include "io.h"
 
@@ -117,6 +118,16 @@
 struct http_server;
 struct http_exchange; /* one request and its response */
 
+/**
+ * struct http_held - bytes that the connections of a server or a pool hold
+ * @unsent: to be sent
+ * @input: received, in heads or not yet parsed
+ */
+struct http_held {
+	size_t unsent;
+	size_t input;
+};
+
 /**
  * struct http_server_ops - events of a server; @ctx is the server's
  * @request: request head is complete; set the exchange's context with
@@ -170,6 +181,11 @@
 /** http_server_is_listening() - whether connections are still accepted; for a
  * moment after a stop, those whose handshake had begun are */
 int http_server_is_listening(const struct http_server *);
+/** http_server_set_call_bytes() - count the unsent bytes of new connections in
+ * a limit, which lasts as long as the server */
+void http_server_set_call_bytes(struct http_server *, struct byte_limit *);
+/** http_server_held() - add up what the connections hold */
+void http_server_held(const struct http_server *, struct http_held *);
 /** http_server_free() - close all connections; open exchanges get no callback
  */
 void http_server_free(struct http_server *);
@@ -238,6 +254,11 @@
     int max, int spare, const struct http_limits *);
 /** http_pool_free() - close all connections; calls get no callback */
 void http_pool_free(struct http_pool *);
+/** http_pool_set_call_bytes() - count the unsent bytes of new calls in a limit,
+ * which lasts as long as the pool */
+void http_pool_set_call_bytes(struct http_pool *, struct byte_limit *);
+/** http_pool_held() - add up what the connections with a call hold */
+void http_pool_held(const struct http_pool *, struct http_held *);
 /** http_pool_connections() - number of connections that are open */
 int http_pool_connections(const struct http_pool *);
 /** http_pool_busy_connections() - number of connections that have a call */
--- a/src/internal/peer.h
+++ b/src/internal/peer.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "byte_limit.h"
 #include "error.h"
 #include "io.h"
 #include "wire.h"
@@ -89,6 +90,11 @@
  * open */
 void peer_node_stop_listen(struct peer_node *);
 void peer_node_free(struct peer_node *);
+/** peer_node_set_call_bytes() - count the unsent bytes of all connections in a
+ * limit, which lasts as long as the node; call it before there are any */
+void peer_node_set_call_bytes(struct peer_node *, struct byte_limit *);
+/** peer_node_unsent_bytes() - add up what the connections hold */
+size_t peer_node_unsent_bytes(const struct peer_node *);
 const struct peer_counters *peer_node_counters(const struct peer_node *);
 
 /** peer_connect() - connect to another daemon; ops->opened or ops->closed is
--- a/src/internal/settings.h
+++ b/src/internal/settings.h
@@ -77,6 +77,7 @@
 	char fleet_key_file[SETTINGS_PATH_MAX];
 	int head_bytes;
 	int64_t body_in_flight_bytes;
+	int64_t call_bytes;
 	int connections;
 	int idle_ms;
 	int head_ms;
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -36,7 +36,8 @@
 };
 
 #define WIRE_CHUNK_MAX 32768 /* bytes of a body in one message */
-#define WIRE_WINDOW 262144 /* bytes of a body sent before credit is needed */
+/* most bytes of a body sent before credit is needed */
+#define WIRE_WINDOW 262144
 /* bytes; large enough for a WIRE_PULL result and the RPC header */
 #define WIRE_RECORD_MAX 1179648
 #define WIRE_STRING_MAX 16384 /* bytes with the final NUL */
@@ -62,6 +63,12 @@
 	WIRE_CALL_HAS_ALTERNATIVE = 16
 };
 
+/* The upper half of the flags is the window for the answer's body in KiB, at
+ * least WIRE_CHUNK_MAX; 0 stands for WIRE_WINDOW, which a daemon of a version
+ * that does not know of this uses in any case. */
+#define WIRE_CALL_WINDOW_SHIFT 16
+#define WIRE_CALL_WINDOW_UNIT 1024 /* bytes */
+
 /**
  * struct wire_call - arguments of WIRE_CALL
  * @config_version: configuration version under which the target was picked
@@ -236,6 +243,12 @@
 	struct wire_object object[WIRE_PULL_OBJECTS_MAX];
 };
 
+/** wire_window_flags() - get the flags of a call for a window of at most so
+ * many bytes */
+uint32_t wire_window_flags(size_t window);
+/** wire_window() - get the window for the answer's body from the flags of a
+ * call, in bytes from WIRE_CHUNK_MAX to WIRE_WINDOW */
+size_t wire_window(uint32_t flags);
 int wire_string(XDR *, char **, struct wire_arena *);
 int wire_fields(XDR *, uint32_t *n, struct http_field *, struct wire_arena *);
 int wire_blob(XDR *, const void **, uint32_t *len, uint32_t max);
--- a/tests/system/many-endless.sh
+++ b/tests/system/many-endless.sh
@@ -102,4 +102,32 @@
 	requests) play "$BODIES" /s/send --body ;;
 	esac
 done
+# With the limit reached, requests are refused before they are passed on, until it is
+# free again.
+set_targets "flood=1000000&flood_kind=4"
+sed -i 's/"measure_per_s"/"call_bytes": 1048576, "measure_per_s"/' "$fleet_dir/dc1-1.json"
+kill -HUP "$fleet_daemon_1_1"
+sleep 0.5
+fleet_run limit "$fleet_build/fake-caller" --to "$at:8400" --host h.example --path /s/flood/ --seconds 4 --slow 400 \
+	--open-per-s 100 --deadline-ms 5000
+callers=$!
+refused() {
+	refused_id=limit$(date +%N)
+	[ "$(curl -s -m 2 -D "$fleet_dir/head" -o "$fleet_dir/body" -w '%{http_code}' -H 'Host: h.example' -H "X-Attempt-Id: $refused_id" \
+		-H 'X-Deadline-Ms: 900' "http://$at:8400/s/x")" = 503 ]
+}
+fleet_wait_until 3 refused || fleet_fail "with the limit reached no request is refused"
+if ! grep -q 'Kumquatrock-Reason: bytes-in-flight' "$fleet_dir/head" || ! grep -qi '^Retry-After' "$fleet_dir/head"; then
+	fleet_fail "the refusal names no reason or time"
+fi
+grep -qs " run .*$refused_id" "$fleet_dir"/target-*.history && fleet_fail "the refused request ran"
+wait "$callers"
+fleet_wait_until 3 usable || fleet_fail "requests are still refused"
+for event in 505 506; do
+	grep -q "event=$event" "$fleet_dir/daemon-1-1.log" || fleet_fail "event $event is not in the log"
+done
+# What was taken from the limit was given back.
+none_held() { [ "$(fleet_metric 1 1 call_bytes)$(fleet_metric 1 2 call_bytes)" = 00 ]; }
+fleet_wait_until 10 none_held ||
+	fleet_fail "bytes are still counted: $(fleet_metric 1 1 call_bytes) and $(fleet_metric 1 2 call_bytes)"
 exit $failed
--- a/tests/unit/peer.c
+++ b/tests/unit/peer.c
@@ -185,6 +185,21 @@
 }
 END_TEST
 
+START_TEST(flags_of_a_call_carry_the_window)
+{
+	ck_assert_uint_eq(wire_window(0), WIRE_WINDOW);
+	ck_assert_uint_eq(wire_window(WIRE_CALL_HAS_ALTERNATIVE), WIRE_WINDOW);
+	ck_assert_uint_eq(wire_window(wire_window_flags(WIRE_WINDOW)),
+	    WIRE_WINDOW);
+	ck_assert_uint_eq(wire_window(wire_window_flags(WIRE_CHUNK_MAX)),
+	    WIRE_CHUNK_MAX);
+	ck_assert_uint_eq(wire_window(wire_window_flags(100000)),
+	    100000 / WIRE_CALL_WINDOW_UNIT * WIRE_CALL_WINDOW_UNIT);
+	ck_assert_uint_eq(wire_window(wire_window_flags(1024)), WIRE_CHUNK_MAX);
+	ck_assert_uint_eq(wire_window(UINT32_MAX), WIRE_WINDOW);
+}
+END_TEST
+
 START_TEST(large_bodies_arrive_intact)
 {
 	unsigned char chunk[WIRE_CHUNK_MAX];
@@ -286,6 +301,7 @@
 	if (sodium_init() < 0)
 		return EXIT_FAILURE;
 	tcase_set_timeout(c, 30);
+	tcase_add_test(c, flags_of_a_call_carry_the_window);
 	tcase_add_test(c, call_and_reply);
 	tcase_add_test(c, large_bodies_arrive_intact);
 	tcase_add_test(c, unknown_key_is_rejected);
