http: no further request is read while many bytes are unsent to its caller

Cause: at most 16 requests of a connection are open at once, but an answer that is complete frees its place while its bytes are still unsent. A caller that sends requests and reads no answers had all of them run and all their answers held, up to the common limit, at which the requests of others are refused.

Evidence: tests/unit/http_backlog.c, 100 requests whose answers have 100 kB: 9,809,025 bytes held before, at most 231,072 allowed and held after; all answers arrive once the caller reads.

Ruled out: a bound on the number of such answers, which says nothing about their bytes.

--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -145,12 +145,15 @@
 		conn_linger(c);
 }
 
-/* Whether another request may be read: there is no exchange, or the newest one
- * allows requests after it, there are fewer than HTTP_PIPELINE_MAX and the
- * connection is not to be closed after the newest one. */
+/* Whether another request may be read: few bytes are unsent, and there is no
+ * exchange, or the newest one allows requests after it, there are fewer than
+ * HTTP_PIPELINE_MAX and the connection is not to be closed after the newest
+ * one. */
 static int
 may_read_request(const struct http_conn *c)
 {
+	if (out_pending(&c->out) > HTTP_UNSENT_MAX)
+		return 0;
 	if (c->newest && (c->server->stopping || c->server->no_keepalive))
 		return 0;
 	return !c->newest || (c->newest->pipelinable && !c->paused &&
--- a/src/adapter/http/http_impl.h
+++ b/src/adapter/http/http_impl.h
@@ -9,6 +9,7 @@
 
 #define HTTP_READ_BYTES 65536 /* read from a socket at once */
 #define HTTP_LENGTH_MAX (1LL << 50) /* largest Content-Length, bytes */
+#define HTTP_UNSENT_MAX 65536 /* with more, no further request is read */
 #define HTTP_KERNEL_UNSENT_BYTES 65536 /* taken by the kernel for a caller */
 #define HTTP_OUT_KEEP_BYTES 65536 /* larger buffers are freed if empty */
 /* bytes of input dropped after the request's exchange ended or the connection
--- /dev/null
+++ b/tests/unit/http_backlog.c
@@ -0,0 +1,97 @@
+#include "http_bed.h"
+
+#define REQUESTS 100
+#define ANSWER_BYTES 100000
+/* one answer, and what may be unsent while another request is read */
+#define HELD_MAX (ANSWER_BYTES + 128 * 1024)
+
+static struct byte_limit limit = { 1 << 30, 0 };
+static char answer[ANSWER_BYTES];
+
+static void
+respond(void *ctx, struct http_exchange *x, const struct http_head *h)
+{
+	bed.nrequest++;
+	http_exchange_write_head(x, 200, NULL, 0, ANSWER_BYTES);
+	http_exchange_write(x, answer, ANSWER_BYTES);
+	http_exchange_end(x);
+}
+
+static const struct http_server_ops ops = { .request = respond };
+
+static void
+setup(void)
+{
+	struct http_limits limits = HTTP_LIMITS_DEFAULT;
+
+	bed_setup();
+	bed_server_start(&limits, &ops);
+	http_server_set_call_bytes(bed.server, &limit);
+}
+
+static void
+send_requests(int fd, int64_t until)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+	size_t sent = 0, n = sizeof text - 1;
+	ssize_t r;
+
+	while (sent < n * REQUESTS) {
+		r = send(fd, text + sent % n, n - sent % n, MSG_NOSIGNAL);
+		sent += r > 0 ? (size_t)r : 0;
+		bed_step(until);
+	}
+}
+
+/* Lets the server run until nothing more happens for a while. */
+static void
+run_until_quiet(int64_t until)
+{
+	int64_t quiet = io_clock() + BED_QUIET_US;
+
+	while (io_clock() < quiet) {
+		bed_step(until);
+		ck_assert_int_le(limit.used, HELD_MAX);
+	}
+}
+
+START_TEST(caller_that_sends_requests_and_does_not_read_holds_few_answers)
+{
+	int fd = io_connect_tcp("127.0.0.1", bed.port);
+	int64_t until = bed_timeout_at();
+	int size = 65536;
+	size_t got = 0;
+	char buf[65536];
+	ssize_t r;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+	send_requests(fd, until);
+	run_until_quiet(until);
+	ck_assert_int_lt(bed.nrequest, REQUESTS);
+	while (bed.nrequest < REQUESTS || limit.used) {
+		bed_step(until);
+		r = recv(fd, buf, sizeof buf, MSG_DONTWAIT);
+		got += r > 0 ? (size_t)r : 0;
+		ck_assert_int_le(limit.used, HELD_MAX);
+	}
+	while (got < (size_t)REQUESTS * ANSWER_BYTES) {
+		bed_step(until);
+		r = recv(fd, buf, sizeof buf, MSG_DONTWAIT);
+		got += r > 0 ? (size_t)r : 0;
+	}
+	close(fd);
+	bed_wait_closed();
+	ck_assert_int_eq(limit.used, 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *c = tcase_create("http_backlog");
+
+	tcase_add_checked_fixture(c, setup, bed_teardown);
+	tcase_add_test(c,
+	    caller_that_sends_requests_and_does_not_read_holds_few_answers);
+	return bed_run_suite("http_backlog", c);
+}
