rpc: a record before the handshake is complete has at most 4 KB

Whoever opens a connection to the peer port could have 1.1 MB of a record held for each connection, for 3 s, without knowing the fleet's key.

Cause: one bound for the records of a handshake and those of an open connection, which carry pages of configuration.

Evidence: tests/unit/peer.c, invalid_records_are_rejected with a record of 5,000 bytes that is only begun: before, the connection stays open and the test fails; after, it is closed at once and counted.

--- a/src/adapter/rpc/peer_receive.c
+++ b/src/adapter/rpc/peer_receive.c
@@ -7,12 +7,15 @@
 
 #define RECORD_MARK_LEN 4
 #define LAST_FRAGMENT 0x80000000u
+#define HELLO_RECORD_MAX 4096 /* bytes, until the handshake is complete */
 
 /* Returns the length of the record at @p, 0 if it is incomplete, -1 if invalid.
  * Daemons send single-fragment records only, so no others are accepted. */
 static long
-record_length(const unsigned char *p, size_t n)
+record_length(const struct peer_conn *c, const unsigned char *p, size_t n)
 {
+	uint32_t max =
+	    c->state == PEER_OPEN ? WIRE_RECORD_MAX : HELLO_RECORD_MAX;
 	uint32_t mark;
 
 	if (n < RECORD_MARK_LEN)
@@ -22,7 +25,7 @@
 	if (!(mark & LAST_FRAGMENT))
 		return -1;
 	mark &= ~LAST_FRAGMENT;
-	if (mark > WIRE_RECORD_MAX || mark < PEER_VERF_REPLY + PEER_MAC_LEN)
+	if (mark > max || mark < PEER_VERF_REPLY + PEER_MAC_LEN)
 		return -1;
 	return n - RECORD_MARK_LEN < mark ? 0 : (long)mark;
 }
@@ -35,7 +38,7 @@
 	long len;
 
 	while (c->state != PEER_CLOSED) {
-		len = record_length(p + used, n - used);
+		len = record_length(c, p + used, n - used);
 		if (!len)
 			return used;
 		if (len < 0) {
--- a/tests/unit/peer.c
+++ b/tests/unit/peer.c
@@ -264,6 +264,10 @@
 	static const char *const invalid[] = { "GET / HTTP/1.1\r\n\r\n",
 		"\x80\x00\x00\x40"
 		"0123456789012345678901234567890123456789012345678901234567"
+		"8901234567",
+		/* a record that is too long for a handshake, begun only */
+		"\x80\x00\x13\x88"
+		"0123456789012345678901234567890123456789012345678901234567"
 		"8901234567" };
 	struct sockaddr_in sa = { 0 };
 	struct endpoint a, b;
@@ -284,7 +288,7 @@
 		ck_assert(run_until(&a, &b, &a.closed, ++n));
 		close(fd);
 	}
-	ck_assert_uint_eq(peer_node_counters(a.node)->records_rejected, 2);
+	ck_assert_uint_eq(peer_node_counters(a.node)->records_rejected, 3);
 	endpoint_close(&b);
 	endpoint_close(&a);
 }
