--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -43,6 +43,7 @@
 
 	x->conn = c;
 	x->item.open = 1;
+	x->queued_out.limit = c->server->call_bytes;
 	line_add(&c->line, &x->item);
 	return x;
 }
@@ -330,7 +331,8 @@
 {
 	const struct http_server *s = c->server;
 
-	return line_may_read(&c->line, s->stopping || s->no_keepalive) &&
+	return out_pending(&c->out) <= HTTP_UNSENT_MAX &&
+	       line_may_read(&c->line, s->stopping || s->no_keepalive) &&
 	       (!c->line.newest || !c->paused);
 }
 
@@ -339,7 +341,7 @@
 {
 	if (c->in.ended && conn_may_read_request(c))
 		in_next_message(&c->in);
-	if (c->in.unparsed_len || c->eof)
+	if (c->in.unparsed_len ? !c->in.ended : c->eof)
 		conn_schedule(c);
 	else
 		conn_update_watch(c);
--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -18,6 +18,8 @@
 #define HTTP_STOP_GRACE_SHORT_US 300000
 #define HTTP_ACCEPT_RETRY_US 100000 /* no accept after a failed one */
 #define HTTP_REFUSED_MAX 64 /* connections being closed after a 503 */
+#define HTTP_UNSENT_MAX 65536 /* with more, no further request is read */
+#define HTTP_KERNEL_UNSENT_BYTES 65536 /* taken by the kernel for a caller */
 
 struct http_conn;
 
@@ -142,6 +144,7 @@
  * @closed: closed connections, not yet freed
  * @free_timer: frees @closed
  * @scratch: receive buffer of HTTP_READ_BYTES, shared by all connections
+ * @call_bytes: where bytes to be sent are counted, or NULL
  */
 struct http_server {
 	struct io_loop *loop;
@@ -160,6 +163,7 @@
 	struct http_conn *closed;
 	struct io_timer free_timer;
 	char *scratch;
+	struct byte_limit *call_bytes;
 };
 
 /* ---- conn.c: life of a connection, sending, what was decided ---- */
--- a/src/adapter/http/conn_answer.c
+++ b/src/adapter/http/conn_answer.c
@@ -82,7 +82,7 @@
 	struct http_conn *c = x->conn;
 	struct http_out *out = out_of(x);
 
-	out->len -= x->put;
+	out_drop_last(out, x->put);
 	if (out == &c->out && !out_pending(out))
 		c->corked = 0;
 	x->put = 0;
--- a/src/adapter/http/link.h
+++ b/src/adapter/http/link.h
@@ -104,6 +104,7 @@
  * @free_timer: frees @closed
  * @timer: opens spare connections after HTTP_SPARE_RETRY_US
  * @scratch: receive buffer of HTTP_READ_BYTES, shared by all connections
+ * @call_bytes: where bytes to be sent are counted, or NULL
  */
 struct http_pool {
 	struct io_loop *loop;
@@ -121,6 +122,7 @@
 	struct io_timer free_timer;
 	struct io_timer timer;
 	char *scratch;
+	struct byte_limit *call_bytes;
 };
 
 /** link_new() - open a connection to the pool's address, or NULL with the error
--- a/src/adapter/http/out.h
+++ b/src/adapter/http/out.h
@@ -5,6 +5,8 @@
 #include <stdint.h>
 #include <sys/uio.h>
 
+#include "byte_limit.h"
+
 #define HTTP_OUT_KEEP_BYTES 65536 /* larger buffers are freed if empty */
 
 /**
@@ -12,24 +14,26 @@
  * @off: bytes before it were sent
  * @len: end of the bytes to be sent, counted from @data
  * @cap: bytes allocated
+ * @limit: where bytes to be sent are counted, or NULL
  */
 struct http_out {
 	char *data;
 	size_t off;
 	size_t len;
 	size_t cap;
+	struct byte_limit *limit;
 };
 
 /** out_pending() - bytes not yet sent */
 size_t out_pending(const struct http_out *);
-/** out_reserve() - make room for @n more bytes. Return: where they go; the
- * caller then raises len */
-char *out_reserve(struct http_out *, size_t n);
 void out_add(struct http_out *, const void *, size_t n);
 void out_text(struct http_out *, const char *);
 void out_field(struct http_out *, const char *name, const char *value);
 /** out_int() - append a number in decimal */
 void out_int(struct http_out *, int64_t);
+/** out_drop_last() - drop the last @n bytes, none of which was sent */
+void out_drop_last(struct http_out *, size_t n);
+/** out_clear() - drop all bytes and free the buffer */
 void out_clear(struct http_out *);
 /**
  * out_send() - send the buffered bytes and then @iov with one system call
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -92,7 +92,6 @@
 	c->state = OUT_TRYING;
 	c->winner = NULL;
 	c->status = 0;
-	c->credit_owed = 0;
 	c->may_have_run = 1;
 	return 0;
 }
--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -349,8 +349,10 @@
 	c->deadline = c->started + left_ms * 1000;
 	retry_call_start(&c->service->retry, &c->retry, depth < 0 ? 0 : depth,
 	    left < 0 ? 0 : left, c->idempotent, c->deadline);
-	if (outbound_fits(c))
-		outbound_start_call(c);
-	else
+	if (!outbound_fits(c)) {
 		outbound_refuse_leaving(c);
+		return;
+	}
+	outbound_start_call(c);
+	outbound_refuse_at_limit(c);
 }
--- a/tests/fake/caller/main.c
+++ b/tests/fake/caller/main.c
@@ -8,6 +8,8 @@
 
 #define THREADS 40
 #define SEED_FIRST 17 /* of the first thread's random numbers */
+#define DEADLINE_MS 4000 /* of requests whose answers are read slowly */
+#define OPEN_PER_S 400 /* connections whose answers are read slowly */
 #define RETRY_US 20000 /* after a connection that could not be opened */
 #define REFUSED_MAX 25 /* in a row, until a thread ends */
 
@@ -102,10 +104,21 @@
 	    arg_str0(NULL, "second-host", "NAME", "Host field of the second");
 	struct arg_str *third =
 	    arg_str0(NULL, "third-host", "NAME", "Host field of the third");
-	struct arg_int *rate = arg_int0(NULL, "kb-per-s", "N", "read rate");
+	struct arg_int *kb_per_s = arg_int0(NULL, "kb-per-s", "N", "read rate");
+	struct arg_int *slow = arg_int0(NULL, "slow", "N",
+	    "only hold so many connections whose answers are read slowly");
+	struct arg_int *rate = arg_int0(NULL, "bytes-per-s", "N",
+	    "read by each of them; 0, which is the default: the status alone");
+	struct arg_int *deadline = arg_int0(NULL, "deadline-ms", "N",
+	    "of the requests of --slow, default 4000");
+	struct arg_int *per_s = arg_int0(NULL, "open-per-s", "N",
+	    "of them opened a second, default 400");
+	struct arg_lit *body =
+	    arg_lit0(NULL, "body", "with --slow, send bodies without end");
 	struct arg_end *end = arg_end(9);
-	void *table[] = { to, host, path, seconds, batches, second, third, rate,
-		end };
+	void *table[] = { to, host, path, seconds, batches, second, third,
+		kb_per_s, slow, rate, deadline, per_s, body, end };
+	struct slow_way way;
 	struct thread t[THREADS];
 	GThread *thread[THREADS];
 	struct caller c = { 0 };
@@ -120,16 +133,27 @@
 	}
 	c.host = host->sval[0];
 	c.path = path->sval[0];
-	if (batches->count && second->count && rate->count) {
+	if (batches->count && second->count && kb_per_s->count) {
 		b = (struct batch){ c.to,
 			{ c.host, second->sval[0],
 			    third->count ? third->sval[0] : NULL },
-			c.path, rate->ival[0] };
+			c.path, kb_per_s->ival[0] };
 		cut = play_batches(&b, batches->ival[0]);
 		arg_freetable(table, G_N_ELEMENTS(table));
 		return cut ? EXIT_FAILURE : EXIT_SUCCESS;
 	}
 	c.end = g_get_monotonic_time() + seconds->ival[0] * G_USEC_PER_SEC;
+	c.sends_body = body->count;
+	if (slow->count) {
+		way.connections = slow->ival[0];
+		way.bytes_per_s = rate->count ? rate->ival[0] : 0;
+		way.open_per_s = per_s->count ? per_s->ival[0] : OPEN_PER_S;
+		way.deadline_ms =
+		    deadline->count ? deadline->ival[0] : DEADLINE_MS;
+		slow_play(&c, &way);
+		arg_freetable(table, G_N_ELEMENTS(table));
+		return EXIT_SUCCESS;
+	}
 	for (i = 0; i < THREADS; i++) {
 		t[i] = (struct thread){ &c, (guint32)(SEED_FIRST + i) };
 		thread[i] = g_thread_new("caller", run, &t[i]);
