leave: rare long answers count in the time that a request may take

Cause: the time that requests take was judged by a smoothed mean and its deviation. A few long answers among many short ones leave no trace in them.

Ruled out: a larger multiple of the deviation, which such answers don't raise for long.

Conclusion: the longest of the last 256 to 511 answers of the route counts, too. After a time of long answers a stop refuses more until that many have come.

--- a/src/core/leave/time.c
+++ b/src/core/leave/time.c
@@ -5,11 +5,24 @@
 #define DEVIATIONS 4 /* above the mean, by which nearly all answers come */
 #define SAMPLES_MIN 5 /* answers needed before the time is used */
 
+/* A few long answers among many short ones leave no trace in the mean. */
+static void
+note_longest(struct answer_time *t, int64_t us)
+{
+	if (t->n % ANSWER_TIME_WINDOW == 0) {
+		t->longest_us[1] = t->longest_us[0];
+		t->longest_us[0] = 0;
+	}
+	if (us > t->longest_us[0])
+		t->longest_us[0] = us;
+}
+
 void
 answer_time_note(struct answer_time *t, int64_t us)
 {
 	double off = (double)us - t->us;
 
+	note_longest(t, us);
 	if (!t->n++) {
 		t->us = (double)us;
 		t->deviation_us = (double)us / 2;
@@ -23,7 +36,13 @@
 int64_t
 answer_time_most(const struct answer_time *t)
 {
+	int64_t us = (int64_t)(t->us + DEVIATIONS * t->deviation_us);
+	int i;
+
 	if (t->n < SAMPLES_MIN)
 		return 0;
-	return (int64_t)(t->us + DEVIATIONS * t->deviation_us);
+	for (i = 0; i < 2; i++)
+		if (t->longest_us[i] > us)
+			us = t->longest_us[i];
+	return us;
 }
--- a/src/internal/leave.h
+++ b/src/internal/leave.h
@@ -39,13 +39,18 @@
  * whole answers; zero it before first use
  * @us: smoothed mean, microseconds
  * @deviation_us: smoothed mean deviation, microseconds
+ * @longest_us: longest time since the last multiple of ANSWER_TIME_WINDOW
+ *	answers, and between that and the one before, microseconds
  * @n: number of answers */
 struct answer_time {
 	double us;
 	double deviation_us;
+	int64_t longest_us[2];
 	uint32_t n;
 };
 
+#define ANSWER_TIME_WINDOW 256 /* answers */
+
 /** answer_time_note() - record a whole answer after @us microseconds */
 void answer_time_note(struct answer_time *, int64_t us);
 /** answer_time_most() - time within which nearly all answers come, in
--- a/tests/unit/leave.c
+++ b/tests/unit/leave.c
@@ -121,6 +121,30 @@
 }
 END_TEST
 
+/* One answer in a hundred takes long. */
+START_TEST(rare_long_answers_are_included)
+{
+	struct answer_time t = { 0 };
+	int i;
+
+	for (i = 0; i < 1000; i++)
+		answer_time_note(&t, (i % 100 ? 300 : 4500) * MS);
+	ck_assert_int_ge(answer_time_most(&t), 4500 * MS);
+}
+END_TEST
+
+START_TEST(long_answer_is_forgotten_after_many_short_ones)
+{
+	struct answer_time t = { 0 };
+	int i;
+
+	answer_time_note(&t, 4500 * MS);
+	for (i = 0; i < 2 * ANSWER_TIME_WINDOW; i++)
+		answer_time_note(&t, 300 * MS);
+	ck_assert_int_lt(answer_time_most(&t), 320 * MS);
+}
+END_TEST
+
 START_TEST(longer_work_is_noticed_after_few_answers)
 {
 	struct answer_time t = { 0 };
@@ -150,6 +174,8 @@
 	tcase_add_test(t, time_is_unknown_after_few_answers);
 	tcase_add_test(t, steady_time_has_little_spread);
 	tcase_add_test(t, spread_is_included);
+	tcase_add_test(t, rare_long_answers_are_included);
+	tcase_add_test(t, long_answer_is_forgotten_after_many_short_ones);
 	tcase_add_test(t, longer_work_is_noticed_after_few_answers);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
