io: a caller that pauses its reading keeps its connection

Cause: TCP_USER_TIMEOUT, which breaks connections to daemons and targets that fell silent, was set on listening sockets, too. Accepted sockets inherit it, and a closed window counts as silence.

Class: a bound meant for one kind of peer acts on all.

Evidence: tests/unit/http_ends.c, a caller pauses for 2.5 s; before: the first of two answers cut and a reset; after: both whole.

Ruled out: idle_ms, which bounds callers that do not read, is 60 s.

Conclusion: the option is set on connections that a daemon opens, and on those that it accepts from other daemons.

--- a/src/adapter/io/tcp.c
+++ b/src/adapter/io/tcp.c
@@ -36,7 +36,6 @@
 static int
 open_socket(const char *ip, int port, struct sockaddr_storage *a, socklen_t *n)
 {
-	unsigned silence = IO_USER_TIMEOUT_MS;
 	int fd, on = 1;
 
 	if (fill_address(ip, port, a, n) < 0) {
@@ -48,10 +47,17 @@
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence, sizeof silence);
 	return fd;
 }
 
+void
+io_limit_silence(int fd)
+{
+	unsigned ms = IO_USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
 static int
 close_keep_errno(int fd)
 {
@@ -89,6 +95,7 @@
 	fd = open_socket(ip, port, &a, &n);
 	if (fd < 0)
 		return -1;
+	io_limit_silence(fd);
 	if (connect(fd, (struct sockaddr *)&a, n) < 0 && errno != EINPROGRESS)
 		return close_keep_errno(fd);
 	return fd;
--- a/src/adapter/rpc/peer_node.c
+++ b/src/adapter/rpc/peer_node.c
@@ -40,6 +40,7 @@
 		if (fd < 0)
 			return;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+		io_limit_silence(fd);
 		peer_conn_new(n, fd, 1);
 	}
 }
--- a/src/internal/io.h
+++ b/src/internal/io.h
@@ -78,6 +78,10 @@
 void io_timer_set(struct io_loop *, struct io_timer *, int64_t due);
 void io_timer_clear(struct io_loop *, struct io_timer *);
 
+/** io_limit_silence() - break a TCP connection whose peer takes none of the
+ * bytes sent for IO_USER_TIMEOUT_MS, also if it only stopped reading;
+ * io_connect_tcp() does this */
+void io_limit_silence(int fd);
 /** io_listen_tcp() - open a non-blocking listening socket on a numeric IP
  * address and a port; the socket or -1 with errno */
 int io_listen_tcp(const char *ip, int port);
--- a/tests/unit/http_ends.c
+++ b/tests/unit/http_ends.c
@@ -12,6 +12,7 @@
 #define LARGE_HEAD_BYTES 20000
 #define LATE_MS 100 /* head_ms and idle_ms of cases with a step "^" */
 #define LATE_US 300000
+#define STALL_US 2500000
 #define READ_QUIET_US 250000 /* more than a segment sent again takes */
 
 /* Steps, separated by spaces:
@@ -28,6 +29,7 @@
  *   s     the server closes each connection after its next response
  *   =     the caller closes its sending side
  *   ^     LATE_US go by
+ *   w     STALL_US go by
  *   r     the caller reads all that comes */
 struct ends_case {
 	const char *name;
@@ -95,6 +97,8 @@
 	    "p*.", "p " },
 	{ "a request that is half read as a response closes is not run",
 	    "+a~ s a: +; a; r", "a.", "a " },
+	{ "a caller that pauses its reading gets all", "+ab a* b w r", "a*b",
+	    "a b< b^ " },
 };
 
 static struct {
@@ -328,6 +332,8 @@
 		shutdown(run.fd, SHUT_WR);
 	else if (s[0] == '^')
 		run_for(LATE_US);
+	else if (s[0] == 'w')
+		run_for(STALL_US);
 	else if (s[0] == 'r')
 		read_all();
 	else
