http: a request that came before the end of a promised response is answered

Cause: after the stop each connection closed with the response that ended next, whatever that one had said.

Evidence: tests/unit/http_ends.c, before: the second request not read; after: answered, with "Connection: close".

Ruled out: it can't keep a stop from ending; such a connection is idle then, and idle ones are closed at the time that the stop has set, at once if it has passed.

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -301,8 +301,7 @@
 static struct http_exchange *
 finish_first(struct http_conn *c, struct http_exchange *x)
 {
-	enum line_verdict v =
-	    line_finish(&c->line, &x->item, c->server->stopping);
+	enum line_verdict v = line_finish(&c->line, &x->item);
 	struct kq_error err;
 
 	retire(c, x);
@@ -324,7 +323,7 @@
 {
 	x->ctx = NULL;
 	if (conn_first(c) != x) {
-		line_finish(&c->line, &x->item, c->server->stopping);
+		line_finish(&c->line, &x->item);
 		return;
 	}
 	while (x && c->state == CONN_OPEN && !c->closed)
--- a/src/adapter/http/line.c
+++ b/src/adapter/http/line.c
@@ -52,7 +52,7 @@
 }
 
 enum line_verdict
-line_finish(struct line *l, struct line_item *i, int stopping)
+line_finish(struct line *l, struct line_item *i)
 {
 	i->open = 0;
 	if (l->first != i) {
@@ -64,7 +64,7 @@
 		return LINE_CLOSE;
 	if (l->first)
 		return LINE_NEXT;
-	return l->closing || stopping ? LINE_CLOSE : LINE_GO_ON;
+	return l->closing ? LINE_CLOSE : LINE_GO_ON;
 }
 
 static enum line_verdict
--- a/src/adapter/http/line.h
+++ b/src/adapter/http/line.h
@@ -87,7 +87,7 @@
 int line_may_run(const struct line *);
 /** line_finish() - a response is complete; removes it if it was the first.
  * Return: LINE_GO_ON, LINE_NEXT or LINE_CLOSE */
-enum line_verdict line_finish(struct line *, struct line_item *, int stopping);
+enum line_verdict line_finish(struct line *, struct line_item *);
 /** line_abort() - the user can't complete a response. Return: LINE_ANSWER,
  * LINE_CLOSE or LINE_RESET */
 enum line_verdict line_abort(struct line_item *, enum line_sent);
--- a/tests/unit/http_ends.c
+++ b/tests/unit/http_ends.c
@@ -27,6 +27,7 @@
  *   a&    the same as a:, held back; a| releases it
  *   !a    the server aborts the exchange
  *   f     the server is freed
+ *   S     the server stops
  *   s     the server closes each connection after its next response
  *   =     the caller closes its sending side
  *   ^     LATE_US go by
@@ -104,6 +105,8 @@
 	    "z (1/0) " },
 	{ "the same at the end of the server", "+0 z: r f r", "z/!",
 	    "z z- (1/1) " },
+	{ "a request that came before the response promised to a stop ends",
+	    "+A A: r S +b A; b r", "Ab.", "A b " },
 	{ "a caller that pauses its reading gets all", "+ab a* b w r", "a*b",
 	    "a b< b^ " },
 };
@@ -335,6 +338,8 @@
 		http_exchange_abort(take_exchange(s[1], 1));
 	else if (s[0] == 'f')
 		http_server_free(g_steal_pointer(&bed.server));
+	else if (s[0] == 'S')
+		http_server_stop(bed.server);
 	else if (s[0] == 's')
 		http_server_disable_keepalive(bed.server);
 	else if (s[0] == '=')
