http: "100 Continue" is sent when a request's turn comes

A caller that waits for "100 Continue" behind another request gets none if the answer before it was begun earlier, and waits until it gives up.

Cause: the interim response was sent with other work that happened to be scheduled, not as the turn came.

Evidence: tests/unit/http_ends.c, before: none; after: sent. The notation of the received bytes shows "100 Continue" now, in all cases.

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -293,6 +293,8 @@
 	if (!c->closed && conn_first(c) == x && x->item.open &&
 	    c->server->ops->became_first)
 		c->server->ops->became_first(c->server->ctx, x);
+	if (!c->closed)
+		conn_send_continue(c);
 	return NULL;
 }
 
--- a/tests/unit/http_ends.c
+++ b/tests/unit/http_ends.c
@@ -20,7 +20,8 @@
  *         that path, a capital a POST; "~" the first half of a head, ";" its
  *         second half, "!" a malformed head, "#" a head that is too large, "("
  *         a POST to /p with a part of its body, "%" more of that body, "{" a
- *         POST to /p with a malformed chunk, "0" a request to /z in HTTP/1.0
+ *         POST to /p with a malformed chunk, "?" a POST to /p that waits
+ *         for "100 Continue", "0" a request to /z in HTTP/1.0
  *   a     the server responds to /a with a byte; "a*" with BIG_BYTES; "a/" with
  *         a part of the bytes announced, "a:" with a part of a length that is
  *         not announced, "a;" ends that, "a$" is as a: with BIG_BYTES
@@ -39,7 +40,8 @@
 	const char *script;
 	/* for each response its letter, "*" if it is whole and has BIG_BYTES,
 	 * "/" if it is cut, or another status with the first letter of the
-	 * outcome; "." if the connection was closed, "!" if it was reset */
+	 * outcome; "+" for "100 Continue"; "." if the connection was closed,
+	 * "!" if it was reset */
 	const char *received;
 	/* "a" request a was read, "a<" read behind others, "a^" is the first
 	 * now, "a-" failed, "a!" got a body while paused, "(2/1)" the
@@ -111,6 +113,8 @@
 	    "+A A: r S +b A; b r", "Ab.", "A b " },
 	{ "a pause of a body lasts as the request before it ends",
 	    "+a( <p a r +% >p r", "a", "a p< p^ p- " },
+	{ "100 Continue is sent in its turn", "+a? a: r a; r", "a+",
+	    "a p< p^ p- " },
 	{ "a caller that pauses its reading gets all", "+ab a* b w r", "a*b",
 	    "a b< b^ " },
 };
@@ -286,6 +290,9 @@
 	else if (item == '{')
 		g_string_append(t, "POST /p HTTP/1.1\r\n"
 				   "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
+	else if (item == '?')
+		g_string_append(t, "POST /p HTTP/1.1\r\nContent-Length: 5\r\n"
+				   "Expect: 100-continue\r\n\r\n");
 	else if (item == '0')
 		g_string_append(t, "GET /z HTTP/1.0\r\n\r\n");
 	else if (item == '%')
--- a/tests/unit/http_notes.h
+++ b/tests/unit/http_notes.h
@@ -51,8 +51,10 @@
 
 	while ((head = p) < end && (p = strstr(p, "\r\n\r\n"))) {
 		p += 4;
-		if (!strncmp(head, "HTTP/1.1 100", 12))
+		if (!strncmp(head, "HTTP/1.1 100", 12)) {
+			g_string_append_c(out, '+');
 			continue;
+		}
 		if (!strncmp(head, "HTTP/1.1 200", 12)) {
 			p = note_body(out, head, p, end);
 			continue;
