--- a/tests/system/fuzz-http.sh
+++ b/tests/system/fuzz-http.sh
@@ -11,7 +11,7 @@
 clang -std=gnu11 -O1 -g -D_GNU_SOURCE -Isrc/internal -Isrc \
 	-fsanitize=fuzzer,address,undefined -fno-sanitize-recover=all \
 	$(pkg-config --cflags glib-2.0) -o "$o/fuzz-http" tests/fuzz/http.c \
-	src/adapter/http/*.c src/adapter/io/*.c src/core/error.c \
+	src/adapter/http/*.c src/adapter/io/*.c src/core/error.c src/core/byte_limit.c \
 	$(pkg-config --libs glib-2.0) -lhttp_parser
 "$o/fuzz-http" -seed=1 -max_total_time="$seconds" -max_len=4096 -timeout=10 \
 	-artifact_prefix="$o/" -print_final_stats=1 "$dir" tests/fuzz/http
