leave: a few answers show only a part of the spread

Cause: with ten answers known, all of them short, a route whose work is at times long looks like one whose work is short.

Ruled out (trial): 50 answers before a record counts.

Conclusion: the spread is enlarged while few answers are known.

--- a/src/core/leave/time.c
+++ b/src/core/leave/time.c
@@ -4,6 +4,8 @@
 #define DEVIATION_GAIN 0.25
 #define DEVIATIONS 4 /* above the mean, by which nearly all answers come */
 #define SAMPLES_MIN 5 /* answers needed before the time is used */
+/* so many answers show half of the spread; unseen ones may be longer */
+#define FEW_SAMPLES 25.0
 
 /* A few long answers among many short ones leave no trace in the mean. */
 static void
@@ -36,13 +38,13 @@
 int64_t
 answer_time_most(const struct answer_time *t)
 {
-	int64_t us = (int64_t)(t->us + DEVIATIONS * t->deviation_us);
+	double spread = DEVIATIONS * t->deviation_us;
 	int i;
 
 	if (t->n < SAMPLES_MIN)
 		return 0;
 	for (i = 0; i < 2; i++)
-		if (t->longest_us[i] > us)
-			us = t->longest_us[i];
-	return us;
+		if ((double)t->longest_us[i] - t->us > spread)
+			spread = (double)t->longest_us[i] - t->us;
+	return (int64_t)(t->us + spread * (1 + FEW_SAMPLES / t->n));
 }
--- a/tests/unit/leave.c
+++ b/tests/unit/leave.c
@@ -133,6 +133,18 @@
 }
 END_TEST
 
+/* A few answers show only a part of the spread. */
+START_TEST(spread_of_few_answers_is_enlarged)
+{
+	struct answer_time t = { 0 };
+	int i;
+
+	for (i = 0; i < 10; i++)
+		answer_time_note(&t, (i % 5 ? 300 : 1500) * MS);
+	ck_assert_int_ge(answer_time_most(&t), 3000 * MS);
+}
+END_TEST
+
 START_TEST(long_answer_is_forgotten_after_many_short_ones)
 {
 	struct answer_time t = { 0 };
@@ -175,6 +187,7 @@
 	tcase_add_test(t, steady_time_has_little_spread);
 	tcase_add_test(t, spread_is_included);
 	tcase_add_test(t, rare_long_answers_are_included);
+	tcase_add_test(t, spread_of_few_answers_is_enlarged);
 	tcase_add_test(t, long_answer_is_forgotten_after_many_short_ones);
 	tcase_add_test(t, longer_work_is_noticed_after_few_answers);
 	suite_add_tcase(s, t);
