leave: the reading of a slow caller is not time that a request needs

Cause: the time of whole answers includes the wait for a caller that holds the answer up; since the longest counts, one such caller is enough.

Ruled out: leaving the longest out; then rare long answers are cut.

Conclusion: an answer that was held up, at the caller's or at the target's side, is not noted.

--- a/src/daemon/inbound/answer.c
+++ b/src/daemon/inbound/answer.c
@@ -100,7 +100,7 @@
 	byte_limit_take(&c->data->call_bytes, n);
 	if (c->target_call && !c->answer_paused &&
 	    c->answer_body->len >= BUFFER_BYTES) {
-		c->answer_paused = 1;
+		c->answer_paused = c->answer_held_up = 1;
 		http_call_pause(c->target_call, 1);
 	}
 }
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -78,6 +78,7 @@
  * @cancelled: nonzero if the request to the target was cancelled; the call
  *	counts as in flight until the target has closed the connection too
  * @answer_paused: nonzero while reading of the answer is paused
+ * @answer_held_up: nonzero if it was paused at any time
  * @retries_used: extra attempts made at the levels below
  * @answer_credit: bytes of the answer's body that may be sent
  * @answer_body: bytes of the answer that wait for credit
@@ -134,6 +135,7 @@
 	int was_sent;
 	int cancelled;
 	int answer_paused;
+	int answer_held_up;
 	uint32_t retries_used;
 	size_t answer_credit;
 	GByteArray *answer_body;
--- a/src/daemon/inbound/latency.c
+++ b/src/daemon/inbound/latency.c
@@ -9,7 +9,8 @@
 
 	if (c->answer_status >= 300)
 		return;
-	answer_time_note(c->time, (int64_t)us);
+	if (!c->answer_held_up)
+		answer_time_note(c->time, (int64_t)us);
 	if (!c->work)
 		return;
 	if (knee_note_time(&d->knee, c->work, us, c->begun_pace,
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -90,6 +90,7 @@
 	enum out_state state;
 	int64_t started;
 	int64_t tried_at; /* start of the first attempt */
+	int caller_slow; /* its reading held the answer up */
 	struct answer_time *time; /* of its route or service */
 	int64_t deadline;
 	int idempotent;
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -28,7 +28,7 @@
 	outbound_attempt_clear(a);
 	if (outcome == PICK_GOOD)
 		retry_success(&c->service->retry, now - a->started);
-	if (c->status < 300)
+	if (c->status < 300 && !c->caller_slow)
 		answer_time_note(c->time, now - c->tried_at);
 	c->data->counters.whole++;
 	histogram_add(&c->data->call_us, now - c->started);
@@ -89,6 +89,8 @@
 	n = outbound_hold_body(c, http_exchange_write(c->exchange, p, n));
 	if (n <= a->window / CREDIT_PARTS)
 		give_credit(c, a);
+	else
+		c->caller_slow = 1;
 }
 
 static void
