Stop: answers that callers are still reading are sent until the end of the grace

Cause: the wait for callers' connections was 5 s from the close of the ports. Calls are over when their last byte has come from the target's side, so that only this wait keeps what callers have not read yet; it could be over before it began.

Class: a bound that does not ask for what is left.

Ruled out: 5 s from the end of the last call; the grace says how long there is.

--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -6,8 +6,8 @@
 #include "log.h"
 
 #define DRAIN_CHECK_US 20000 /* between checks for open caller connections */
-/* longest wait for caller connections to close: answers may still be on their
- * way to callers */
+/* Longest wait for callers' connections to close, as answers may still be on
+ * their way; a stop waits until its end. */
 #define DRAIN_CONNECTIONS_MAX_US 5000000
 
 /* Limits on callers given with the routes override those in the settings. */
@@ -162,6 +162,13 @@
 	data_check_drained(ctx);
 }
 
+static int
+callers_connected(const struct data *d)
+{
+	return http_server_connections(d->server) ||
+	       http_server_is_listening(d->server);
+}
+
 void
 data_check_drained(struct data *d)
 {
@@ -182,9 +189,9 @@
 		return;
 	if (g_hash_table_size(d->out_calls) || g_hash_table_size(d->in_calls))
 		return;
-	if ((http_server_connections(d->server) ||
-		http_server_is_listening(d->server)) &&
-	    data_now(d) - d->drain_started < DRAIN_CONNECTIONS_MAX_US) {
+	if (callers_connected(d) &&
+	    (d->leave.end ||
+		data_now(d) - d->drain_started < DRAIN_CONNECTIONS_MAX_US)) {
 		d->drain_timer.fire = check_drained_again;
 		d->drain_timer.ctx = d;
 		io_timer_set(d->task.loop, &d->drain_timer,
