--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -96,6 +96,7 @@
  * @left: what it leaves when it ends; @left.reason is unused
  * @why: why its first exchange failed, or no text
  * @reset: it is closed with a reset
+ * @unframed: a response was begun that lasts until the connection ends
  * @line: its exchanges
  * @retired: exchanges that are over; freed after an event was handled, or
  *           with the connection
--- a/src/adapter/http/conn_time.c
+++ b/src/adapter/http/conn_time.c
@@ -36,7 +36,7 @@
 	if (c->scheduled || !due)
 		return;
 	/* The timer is only moved to an earlier time. If the timeout was put
-	 * off, conn_handle_timer() sets the timer again when it fires. */
+	 * off, it is set again when it fires. */
 	if (!c->timer.pos || due < c->timer.due)
 		io_timer_set(c->server->loop, &c->timer, due);
 }
