Callers that take no byte give way while call_bytes is nearly used up

Cause: a caller that reads nothing keeps what is held for its calls until idle_ms (60 s) or their deadlines, also when all other requests are refused for it.

Class: a bound for each call that the sum does not shorten.

Ruled out: ending a caller whenever it pauses, which cuts callers that read on later; refusing, which makes all callers pay for those.

Now, while holders get no more than their least shares, the connection whose caller took no byte for the longest time, at least 2 s, ends as a request comes.

Not fixed: a caller that reads a byte a minute keeps its share.

--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -42,20 +42,11 @@
 }
 
 static void
-handle_timeout(struct http_conn *c, int64_t now)
+end_late(struct http_conn *c, int unsent)
 {
-	int unsent = out_pending(&c->out) > 0;
 	struct kq_error err;
 	enum line_verdict v;
 
-	if (c->state != CONN_OPEN && !unsent) {
-		look_for_acks(c, now);
-		return;
-	}
-	if (conn_is_idle(c)) {
-		close_idle(c);
-		return;
-	}
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_TIMEOUT, "%s",
 	    unsent ? "caller does not read" : "request took too long");
 	v = line_timeout(unsent || c->line.closing, in_is_partial(&c->in));
@@ -68,6 +59,41 @@
 	conn_end(c, v, &err);
 }
 
+static void
+handle_timeout(struct http_conn *c, int64_t now)
+{
+	int unsent = out_pending(&c->out) > 0;
+
+	if (c->state != CONN_OPEN && !unsent) {
+		look_for_acks(c, now);
+		return;
+	}
+	if (conn_is_idle(c)) {
+		close_idle(c);
+		return;
+	}
+	end_late(c, unsent);
+}
+
+/* One whose event is being handled is not stalled. */
+int
+http_server_end_stalled(struct http_server *s, int64_t before)
+{
+	struct http_conn *c, *stalled = NULL;
+
+	for (c = s->conns; c; c = c->next) {
+		if (c->in_callback || !out_pending(&c->out) ||
+		    c->last_byte >= before)
+			continue;
+		before = c->last_byte;
+		stalled = c;
+	}
+	if (!stalled)
+		return 0;
+	end_late(stalled, 1);
+	return 1;
+}
+
 static void
 handle_readable(struct http_conn *c)
 {
--- a/src/core/byte_limit.c
+++ b/src/core/byte_limit.c
@@ -20,10 +20,22 @@
 	return b->used >= b->limit;
 }
 
+static int64_t
+share_of_free(const struct byte_limit *b)
+{
+	return (b->limit - b->used) / BYTE_LIMIT_SHARES;
+}
+
+int
+byte_limit_is_short(const struct byte_limit *b, size_t least)
+{
+	return share_of_free(b) <= (int64_t)least;
+}
+
 size_t
 byte_limit_share(const struct byte_limit *b, size_t least, size_t most)
 {
-	int64_t share = (b->limit - b->used) / BYTE_LIMIT_SHARES;
+	int64_t share = share_of_free(b);
 
 	if (share < (int64_t)least)
 		return least;
--- a/src/daemon/data/held.c
+++ b/src/daemon/data/held.c
@@ -1,7 +1,10 @@
 #include "daemon/inbound/inbound.h"
 #include "daemon/outbound/outbound.h"
 
-/* What the daemon holds for calls, by place, added up when it is asked for. */
+/* What the daemon holds for calls, by place, added up when it is asked for; and
+ * what gives way when it is too much. */
+
+#define STALLED_US 2000000 /* time in which a caller took no byte */
 
 struct held {
 	size_t promised; /* of answers, that other daemons may send */
@@ -49,6 +52,16 @@
 	    place, n);
 }
 
+void
+data_make_room(struct data *d)
+{
+	int64_t before = data_now(d) - STALLED_US;
+
+	while (byte_limit_is_short(&d->call_bytes, WIRE_CHUNK_MAX) &&
+	       http_server_end_stalled(d->server, before))
+		;
+}
+
 void
 data_write_held(const struct data *d, GString *t)
 {
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -197,6 +197,9 @@
 /** data_note_answered() - note that a target answered a request */
 void data_note_answered(struct data *, uint64_t digest);
 
+/** data_make_room() - while bytes are short, end connections of callers that
+ * took none of theirs for a while */
+void data_make_room(struct data *);
 /** data_write_held() - write the metrics of what is held for calls */
 void data_write_held(const struct data *, GString *);
 void data_write_metrics(struct data *, GString *);
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -337,6 +337,7 @@
 		inbound_reply_outcome(c, WIRE_NOT_RUN, WIRE_REASON_NO_TARGET);
 		return;
 	}
+	data_make_room(d);
 	if (byte_limit_reached(&d->call_bytes) && !c->repeat) {
 		inbound_reply_outcome(c, WIRE_NOT_RUN, WIRE_REASON_FULL);
 		return;
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -70,8 +70,10 @@
 int
 outbound_refuse_at_limit(struct out_call *c)
 {
-	int reached = byte_limit_reached(&c->data->call_bytes);
+	int reached;
 
+	data_make_room(c->data);
+	reached = byte_limit_reached(&c->data->call_bytes);
 	note_limit(c->data, reached);
 	if (reached)
 		refuse_too_many(c, "bytes-in-flight");
--- a/src/internal/byte_limit.h
+++ b/src/internal/byte_limit.h
@@ -34,6 +34,9 @@
 void byte_limit_give(struct byte_limit *, size_t n);
 /** byte_limit_reached() - whether nothing new is to be held */
 int byte_limit_reached(const struct byte_limit *);
+/** byte_limit_is_short() - whether a holder's share is no more than @least;
+ * those that make no use of theirs should give it back then */
+int byte_limit_is_short(const struct byte_limit *, size_t least);
 /** byte_limit_share() - get the bytes, from @least to @most, that one holder
  * may hold now */
 size_t byte_limit_share(const struct byte_limit *, size_t least, size_t most);
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -205,6 +205,10 @@
 /** http_server_set_call_bytes() - count the unsent bytes of new connections in
  * a limit, which lasts as long as the server */
 void http_server_set_call_bytes(struct http_server *, struct byte_limit *);
+/** http_server_end_stalled() - end the connection whose caller has unsent bytes
+ * and took none for the longest time, if it took the last one before @before.
+ * Return: whether there was one */
+int http_server_end_stalled(struct http_server *, int64_t before);
 /** http_server_held() - add up what the connections hold */
 void http_server_held(const struct http_server *, struct http_held *);
 /** http_server_free() - close all connections; each open exchange fails, so
--- a/tests/unit/http_backlog.c
+++ b/tests/unit/http_backlog.c
@@ -85,6 +85,89 @@
 }
 END_TEST
 
+/* ---- callers that take nothing ---- */
+
+#define CALLERS 3
+#define STALL_US 100000
+
+static char ended[CALLERS + 1]; /* names of the callers, in order */
+
+static void
+respond_to_name(void *ctx, struct http_exchange *x, const struct http_head *h)
+{
+	http_exchange_set_ctx(x, GINT_TO_POINTER((int)h->path[1]));
+	http_exchange_write_head(x, 200, NULL, 0, HTTP_LENGTH_CHUNKED);
+	while (http_exchange_write(x, answer, ANSWER_BYTES) < ANSWER_BYTES)
+		;
+}
+
+static void
+request_end(void *ctx, struct http_exchange *x)
+{
+}
+
+static void
+note_failed(void *ctx, struct http_exchange *x, const struct kq_error *err)
+{
+	if (err->code == HTTP_E_TIMEOUT)
+		ended[strlen(ended)] =
+		    (char)GPOINTER_TO_INT(http_exchange_ctx(x));
+}
+
+static const struct http_server_ops stall_ops = {
+	.request = respond_to_name,
+	.end = request_end,
+	.failed = note_failed,
+};
+
+/* Lets a caller send a request, reading its answer or not, and time go by. */
+static int
+ask(char name, int reads)
+{
+	char text[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", buf[65536];
+	int fd = io_connect_tcp("127.0.0.1", bed.port);
+	int64_t end;
+
+	text[5] = name;
+	while (send(fd, text, sizeof text - 1, MSG_NOSIGNAL) < 0)
+		bed_step(bed_timeout_at());
+	end = io_clock() + STALL_US;
+	while (io_clock() < end) {
+		bed_step(end + BED_TIMEOUT_US);
+		while (reads && recv(fd, buf, sizeof buf, MSG_DONTWAIT) > 0)
+			;
+	}
+	return fd;
+}
+
+START_TEST(caller_that_took_nothing_for_the_longest_time_gives_way)
+{
+	struct http_limits limits = HTTP_LIMITS_DEFAULT;
+	int64_t start, before;
+	int i, fd[CALLERS];
+
+	memset(ended, 0, sizeof ended);
+	limits.eof_cancels = 1;
+	http_server_free(g_steal_pointer(&bed.server));
+	bed_server_start(&limits, &stall_ops);
+	http_server_set_call_bytes(bed.server, &limit);
+	start = io_clock();
+	fd[0] = ask('a', 0);
+	fd[1] = ask('b', 0);
+	before = io_clock();
+	fd[2] = ask('c', 1);
+	ck_assert(!http_server_end_stalled(bed.server, start));
+	ck_assert(http_server_end_stalled(bed.server, before));
+	ck_assert(http_server_end_stalled(bed.server, before));
+	ck_assert(!http_server_end_stalled(bed.server, before));
+	ck_assert_str_eq(ended, "ab");
+	for (i = 0; i < CALLERS; i++)
+		close(fd[i]);
+	bed_wait_closed();
+	ck_assert_int_eq(limit.used, 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -93,5 +176,7 @@
 	tcase_add_checked_fixture(c, setup, bed_teardown);
 	tcase_add_test(c,
 	    caller_that_sends_requests_and_does_not_read_holds_few_answers);
+	tcase_add_test(c,
+	    caller_that_took_nothing_for_the_longest_time_gives_way);
 	return bed_run_suite("http_backlog", c);
 }
