inbound: calls are not held for a version of which nothing is missing

Cause: a call names the highest version of any object, removals included. A daemon that starts after an evacuation has ended never sees the removed object. Its configuration is complete up to a later version, yet it waited for that one, and asked for it at each call.

Class: two daemons compare numbers that depend on what each has seen.

Evidence: event 512 of the daemon that started, "reason=behind version=14 caller_version=15", while its event 320 says complete=15.

Ruled out: pulls that are lost; nothing newer was to be had. Daemons that stop: none of those calls was at one.

Now a call waits only if its version is above the complete one; the same comparison starts a pull.

--- a/src/daemon/control/pull.c
+++ b/src/daemon/control/pull.c
@@ -198,7 +198,7 @@
 	struct newer_version_message *m = message;
 	struct control *c = ctx;
 
-	if (m->version > c->rules_version)
+	if (m->version > config_complete_version(c->config))
 		control_pull_config(c, m->incarnation);
 	g_free(m);
 }
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -298,6 +298,15 @@
 	    WIRE_REASON_BEHIND);
 }
 
+/* The version under which a call is picked may be that of a removal. A daemon
+ * that starts later never sees the removed object; its own configuration is
+ * complete up to there all the same. */
+static int
+is_behind(const struct data *d, uint64_t version)
+{
+	return version > d->view->complete_version;
+}
+
 /* The outbound side picked this target under a newer configuration than the one
  * held here: asks for it and lets the call wait. */
 static void
@@ -342,7 +351,7 @@
 		inbound_reply_outcome(c, WIRE_NOT_RUN, WIRE_REASON_FULL);
 		return;
 	}
-	if (c->config_version > d->view->rules_version)
+	if (is_behind(d, c->config_version))
 		wait_for_version(c);
 	else
 		inbound_admit_call(c);
@@ -362,7 +371,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		c = v;
 		if (c->state == IN_WAITING_VERSION &&
-		    c->config_version <= d->view->rules_version)
+		    !is_behind(d, c->config_version))
 			g_ptr_array_add(ready, GUINT_TO_POINTER(c->tag));
 	}
 	for (i = 0; i < ready->len; i++) {
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -218,7 +218,7 @@
 	if (!a)
 		return;
 	once_clock_update(&p->clock, m->clock, data_now(p->data));
-	if (m->config_version > p->data->view->rules_version)
+	if (m->config_version > p->data->view->complete_version)
 		p->data->events->config_behind(p->data->events_ctx,
 		    m->config_version, p->incarnation);
 	if (m->outcome == WIRE_ANSWER || m->outcome == WIRE_KEPT)
