leave: calls that another target can finish for certain are not taken in a stop

Cause: a stopping daemon asks whether a call fits by the usual time of its route, as it knows it. Work that takes longer than any it has seen is taken and ended.

Class: work taken that the time left can't hold.

Ruled out: judging all calls by their deadline, since a call for which no other target is left would be refused although it mostly could be finished.

Now a call for which its sender has another target is taken only if its deadline comes before the end of the stop; else it is refused at once, not run, and goes there at no cost of the retry budget. The flag is the one that slow targets use.

Before: tests/system/stop-unseen.sh, work that takes 0.2 s until the stop and 4.5 s after: 33 of 80 requests ran at the daemon that stops, 15 got 502 and 18 504. After: none ran there, 80 of 80 served.

--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -210,7 +210,8 @@
  * drained events */
 void data_check_drained(struct data *);
 /** data_leave_fits() - whether a request that starts now can be finished before
- * this daemon ends; always while it was not told to stop */
+ * this daemon ends; always while it was not told to stop. Without a time, when
+ * it is NULL, only the deadline counts */
 int
 data_leave_fits(struct data *, int64_t deadline, const struct answer_time *);
 /** data_end_calls() - end all calls in flight with an answer */
--- a/src/daemon/data/leave.c
+++ b/src/daemon/data/leave.c
@@ -50,7 +50,7 @@
 data_leave_fits(struct data *d, int64_t deadline, const struct answer_time *t)
 {
 	return leave_fits(&d->leave, data_now(d), deadline,
-	    answer_time_most(t));
+	    t ? answer_time_most(t) : 0);
 }
 
 void
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -192,7 +192,7 @@
  * it */
 void inbound_conn_closed(struct data *, struct peer_conn *);
 /** inbound_fits() - whether the request, sent to the target now, can be
- * finished before this daemon ends */
+ * finished before this daemon ends, for certain if another target is left */
 int inbound_fits(const struct in_call *);
 /** inbound_note_leave_refusal() - count a call of another daemon that is
  * refused since it can't be finished before this daemon ends */
--- a/src/daemon/inbound/leave.c
+++ b/src/daemon/inbound/leave.c
@@ -1,9 +1,12 @@
 #include "daemon/inbound/inbound.h"
 
+/* While another target is left for the call, its usual time is no reason to
+ * take it: a request that takes longer would be ended. */
 int
 inbound_fits(const struct in_call *c)
 {
-	return data_leave_fits(c->data, c->deadline, c->time);
+	return data_leave_fits(c->data, c->deadline,
+	    c->refuse_if_slow ? NULL : c->time);
 }
 
 /* Own callers' requests are counted by the outbound side. */
