leave: work may take longer than any that was seen, by the spread once more

Class: work taken that the time left can't hold.

Evidence: tests/unit/leave.c, answers_longer_than_any_that_was_seen_are_included: 100 answers of 0.3 s, each tenth of 2.4 s, give 2.9 s before and 5 s after.

Now an answer may be twice as far from the mean as any that was seen. Steady routes keep their time (steady_time_has_little_spread).

Not fixed: work that takes longer than that is still ended with 504.

--- a/src/core/leave/time.c
+++ b/src/core/leave/time.c
@@ -4,8 +4,9 @@
 #define DEVIATION_GAIN 0.25
 #define DEVIATIONS 4 /* above the mean, by which nearly all answers come */
 #define SAMPLES_MIN 5 /* answers needed before the time is used */
-/* so many answers show half of the spread; unseen ones may be longer */
-#define FEW_SAMPLES 25.0
+/* an answer may be this many times as far from the mean as any that was seen */
+#define UNSEEN 2.0
+#define FEW_SAMPLES 25.0 /* so many answers show half of the spread */
 
 /* A few long answers among many short ones leave no trace in the mean. */
 static void
@@ -46,5 +47,5 @@
 	for (i = 0; i < 2; i++)
 		if ((double)t->longest_us[i] - t->us > spread)
 			spread = (double)t->longest_us[i] - t->us;
-	return (int64_t)(t->us + spread * (1 + FEW_SAMPLES / t->n));
+	return (int64_t)(t->us + spread * (UNSEEN + FEW_SAMPLES / t->n));
 }
