outbound: a call that can't move to another target may not be refused for one

Cause: the flag by which a target may refuse a call, since another is left, looks at the targets that were tried, not at the call. No second attempt starts once bytes of the body may have been freed (beyond 64 KB), and a repeat goes only to the daemon of its earlier run. Slow and crowded targets refused such calls, too.

Class: a decision about one thing, made by what is known of another.

Ruled out: to keep longer bodies for a second attempt, which the limit on bytes forbids.

--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -142,14 +142,27 @@
 	return left > UINT32_MAX ? UINT32_MAX : left;
 }
 
-/* Lets a target that is slow or crowded refuse the call only while another one
- * is left for it; a crowded one also only if the call is no repeat and has more
- * than one extra attempt left. */
+/* Whether a refused call can go to another target: a repeat goes only where its
+ * earlier run went, and no body is sent again of which bytes may be freed until
+ * the refusal comes. */
+static int
+can_move(const struct out_call *c)
+{
+	int64_t length = c->body_whole ? (int64_t)(c->body_base + c->body->len)
+				       : c->head.length;
+
+	return !c->repeat && length >= 0 && length <= BODY_KEEP_MAX;
+}
+
+/* Lets a target that is slow or crowded, or whose daemon stops, refuse the call
+ * only while another one is left for it; a crowded one also only if the call
+ * has more than one extra attempt left. */
 static uint32_t
 call_flags(const struct out_call *c)
 {
-	int refusable = tried_may_refuse(&c->tried, c->service->pick);
-	int movable = refusable && !c->repeat && retry_movable(&c->retry);
+	int refusable =
+	    can_move(c) && tried_may_refuse(&c->tried, c->service->pick);
+	int movable = refusable && retry_movable(&c->retry);
 
 	return (c->idempotent ? WIRE_CALL_IDEMPOTENT : 0) |
 	       (c->repeat ? WIRE_CALL_REPEAT : 0) |
