inbound: a request of which no byte was sent has not run

What callers saw: the first request that may not be repeated and meets a target that accepts no connection any more gets 504 unknown; others get served elsewhere.

Cause: the once-table marks a request as sent before the connection is opened; when that is refused, the failure was recorded as an answer that is lost.

Class: a state that says more than is known.

Ruled out: a byte that was sent after all; the connection was never open, and safe requests already go by the same sent=0.

--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -219,7 +219,8 @@
 	if (c->once_entry && sent)
 		once_answer_lost(d->once, c->once_entry);
 	else if (c->once_entry)
-		sent = once_not_run(d->once, c->once_entry) == ONCE_UNKNOWN;
+		sent =
+		    once_known_not_run(d->once, c->once_entry) == ONCE_UNKNOWN;
 	c->once_entry = 0;
 	c->was_sent = sent;
 	inbound_finish_run(c, ADMIT_RESET);
