outbound: a call that a stopping daemon refused comes back if no other target takes it

Cause: the flag by which the stopping daemon refuses says that another target was not tried yet, not that it takes the call; after a refusal by a stop there is no second round, as there is after one by a slow target.

Class: a decision about one thing, made by what is known of another.

Now both kinds of refusal lead to a second round, in which no target may refuse so. The counter has a name for both.

--- a/src/core/pick/tried.c
+++ b/src/core/pick/tried.c
@@ -1,13 +1,13 @@
 #include "tried.h"
 
-/* Once a slow target has refused, the second round remains to be tried, even if
- * this round has no target left. */
+/* Once a target has refused that may take the request in the second round, the
+ * second round remains to be tried, even if this round has no target left. */
 int
 tried_may_refuse(const struct tried *t, const struct pick *p)
 {
-	return !t->second_round && t->slow_refusals < TRIED_SLOW_MAX &&
+	return !t->second_round && t->soft_refusals < TRIED_SOFT_MAX &&
 	       t->total < TRIED_FREE_MAX &&
-	       (t->slow_refusals || (uint32_t)t->n < pick_count(p));
+	       (t->soft_refusals || (uint32_t)t->n < pick_count(p));
 }
 
 static uint32_t
@@ -23,7 +23,7 @@
 {
 	uint32_t h = choose_untried(t, p, now);
 
-	if (h == PICK_NONE && t->slow_refusals && !t->second_round) {
+	if (h == PICK_NONE && t->soft_refusals && !t->second_round) {
 		t->second_round = 1;
 		t->n = 0;
 		h = choose_untried(t, p, now);
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -184,7 +184,8 @@
 
 	c->reason = reason;
 	c->reached += reason == WIRE_REASON_SHED;
-	c->tried.slow_refusals += reason == WIRE_REASON_SLOW;
+	c->tried.soft_refusals +=
+	    reason == WIRE_REASON_SLOW || reason == WIRE_REASON_DRAINING;
 	outbound_trace_attempt(a, wire_reason_name(reason), 0);
 	outbound_log_attempt(a, "not-run", 0, load);
 	pick_refused(c->service->pick, a->handle, data_now(c->data), reason,
--- a/src/internal/tried.h
+++ b/src/internal/tried.h
@@ -8,29 +8,31 @@
 /**
  * DOC: Targets tried for one call, and the choice of the next.
  *
- * When no target is left to try and one refused because its machine is slow, a
- * second round over all targets begins. In that round, a slow target queues
- * the request instead of refusing it. There is at most one second round, so
- * that a call always ends, also while no target can be reached.
+ * When no target is left to try and one refused because its machine is slow, or
+ * because its daemon stops, a second round over all targets begins. In that
+ * round, such a target takes the request if it can, instead of refusing it.
+ * There is at most one second round, so that a call always ends, also while no
+ * target can be reached.
  */
 
 #define TRIED_MAX 8 /* targets tried for one call in a round */
 /* Targets tried without using retry budget while they refuse as full. */
 #define TRIED_FREE_MAX 4
-/* After so many refusals by slow targets, the next has to queue the request. */
-#define TRIED_SLOW_MAX 3
+/* After so many refusals of that kind, the next target may not refuse so. */
+#define TRIED_SOFT_MAX 3
 
 /** struct tried - targets tried for one call; zero it before first use
  * @handle: targets tried in this round
  * @n: number of targets in @handle
  * @total: attempts in both rounds
- * @slow_refusals: refusals because the target's machine was slow
+ * @soft_refusals: refusals because the target's machine was slow, or its daemon
+ *	stops
  * @second_round: nonzero once the second round has begun */
 struct tried {
 	uint32_t handle[TRIED_MAX];
 	int n;
 	int total;
-	int slow_refusals;
+	int soft_refusals;
 	int second_round;
 };
 
--- a/tests/unit/tried.c
+++ b/tests/unit/tried.c
@@ -26,7 +26,7 @@
 
 	while (tried_next(&t, p, n) != PICK_NONE) {
 		ck_assert_int_lt(n, 100);
-		t.slow_refusals = 1;
+		t.soft_refusals = 1;
 		n++;
 	}
 	ck_assert_int_eq(n, 2 * TARGETS);
@@ -34,7 +34,7 @@
 }
 END_TEST
 
-START_TEST(no_second_round_without_slow_refusal)
+START_TEST(no_second_round_without_soft_refusal)
 {
 	struct pick *p = new_table(TARGETS);
 	struct tried t = { 0 };
@@ -48,15 +48,15 @@
 }
 END_TEST
 
-START_TEST(may_refuse_until_slow_max_or_second_round)
+START_TEST(may_refuse_until_soft_max_or_second_round)
 {
 	struct pick *p = new_table(2);
 	struct tried t = { 0 };
 
 	ck_assert_int_eq(tried_may_refuse(&t, p), 1);
-	t.slow_refusals = TRIED_SLOW_MAX;
+	t.soft_refusals = TRIED_SOFT_MAX;
 	ck_assert_int_eq(tried_may_refuse(&t, p), 0);
-	t.slow_refusals = 1;
+	t.soft_refusals = 1;
 	tried_next(&t, p, 0);
 	tried_next(&t, p, 0);
 	ck_assert_int_eq(tried_may_refuse(&t, p), 1);
@@ -117,8 +117,8 @@
 	int failed;
 
 	tcase_add_test(c, ends_after_second_round);
-	tcase_add_test(c, no_second_round_without_slow_refusal);
-	tcase_add_test(c, may_refuse_until_slow_max_or_second_round);
+	tcase_add_test(c, no_second_round_without_soft_refusal);
+	tcase_add_test(c, may_refuse_until_soft_max_or_second_round);
 	tcase_add_test(c, last_target_may_not_refuse);
 	tcase_add_test(c, last_free_target_may_not_refuse);
 	tcase_add_test(c, tried_targets_are_bounded);
