--- a/tests/system/stop-last-target.sh
+++ b/tests/system/stop-last-target.sh
@@ -37,6 +37,7 @@
 ask_all before
 # shellcheck disable=SC2154
 kill "$fleet_daemon_1_1"
+# shellcheck disable=SC2154
 kill -9 "$fleet_target_1_2"
 sleep 0.2
 ask_all stop
