http: a body without length that a reset cut is not taken as whole

What callers saw: nothing was seen of this in a run of the daemons; read in the code and shown with real sockets. A caller would get an answer that broke off as a complete success.

Cause: an answer without length lasts until its connection ends, and one that is reset is broken. The kernel reports a reset once. While the rest of a request's body waits to be sent, the send comes first and takes the error; the receive after it, in the same callback, then reads an orderly end.

Class: an answer that ends early and looks whole.

Ruled out: asking the error of the send whether the end came before the reset (EPIPE in place of ECONNRESET): it holds only for the first send that fails.

Not fixed: an answer without length that is whole, to a request that is still being sent, also fails if a send fails before the end was read.

--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -140,9 +140,15 @@
 	finish_call(l, 0);
 }
 
+/* A send that failed has taken the reset from the socket, so that the end may
+ * be no orderly one: a body that lasts until the end is not complete then. */
 static void
 handle_eof(struct http_link *l)
 {
+	if (l->send_errno) {
+		fail(l, HTTP_E_CLOSED, "send", l->send_errno);
+		return;
+	}
 	if (in_feed_eof(&l->in) < 0) {
 		if (!l->closed)
 			link_fail(l, &l->in.err);
