http: an early answer is read before a failed send ends the call

A target that refuses or answers a request before it has read the body, and closes, loses its answer: the call fails as one that may have run, although the target may have said that it was not.

Cause: the close resets the connection, and the next send fails. run_scheduled() then ended the call with what the kernel had of the answer unread.

Class: an end that looks at one direction and acts on the whole connection.

Evidence: tests/unit/http_lost_send.c (build/unit-http_lost_send, three runs each). Before: early_answer_is_read_after_a_failed_send fails where the send comes within the iteration in which the peer closes (3 of 3), and passes where the socket is looked at first (3 of 3); rest_of_a_long_answer_is_read_after_a_failed_send fails (3 of 3). After: all pass (3 of 3). cut_answer_fails_after_a_failed_send passes before and after: part of a head, part of a body and a body without length still fail the call.

Now what came is read, one part an iteration, before a failed send ends the call. A call of which nothing was sent takes nothing from its connection and moves to a new one as before.

Ruled out: waiting for more. When a receive gives nothing, the call ends.

Not fixed: a reset while the user has paused the answer ends the call at once, with what the kernel holds unread. What the target's kernel had not yet delivered as it reset is lost in any case.

--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -238,18 +238,41 @@
 	leave_callback(l);
 }
 
+/* Whether an answer may have come before a send failed. */
+static int
+may_be_answered(const struct http_link *l)
+{
+	return l->call && l->call->sent && !l->call->paused &&
+	       l->send_errno != EPROTO;
+}
+
+/* Reads what came before a send failed, one part an iteration; the call fails
+ * if that holds no whole answer. */
 static void
-run_scheduled(struct http_link *l)
+read_rest(struct http_link *l)
 {
-	l->scheduled = 0;
-	if (l->send_errno) {
+	ssize_t n = 0;
+
+	if (may_be_answered(l))
+		n = recv(l->fd, l->pool->scratch, HTTP_READ_BYTES, 0);
+	if (n <= 0) {
 		fail(l, HTTP_E_CLOSED, "send", l->send_errno);
 		return;
 	}
+	parse_input(l, l->pool->scratch, (size_t)n);
+	link_schedule(l);
+}
+
+static void
+run_scheduled(struct http_link *l)
+{
+	l->scheduled = 0;
 	if (l->corked)
 		link_flush(l);
 	if (!l->closed && l->call && !l->call->paused && l->in.unparsed_len)
 		parse_input(l, NULL, 0);
+	if (!l->closed && l->send_errno)
+		read_rest(l);
 }
 
 void
--- a/tests/unit/http_lost_send.c
+++ b/tests/unit/http_lost_send.c
@@ -1,8 +1,13 @@
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include "http_bed.h"
 
 #define PART_BYTES 65536 /* of the request's body, written at once */
 #define PARTS_MAX 1000
 #define LENGTH (PARTS_MAX * (int64_t)PART_BYTES) /* of the request's body */
+#define LONG_ANSWER 4194304 /* bytes of body, sent in parts */
+#define LAST_PARTS 3 /* more than is read from a socket at once */
 
 static struct peer peer;
 static struct http_limits limits = HTTP_LIMITS_DEFAULT;
@@ -35,12 +40,161 @@
 	return c;
 }
 
+/* Sends a head that announces @announced bytes (none if negative), and @n bytes
+ * of body. */
+static void
+answer_early(int announced, size_t n)
+{
+	char *body = g_strnfill(n, 'a');
+	char *text;
+
+	if (announced < 0)
+		text = g_strdup_printf("HTTP/1.1 200 OK\r\n\r\n%s", body);
+	else
+		text = g_strdup_printf("HTTP/1.1 413 Too large\r\n"
+				       "Content-Length: %d\r\n\r\n%s",
+		    announced, body);
+	peer_send(&peer, text);
+	g_free(text);
+	g_free(body);
+}
+
 static struct http_pool *
 new_pool(void)
 {
 	return http_pool_new(bed.loop, "127.0.0.1", peer.port, 4, 0, &limits);
 }
 
+/* A send that fails in the iteration in which the peer closes, after the
+ * sockets were looked at. */
+struct late_send {
+	struct io_timer timer;
+	struct http_call *call;
+};
+
+static void
+close_and_send(void *ctx, int64_t now)
+{
+	struct late_send *l = ctx;
+
+	(void)now;
+	answer_early(2, 2);
+	peer_hang_up(&peer, 0);
+	http_call_write(l->call, "more", 4);
+}
+
+/* The peer answers whole and closes while the request is sent, and the client
+ * learns of the close by its next send, between two iterations or within one.
+ */
+START_TEST(early_answer_is_read_after_a_failed_send)
+{
+	struct late_send l = { .timer.fire = close_and_send, .timer.ctx = &l };
+	struct http_pool *p = new_pool();
+	struct reply r;
+
+	l.call = start_unread(p, &r);
+	if (_i)
+		io_timer_set(bed.loop, &l.timer, io_now(bed.loop));
+	else
+		close_and_send(&l, 0);
+	reply_wait(&r);
+	ck_assert_int_eq(r.failed, 0);
+	ck_assert_int_eq(r.status, 413);
+	ck_assert_str_eq(r.body->str, "aa");
+	peer_run_quiet(&peer);
+	ck_assert_int_eq(r.done, 1);
+	ck_assert_int_eq(peer.naccept, 1);
+	ck_assert_int_eq(http_pool_connections(p), 0);
+	reply_free(&r);
+	http_pool_free(p);
+}
+END_TEST
+
+/* Sends the first @n bytes of the answer's body while the client reads. */
+static void
+send_while_read(const struct reply *r, size_t n)
+{
+	int64_t until = bed_timeout_at();
+	size_t sent = 0;
+	ssize_t k;
+
+	while (r->body->len < n) {
+		k = send(peer_fd(&peer), part, MIN(sizeof part, n - sent),
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+		sent += k > 0 ? (size_t)k : 0;
+		bed_step(until);
+	}
+}
+
+/* Sends the last parts of the answer's body and waits until the client's kernel
+ * has them; the client does not read. */
+static void
+send_unread(void)
+{
+	int64_t until = bed_timeout_at();
+	int i, left = 1;
+
+	for (i = 0; i < LAST_PARTS; i++)
+		ck_assert_int_eq(send(peer_fd(&peer), part, sizeof part,
+				     MSG_NOSIGNAL | MSG_DONTWAIT),
+		    (ssize_t)sizeof part);
+	while (left) {
+		ck_assert_int_lt(io_clock(), until);
+		ck_assert_int_eq(ioctl(peer_fd(&peer), SIOCOUTQ, &left), 0);
+	}
+}
+
+START_TEST(rest_of_a_long_answer_is_read_after_a_failed_send)
+{
+	struct http_pool *p = new_pool();
+	struct http_call *c;
+	struct reply r;
+
+	c = start_unread(p, &r);
+	answer_early(LONG_ANSWER, 0);
+	send_while_read(&r, LONG_ANSWER - LAST_PARTS * sizeof part);
+	send_unread();
+	peer_hang_up(&peer, 0);
+	http_call_write(c, "more", 4);
+	reply_wait(&r);
+	ck_assert_int_eq(r.failed, 0);
+	ck_assert_uint_eq(r.body->len, LONG_ANSWER);
+	peer_run_quiet(&peer);
+	ck_assert_int_eq(r.done, 1);
+	ck_assert_int_eq(http_pool_connections(p), 0);
+	reply_free(&r);
+	http_pool_free(p);
+}
+END_TEST
+
+/* What came before the close is no whole answer: part of a head, part of a
+ * body, a body that lasts until the connection ends. */
+START_TEST(cut_answer_fails_after_a_failed_send)
+{
+	struct http_pool *p = new_pool();
+	struct http_call *c;
+	struct reply r;
+
+	c = start_unread(p, &r);
+	if (_i == 0)
+		peer_send(&peer, "HTTP/1.1 413 Too");
+	else
+		answer_early(_i == 1 ? 10 : -1, 4);
+	peer_hang_up(&peer, 0);
+	http_call_write(c, "more", 4);
+	reply_wait(&r);
+	ck_assert_int_eq(r.failed, 1);
+	ck_assert_int_eq(r.code, HTTP_E_CLOSED);
+	ck_assert_int_eq(r.sent, 1);
+	peer_run_quiet(&peer);
+	ck_assert_int_eq(r.done, 0);
+	ck_assert_int_eq(r.failed, 1);
+	ck_assert_int_eq(peer.naccept, 1);
+	reply_free(&r);
+	http_pool_free(p);
+}
+END_TEST
+
 /* The reset is taken from the socket by a send, so that the next receive tells
  * of an orderly end. */
 START_TEST(unframed_answer_cut_by_a_reset_is_not_whole)
@@ -55,7 +209,7 @@
 	for (i = 0; i < PARTS_MAX; i++)
 		if (http_call_write(c, part, sizeof part) > sizeof part)
 			break;
-	peer_send(&peer, "HTTP/1.1 200 OK\r\n\r\npart");
+	answer_early(-1, 4);
 	while (!r.body->len)
 		bed_step(until);
 	peer_hang_up(&peer, 1);
@@ -74,6 +228,9 @@
 	TCase *c = tcase_create("http_lost_send");
 
 	tcase_add_checked_fixture(c, setup, teardown);
+	tcase_add_loop_test(c, early_answer_is_read_after_a_failed_send, 0, 2);
+	tcase_add_test(c, rest_of_a_long_answer_is_read_after_a_failed_send);
+	tcase_add_loop_test(c, cut_answer_fails_after_a_failed_send, 0, 3);
 	tcase_add_test(c, unframed_answer_cut_by_a_reset_is_not_whole);
 	return bed_run_suite("http_lost_send", c);
 }
