outbound: a head that no record between daemons holds is answered 431

What callers saw: 503 no-target, "not run, try again", for each request with a path or field of 16,384 bytes or more, where limits of the configuration let such heads in. Trying again can't help.

Cause: a string of a record holds 16,383 bytes. The attempt to send the call fails as if the target were not there; nothing is sent and the next target is tried.

A request that carries an id gets the outcome "unknown", as with other invalid requests.

Ruled out: longer strings in records. A daemon of an earlier version would take such a record as malformed and close the connection with all its calls.

Not fixed: an answer of a target with such a field, which limits.head_bytes in the settings lets in only above its default.

--- a/src/adapter/rpc/wire_fields.c
+++ b/src/adapter/rpc/wire_fields.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "wire.h"
 
 int
@@ -15,3 +17,23 @@
 	}
 	return 1;
 }
+
+static int
+string_fits(const char *s)
+{
+	return strnlen(s, WIRE_STRING_MAX) < WIRE_STRING_MAX;
+}
+
+int
+wire_head_fits(const char *method, const char *path, const struct http_field *f,
+    int nfield)
+{
+	int i;
+
+	if (!string_fits(method) || !string_fits(path))
+		return 0;
+	for (i = 0; i < nfield; i++)
+		if (!string_fits(f[i].name) || !string_fits(f[i].value))
+			return 0;
+	return 1;
+}
--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -279,6 +279,19 @@
 	return c;
 }
 
+/* Refuses a request that no record between daemons holds; 1 when it did. */
+static int
+refuse_too_long(struct out_call *c, const char *outcome)
+{
+	const struct head_copy *h = &c->head;
+
+	if (wire_head_fits(h->method, h->path, h->field, h->nfield))
+		return 0;
+	outbound_answer_error(c, 431, outcome, "too-long-field",
+	    "the path or a header field of the request is too long\n");
+	return 1;
+}
+
 /* Refuses a request with an invalid field; 1 when it did, the call is freed
  * then. */
 static int
@@ -297,6 +310,8 @@
 		return 1;
 	}
 	outcome = c->repeat ? "unknown" : "not-run";
+	if (refuse_too_long(c, outcome))
+		return 1;
 	if (left_ms < 0) {
 		outbound_answer_error(c, 400, outcome, "bad-deadline",
 		    "the deadline is not a number of milliseconds\n");
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -252,6 +252,9 @@
 int wire_string(XDR *, char **, struct wire_arena *);
 int wire_fields(XDR *, uint32_t *n, struct http_field *, struct wire_arena *);
 int wire_blob(XDR *, const void **, uint32_t *len, uint32_t max);
+/** wire_head_fits() - whether a record can hold each string of a head */
+int wire_head_fits(const char *method, const char *path,
+    const struct http_field *, int nfield);
 int wire_call(XDR *, struct wire_call *, struct wire_arena *);
 int wire_reply(XDR *, struct wire_reply *, struct wire_arena *);
 int wire_load(XDR *, struct load_report *);
