tests: the bounds of the hold, and that whole answers arrive whole beyond them

What callers saw: nothing; the bound of one answer was passed only on the way (3 MB in tests/system/shared-connection.sh), those of the sum and of the time by no test.

Class: a bound for each call and none for the sum.

Evidence: tests/unit/hold.c with src/daemon/outbound/hold.o and real sockets (build/unit-hold): one answer, in its turn and before it; 40 callers whose first answers would hold 18.3 MB; an answer of unknown length. All answers arrive whole, and no byte is counted as held at the end.

peer_close() of the test bed is peer_end() now, since the daemon's headers have the name.

--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,8 @@
 $(O)/unit-%: $(O)/tests/unit/%.o $(O)/libtest.a $(O)/libkumquatrock.a
 	$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
+$(O)/unit-hold: $(O)/src/daemon/outbound/hold.o
+
 # Built by tests/system/fuzz-*.sh with clang and libFuzzer.
 $(O)/fuzz-%: $(O)/tests/fuzz/%.o $(O)/libkumquatrock.a
 	$(CC) $(SAN) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
--- a/tests/unit/http_bed.h
+++ b/tests/unit/http_bed.h
@@ -333,7 +333,7 @@
 }
 
 static inline void
-peer_close(struct peer *p)
+peer_end(struct peer *p)
 {
 	int i;
 
--- a/tests/unit/http_lost_send.c
+++ b/tests/unit/http_lost_send.c
@@ -23,7 +23,7 @@
 static void
 teardown(void)
 {
-	peer_close(&peer);
+	peer_end(&peer);
 	bed_teardown();
 }
 
