http: what comes before a request is sent is not its answer

What callers saw: nothing was seen of this in a run of the daemons; found in reading and shown with real sockets. Where answers name no attempt, a caller would get the answer to another request; in the users' dialect, whose answers do, 502 or 504 for a request of which nothing was sent.

Cause: a request with a body begins with a head that is held back until the first bytes of the body come, or the next iteration. What its kept connection receives meanwhile, as a late second answer, was parsed as the answer.

Class: an answer that takes another's place.

Evidence: tests/unit/http_lost_send.c, answer_before_the_first_byte_is_sent_belongs_to_no_call (build/unit-http_lost_send).

Not fixed: a second answer that comes after the first byte was sent is told apart by the attempt's id alone, as before.

--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -174,6 +174,8 @@
 		fail(l, HTTP_E_CLOSED, "receive", errno);
 	else if (!l->call)
 		fail(l, HTTP_E_CLOSED, "idle connection closed", 0);
+	else if (!l->call->sent)
+		fail(l, HTTP_E_CLOSED, "input before the request was sent", 0);
 	else if (n == 0)
 		handle_eof(l);
 	else {
--- a/tests/unit/http_lost_send.c
+++ b/tests/unit/http_lost_send.c
@@ -185,6 +185,38 @@
 }
 END_TEST
 
+/* Bytes of an earlier answer come on a kept connection after a call began and
+ * before its first byte is sent. */
+START_TEST(answer_before_the_first_byte_is_sent_belongs_to_no_call)
+{
+	struct http_pool *p = new_pool();
+	struct http_call *c;
+	struct reply r;
+
+	reply_start(p, "GET", HTTP_LENGTH_NONE, 0, &r);
+	peer_expect(&peer, "\r\n\r\n");
+	peer_send(&peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+	reply_wait(&r);
+	reply_free(&r);
+	c = reply_start(p, "POST", 4, 0, &r);
+	peer_send(&peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+	bed_step(bed_timeout_at());
+	ck_assert_int_eq(r.done, 0);
+	ck_assert_uint_eq(r.body->len, 0);
+	http_call_write(c, "body", 4);
+	http_call_end_request(c);
+	peer_wait_accepted(&peer, 2);
+	peer_expect(&peer, "body");
+	peer_send(&peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\ncd");
+	reply_wait(&r);
+	ck_assert_int_eq(r.done, 1);
+	ck_assert_str_eq(r.body->str, "cd");
+	ck_assert_int_eq(peer_count(&peer, "POST"), 1);
+	reply_free(&r);
+	http_pool_free(p);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -195,5 +227,7 @@
 	tcase_add_test(c, rest_of_an_answer_is_read_after_a_failed_send);
 	tcase_add_loop_test(c, cut_answer_fails_after_a_failed_send, 0, 3);
 	tcase_add_test(c, unframed_answer_cut_by_a_reset_is_not_whole);
+	tcase_add_test(c,
+	    answer_before_the_first_byte_is_sent_belongs_to_no_call);
 	return bed_run_suite("http_lost_send", c);
 }
