http: the rest of a paused answer is read after a reset

A long answer whose reader is slow breaks off midway although the daemon's kernel has the rest of it.

Cause: a reset while the user had paused the answer ended the call at once.

Class: an end that looks at one direction and acts on the whole connection.

Evidence: tests/unit/http_lost_send.c, rest_of_a_paused_answer_is_read_after_a_reset, four cases: learned by the watch or by a send, the rest whole or not (build/unit-http_lost_send).

Now the watch ends, and the call goes on when the user reads on. What is then missing fails it as before. A call that is paused for good ends by its user's deadline.

--- a/src/adapter/http/link.h
+++ b/src/adapter/http/link.h
@@ -23,8 +23,9 @@
  * @in_callback: link_handle_ready() or link_handle_timer() is running; both
  *               update the watch and the timer before they return
  * @closed: closed; its memory is freed in the next iteration
- * @send_errno: error of a failed send, EPROTO if the request ended short of its
- *              length, else 0
+ * @send_errno: error of a failed send, or ECONNRESET after a reset while the
+ *              call was paused; EPROTO if the request ended short of its
+ *              length; else 0
  * @scheduled: link_schedule() set the timer
  * @corked: a request's head is held back, to be sent with the first bytes of
  *          its body
--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -184,11 +184,22 @@
 	}
 }
 
+/* The socket was reset while the user had paused the answer, the rest of which
+ * it may hold. The watch, which would report this again, ends. */
+static void
+note_reset(struct http_link *l)
+{
+	io_watch_remove(l->pool->loop, &l->watch);
+	if (!l->send_errno)
+		l->send_errno = ECONNRESET;
+	link_schedule(l);
+}
+
 static void
 handle_readable(struct http_link *l)
 {
 	if (!(l->watch.events & IO_READ)) {
-		fail(l, HTTP_E_CLOSED, "connection reset", 0);
+		note_reset(l);
 		return;
 	}
 	if (l->call && l->call->paused) {
@@ -244,17 +255,18 @@
 static int
 may_be_answered(const struct http_link *l)
 {
-	return l->call && l->call->sent && !l->call->paused &&
-	       l->send_errno != EPROTO;
+	return l->call && l->call->sent && l->send_errno != EPROTO;
 }
 
-/* Reads what came before a send failed, one part an iteration; the call fails
- * if that holds no whole answer. */
+/* Reads what came before a send failed, one part an iteration, once the user
+ * has not paused the answer; the call fails if that holds no whole answer. */
 static void
 read_rest(struct http_link *l)
 {
 	ssize_t n = 0;
 
+	if (may_be_answered(l) && l->call->paused)
+		return;
 	if (may_be_answered(l))
 		n = recv(l->fd, l->pool->scratch, HTTP_READ_BYTES, 0);
 	if (n <= 0) {
--- a/tests/unit/http_lost_send.c
+++ b/tests/unit/http_lost_send.c
@@ -130,6 +130,38 @@
 }
 END_TEST
 
+/* The peer closes while the user has paused the answer, of which the client's
+ * kernel holds the rest; the client learns of it by its watch, or by a send
+ * (_i & 1). The rest is whole, or not (_i & 2). */
+START_TEST(rest_of_a_paused_answer_is_read_after_a_reset)
+{
+	struct http_pool *p = new_pool();
+	int64_t until = bed_timeout_at();
+	struct http_call *c;
+	struct reply r;
+
+	c = start_unread(p, &r);
+	answer_early(4, 2);
+	while (!r.body->len)
+		bed_step(until);
+	http_call_pause(c, 1);
+	peer_send(&peer, _i & 2 ? "a" : "aa");
+	peer_hang_up(&peer, 0);
+	if (_i & 1)
+		http_call_write(c, "more", 4);
+	peer_run_quiet(&peer);
+	ck_assert_int_eq(r.failed + r.done, 0);
+	ck_assert_str_eq(r.body->str, "aa");
+	http_call_pause(c, 0);
+	reply_wait(&r);
+	ck_assert_int_eq(r.done, !(_i & 2));
+	ck_assert_str_eq(r.body->str, _i & 2 ? "aaa" : "aaaa");
+	ck_assert_int_eq(http_pool_connections(p), 0);
+	reply_free(&r);
+	http_pool_free(p);
+}
+END_TEST
+
 /* What came before the close is no whole answer: part of a head, part of a
  * body, a body that lasts until the connection ends. */
 START_TEST(cut_answer_fails_after_a_failed_send)
@@ -224,6 +256,8 @@
 
 	tcase_add_checked_fixture(c, setup, teardown);
 	tcase_add_loop_test(c, early_answer_is_read_after_a_failed_send, 0, 2);
+	tcase_add_loop_test(c, rest_of_a_paused_answer_is_read_after_a_reset, 0,
+	    4);
 	tcase_add_test(c, rest_of_an_answer_is_read_after_a_failed_send);
 	tcase_add_loop_test(c, cut_answer_fails_after_a_failed_send, 0, 3);
 	tcase_add_test(c, unframed_answer_cut_by_a_reset_is_not_whole);
