--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -140,9 +140,15 @@
 	finish_call(l, 0);
 }
 
+/* A send that failed has taken the reset from the socket, so that the end may
+ * be no orderly one: a body that lasts until the end is not complete then. */
 static void
 handle_eof(struct http_link *l)
 {
+	if (l->send_errno) {
+		fail(l, HTTP_E_CLOSED, "send", l->send_errno);
+		return;
+	}
 	if (in_feed_eof(&l->in) < 0) {
 		if (!l->closed)
 			link_fail(l, &l->in.err);
@@ -168,6 +174,8 @@
 		fail(l, HTTP_E_CLOSED, "receive", errno);
 	else if (!l->call)
 		fail(l, HTTP_E_CLOSED, "idle connection closed", 0);
+	else if (!l->call->sent)
+		fail(l, HTTP_E_CLOSED, "input before the request was sent", 0);
 	else if (n == 0)
 		handle_eof(l);
 	else {
@@ -176,11 +184,22 @@
 	}
 }
 
+/* The socket was reset while the user had paused the answer, the rest of which
+ * it may hold. The watch, which would report this again, ends. */
+static void
+note_reset(struct http_link *l)
+{
+	io_watch_remove(l->pool->loop, &l->watch);
+	if (!l->send_errno)
+		l->send_errno = ECONNRESET;
+	link_schedule(l);
+}
+
 static void
 handle_readable(struct http_link *l)
 {
 	if (!(l->watch.events & IO_READ)) {
-		fail(l, HTTP_E_CLOSED, "connection reset", 0);
+		note_reset(l);
 		return;
 	}
 	if (l->call && l->call->paused) {
@@ -232,18 +251,42 @@
 	leave_callback(l);
 }
 
+/* Whether an answer may have come before a send failed. */
+static int
+may_be_answered(const struct http_link *l)
+{
+	return l->call && l->call->sent && l->send_errno != EPROTO;
+}
+
+/* Reads what came before a send failed, one part an iteration, once the user
+ * has not paused the answer; the call fails if that holds no whole answer. */
 static void
-run_scheduled(struct http_link *l)
+read_rest(struct http_link *l)
 {
-	l->scheduled = 0;
-	if (l->send_errno) {
+	ssize_t n = 0;
+
+	if (may_be_answered(l) && l->call->paused)
+		return;
+	if (may_be_answered(l))
+		n = recv(l->fd, l->pool->scratch, HTTP_READ_BYTES, 0);
+	if (n <= 0) {
 		fail(l, HTTP_E_CLOSED, "send", l->send_errno);
 		return;
 	}
+	parse_input(l, l->pool->scratch, (size_t)n);
+	link_schedule(l);
+}
+
+static void
+run_scheduled(struct http_link *l)
+{
+	l->scheduled = 0;
 	if (l->corked)
 		link_flush(l);
 	if (!l->closed && l->call && !l->call->paused && l->in.unparsed_len)
 		parse_input(l, NULL, 0);
+	if (!l->closed && l->send_errno)
+		read_rest(l);
 }
 
 void
