admit: a full queue at a target without answers is not called cold

While a reading of the pace is under way, requests wait; the queue holds 32. A target counts as cold until its first answers, also where the cold limit is above its slots and so bounds nothing (with routes it always is). The refusal then said "cold" in place of "full"; after "full" the next attempt costs no retry budget, after "cold" it does, and the budget of a daemon that has just started is used up by its first requests. So callers got 503 while another target had room.

Class: a state that bounds nothing is given as the reason, and another part acts on it.

Change: a refusal by a full queue names coldness only if the cold limit is not above what the target takes, or the target reports that it is cold.

Evidence: tests/unit/admit_rules.c, burst_at_new_target_is_not_refused_as_cold, failed before (reason 3, not 1).

Ruled out: targets that report that they are cold (event 200: cold_ms=0), and the limit of 1 until the first answer (event 512: limit=200).

Not fixed: bursts that fill the queues of all targets during a reading are refused, as full.

--- a/src/core/admit/request.c
+++ b/src/core/admit/request.c
@@ -84,6 +84,17 @@
 	       a->queue.n >= a->queue.capacity;
 }
 
+/** Whether a full queue is the coldness of the target. A cold limit above what
+ * the target takes bounds nothing. */
+static int
+bounded_by_cold(const struct admit *a, int64_t now)
+{
+	if (!admit_cold(a, now))
+		return 0;
+	return a->config.cold_limit <= admit_max_limit(a) ||
+	       admit_reported_cold(a, now);
+}
+
 /** Why a request that can't run at once may not join the queue; ADMIT_OK if it
  * may. Evicts a waiting request for it if the queue is full. */
 static enum admit_reason
@@ -96,7 +107,7 @@
 	if (t == TRIAGE_EXPIRES)
 		return ADMIT_DEADLINE;
 	if (full(a) && (t == TRIAGE_LATE || !admit_make_room(a, e)))
-		return admit_cold(a, now) ? ADMIT_COLD : ADMIT_FULL;
+		return bounded_by_cold(a, now) ? ADMIT_COLD : ADMIT_FULL;
 	if (t == TRIAGE_LATE)
 		e->key = LATE_KEY + e->deadline;
 	return ADMIT_OK;
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -84,7 +84,7 @@
 	ADMIT_OK,
 	ADMIT_FULL, /* queue full, evicted, or late with another target left */
 	ADMIT_DEADLINE, /* can't be answered before its deadline */
-	ADMIT_COLD, /* the target is cold and the queue is full */
+	ADMIT_COLD, /* the queue is full because the target is cold */
 	ADMIT_DRAINING, /* the target is draining */
 	ADMIT_OUT, /* the data centre is out */
 	ADMIT_REASONS
--- a/tests/unit/admit_rules.c
+++ b/tests/unit/admit_rules.c
@@ -51,6 +51,40 @@
 }
 END_TEST
 
+/* Fills the queue of a target without answers so far, while starts are held.
+ * Return: the reason of the first refusal. */
+static enum admit_reason
+first_refusal(const struct admit_config *c, int64_t cold_until)
+{
+	struct admit *a = admit_new(c, 0);
+	enum admit_reason why;
+	struct admit_run run;
+	uint32_t h;
+	int i;
+
+	admit_set_cold(a, 0, cold_until);
+	admit_set_hold(a, SECOND);
+	for (i = 0; i < c->queue_max; i++)
+		ck_assert(admit_request(a, i, SECOND, i, &run, &h, &why) ==
+			  ADMIT_WAIT);
+	ck_assert(
+	    admit_request(a, i, SECOND, i, &run, &h, &why) == ADMIT_REFUSE);
+	admit_free(a);
+	return why;
+}
+
+START_TEST(burst_at_new_target_is_not_refused_as_cold)
+{
+	struct admit_config c = { 200, 260, 100000, 0, 20 * MS, 0, 32, 0, 19,
+		2 };
+
+	ck_assert_int_eq(first_refusal(&c, 0), ADMIT_FULL);
+	ck_assert_int_eq(first_refusal(&c, SECOND), ADMIT_COLD);
+	c.cold_limit = COLD_LIMIT;
+	ck_assert_int_eq(first_refusal(&c, 0), ADMIT_COLD);
+}
+END_TEST
+
 START_TEST(limit_rises_only_after_cold_calls)
 {
 	struct admit_config c = { 12, 260, 2, 10, 20 * MS, 0, 8, 0, 0, 0 };
@@ -175,6 +209,7 @@
 	tcase_add_test(c, queue_order_and_refusal_reasons);
 	tcase_add_test(c, limit_rises_only_after_cold_calls);
 	tcase_add_test(c, requests_from_before_restart_do_not_warm);
+	tcase_add_test(c, burst_at_new_target_is_not_refused_as_cold);
 	tcase_add_test(c, stalled_target_is_cold);
 	tcase_add_test(c, crowded_from_half_the_limit);
 	suite_add_tcase(s, c);
