outbound: a stop asks requests that wait for a connection whether they fit

What callers saw: a daemon gets SIGTERM while requests of its callers wait for its first connection to another daemon. The connection opens 0.4 s later, the requests are sent, run, and end with 504 at the end of the stop.

Cause: only requests that were still being read were asked again every 50 ms; an attempt that waited for its connection was sent as it opened. Class: work taken that the time left can't hold.

Of a call that has another attempt underway, only the waiting attempts end.

Not fixed: a request of 32 KB or more whose head has gone to the target and whose body comes late is ended with 504 at the end; it may have run.

--- a/src/daemon/outbound/leave.c
+++ b/src/daemon/outbound/leave.c
@@ -28,11 +28,43 @@
 	g_free(call);
 }
 
+static int
+has_attempt(const struct out_call *c, enum attempt_state state)
+{
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state == state)
+			return 1;
+	return 0;
+}
+
+/* An attempt that waits for its connection has not run. */
+static void
+cancel_waiting(struct out_call *c)
+{
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state == ATTEMPT_WAITING)
+			outbound_attempt_cancel(&c->attempt[i]);
+}
+
 static void
 refuse_late(struct out_call *c)
 {
-	if (c->state == OUT_READING && !outbound_fits(c))
+	if ((c->state != OUT_READING && !has_attempt(c, ATTEMPT_WAITING)) ||
+	    outbound_fits(c))
+		return;
+	cancel_waiting(c);
+	if (has_attempt(c, ATTEMPT_SENT))
+		return;
+	if (!c->may_have_run) {
 		outbound_refuse_leaving(c);
+		return;
+	}
+	c->reason = WIRE_REASON_DRAINING;
+	outbound_give_up_call(c);
 }
 
 void
@@ -41,18 +73,11 @@
 	for_each_call(d, refuse_late);
 }
 
-/* An attempt that waits for its connection has not run. */
 static void
 end_call(struct out_call *c)
 {
-	int i, sent = 0;
-
-	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++) {
-		sent |= c->attempt[i].state == ATTEMPT_SENT;
-		if (c->attempt[i].state == ATTEMPT_WAITING)
-			outbound_attempt_cancel(&c->attempt[i]);
-	}
-	if (!sent && !c->may_have_run) {
+	cancel_waiting(c);
+	if (!has_attempt(c, ATTEMPT_SENT) && !c->may_have_run) {
 		outbound_refuse_leaving(c);
 		return;
 	}
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -170,8 +170,8 @@
 /** outbound_refuse_leaving() - end a call that can't be finished before this
  * daemon ends; frees it */
 void outbound_refuse_leaving(struct out_call *);
-/** outbound_refuse_late() - refuse the calls without an attempt that can't be
- * finished any more before this daemon ends */
+/** outbound_refuse_late() - refuse the calls of which nothing was sent to a
+ * target and that can't be finished any more before this daemon ends */
 void outbound_refuse_late(struct data *);
 /** outbound_end_calls() - end all calls, as this daemon ends */
 void outbound_end_calls(struct data *);
