planned: refusals behind another answer are counted apart

Cause: scripts/planned printed refusals of up to 4.4 s. The daemon had decided them by then: event 510 shows more than 200 ms only for refusals of requests whose bodies came in pieces.

Change: the judge prints the two kinds in two lines; nothing that it judges changes.

Ruled out: calls held for a version of the configuration (mended before): none has that reason.

--- a/tests/history/planned.awk
+++ b/tests/history/planned.awk
@@ -211,7 +211,11 @@
 		excuse("the caller gave up")
 	if (outcome[id] == "whole")
 		answers[status[id]]++
-	if (status[id] == 503 || status[id] == 429)
+	if (status[id] != 503 && status[id] != 429)
+		return
+	if (behind[id])
+		wait_behind[++waits_behind] = over[id] - sent[id]
+	else
 		wait[++waits] = over[id] - sent[id]
 }
 
@@ -245,14 +249,15 @@
 	}
 }
 
-function print_sorted(values, n, i, j, v) {
+# An answer behind another one on its connection waits for it.
+function print_sorted(name, values, n, i, j, v) {
 	for (i = 2; i <= n; i++) {
 		v = values[i]
 		for (j = i - 1; j >= 1 && values[j] > v; j--)
 			values[j + 1] = values[j]
 		values[j + 1] = v
 	}
-	printf "refused %d", n
+	printf "%s %d", name, n
 	if (n)
 		printf ", waited ms: median %.1f, p99 %.1f, most %.1f",
 		    values[int((n + 1) / 2)] / 1000,
@@ -288,7 +293,8 @@
 	for (why in excused)
 		print "excused " excused[why] ": " why | "sort"
 	close("sort")
-	print_sorted(wait, waits)
+	print_sorted("refused", wait, waits)
+	print_sorted("refused behind another", wait_behind, waits_behind)
 	n = split("LOST-STOP LOST-HUP LOST-CONFIG LOST-KEPT TWICE REFUSED MIXED", name, " ")
 	for (i = 1; i <= n; i++)
 		print name[i] " " broken[name[i]] + 0 ", on a connection with an answer broken off: " \
