--- a/tests/fake/planned/main.c
+++ b/tests/fake/planned/main.c
@@ -71,12 +71,10 @@
 	struct arg_int *seconds = arg_int1(NULL, "seconds", "N", "duration");
 	struct arg_int *threads =
 	    arg_int1(NULL, "threads", "N", "connections at a time");
-	struct arg_int *timeout =
-	    arg_int1(NULL, "timeout-ms", "N", "least time-out of the routes");
 	struct arg_int *seed = arg_int1(NULL, "seed", "N", "seed");
 	struct arg_end *end = arg_end(5);
-	void *table[] = { to, host, name, history, seconds, threads, timeout,
-		seed, end };
+	void *table[] = { to, host, name, history, seconds, threads, seed,
+		end };
 	struct caller c = { 0 };
 	struct kq_error e;
 
@@ -90,7 +88,6 @@
 	c.address = to->sval[0];
 	c.host = host->sval[0];
 	c.name = name->sval[0];
-	c.timeout_ms = timeout->ival[0];
 	c.end = io_clock() + seconds->ival[0] * G_USEC_PER_SEC;
 	if (history_open(&c.history, history->sval[0], c.name, &e) < 0) {
 		fprintf(stderr, "fake-planned: %s\n", e.text);
--- a/tests/fake/planned/planned.h
+++ b/tests/fake/planned/planned.h
@@ -39,7 +39,6 @@
 	const char *address; /* @to as text */
 	const char *host;
 	const char *name; /* first part of the ids of requests */
-	int timeout_ms; /* least time-out that the routes have */
 	int64_t end; /* io_clock() time at which no more requests are sent */
 	gint last_conn; /* number of the last connection */
 	gint last_request; /* number of the last request */
@@ -54,7 +53,7 @@
 	int work_ms;
 	int bytes; /* of the answer */
 	int body_bytes; /* of the request */
-	int limit_ms; /* deadline, or the route's time-out if that is less */
+	int limit_ms; /* deadline */
 	int64_t start; /* of sending */
 };
 
--- a/tests/fake/planned/request.c
+++ b/tests/fake/planned/request.c
@@ -127,8 +127,7 @@
 	    "start=%" G_GINT64_FORMAT
 	    " limit_ms=%d work_ms=%d bytes=%d breaks=%d",
 	    r->id, c->caller->address, c->id, c->way, behind, r->once, r->start,
-	    MIN(r->limit_ms, c->caller->timeout_ms), r->work_ms, r->bytes,
-	    r->breaks);
+	    r->limit_ms, r->work_ms, r->bytes, r->breaks);
 }
 
 int
--- a/tests/history/planned.awk
+++ b/tests/history/planned.awk
@@ -9,7 +9,6 @@
 	TOUCH = 3000000		# touch_ms
 	EARLY = 3000000		# after SIGTERM, up to which the grace excuses
 	OVER = 1000000		# after the grace, and after a version is applied
-	AT_ONCE = 50000		# between an answer and the end of its work
 	KEPT_MAX = 3		# losses beside no planned work
 	CONFIG_TIMES = 3	# as many cuts beside a configuration
 	FINDINGS_MAX = 8	# printed with their events
@@ -38,11 +37,13 @@
 		when[$3, at, ++count[$3, at]] = $1
 	else if ($3 == "config-sent")
 		version[++versions] = field("version")
-	if ($3 == "config-sent")
+	if ($3 == "config-sent") {
 		sent_at[field("version")] = $1
+		timeout[field("version")] = 1000 * field("timeout_ms")
+	}
 	if ($3 == "config-acked")
 		acked[field("version")] = $1
-	if ($3 == "end" && field("status") != 0)
+	if ($3 == "end" && (field("status") != 0 || !ends_in_time(at, $1)))
 		ended[++ends] = $0
 	if (at != "")
 		remember(at, $0)
@@ -57,7 +58,7 @@
 	behind[id] = field("behind") + 0
 	once[id] = field("once") + 0
 	sent[id] = $1
-	limit[id] = field("start") + 1000 * field("limit_ms")
+	began[id] = field("start")
 	time[id] = 1000 * field("limit_ms")
 	remember(id, $0)
 	remember(conn[id], $0)
@@ -78,7 +79,10 @@
 $3 ~ /^(run|done|cut|broke|shed)$/ {
 	id = field("key")
 	remember(id, $0)
-	if ($3 == "run") {
+	passed_on[id] = 1
+	if ($3 == "shed") {
+		shed[id] = 1
+	} else if ($3 == "run") {
 		runs[id]++
 		run_end[id] = broke[id] = done[id] = 0
 	} else if ($3 == "broke") {
@@ -98,6 +102,28 @@
 	return found + 0
 }
 
+# Nonzero if a process that ends at t was told to by a SIGTERM whose grace is not over.
+function ends_in_time(at, t, i, start) {
+	start = last("start", at, t)
+	for (i = 1; i <= count["term", at]; i++)
+		if (when["term", at, i] >= start)
+			return t <= when["term", at, i] + GRACE
+	return 0
+}
+
+# Shortens a request's time to the least timeout of a version that may have been in
+# force while it was open.
+function bound_time(id, i, v, next_version) {
+	for (i = 1; i <= versions; i++) {
+		v = version[i]
+		next_version = version[i + 1]
+		if (timeout[v] && timeout[v] < time[id] && sent_at[v] <= over[id] &&
+		    !(acked[next_version] && acked[next_version] + APPLY < began[id]))
+			time[id] = timeout[v]
+	}
+	limit[id] = began[id] + time[id]
+}
+
 # SIGTERM whose time a request ended in, the first to that process; 0 if none.
 function stop_of(id, i, t, start, found) {
 	start = last("start", to[id], sent[id])
@@ -142,8 +168,7 @@
 }
 
 function at_work(id) {
-	return runs[id] && !broke[id] && !(done[id] && run_end[id] < over[id]) &&
-	    (!run_end[id] || run_end[id] >= over[id] - AT_ONCE)
+	return runs[id] && !broke[id] && !(done[id] && run_end[id] < over[id])
 }
 
 function finding(rule, id) {
@@ -155,19 +180,34 @@
 
 function excuse(why) { excused[why]++ }
 
+# A loss that the clauses on planned work don't count: that of machines in touch may.
+function beside_planned(id, why) {
+	if (outcome[id] == "cut" && passed_on[id] && in_touch(id))
+		kept[++kepts] = id
+	else
+		excuse(why)
+}
+
+# The same for a loss that counts only if no byte of an answer came.
+function without_answer(id, why) {
+	if (status[id])
+		return excuse(why)
+	beside_planned(id, why)
+}
+
 # A request that got no whole answer, or at whose work the daemon gave its own.
 function judge_loss(id, t) {
 	if (broke[id])
 		return excuse("worker broke off")
 	if (over[id] >= limit[id])
-		return excuse("deadline or timeout reached")
-	if (!runs[id] && behind[id])
+		return without_answer(id, "deadline or timeout reached")
+	if (!passed_on[id] && behind[id])
 		return excuse("behind another, not passed on")
-	if (!runs[id] && over[id] <= sent[id] + SLACK)
+	if (!passed_on[id] && over[id] <= sent[id] + SLACK)
 		return excuse("crossed the close, not passed on")
 	t = stop_of(id)
 	if (t && grace_excuses(id, t))
-		return excuse("worker at work in the last sixth")
+		return without_answer(id, "worker at work in the last sixth")
 	if (t)
 		return finding("LOST-STOP", id)
 	if (outcome[id] != "cut")
@@ -175,28 +215,26 @@
 	if (beside_hup(id))
 		return finding("LOST-HUP", id)
 	if (beside_config(id)) {
-		if (over[id] - (limit[id] - time[id]) >= time[id] * 0.7)
-			return excuse("beside a configuration, seven tenths used")
+		if (over[id] - began[id] >= time[id] * 0.7)
+			return without_answer(id, "beside a configuration, seven tenths used")
 		near_cut[to[id]]++
 		candidate[++candidates] = id
 		return
 	}
 	far_cut[to[id]]++
-	if (runs[id] && in_touch(id))
-		kept[++kepts] = id
-	else
-		excuse("beside no planned work")
+	beside_planned(id, "beside no planned work")
 }
 
 function judge_call(id, own) {
+	if (once[id] && runs[id] > 1)
+		finding("TWICE", id)
 	if (!(id in outcome))
 		return excuse("open at the end of the run")
+	bound_time(id)
 	if (beside_config(id))
 		near[to[id]]++
 	else
 		far[to[id]]++
-	if (once[id] && runs[id] > 1)
-		finding("TWICE", id)
 	if (once[id] && runs[id] && status[id] ~ /^(408|421|429|503)$/)
 		finding("REFUSED", id)
 	if (outcome[id] == "bad" || (outcome[id] == "whole" &&
@@ -221,10 +259,8 @@
 		m = to[id]
 		if (near_cut[m] * (far[m] + !far[m]) > CONFIG_TIMES * far_cut[m] * near[m])
 			finding("LOST-CONFIG", id)
-		else if (runs[id] && in_touch(id))
-			kept[++kepts] = id
 		else
-			excuse("beside a configuration, as often as else")
+			beside_planned(id, "beside a configuration, as often as else")
 	}
 	for (i = 1; i <= kepts; i++)
 		if (kepts > KEPT_MAX)
