planned.awk: a refusal that comes later than 1 s is a finding

Cause: what can't be served is to be refused at once, so that its caller can go elsewhere. The judge printed the longest waits and left it at that; the refusals of docs/incidents/restart-after-evacuation.md were found by eye.

Now a 429 or 503 later than 1 s after the request was whole is REFUSED-LATE, unless it was sent behind another on its connection, or event 510 says `full` or `deadline`, where it may have waited in a queue.

--- a/tests/history/planned.awk
+++ b/tests/history/planned.awk
@@ -9,6 +9,7 @@
 	TOUCH = 3000000		# touch_ms
 	EARLY = 3000000		# after SIGTERM, up to which the grace excuses
 	OVER = 1000000		# after the grace, and after a version is applied
+	REFUSE_LATE = 1000000	# after a request was whole
 	KEPT_MAX = 3		# losses beside no planned work
 	CONFIG_TIMES = 3	# as many cuts beside a configuration
 	FINDINGS_MAX = 8	# printed with their events
@@ -26,8 +27,11 @@
 
 # Log line of a daemon.
 $1 !~ /^[0-9]+$/ {
-	if (match($0, /request=[^ ]+/))
-		remember(substr($0, RSTART + 8, RLENGTH - 8), "  log " $0)
+	if (match($0, /request=[^ ]+/)) {
+		id = substr($0, RSTART + 8, RLENGTH - 8)
+		remember(id, "  log " $0)
+		waits_turn[id] = waits_turn[id] || / event=510 .* reason=(full|deadline) /
+	}
 	next
 }
 
@@ -249,8 +253,12 @@
 		excuse("the caller gave up")
 	if (outcome[id] == "whole")
 		answers[status[id]]++
-	if (status[id] == 503 || status[id] == 429)
+	if (status[id] == 503 || status[id] == 429) {
 		wait[++waits] = over[id] - sent[id]
+		# other refusals may wait for an answer before them, or in a queue
+		if (wait[waits] > REFUSE_LATE && !behind[id] && !waits_turn[id])
+			finding("REFUSED-LATE", id)
+	}
 }
 
 function judge_candidates(i, id, m) {
@@ -325,7 +333,7 @@
 		print "excused " excused[why] ": " why | "sort"
 	close("sort")
 	print_sorted(wait, waits)
-	n = split("LOST-STOP LOST-HUP LOST-CONFIG LOST-KEPT TWICE REFUSED MIXED", name, " ")
+	n = split("LOST-STOP LOST-HUP LOST-CONFIG LOST-KEPT TWICE REFUSED REFUSED-LATE MIXED", name, " ")
 	for (i = 1; i <= n; i++)
 		print name[i] " " broken[name[i]] + 0 ", on a connection with an answer broken off: " \
 		    beside_break[name[i]] + 0
