leave: open requests count as long ones when a stop asks what fits

Timeline: the daemon starts 0.6 s before SIGTERM. When the request starts, nine answers of its route have come, after 0.03 to 0.3 s but for one that was held up for 1.1 s; two more of its route, 2.4 and 4.3 s of work, have been open for 1.5 and 1.2 s. It takes 3.8 s and has 2.2 s.

Cause: the time that a route takes is that of the answers that came. Those are the short ones: a request that is still open says that its work takes longer, and was left out.

Class: work taken that the time left can't hold.

Ruled out: more answers before the time counts (SAMPLES_MIN): refuses short work at daemons that just started.

--- a/src/core/leave/time.c
+++ b/src/core/leave/time.c
@@ -16,6 +16,12 @@
 		t->longest_us[1] = t->longest_us[0];
 		t->longest_us[0] = 0;
 	}
+	answer_time_note_open(t, us);
+}
+
+void
+answer_time_note_open(struct answer_time *t, int64_t us)
+{
 	if (us > t->longest_us[0])
 		t->longest_us[0] = us;
 }
--- a/src/daemon/outbound/leave.c
+++ b/src/daemon/outbound/leave.c
@@ -28,6 +28,14 @@
 	g_free(call);
 }
 
+/* The answers that came so far are those of short requests. */
+static void
+note_open(struct out_call *c)
+{
+	if (c->state == OUT_TRYING && c->body_whole)
+		answer_time_note_open(c->time, data_now(c->data) - c->tried_at);
+}
+
 static void
 refuse_late(struct out_call *c)
 {
@@ -38,6 +46,7 @@
 void
 outbound_refuse_late(struct data *d)
 {
+	for_each_call(d, note_open);
 	for_each_call(d, refuse_late);
 }
 
--- a/src/internal/leave.h
+++ b/src/internal/leave.h
@@ -39,8 +39,9 @@
  * whole answers; zero it before first use
  * @us: smoothed mean, microseconds
  * @deviation_us: smoothed mean deviation, microseconds
- * @longest_us: longest time since the last multiple of ANSWER_TIME_WINDOW
- *	answers, and between that and the one before, microseconds
+ * @longest_us: longest time, of open requests as well, since the last multiple
+ *	of ANSWER_TIME_WINDOW answers, and between that and the one before,
+ *	microseconds
  * @n: number of answers */
 struct answer_time {
 	double us;
@@ -53,6 +54,9 @@
 
 /** answer_time_note() - record a whole answer after @us microseconds */
 void answer_time_note(struct answer_time *, int64_t us);
+/** answer_time_note_open() - record that a request has had no answer for @us
+ * microseconds */
+void answer_time_note_open(struct answer_time *, int64_t us);
 /** answer_time_most() - time within which nearly all answers come, in
  * microseconds; 0 after too few answers */
 int64_t answer_time_most(const struct answer_time *);
--- a/tests/unit/leave.c
+++ b/tests/unit/leave.c
@@ -157,6 +157,19 @@
 }
 END_TEST
 
+START_TEST(request_without_an_answer_yet_is_included)
+{
+	struct answer_time t = { 0 };
+	int i;
+
+	for (i = 0; i < 100; i++)
+		answer_time_note(&t, 300 * MS);
+	answer_time_note_open(&t, 2400 * MS);
+	answer_time_note_open(&t, 1200 * MS);
+	ck_assert_int_ge(answer_time_most(&t), 4500 * MS);
+}
+END_TEST
+
 START_TEST(long_answer_is_forgotten_after_many_short_ones)
 {
 	struct answer_time t = { 0 };
@@ -201,6 +214,7 @@
 	tcase_add_test(t, rare_long_answers_are_included);
 	tcase_add_test(t, spread_of_few_answers_is_enlarged);
 	tcase_add_test(t, answers_longer_than_any_that_was_seen_are_included);
+	tcase_add_test(t, request_without_an_answer_yet_is_included);
 	tcase_add_test(t, long_answer_is_forgotten_after_many_short_ones);
 	tcase_add_test(t, longer_work_is_noticed_after_few_answers);
 	suite_add_tcase(s, t);
