inbound: requests that run count as long ones when a stop asks what fits

Cause: as for the daemon's own callers: answers known so far are the short ones, open requests were left out.

Class: a measured time that leaves out what has not ended.

One whose body is still being sent does not count, since its time is that of its caller.

Not fixed: requests that come before the open ones are old enough are taken.

--- a/src/daemon/inbound/leave.c
+++ b/src/daemon/inbound/leave.c
@@ -74,6 +74,15 @@
 	       c->state == IN_WAITING_ANSWER;
 }
 
+/* The answers that came so far are those of short requests. */
+static void
+note_open(struct in_call *c)
+{
+	if (c->state == IN_RUNNING && c->body_last == 2 && !c->cancelled)
+		answer_time_note_open(c->time,
+		    data_now(c->data) - c->target_started);
+}
+
 static void
 refuse_late(struct in_call *c)
 {
@@ -116,6 +125,7 @@
 void
 inbound_refuse_late(struct data *d)
 {
+	for_each_call(d, note_open);
 	for_each_call(d, refuse_late);
 }
 
--- a/tests/system/stop-longer.sh
+++ b/tests/system/stop-longer.sh
@@ -1,12 +1,20 @@
 #!/bin/sh
-# Work takes longer than any before as its daemon stops. Callers of that daemon whose
-# requests come while earlier ones have long had no answer are refused, not run, in place
-# of being ended at the end of the stop.
-# usage: stop-longer.sh BUILD-DIRECTORY
+# Work takes longer than any before as its daemon stops. Callers of that daemon, and of
+# another one that has no other target, whose requests come while earlier ones have long
+# had no answer are refused, not run, in place of being ended at the end of the stop.
+# usage: stop-longer.sh BUILD-DIRECTORY [DAEMON-ASKED TARGETS]
 set -u
 . scripts/fleet.sh
 . scripts/dialect.sh
 REQUESTS=20
+if [ $# = 1 ]; then
+	code=0
+	sh "$0" "$1" 1 "1 2" || code=1
+	sh "$0" "$1" 2 1 || code=1
+	exit $code
+fi
+asked_at=$2
+targets=$3
 fleet_open "$1"
 trap fleet_close EXIT
 failed=0
@@ -16,7 +24,7 @@
 	asked=
 	for i in $(seq $REQUESTS); do
 		curl -s -m 12 -X POST -o /dev/null -w '%{http_code}\n' -H "Host: h.example" -H "X-Attempt-Id: $1-$i" \
-			-H "X-Deadline-Ms: 8500" "http://$fleet_net.1.1:8400/n/1" >"$fleet_dir/$1-$i.code" &
+			-H "X-Deadline-Ms: 8500" "http://$fleet_net.1.$asked_at:8400/n/1" >"$fleet_dir/$1-$i.code" &
 		asked="$asked $!"
 		sleep 0.02
 	done
@@ -31,14 +39,17 @@
 	fleet_settings 1 $n | sed 's/"leave_ms": 500/"leave_ms": 2600/' >"$fleet_dir/dc1-$n.json"
 	fleet_run "daemon-1-$n" "$1/kumquatrockd" --settings "$fleet_dir/dc1-$n.json"
 	eval "fleet_daemon_1_$n=$!"
-	dialect_target 1 $n --service-us 200000 --slots 200
+done
+for n in $targets; do
+	dialect_target 1 "$n" --service-us 200000 --slots 200
 done
 fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
-fleet_targets 2 || fleet_fail "the targets are not known"
+fleet_first=$fleet_net.1.$asked_at:8400
+fleet_targets "$(echo "$targets" | wc -w)" || fleet_fail "the targets are not known"
 ask_all short
 # shellcheck disable=SC2086
 wait $asked
-for n in 1 2; do
+for n in $targets; do
 	curl -s -m 2 -o /dev/null -X POST "http://$fleet_net.1.$n:9001/fake/set?service_us=4500000"
 done
 # shellcheck disable=SC2154
