member: a member that joins beside many others becomes known to all soon

What callers saw: nothing was seen at callers. A member that another one does not know gets no requests from it. unit-member, members_join_through_seeds with 200 members, left a member unknown after 30 s with other seeds than its own (docs/incidents/silent-members.md).

Cause: 200 members join at once, a tenth of the datagrams is lost. The update with the whole info, which alone makes a member known, was sent 4 log10(n) times by each member that had it. A member that missed it learned of the new one only from a page without infos that holds its row (one page is pushed to one random member each 5 s, and a page holds a quarter of 200 rows), or from a ping, one in 100 s. Class: what was sent counts as received, as for suspicions and notes.

Change: an update with the whole info is sent 8 log10(n) times, as suspicions and notes are.

Not fixed: a member that misses all sends still waits for a page.

--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -8,9 +8,12 @@
 #define HEALTH_MAX 8 /* highest, i.e. worst, local health score (Lifeguard) */
 /* Times an update is sent, multiplied by member_log10_size(). */
 #define SEND_FACTOR 4
-/* The same for a suspicion: when many members fail at once, part of these
- * sends go to members that are silent and not yet suspected. */
-#define SUSPECT_SEND_FACTOR 8
+/* The same for a suspicion, as part of its sends go to members that are silent
+ * and not yet suspected when many fail at once, and for an update with the
+ * whole info: a member that misses all of these learns of a new one only from a
+ * page.
+ */
+#define OFTEN_SEND_FACTOR 8
 /* Largest probe, JOIN, PULL or answer with queued updates, in bytes. Other
  * messages are limited by limits.datagram_bytes. */
 #define PIGGYBACK_BYTES 512
--- a/src/core/member/queue.c
+++ b/src/core/member/queue.c
@@ -39,8 +39,8 @@
 static int
 send_limit(const struct member_table *t, const struct row *r)
 {
-	int factor =
-	    r->m.state == MEMBER_SUSPECT ? SUSPECT_SEND_FACTOR : SEND_FACTOR;
+	int often = r->m.state == MEMBER_SUSPECT || r->with_info;
+	int factor = often ? OFTEN_SEND_FACTOR : SEND_FACTOR;
 
 	return (int)ceil(factor * member_log10_size(t));
 }
@@ -68,7 +68,7 @@
 member_piggyback(struct member_table *t, struct member_message *msg,
     size_t bytes)
 {
-	int limit = (int)ceil(SUSPECT_SEND_FACTOR * member_log10_size(t));
+	int limit = (int)ceil(OFTEN_SEND_FACTOR * member_log10_size(t));
 	int level;
 	guint i, n = t->queue->len;
 	int full = 0;
