member: a pushed page does not end a join

What callers saw: not seen at callers, found by reading the code while starts of twelve daemons were traced. A member that joined would know a part of the fleet only, until gossip or pages brought the rest.

Cause: each member pushes a page to a random member each 5 s. Such a page has cursor 0. If it came from the seed whose table a joining member was fetching, it was taken for the answer with the last page: the join ended, the other pages were never asked for. Class: an end that looks at one message and acts on the whole exchange.

Change: a PULL carries a number, its answer has had to echo it all along, and only a page with that number moves the join on. Pushed pages have number 0.

Evidence: build/unit-member_join, pushed_page_does_not_end_a_join, fails before (the next page is asked for with cursor 0, not 7), passes after. unit-member, unit-member_silent, unit-member_note and unit-member_codec pass.

--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -118,6 +118,7 @@
  * @next_seed: index of the seed that the next JOIN is sent to
  * @tries: PULLs sent since the last answer of @id
  * @cursor: row that the next page begins with
+ * @seq: number that the answer to our PULL must carry
  * @id: incarnation of the seed that answered, 0 until one has
  * @next_at: time of the next JOIN or PULL
  * @address: where @id is reached
@@ -128,6 +129,7 @@
 	int next_seed;
 	int tries;
 	uint32_t cursor;
+	uint32_t seq;
 	uint64_t id;
 	int64_t next_at;
 	struct member_address address;
--- a/src/core/member/join.c
+++ b/src/core/member/join.c
@@ -50,6 +50,7 @@
 	    member_begin_message(t, MEMBER_PULL, j->id);
 
 	msg->cursor = j->cursor;
+	msg->seq = j->seq;
 	member_append_update(t, msg, 0, 1, PIGGYBACK_BYTES);
 	member_send(t, &j->address, msg);
 }
@@ -82,21 +83,24 @@
 		return;
 	j->id = msg->from;
 	j->address = msg->source;
+	j->seq = ++t->seq;
 	j->tries = 0;
 	j->next_at = now;
 	member_join_step(t, now);
 }
 
+/* A page that the seed pushes has no number: it does not end the join. */
 void
 member_receive_page(struct member_table *t, const struct member_message *msg,
     int64_t now)
 {
 	struct join *j = &t->join;
 
-	if (!j->active || msg->from != j->id ||
+	if (!j->active || msg->from != j->id || msg->seq != j->seq ||
 	    (msg->cursor != 0 && msg->cursor <= j->cursor))
 		return;
 	j->cursor = msg->cursor;
+	j->seq = ++t->seq;
 	j->tries = 0;
 	j->active = msg->cursor != 0;
 	j->next_at = now;
--- a/tests/unit/member_join.c
+++ b/tests/unit/member_join.c
@@ -94,6 +94,80 @@
 }
 END_TEST
 
+/* ---- one table that joins, and gets messages from the test ---- */
+
+#define SELF 1
+#define SEED 2
+#define NEXT_ROW 7
+
+static void
+on_send(void *ctx, const struct member_address *to,
+    const struct member_message *msg)
+{
+	struct member_message *last_pull = ctx;
+
+	(void)to;
+	if (msg->kind == MEMBER_PULL)
+		*last_pull = *msg;
+}
+
+static void
+on_event(void *ctx, int handle, enum member_event event)
+{
+	(void)ctx;
+	(void)handle;
+	(void)event;
+}
+
+static void
+on_behind(void *ctx, int handle, uint64_t digest)
+{
+	(void)ctx;
+	(void)handle;
+	(void)digest;
+}
+
+/* Gives the table a message of the seed, without rows. */
+static void
+deliver(struct member_table *t, enum member_kind kind, uint32_t seq,
+    uint32_t cursor)
+{
+	struct member_message *m = g_new0(struct member_message, 1);
+
+	m->kind = kind;
+	m->from = SEED;
+	m->to = SELF;
+	m->seq = seq;
+	m->cursor = cursor;
+	m->view_seq = MEMBER_VIEW_NONE;
+	member_receive(t, m, 0);
+	g_free(m);
+}
+
+/* Guards against a join that a page which the seed pushes to all members by
+ * turns ends, so that the other pages are never asked for. */
+START_TEST(pushed_page_does_not_end_a_join)
+{
+	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
+	static const struct member_ops ops = { on_send, on_event, on_behind,
+		NULL };
+	struct member_info info = { .id = SELF };
+	struct member_address seed = { .ip = SEED };
+	struct member_message *pull = g_new0(struct member_message, 1);
+	struct member_table *t = member_new(&info, &limits, 1, &ops, pull, 0);
+
+	member_join(t, &seed, 1, 0);
+	member_tick(t, 0);
+	deliver(t, MEMBER_WELCOME, 0, 0);
+	ck_assert_int_eq(pull->kind, MEMBER_PULL);
+	deliver(t, MEMBER_PAGE, 0, 0);
+	deliver(t, MEMBER_PAGE, pull->seq, NEXT_ROW);
+	ck_assert_uint_eq(pull->cursor, NEXT_ROW);
+	member_free(t);
+	g_free(pull);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -105,6 +179,7 @@
 	tcase_set_timeout(c, 240);
 	tcase_add_test(c, members_that_join_at_once_know_each_other);
 	tcase_add_test(c, services_of_members_that_start_at_once_are_known);
+	tcase_add_test(c, pushed_page_does_not_end_a_join);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
