--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -8,9 +8,12 @@
 #define HEALTH_MAX 8 /* highest, i.e. worst, local health score (Lifeguard) */
 /* Times an update is sent, multiplied by member_log10_size(). */
 #define SEND_FACTOR 4
-/* The same for a suspicion: when many members fail at once, part of these
- * sends go to members that are silent and not yet suspected. */
-#define SUSPECT_SEND_FACTOR 8
+/* The same for a suspicion, as part of its sends go to members that are silent
+ * and not yet suspected when many fail at once, and for an update with the
+ * whole info: a member that misses all of these learns of a new one only from a
+ * page.
+ */
+#define OFTEN_SEND_FACTOR 8
 /* Largest probe, JOIN, PULL or answer with queued updates, in bytes. Other
  * messages are limited by limits.datagram_bytes. */
 #define PIGGYBACK_BYTES 512
@@ -115,6 +118,7 @@
  * @next_seed: index of the seed that the next JOIN is sent to
  * @tries: PULLs sent since the last answer of @id
  * @cursor: row that the next page begins with
+ * @seq: number that the answer to our PULL must carry
  * @id: incarnation of the seed that answered, 0 until one has
  * @next_at: time of the next JOIN or PULL
  * @address: where @id is reached
@@ -125,6 +129,7 @@
 	int next_seed;
 	int tries;
 	uint32_t cursor;
+	uint32_t seq;
 	uint64_t id;
 	int64_t next_at;
 	struct member_address address;
