rpc: a connection keeps nothing of a burst once its records are complete

What callers saw: nothing yet.

Cause: bytes behind an incomplete record are put into the connection's buffer, up to 256 KB for each read, and the buffer never shrank. A connection that once had a burst of bodies kept it until it was closed.

Class: a bound for each connection and none for the sum.

Evidence: build/unit-peer_unfinished, 64 connections, 20 messages of 32 KB each, sent while the receiver reads nothing. Ruled out: the sender's buffers, which are freed above 64 KB already (peer_flush.c).

Not fixed: the sum of records that are still incomplete.

--- a/src/adapter/rpc/peer_impl.h
+++ b/src/adapter/rpc/peer_impl.h
@@ -102,5 +102,9 @@
 peer_handle_hello_reply(struct peer_conn *, XDR *, const void *rec, size_t len);
 void peer_dispatch(struct peer_conn *, char *rec, size_t len);
 void peer_receive(struct peer_conn *);
+/* peer_input_add() - keep bytes of a record that is incomplete */
+void peer_input_add(struct peer_conn *, const unsigned char *, size_t n);
+/* peer_input_remove() - forget the first @used bytes that are kept */
+void peer_input_remove(struct peer_conn *, size_t used);
 
 #endif
--- a/src/adapter/rpc/peer_receive.c
+++ b/src/adapter/rpc/peer_receive.c
@@ -62,13 +62,13 @@
 	if (!c->in->len) {
 		used = process_records(c, p, n);
 		if (used < n && c->state != PEER_CLOSED)
-			g_byte_array_append(c->in, p + used, n - used);
+			peer_input_add(c, p + used, n - used);
 		return;
 	}
-	g_byte_array_append(c->in, p, n);
+	peer_input_add(c, p, n);
 	used = process_records(c, c->in->data, c->in->len);
 	if (c->state != PEER_CLOSED && used)
-		g_byte_array_remove_range(c->in, 0, used);
+		peer_input_remove(c, used);
 }
 
 void
