rpc: incomplete records of all daemons have one bound

What callers saw: nothing yet.

Cause: an authenticated peer may send a record of up to 1.1 MB, which is kept until it is complete, from each connection at the same time and for any time.

Class: a bound for each connection and none for the sum.

Evidence: build/unit-peer_unfinished, 64 peers that send 1 MB of a record and no end.

The connection ends whose long record has been incomplete for the longest time. Nothing else could be received on it meanwhile.

Ruled out: reading no more from such connections, since the peer's probes would not be answered and it would close them after 1.2 s, with no choice which. Ruled out: a lower bound for a record, since limits.head_bytes lets heads of up to 1 MB in.

Not fixed: below 64 KB a connection is not ended, so that the sum is 64 KB times the connections if these are more than 512. The number of accepted connections has no bound of its own.

--- a/src/adapter/rpc/peer_conn.c
+++ b/src/adapter/rpc/peer_conn.c
@@ -101,6 +101,7 @@
 	io_watch_remove(n->loop, &c->watch);
 	close(c->fd);
 	remove_conn(n, c);
+	n->in_sum -= c->in->len;
 	peer_drop_unsent(c);
 	n->depth++;
 	n->ops->closed(n->ctx, c);
--- a/src/adapter/rpc/peer_hello.c
+++ b/src/adapter/rpc/peer_hello.c
@@ -141,7 +141,7 @@
 	c->seq_out = 0;
 	c->seq_in = 0;
 	c->state = PEER_CONNECTING;
-	g_byte_array_set_size(c->in, 0);
+	peer_input_drop(c);
 	peer_drop_unsent(c);
 	return io_watch_add(loop, &c->watch, fd, IO_WRITE, peer_conn_ready, c);
 }
--- a/src/adapter/rpc/peer_impl.h
+++ b/src/adapter/rpc/peer_impl.h
@@ -38,6 +38,7 @@
 	int64_t last_record; /* when it was received, microseconds */
 	uint32_t next_xid;
 	GByteArray *in; /* received part of an incomplete record */
+	int64_t in_since; /* when that record began to arrive */
 	GByteArray *out; /* bytes not yet accepted by the kernel */
 	GHashTable *pending; /* xid to procedure of calls without a reply */
 	void *ctx; /* peer_set_ctx() */
@@ -56,6 +57,7 @@
 	GPtrArray *closed; /* to be freed when no callback is running */
 	int depth; /* nesting of running callbacks */
 	struct peer_counters counters;
+	size_t in_sum; /* received parts of all incomplete records */
 	struct byte_limit *call_bytes; /* counts unsent bytes, or NULL */
 	char *scratch; /* record mark and record being encoded */
 	char *arena; /* decoded strings of the current record */
@@ -106,5 +108,10 @@
 void peer_input_add(struct peer_conn *, const unsigned char *, size_t n);
 /* peer_input_remove() - forget the first @used bytes that are kept */
 void peer_input_remove(struct peer_conn *, size_t used);
+/* peer_input_drop() - forget all bytes that are kept */
+void peer_input_drop(struct peer_conn *);
+/* peer_input_bound() - while the incomplete records of all connections are too
+ * much, close the connection whose long record takes the longest time */
+void peer_input_bound(struct peer_node *);
 
 #endif
--- a/src/adapter/rpc/peer_receive.c
+++ b/src/adapter/rpc/peer_receive.c
@@ -89,4 +89,5 @@
 		return;
 	}
 	process_bytes(c, buf, n);
+	peer_input_bound(c->node);
 }
--- a/tests/unit/peer_unfinished.c
+++ b/tests/unit/peer_unfinished.c
@@ -1,8 +1,10 @@
+#include <arpa/inet.h>
 #include <check.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "adapter/rpc/peer_impl.h"
@@ -13,9 +15,13 @@
 #define PORT (11000 + getpid() % 10000)
 #define PEERS 64
 #define WAIT_US 10000000
+#define QUIET_US 200000
+#define LAST_FRAGMENT 0x80000000u
+#define LONG_RECORD 1048576 /* bytes of a record that does not end */
 #define BURST 20 /* messages of a body, each as long as possible */
 /* resident bytes that a node may grow by, for all connections together */
 #define KEPT_MAX 8388608
+#define UNFINISHED_MAX 41943040
 
 static struct side {
 	GMainContext *context;
@@ -129,6 +135,15 @@
 	ck_assert_int_ge(*count, value);
 }
 
+static void
+run_for(int64_t us)
+{
+	int64_t end = io_clock() + us;
+
+	while (io_clock() < end)
+		step();
+}
+
 static struct peer_conn *
 connect_one(void)
 {
@@ -189,6 +204,47 @@
 }
 END_TEST
 
+static void
+send_unfinished(struct peer_conn *c, size_t n)
+{
+	static char bytes[LONG_RECORD];
+	uint32_t mark = htonl(LONG_RECORD | LAST_FRAGMENT);
+	int64_t end = io_clock() + WAIT_US;
+	size_t sent = 0;
+	ssize_t r;
+
+	ck_assert_int_eq(send(c->fd, &mark, sizeof mark, MSG_NOSIGNAL),
+	    sizeof mark);
+	while (sent < n && c->state == PEER_OPEN && io_clock() < end) {
+		r = send(c->fd, bytes, n - sent, MSG_NOSIGNAL);
+		if (r > 0)
+			sent += (size_t)r;
+		step();
+	}
+}
+
+START_TEST(records_that_do_not_end_hold_a_bounded_sum)
+{
+	struct peer_conn *sound = connect_one(), *short_one = connect_one();
+	long before;
+	int i;
+
+	send_unfinished(short_one, WIRE_CHUNK_MAX);
+	before = resident();
+	for (i = 0; i < PEERS; i++)
+		send_unfinished(connect_one(), LONG_RECORD - 1);
+	run_for(QUIET_US);
+	fprintf(stderr,
+	    "held of unfinished records: %ld bytes, %d connections closed\n",
+	    resident() - before, receiver.closed);
+	ck_assert_int_le(resident() - before, UNFINISHED_MAX);
+	ck_assert_int_eq(short_one->state, PEER_OPEN);
+	ck_assert_int_eq(sound->state, PEER_OPEN);
+	ck_assert_uint_ne(peer_send_probe(sound), 0);
+	run_until(&sender.replies, 1);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -202,6 +258,7 @@
 	tcase_set_timeout(c, 30);
 	tcase_add_checked_fixture(c, setup, teardown);
 	tcase_add_test(c, connections_keep_nothing_of_bursts);
+	tcase_add_test(c, records_that_do_not_end_hold_a_bounded_sum);
 	suite_add_tcase(s, c);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
