http: bytes that a caller sends do not count as bytes that it takes

What callers saw: nothing yet.

Cause: the time of the last byte counts both directions. A caller that goes on sending a body, a byte now and then, and reads nothing of an answer that has begun, was never stalled by that rule, and kept its share.

Class: one time for two things that are waited for.

Evidence: build/unit-http_backlog, caller_that_sends_its_body_and_takes_nothing_gives_way. Before: not ended (fails). After: ended.

Ruled out: counting only sent bytes, since a request on a connection that was idle for longer than 2 s would make it look stalled at once; received bytes count while none is unsent.

Not fixed: idle_ms goes on counting both directions, since a caller may read an answer only after it has sent its whole body.

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -171,6 +171,7 @@
 	c->corked = 0;
 	if (r > 0) {
 		c->last_byte = io_now(c->server->loop);
+		c->last_taken = c->last_byte;
 		return;
 	}
 	if (r == 0 || errno == EAGAIN || errno == EINTR)
--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -90,6 +90,8 @@
  * @unacked: bytes that were not acknowledged when that was last looked for
  * @last_byte: when the last byte was sent or received; at first, when the
  *             connection was accepted
+ * @last_taken: when the last byte was sent, or received while none was to be
+ *              sent
  * @head_since: when the first byte of the head being read came, 0 if none is
  *              being read
  * @discarded: bytes of the request's body that were dropped
@@ -120,6 +122,7 @@
 	int64_t look_at;
 	int unacked;
 	int64_t last_byte;
+	int64_t last_taken;
 	int64_t head_since;
 	size_t discarded;
 	struct http_conn_end left;
--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -83,9 +83,9 @@
 
 	for (c = s->conns; c; c = c->next) {
 		if (c->in_callback || !out_pending(&c->out) ||
-		    c->last_byte >= before)
+		    c->last_taken >= before)
 			continue;
-		before = c->last_byte;
+		before = c->last_taken;
 		stalled = c;
 	}
 	if (!stalled)
@@ -197,7 +197,7 @@
 	c->server = s;
 	c->fd = fd;
 	c->over_limit = over_limit;
-	c->last_byte = io_now(s->loop);
+	c->last_byte = c->last_taken = io_now(s->loop);
 	c->timer.fire = on_timer;
 	c->timer.ctx = c;
 	c->out.limit = s->call_bytes;
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -235,6 +235,8 @@
 	}
 	if (n > 0) {
 		c->last_byte = io_now(c->server->loop);
+		if (!out_pending(&c->out))
+			c->last_taken = c->last_byte;
 		conn_parse(c, c->server->scratch, (size_t)n);
 		return;
 	}
--- a/tests/unit/http_backlog.c
+++ b/tests/unit/http_backlog.c
@@ -114,8 +114,14 @@
 		    (char)GPOINTER_TO_INT(http_exchange_ctx(x));
 }
 
+static void
+ignore_body(void *ctx, struct http_exchange *x, const void *data, size_t n)
+{
+}
+
 static const struct http_server_ops stall_ops = {
 	.request = respond_to_name,
+	.body = ignore_body,
 	.end = request_end,
 	.failed = note_failed,
 };
@@ -148,6 +154,15 @@
 	return ask_with(text, reads);
 }
 
+static void
+run_for(int64_t us)
+{
+	int64_t end = io_clock() + us;
+
+	while (io_clock() < end)
+		bed_step(end + BED_TIMEOUT_US);
+}
+
 static void
 start_server(const struct http_server_ops *o)
 {
@@ -201,6 +216,26 @@
 }
 END_TEST
 
+START_TEST(caller_that_sends_its_body_and_takes_nothing_gives_way)
+{
+	static const char text[] = "POST /d HTTP/1.1\r\nHost: h\r\n"
+				   "Content-Length: 1000000\r\n\r\n";
+	int64_t before;
+	int fd;
+
+	start_server(&stall_ops);
+	fd = ask_with(text, 0);
+	before = io_clock();
+	ck_assert_int_eq(send(fd, "b", 1, MSG_NOSIGNAL), 1);
+	run_for(STALL_US);
+	ck_assert(http_server_end_stalled(bed.server, before));
+	ck_assert_str_eq(ended, "d");
+	close(fd);
+	bed_wait_closed();
+	ck_assert_int_eq(limit.used, 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -212,5 +247,7 @@
 	tcase_add_test(c,
 	    caller_that_took_nothing_for_the_longest_time_gives_way);
 	tcase_add_test(c, caller_that_is_ended_gives_its_bytes_back_at_once);
+	tcase_add_test(c,
+	    caller_that_sends_its_body_and_takes_nothing_gives_way);
 	return bed_run_suite("http_backlog", c);
 }
