http: a caller whose answer's head waits for its body is not stalled

What callers saw: nothing known. While call_bytes is nearly used up, a caller whose request took 2 s or more could lose its connection as its answer began.

Cause: the head of an answer is held back until the first bytes of the body or the next iteration of the loop. Meanwhile it counts as unsent, and the last byte that the caller took is older than its request, so that another request in the same iteration takes the caller for one that does not read.

Class: an end that looks at the connection's bytes without asking whether the caller was offered them.

Evidence: build/unit-http_backlog, caller_whose_answer_has_just_begun_is_not_ended. Before: the connection is ended (fails). After: passes.

Not shown: the same with real processes.

--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -75,14 +75,15 @@
 	end_late(c, unsent);
 }
 
-/* One whose event is being handled is not stalled. */
+/* One whose event is being handled is not stalled, nor is one whose caller was
+ * offered nothing yet, since the head waits for the first bytes of the body. */
 int
 http_server_end_stalled(struct http_server *s, int64_t before)
 {
 	struct http_conn *c, *stalled = NULL;
 
 	for (c = s->conns; c; c = c->next) {
-		if (c->in_callback || !out_pending(&c->out) ||
+		if (c->in_callback || c->corked || !out_pending(&c->out) ||
 		    c->last_taken >= before)
 			continue;
 		before = c->last_taken;
--- a/tests/unit/http_backlog.c
+++ b/tests/unit/http_backlog.c
@@ -236,6 +236,37 @@
 }
 END_TEST
 
+static struct http_exchange *asked;
+
+static void
+keep_request(void *ctx, struct http_exchange *x, const struct http_head *h)
+{
+	asked = x;
+}
+
+static const struct http_server_ops late_ops = {
+	.request = keep_request,
+	.body = ignore_body,
+	.end = request_end,
+	.failed = note_failed,
+};
+
+START_TEST(caller_whose_answer_has_just_begun_is_not_ended)
+{
+	int fd;
+
+	start_server(&late_ops);
+	fd = ask('e', 1);
+	ck_assert_ptr_nonnull(asked);
+	http_exchange_write_head(asked, 200, NULL, 0, HTTP_LENGTH_CHUNKED);
+	ck_assert(
+	    !http_server_end_stalled(bed.server, io_clock() - STALL_US / 2));
+	ck_assert_str_eq(ended, "");
+	close(fd);
+	bed_wait_closed();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -249,5 +280,6 @@
 	tcase_add_test(c, caller_that_is_ended_gives_its_bytes_back_at_once);
 	tcase_add_test(c,
 	    caller_that_sends_its_body_and_takes_nothing_gives_way);
+	tcase_add_test(c, caller_whose_answer_has_just_begun_is_not_ended);
 	return bed_run_suite("http_backlog", c);
 }
