--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -75,17 +75,18 @@
 	end_late(c, unsent);
 }
 
-/* One whose event is being handled is not stalled. */
+/* One whose event is being handled is not stalled, nor is one whose caller was
+ * offered nothing yet, since the head waits for the first bytes of the body. */
 int
 http_server_end_stalled(struct http_server *s, int64_t before)
 {
 	struct http_conn *c, *stalled = NULL;
 
 	for (c = s->conns; c; c = c->next) {
-		if (c->in_callback || !out_pending(&c->out) ||
-		    c->last_byte >= before)
+		if (c->in_callback || c->corked || !out_pending(&c->out) ||
+		    c->last_taken >= before)
 			continue;
-		before = c->last_byte;
+		before = c->last_taken;
 		stalled = c;
 	}
 	if (!stalled)
@@ -197,7 +198,7 @@
 	c->server = s;
 	c->fd = fd;
 	c->over_limit = over_limit;
-	c->last_byte = io_now(s->loop);
+	c->last_byte = c->last_taken = io_now(s->loop);
 	c->timer.fire = on_timer;
 	c->timer.ctx = c;
 	c->out.limit = s->call_bytes;
--- a/tests/unit/http_backlog.c
+++ b/tests/unit/http_backlog.c
@@ -114,22 +114,27 @@
 		    (char)GPOINTER_TO_INT(http_exchange_ctx(x));
 }
 
+static void
+ignore_body(void *ctx, struct http_exchange *x, const void *data, size_t n)
+{
+}
+
 static const struct http_server_ops stall_ops = {
 	.request = respond_to_name,
+	.body = ignore_body,
 	.end = request_end,
 	.failed = note_failed,
 };
 
 /* Lets a caller send a request, reading its answer or not, and time go by. */
 static int
-ask(char name, int reads)
+ask_with(const char *text, int reads)
 {
-	char text[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", buf[65536];
 	int fd = io_connect_tcp("127.0.0.1", bed.port);
+	char buf[65536];
 	int64_t end;
 
-	text[5] = name;
-	while (send(fd, text, sizeof text - 1, MSG_NOSIGNAL) < 0)
+	while (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0)
 		bed_step(bed_timeout_at());
 	end = io_clock() + STALL_US;
 	while (io_clock() < end) {
@@ -140,17 +145,42 @@
 	return fd;
 }
 
-START_TEST(caller_that_took_nothing_for_the_longest_time_gives_way)
+static int
+ask(char name, int reads)
+{
+	char text[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+	text[5] = name;
+	return ask_with(text, reads);
+}
+
+static void
+run_for(int64_t us)
+{
+	int64_t end = io_clock() + us;
+
+	while (io_clock() < end)
+		bed_step(end + BED_TIMEOUT_US);
+}
+
+static void
+start_server(const struct http_server_ops *o)
 {
 	struct http_limits limits = HTTP_LIMITS_DEFAULT;
-	int64_t start, before;
-	int i, fd[CALLERS];
 
 	memset(ended, 0, sizeof ended);
 	limits.eof_cancels = 1;
 	http_server_free(g_steal_pointer(&bed.server));
-	bed_server_start(&limits, &stall_ops);
+	bed_server_start(&limits, o);
 	http_server_set_call_bytes(bed.server, &limit);
+}
+
+START_TEST(caller_that_took_nothing_for_the_longest_time_gives_way)
+{
+	int64_t start, before;
+	int i, fd[CALLERS];
+
+	start_server(&stall_ops);
 	start = io_clock();
 	fd[0] = ask('a', 0);
 	fd[1] = ask('b', 0);
@@ -168,6 +198,75 @@
 }
 END_TEST
 
+START_TEST(caller_that_is_ended_gives_its_bytes_back_at_once)
+{
+	int64_t used;
+	int i, fd[CALLERS];
+
+	start_server(&stall_ops);
+	for (i = 0; i < CALLERS; i++)
+		fd[i] = ask((char)('a' + i), 0);
+	used = limit.used;
+	ck_assert(http_server_end_stalled(bed.server, io_clock()));
+	ck_assert_int_le(limit.used, used - ANSWER_BYTES / 2);
+	for (i = 0; i < CALLERS; i++)
+		close(fd[i]);
+	bed_wait_closed();
+	ck_assert_int_eq(limit.used, 0);
+}
+END_TEST
+
+START_TEST(caller_that_sends_its_body_and_takes_nothing_gives_way)
+{
+	static const char text[] = "POST /d HTTP/1.1\r\nHost: h\r\n"
+				   "Content-Length: 1000000\r\n\r\n";
+	int64_t before;
+	int fd;
+
+	start_server(&stall_ops);
+	fd = ask_with(text, 0);
+	before = io_clock();
+	ck_assert_int_eq(send(fd, "b", 1, MSG_NOSIGNAL), 1);
+	run_for(STALL_US);
+	ck_assert(http_server_end_stalled(bed.server, before));
+	ck_assert_str_eq(ended, "d");
+	close(fd);
+	bed_wait_closed();
+	ck_assert_int_eq(limit.used, 0);
+}
+END_TEST
+
+static struct http_exchange *asked;
+
+static void
+keep_request(void *ctx, struct http_exchange *x, const struct http_head *h)
+{
+	asked = x;
+}
+
+static const struct http_server_ops late_ops = {
+	.request = keep_request,
+	.body = ignore_body,
+	.end = request_end,
+	.failed = note_failed,
+};
+
+START_TEST(caller_whose_answer_has_just_begun_is_not_ended)
+{
+	int fd;
+
+	start_server(&late_ops);
+	fd = ask('e', 1);
+	ck_assert_ptr_nonnull(asked);
+	http_exchange_write_head(asked, 200, NULL, 0, HTTP_LENGTH_CHUNKED);
+	ck_assert(
+	    !http_server_end_stalled(bed.server, io_clock() - STALL_US / 2));
+	ck_assert_str_eq(ended, "");
+	close(fd);
+	bed_wait_closed();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -178,5 +277,9 @@
 	    caller_that_sends_requests_and_does_not_read_holds_few_answers);
 	tcase_add_test(c,
 	    caller_that_took_nothing_for_the_longest_time_gives_way);
+	tcase_add_test(c, caller_that_is_ended_gives_its_bytes_back_at_once);
+	tcase_add_test(c,
+	    caller_that_sends_its_body_and_takes_nothing_gives_way);
+	tcase_add_test(c, caller_whose_answer_has_just_begun_is_not_ended);
 	return bed_run_suite("http_backlog", c);
 }
