byte limit: bytes are short by a part of the limit, whatever it is

Cause: bytes counted as short while a holder's share is no more than 32 KB, and 512 such shares are 16 MB, so that a limit of that size or less was short from the start.

Class: a bound that was sized for one setting acts on all.

--- a/src/core/byte_limit.c
+++ b/src/core/byte_limit.c
@@ -20,22 +20,16 @@
 	return b->used >= b->limit;
 }
 
-static int64_t
-share_of_free(const struct byte_limit *b)
-{
-	return (b->limit - b->used) / BYTE_LIMIT_SHARES;
-}
-
 int
-byte_limit_is_short(const struct byte_limit *b, size_t least)
+byte_limit_is_short(const struct byte_limit *b)
 {
-	return share_of_free(b) <= (int64_t)least;
+	return b->limit - b->used < b->limit / BYTE_LIMIT_SHORT;
 }
 
 size_t
 byte_limit_share(const struct byte_limit *b, size_t least, size_t most)
 {
-	int64_t share = share_of_free(b);
+	int64_t share = (b->limit - b->used) / BYTE_LIMIT_SHARES;
 
 	if (share < (int64_t)least)
 		return least;
--- a/src/daemon/data/held.c
+++ b/src/daemon/data/held.c
@@ -57,7 +57,7 @@
 {
 	int64_t before = data_now(d) - STALLED_US;
 
-	while (byte_limit_is_short(&d->call_bytes, WIRE_CHUNK_MAX) &&
+	while (byte_limit_is_short(&d->call_bytes) &&
 	       http_server_end_stalled(d->server, before))
 		;
 }
--- a/src/internal/byte_limit.h
+++ b/src/internal/byte_limit.h
@@ -17,6 +17,8 @@
 
 /* a holder's share is this part of the bytes that are free */
 #define BYTE_LIMIT_SHARES 512
+/* bytes are short once less than this part of the limit is free */
+#define BYTE_LIMIT_SHORT 4
 
 /**
  * struct byte_limit - bytes in use and their limit
@@ -34,9 +36,9 @@
 void byte_limit_give(struct byte_limit *, size_t n);
 /** byte_limit_reached() - whether nothing new is to be held */
 int byte_limit_reached(const struct byte_limit *);
-/** byte_limit_is_short() - whether a holder's share is no more than @least;
- * those that make no use of theirs should give it back then */
-int byte_limit_is_short(const struct byte_limit *, size_t least);
+/** byte_limit_is_short() - whether so much is in use that holders that make no
+ * use of theirs should give it back */
+int byte_limit_is_short(const struct byte_limit *);
 /** byte_limit_share() - get the bytes, from @least to @most, that one holder
  * may hold now */
 size_t byte_limit_share(const struct byte_limit *, size_t least, size_t most);
