data: callers that take nothing give way sooner once requests would be refused

Cause: the limit was reached before the callers that read nothing had taken none for 2 s.

Class: a bound for each caller that the sum does not shorten.

Now 0.5 s are enough while the limit is reached; 2 s, as before, while bytes are only short.

--- a/src/daemon/data/held.c
+++ b/src/daemon/data/held.c
@@ -4,7 +4,10 @@
 /* What the daemon holds for calls, by place, added up when it is asked for; and
  * what gives way when it is too much. */
 
-#define STALLED_US 2000000 /* time in which a caller took no byte */
+/* time in which a caller took no byte: while bytes are short, and while
+ * requests would be refused for it */
+#define STALLED_US 2000000
+#define STALLED_REFUSED_US 500000
 
 struct held {
 	size_t promised; /* of answers, that other daemons may send */
@@ -52,13 +55,20 @@
 	    place, n);
 }
 
+static int64_t
+stalled_us(const struct data *d)
+{
+	return byte_limit_reached(&d->call_bytes) ? STALLED_REFUSED_US
+						  : STALLED_US;
+}
+
 void
 data_make_room(struct data *d)
 {
-	int64_t before = data_now(d) - STALLED_US;
+	int64_t now = data_now(d);
 
 	while (byte_limit_is_short(&d->call_bytes) &&
-	       http_server_end_stalled(d->server, before))
+	       http_server_end_stalled(d->server, now - stalled_us(d)))
 		;
 }
 
