daemon: large buffers take no more memory than is written to them

What callers saw: nothing. With 900 endless bodies beside a target that reads nothing, a daemon grew by 130, 128 and, with sanitizers, 124 MB of the 133 MB that a small machine allows; 121 MB in one run beside much load.

Cause: buffers double as they grow, and what they left behind stays in the heap, twice the 64 MB that are counted.

Class: a sum that counts what is used, not what is held.

Ruled out: buffers of exactly the size needed, since they are copied at each piece.

Not measured: the cost in processor time of large bodies.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,5 +1,6 @@
 #include <argtable2.h>
 #include <glib-unix.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +13,9 @@
 #define EXIT_USAGE 2
 #define EXIT_SETTINGS 3
 #define EXIT_PORTS 4
+/* Buffers of so many bytes and more are mappings of their own: what is freed or
+ * never written of them takes no memory. */
+#define MAPPED_BYTES 65536
 
 struct program {
 	GMainLoop *loop;
@@ -186,6 +190,7 @@
 	}
 	if (sodium_init() < 0)
 		return EXIT_FAILURE;
+	mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES);
 	log_setup(log_glib_level(s.log_level));
 	code = run(&s, path);
 	g_free(path);
