outbound: a call that only waited for a connection has not run

What callers saw: requests whose deadline came while they waited for the first connection to another daemon got 504 unknown, although nothing of them had been sent.

Cause: at the end of a call an attempt that waits for its connection counted like one that was sent. The stop had its own way round that.

Ruled out: a request that is sent as the answer goes out; the attempt is cancelled first.

--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -128,7 +128,7 @@
 		outbound_call_free(c);
 		return;
 	}
-	if (!c->may_have_run && !any_open(c)) {
+	if (!c->may_have_run && !outbound_has_attempt(c, ATTEMPT_SENT)) {
 		outbound_answer_error(c, 503, "not-run", reason,
 		    "refused; the request was not run\n");
 		return;
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -306,6 +306,17 @@
 	outbound_send_body(a);
 }
 
+int
+outbound_has_attempt(const struct out_call *c, enum attempt_state state)
+{
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state == state)
+			return 1;
+	return 0;
+}
+
 void
 outbound_attempt_clear(struct out_attempt *a)
 {
--- a/src/daemon/outbound/leave.c
+++ b/src/daemon/outbound/leave.c
@@ -28,17 +28,6 @@
 	g_free(call);
 }
 
-static int
-has_attempt(const struct out_call *c, enum attempt_state state)
-{
-	int i;
-
-	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
-		if (c->attempt[i].state == state)
-			return 1;
-	return 0;
-}
-
 /* An attempt that waits for its connection has not run. */
 static void
 cancel_waiting(struct out_call *c)
@@ -61,11 +50,12 @@
 static void
 refuse_late(struct out_call *c)
 {
-	if ((c->state != OUT_READING && !has_attempt(c, ATTEMPT_WAITING)) ||
+	if ((c->state != OUT_READING &&
+		!outbound_has_attempt(c, ATTEMPT_WAITING)) ||
 	    outbound_fits(c))
 		return;
 	cancel_waiting(c);
-	if (has_attempt(c, ATTEMPT_SENT))
+	if (outbound_has_attempt(c, ATTEMPT_SENT))
 		return;
 	if (!c->may_have_run) {
 		outbound_refuse_leaving(c);
@@ -86,7 +76,7 @@
 end_call(struct out_call *c)
 {
 	cancel_waiting(c);
-	if (!has_attempt(c, ATTEMPT_SENT) && !c->may_have_run) {
+	if (!outbound_has_attempt(c, ATTEMPT_SENT) && !c->may_have_run) {
 		outbound_refuse_leaving(c);
 		return;
 	}
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -140,6 +140,8 @@
 size_t outbound_body_share(const struct out_call *);
 /** outbound_send_body() - send what credit allows of the request's body */
 void outbound_send_body(struct out_attempt *);
+/** outbound_has_attempt() - whether an attempt is in a state */
+int outbound_has_attempt(const struct out_call *, enum attempt_state);
 /** outbound_attempt_clear() - forget an attempt; its place is free again */
 void outbound_attempt_clear(struct out_attempt *);
 /** outbound_attempt_cancel() - end an open attempt and tell its peer */
