leave: attempts that wait for a connection say nothing of how long work takes

While one daemon is frozen, calls that wait for the connection to it would make a stopping daemon refuse the whole route, also for sound targets.

Cause: open calls counted from their first attempt, sent or not.

Class: a measured time that holds the wait for something else.

Not fixed: a request that hangs at a target counts, as it can't be told from long work.

--- a/src/daemon/outbound/leave.c
+++ b/src/daemon/outbound/leave.c
@@ -39,12 +39,20 @@
 			outbound_attempt_cancel(&c->attempt[i]);
 }
 
-/* The answers that came so far are those of short requests. */
+/* The answers that came so far are those of short requests. An attempt that
+ * waits for its connection tells nothing about that. */
 static void
 note_open(struct out_call *c)
 {
-	if (c->state == OUT_TRYING && c->body_whole)
-		answer_time_note_open(c->time, data_now(c->data) - c->tried_at);
+	int64_t now = data_now(c->data);
+	int i;
+
+	if (c->state != OUT_TRYING || !c->body_whole)
+		return;
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state == ATTEMPT_SENT)
+			answer_time_note_open(c->time,
+			    now - c->attempt[i].started);
 }
 
 static void
