--- a/tests/system/fakes.sh
+++ b/tests/system/fakes.sh
@@ -333,7 +333,7 @@
 	status -X POST "http://$ip:20103/fake/set?$1" >"$dir/set"
 	rm -f "$dir/planned"
 	"$o/fake-planned" --to $ip:20103 --host s --name c --history "$dir/planned" --seconds 2 \
-		--threads 1 --timeout-ms 7000 --seed 1
+		--threads 1 --seed 1
 	grep -c " answer .*$2" "$dir/planned"
 }
 expect caller-whole "$(planned_outcome cut=0 'outcome=whole status=200 signed=1')" -ge 2
