--- a/tests/system/many-endless.sh
+++ b/tests/system/many-endless.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # Many callers at once that do not read their answers, large and endless ones, or send
-# bodies without end, also to a target that reads nothing, or heads that do not end: memory of each daemon stays under half of a small machine's, and
-# other requests of the same daemon stay whole and fast.
+# bodies without end, also to a target that reads nothing, or heads that do not end:
+# memory of each daemon stays under half of a small machine's, and other requests of the
+# same daemon stay whole and fast.
 # usage: many-endless.sh BUILD-DIRECTORY [CALLERS [PHASE]]
 set -u
 . scripts/fleet.sh
