log: a refused datagram names its sender and the incarnations

The line now has the sender's address, the incarnations that the datagram names, and the daemon's own.

--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -2,6 +2,7 @@
 #define KQ_CONTROL_IMPL_H
 
 #include <libsoup/soup.h>
+#include <netinet/in.h>
 
 #include "config.h"
 #include "crash.h"
@@ -222,6 +223,11 @@
 int control_open_udp(struct control *, struct kq_error *);
 /* Runs the member table's tick in the next iteration of the loop. */
 void control_schedule_member_tick(struct control *);
+/** control_log_refused() - log a datagram that was refused. Its sender and the
+ * incarnations that it names, 0 where it could not be read, are authentic only
+ * with the reasons "other" and "replayed" */
+void control_log_refused(struct control *, enum datagram_reason,
+    const struct member_message *, const struct sockaddr_in *);
 /** control_log_member() - log what happened to a member */
 void
 control_log_member(struct control *, const struct member *, enum member_event);
--- a/src/daemon/control/member.c
+++ b/src/daemon/control/member.c
@@ -203,15 +203,15 @@
     const struct sockaddr_in *sa)
 {
 	static struct member_message m;
-	enum datagram_reason r = datagram_decode(c->codec, buf, n, &m);
+	enum datagram_reason r;
 
+	m.from = m.to = 0;
+	r = datagram_decode(c->codec, buf, n, &m);
 	c->counters.datagrams_in++;
 	c->counters.datagram_bytes_in += n;
 	if (r != DATAGRAM_OK) {
 		c->counters.datagrams_refused++;
-		log_event(EVENT_DATAGRAM_REFUSED, G_LOG_LEVEL_INFO,
-		    control_now(c), "datagram refused reason=%s",
-		    datagram_reason_name(r));
+		control_log_refused(c, r, &m, sa);
 		return;
 	}
 	m.source.ip = ntohl(sa->sin_addr.s_addr);
--- a/src/daemon/control/member_log.c
+++ b/src/daemon/control/member_log.c
@@ -1,3 +1,5 @@
+#include <arpa/inet.h>
+
 #include "daemon/control/impl.h"
 
 static void
@@ -50,3 +52,18 @@
 		break;
 	}
 }
+
+void
+control_log_refused(struct control *c, enum datagram_reason r,
+    const struct member_message *m, const struct sockaddr_in *sa)
+{
+	char ip[INET_ADDRSTRLEN] = "";
+
+	inet_ntop(AF_INET, &sa->sin_addr, ip, sizeof ip);
+	log_event(EVENT_DATAGRAM_REFUSED, G_LOG_LEVEL_INFO, control_now(c),
+	    "datagram refused reason=%s sender=%s:%d "
+	    "from=%016" G_GINT64_MODIFIER "x to=%016" G_GINT64_MODIFIER
+	    "x incarnation=%016" G_GINT64_MODIFIER "x",
+	    datagram_reason_name(r), ip, ntohs(sa->sin_port), m->from, m->to,
+	    c->incarnation);
+}
