log: each request is found by its id at each daemon that it touched

- Ids of requests that have begun are written many to a line: 515 when received from a caller, 516 when sent to the target.
- Of events about requests that exceed their rate, id and outcome are still written, many to a line, at most 100 lines a second; what exceeds that is counted.
- Events 500 to 503 name the request; 510 names the instance that answered; 510, 513 and 514 name the caller's connection; 511 is also written for attempts that this daemon ended.
- A daemon that ends by a fault of its own writes the queued lines and event 107.

Ruled out: a full line at each start; some 300 bytes a request in place of 17.

Before, 515, 516 and 107 did not exist.

--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -95,7 +95,7 @@
  * @head_since: when the first byte of the head being read came, 0 if none is
  *              being read
  * @discarded: bytes of the request's body that were dropped
- * @left: what it leaves when it ends; @left.reason is unused
+ * @left: its number, and what it leaves when it ends; @left.reason is unused
  * @why: why its first exchange failed, or no text
  * @reset: it is closed with a reset
  * @unframed: a response was begun that lasts until the connection ends
@@ -162,6 +162,7 @@
 	int64_t close_idle_at;
 	int nconn;
 	int nrefused;
+	uint64_t accepted; /* connections since the start */
 	struct io_watch watch;
 	struct io_timer timer;
 	struct http_conn *conns;
--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -198,6 +198,7 @@
 	c->server = s;
 	c->fd = fd;
 	c->over_limit = over_limit;
+	c->left.number = ++s->accepted;
 	c->last_byte = c->last_taken = io_now(s->loop);
 	c->timer.fire = on_timer;
 	c->timer.ctx = c;
--- a/src/adapter/http/exchange.c
+++ b/src/adapter/http/exchange.c
@@ -14,6 +14,12 @@
 	return x->ctx;
 }
 
+uint64_t
+http_exchange_conn_number(const struct http_exchange *x)
+{
+	return x->conn->left.number;
+}
+
 static int
 must_buffer(const struct http_conn *c)
 {
--- a/src/adapter/log/log_event.c
+++ b/src/adapter/log/log_event.c
@@ -56,10 +56,8 @@
 	return level & G_LOG_LEVEL_WARNING ? "warning" : "error";
 }
 
-/* Writes one line: time, level and the message. Replaces control characters,
- * which can come from a request. */
-static void
-put_line(GLogLevelFlags level, const char *message)
+void
+log_put_line(GLogLevelFlags level, const char *message)
 {
 	char line[LINE_MAX_BYTES];
 	int64_t us = g_get_real_time();
@@ -79,23 +77,53 @@
 	log_sink_put(line, n);
 }
 
+static void put_event(enum event, GLogLevelFlags level, int suppressed,
+    const char *fmt, va_list) __attribute__((format(printf, 4, 0)));
+
+static void
+put_event(enum event e, GLogLevelFlags level, int suppressed, const char *fmt,
+    va_list ap)
+{
+	char text[EVENT_TEXT_MAX];
+	int n;
+
+	n = g_snprintf(text, sizeof text, "event=%d ", e);
+	n += g_vsnprintf(text + n, sizeof text - n, fmt, ap);
+	if (suppressed && n < (int)sizeof text)
+		g_snprintf(text + n, sizeof text - n, " left_out=%d",
+		    suppressed);
+	log_put_line(level, text);
+}
+
 void
 log_event(enum event e, GLogLevelFlags level, int64_t now, const char *fmt, ...)
 {
-	char text[EVENT_TEXT_MAX];
-	int suppressed = 0, n;
+	int suppressed;
 	va_list ap;
 
 	if (level > least_level || !rate_allows(e, now, &suppressed))
 		return;
-	n = g_snprintf(text, sizeof text, "event=%d ", e);
 	va_start(ap, fmt);
-	n += g_vsnprintf(text + n, sizeof text - n, fmt, ap);
+	put_event(e, level, suppressed, fmt, ap);
+	va_end(ap);
+}
+
+void
+log_request_event(enum event e, GLogLevelFlags level, int64_t now,
+    const char *id, const char *outcome, const char *fmt, ...)
+{
+	int suppressed;
+	va_list ap;
+
+	if (level > least_level)
+		return;
+	if (!rate_allows(e, now, &suppressed)) {
+		log_request_id(e, now, id, outcome);
+		return;
+	}
+	va_start(ap, fmt);
+	put_event(e, level, suppressed, fmt, ap);
 	va_end(ap);
-	if (suppressed && n < (int)sizeof text)
-		g_snprintf(text + n, sizeof text - n, " left_out=%d",
-		    suppressed);
-	put_line(level, text);
 }
 
 GLogLevelFlags
@@ -129,7 +157,7 @@
 			continue;
 		g_snprintf(text, sizeof text, "event=0 library message=\"%s\"",
 		    (const char *)f[i].value);
-		put_line(level, text);
+		log_put_line(level, text);
 	}
 	return G_LOG_WRITER_HANDLED;
 }
--- a/src/adapter/log/log_impl.h
+++ b/src/adapter/log/log_impl.h
@@ -12,5 +12,16 @@
 /** log_sink_put() - queue one line, which ends with a newline; once the thread
  * is started it never blocks on the output */
 void log_sink_put(const char *line, size_t n);
+/** log_sink_flush_ids() - have the thread call log_ids_flush() soon; without a
+ * thread, call it at once */
+void log_sink_flush_ids(void);
+/** log_sink_dump() - write queued lines from a signal handler of a process that
+ * ends; lines that are being queued at that moment may be torn */
+void log_sink_dump(void);
+/** log_put_line() - write one line: time, level and @message, in which control
+ * characters are replaced */
+void log_put_line(GLogLevelFlags level, const char *message);
+/** log_ids_flush() - write the ids of requests that were collected */
+void log_ids_flush(void);
 
 #endif
--- a/src/adapter/log/log_sink.c
+++ b/src/adapter/log/log_sink.c
@@ -23,6 +23,7 @@
 	size_t tail; /* bytes written since the start */
 	uint64_t lost_unreported; /* dropped lines that no line counts yet */
 	uint64_t lost_total; /* lines dropped since the start */
+	int flush_ids; /* the thread is to call log_ids_flush() */
 	int stop; /* write what is queued, then end the thread */
 	int ended; /* the thread has ended */
 	GCond ended_cond;
@@ -78,6 +79,19 @@
 	g_mutex_unlock(&sink.lock);
 }
 
+void
+log_sink_flush_ids(void)
+{
+	if (!sink.thread) {
+		log_ids_flush();
+		return;
+	}
+	g_mutex_lock(&sink.lock);
+	sink.flush_ids = 1;
+	g_cond_signal(&sink.filled);
+	g_mutex_unlock(&sink.lock);
+}
+
 /* Points @v at the queued bytes, which lie in one or two pieces; returns their
  * number. Both are written at once, so that a line that wraps around the end of
  * the ring is not torn. */
@@ -92,6 +106,16 @@
 	return n > first ? 2 : 1;
 }
 
+void
+log_sink_dump(void)
+{
+	struct iovec v[2];
+
+	if (sink.ring && sink.head != sink.tail &&
+	    writev(STDOUT_FILENO, v, unwritten_pieces(v)) < 0)
+		return; /* there is no other output to report it on */
+}
+
 /* A closed output makes writev() fail instead of ending the process. */
 static void
 block_sigpipe(void)
@@ -103,6 +127,26 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
 
+/* Waits until lines or ids of requests were put, and collects more of them for
+ * a moment; does not wait once the log stops. */
+static void
+wait_for_lines(void)
+{
+	while (sink.head == sink.tail && !sink.flush_ids && !sink.stop)
+		g_cond_wait(&sink.filled, &sink.lock);
+	if (!sink.stop) {
+		g_mutex_unlock(&sink.lock);
+		g_usleep(GATHER_MS * 1000);
+		g_mutex_lock(&sink.lock);
+	}
+	if (!sink.flush_ids)
+		return;
+	sink.flush_ids = 0;
+	g_mutex_unlock(&sink.lock);
+	log_ids_flush();
+	g_mutex_lock(&sink.lock);
+}
+
 static gpointer
 write_lines(gpointer unused)
 {
@@ -113,14 +157,11 @@
 	block_sigpipe();
 	g_mutex_lock(&sink.lock);
 	for (;;) {
-		while (sink.head == sink.tail && !sink.stop)
-			g_cond_wait(&sink.filled, &sink.lock);
-		if (sink.head == sink.tail)
-			break;
-		if (!sink.stop) {
-			g_mutex_unlock(&sink.lock);
-			g_usleep(GATHER_MS * 1000);
-			g_mutex_lock(&sink.lock);
+		wait_for_lines();
+		if (sink.head == sink.tail) {
+			if (sink.stop)
+				break;
+			continue;
 		}
 		n = unwritten_pieces(v);
 		g_mutex_unlock(&sink.lock);
--- a/src/daemon/inbound/ended.c
+++ b/src/daemon/inbound/ended.c
@@ -73,7 +73,8 @@
 		if (has_request(&n, r->digest))
 			continue;
 		n.request[n.n++] = r->digest;
-		log_event(EVENT_TARGET_ENDED, G_LOG_LEVEL_INFO, data_now(d),
+		log_request_event(EVENT_TARGET_ENDED, G_LOG_LEVEL_INFO,
+		    data_now(d), r->id, NULL,
 		    "the target ended while it ran a request request=%s"
 		    " digest=%016" G_GINT64_MODIFIER
 		    "x target=%s run_us=%" G_GINT64_FORMAT " runs=%u",
@@ -147,7 +148,7 @@
 	if (d->target_draining)
 		return;
 	remove_old(d);
-	g_strlcpy(r.id, data_request_id(d, &c->head, c->id), sizeof r.id);
+	g_strlcpy(r.id, inbound_request_id(c), sizeof r.id);
 	g_array_append_val(d->lost_runs, r);
 	if (d->end_fd >= 0 || d->end_timer.pos)
 		return;
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -301,6 +301,8 @@
 /** inbound_crashes_targets() - whether a call is refused because its request
  * crashes targets */
 int inbound_crashes_targets(const struct in_call *);
+/** inbound_request_id() - get the id of a call's request for the log */
+const char *inbound_request_id(const struct in_call *);
 /** inbound_log_call() - write the log line of a call that ends */
 void inbound_log_call(const struct in_call *);
 /** inbound_trace_begin() - start the span of a call if it is sampled */
--- a/src/daemon/inbound/overrun.c
+++ b/src/daemon/inbound/overrun.c
@@ -13,10 +13,11 @@
 static void
 abort_overrun(struct in_call *c, const char *why)
 {
-	log_event(EVENT_RUN_ABORTED, G_LOG_LEVEL_WARNING, data_now(c->data),
+	log_request_event(EVENT_RUN_ABORTED, G_LOG_LEVEL_WARNING,
+	    data_now(c->data), inbound_request_id(c), why,
 	    "closed the connection to the target: its answer does not end "
-	    "reason=%s bytes=%zu",
-	    why, c->unwanted_bytes);
+	    "request=%s reason=%s bytes=%zu",
+	    inbound_request_id(c), why, c->unwanted_bytes);
 	inbound_abort_run(c);
 }
 
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -89,8 +89,10 @@
 {
 	struct data *d = c->data;
 
-	log_event(EVENT_ANSWER_UNUSABLE, G_LOG_LEVEL_WARNING, data_now(d),
-	    "discarded the answer of the target reason=%s", why);
+	log_request_event(EVENT_ANSWER_UNUSABLE, G_LOG_LEVEL_WARNING,
+	    data_now(d), inbound_request_id(c), why,
+	    "discarded the answer of the target request=%s reason=%s",
+	    inbound_request_id(c), why);
 	http_call_cancel(c->target_call);
 	c->target_call = NULL;
 	inbound_trace_target(c, why);
@@ -210,9 +212,10 @@
 	}
 	if (!sent && e->code == HTTP_E_CONNECT)
 		d->target_unusable = 1;
-	log_event(EVENT_TARGET_NO_ANSWER, G_LOG_LEVEL_INFO, data_now(d),
-	    "no complete answer from the target sent=%d error=\"%s\"", sent,
-	    e->text);
+	log_request_event(EVENT_TARGET_NO_ANSWER, G_LOG_LEVEL_INFO, data_now(d),
+	    inbound_request_id(c), sent ? "lost" : "not-sent",
+	    "no complete answer from the target request=%s sent=%d error=\"%s\"",
+	    inbound_request_id(c), sent, e->text);
 	inbound_trace_target(c, sent ? "lost" : "not-sent");
 	if (sent && e->code == HTTP_E_CLOSED)
 		inbound_note_lost(c);
@@ -377,6 +380,7 @@
 		reply_not_sent(c, now, WIRE_REASON_FULL);
 		return;
 	}
+	log_request_id(EVENT_REQUESTS_SENT, now, inbound_request_id(c), NULL);
 	if (c->work)
 		work_note_admission(c->work, 1);
 	inbound_start_overrun_timer(c);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -192,6 +192,7 @@
 		return EXIT_FAILURE;
 	mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES);
 	log_setup(log_glib_level(s.log_level));
+	log_catch_fatal();
 	code = run(&s, path);
 	g_free(path);
 	return code;
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -57,7 +57,7 @@
 	int nf = 3, i;
 
 	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
-		outbound_attempt_cancel(&c->attempt[i]);
+		outbound_attempt_cancel(&c->attempt[i], "given-up");
 	if (status == 503)
 		n->refused++;
 	else if (status == 504)
@@ -96,16 +96,24 @@
 	return 0;
 }
 
+static void
+log_unknown(const struct out_call *c, const char *reason)
+{
+	const char *id = data_request_id(c->data, &c->head, c->id);
+
+	log_request_event(EVENT_OUTCOME_UNKNOWN, G_LOG_LEVEL_WARNING,
+	    data_now(c->data), id, reason,
+	    "outcome unknown service=%s request=%s request_id=%s reason=%s",
+	    c->service->conf.name, id, c->id[0] ? c->id : "none", reason);
+}
+
 void
 outbound_answer_unknown(struct out_call *c)
 {
 	const char *reason = wire_reason_name(c->reason);
 
 	if (!c->idempotent)
-		log_event(EVENT_OUTCOME_UNKNOWN, G_LOG_LEVEL_WARNING,
-		    data_now(c->data),
-		    "outcome unknown service=%s request_id=%s reason=%s",
-		    c->service->conf.name, c->id, reason);
+		log_unknown(c, reason);
 	outbound_answer_error(c, 504, "unknown", reason,
 	    "no whole answer was received; the request may have run\n");
 }
@@ -123,7 +131,7 @@
 		c->data->counters.failed++;
 		c->exchange = NULL;
 		c->outcome = "broken";
-		outbound_attempt_cancel(c->winner);
+		outbound_attempt_cancel(c->winner, "broken");
 		http_exchange_abort(x);
 		outbound_call_free(c);
 		return;
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -332,7 +332,7 @@
 }
 
 void
-outbound_attempt_cancel(struct out_attempt *a)
+outbound_attempt_cancel(struct out_attempt *a, const char *why)
 {
 	struct out_call *c = a->call;
 	int64_t now;
@@ -341,6 +341,7 @@
 		return;
 	now = data_now(c->data);
 	outbound_trace_attempt(a, "cancelled", 0);
+	outbound_log_attempt(a, why, 0, NULL);
 	if (a->state == ATTEMPT_SENT && a->peer->conn)
 		peer_send_cancel(a->peer->conn, a->xid);
 	pick_done(c->service->pick, a->handle, now, now - a->started,
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -213,12 +213,8 @@
 	if (!c)
 		return;
 	c->exchange = NULL;
-	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++) {
-		if (c->attempt[i].state != ATTEMPT_UNUSED)
-			outbound_log_attempt(&c->attempt[i], "caller-gone", 0,
-			    NULL);
-		outbound_attempt_cancel(&c->attempt[i]);
-	}
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		outbound_attempt_cancel(&c->attempt[i], "caller-gone");
 	outbound_call_free(c);
 }
 
@@ -243,9 +239,10 @@
 	}
 	log_event(EVENT_CONNECTION_CUT,
 	    e->by_caller ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING, data_now(d),
-	    "connection cut by=%s requests=%d open=%d unsent=%zu reason=%s",
-	    e->by_caller ? "caller" : "daemon", e->exchanges, e->open,
-	    e->unsent, e->reason);
+	    "connection cut conn=%" G_GUINT64_FORMAT
+	    " by=%s requests=%d open=%d unsent=%zu reason=%s",
+	    e->number, e->by_caller ? "caller" : "daemon", e->exchanges,
+	    e->open, e->unsent, e->reason);
 }
 
 void
--- a/src/daemon/outbound/leave.c
+++ b/src/daemon/outbound/leave.c
@@ -36,7 +36,7 @@
 
 	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
 		if (c->attempt[i].state == ATTEMPT_WAITING)
-			outbound_attempt_cancel(&c->attempt[i]);
+			outbound_attempt_cancel(&c->attempt[i], "not-sent");
 }
 
 /* The answers that came so far are those of short requests. An attempt that
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -86,6 +86,7 @@
 	struct data *data;
 	struct out_service *service;
 	struct http_exchange *exchange;
+	uint64_t conn_number; /* of the caller's connection */
 	struct head_copy head;
 	enum out_state state;
 	int64_t started;
@@ -111,6 +112,7 @@
 	struct retry_call retry;
 	struct out_attempt attempt[ATTEMPTS_OPEN_MAX];
 	struct out_attempt *winner; /* whose answer goes to the caller */
+	uint64_t answered_by; /* incarnation that sent it, 0 if none did */
 	struct out_hold hold;
 	struct tried tried;
 	int may_have_run;
@@ -144,8 +146,9 @@
 int outbound_has_attempt(const struct out_call *, enum attempt_state);
 /** outbound_attempt_clear() - forget an attempt; its place is free again */
 void outbound_attempt_clear(struct out_attempt *);
-/** outbound_attempt_cancel() - end an open attempt and tell its peer */
-void outbound_attempt_cancel(struct out_attempt *);
+/** outbound_attempt_cancel() - end an open attempt and tell its peer; @why is
+ * its outcome in the log */
+void outbound_attempt_cancel(struct out_attempt *, const char *why);
 /** outbound_attempt_failed() - end an attempt that may have run and has no
  * whole answer; retry or end its call */
 void outbound_attempt_failed(struct out_attempt *, enum retry_cause);
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -45,7 +45,7 @@
 
 	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
 		if (&c->attempt[i] != winner)
-			outbound_attempt_cancel(&c->attempt[i]);
+			outbound_attempt_cancel(&c->attempt[i], "not-needed");
 	io_timer_clear(c->data->task.loop, &c->hedge_timer);
 }
 
@@ -107,6 +107,7 @@
 		f[n++] = (struct http_field){ FIELD_OUTCOME, "kept" };
 	c->state = OUT_ANSWERING;
 	c->winner = a;
+	c->answered_by = a->peer->incarnation;
 	c->status = m->status;
 	if (m->flags & WIRE_REPLY_MORE)
 		outbound_hold_begin(c, m->length);
--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -28,11 +28,14 @@
 
 	if (id && status == 503)
 		status = 504;
-	log_event(EVENT_BAD_REQUEST, G_LOG_LEVEL_INFO, data_now(d),
+	if (!attempt)
+		attempt = "none";
+	log_request_event(EVENT_BAD_REQUEST, G_LOG_LEVEL_INFO, data_now(d),
+	    attempt, reason,
 	    "refused request=%s host=%.64s path=%.64s status=%d reason=%s "
-	    "version=%" G_GUINT64_FORMAT,
-	    attempt ? attempt : "none", host ? host : "none", h->path, status,
-	    reason, d->view->rules_version);
+	    "conn=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT,
+	    attempt, host ? host : "none", h->path, status, reason,
+	    http_exchange_conn_number(x), d->view->rules_version);
 	http_exchange_set_ctx(x, NULL);
 	http_exchange_write_head(x, status, f, status == 503 ? 4 : 3,
 	    strlen(text));
@@ -265,6 +268,7 @@
 
 	c->data = d;
 	c->exchange = x;
+	c->conn_number = http_exchange_conn_number(x);
 	c->service = t->service;
 	c->started = data_now(d);
 	c->idempotent = t->idempotent;
@@ -361,6 +365,8 @@
 		depth = field_number(h, FIELD_DEPTH, 0, 1000);
 		left = field_number(h, FIELD_RETRIES_LEFT, 0, 1000);
 	}
+	log_request_id(EVENT_REQUESTS_RECEIVED, c->started,
+	    data_request_id(d, &c->head, c->id), NULL);
 	c->deadline = c->started + left_ms * 1000;
 	retry_call_start(&c->service->retry, &c->retry, depth < 0 ? 0 : depth,
 	    left < 0 ? 0 : left, c->idempotent, c->deadline);
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -120,6 +120,7 @@
 
 /**
  * struct http_conn_end - what a caller's connection that ended had left
+ * @number: of the connection, see http_exchange_conn_number()
  * @reason: why it ended
  * @by_caller: the caller closed it
  * @exchanges: requests that have no whole response, or whose response had to
@@ -129,6 +130,7 @@
  *          also those that the caller had not acknowledged
  */
 struct http_conn_end {
+	uint64_t number;
 	const char *reason;
 	int by_caller;
 	int exchanges;
@@ -217,6 +219,9 @@
 
 void http_exchange_set_ctx(struct http_exchange *, void *);
 void *http_exchange_ctx(const struct http_exchange *);
+/** http_exchange_conn_number() - number of the connection, from 1 in the order
+ * in which the server accepted them */
+uint64_t http_exchange_conn_number(const struct http_exchange *);
 /**
  * http_exchange_has_predecessor() - whether earlier requests on the connection
  * have no complete response
--- a/src/internal/log.h
+++ b/src/internal/log.h
@@ -11,13 +11,16 @@
  * to standard output as one line: a message, then fields as key=value. An event
  * is written at most EVENT_PER_S_MAX times a second, or REQUEST_EVENT_PER_S_MAX
  * times if it is about a request; its next line then holds the number of
- * suppressed ones. Lines pass through a bounded buffer that a separate thread
+ * suppressed ones. Of suppressed events about a request, the request's id and
+ * the outcome are still written, many to a line, up to ID_LINES_PER_S_MAX such
+ * lines a second. Lines pass through a bounded buffer that a separate thread
  * writes out, so that no task ever waits for the output.
  */
 
 #define EVENT_PER_S_MAX 20
 #define REQUEST_EVENT_PER_S_MAX \
 	400 /* twice the usual rate of one daemon over a day */
+#define ID_LINES_PER_S_MAX 100 /* of each event */
 #define EVENT_REQUEST_FIRST \
 	500 /* events from this number on are about requests */
 
@@ -29,6 +32,7 @@
 	EVENT_RELOAD_FAILED = 104,
 	EVENT_SETTING_CHANGED = 105,
 	EVENT_STOP_CALLS = 106,
+	EVENT_FATAL = 107,
 	EVENT_LISTEN_FAILED = 111,
 	EVENT_OPERATOR_BODY = 112,
 	EVENT_TARGET_ANNOUNCED = 200,
@@ -76,13 +80,25 @@
 	EVENT_ATTEMPT = 511,
 	EVENT_INBOUND_CALL = 512,
 	EVENT_BAD_REQUEST = 513,
-	EVENT_CONNECTION_CUT = 514
+	EVENT_CONNECTION_CUT = 514,
+	EVENT_REQUESTS_RECEIVED = 515,
+	EVENT_REQUESTS_SENT = 516
 };
 
 /** log_event() - write one event, unless its level or its rate limit excludes
  * it; @now in monotonic microseconds is the time for the limit */
 void log_event(enum event, GLogLevelFlags level, int64_t now, const char *fmt,
     ...) __attribute__((format(printf, 4, 5)));
+/** log_request_event() - write one event about the request @id, as log_event()
+ * does; if the event's rate excludes it, id and @outcome are written as by
+ * log_request_id() */
+void log_request_event(enum event, GLogLevelFlags level, int64_t now,
+    const char *id, const char *outcome, const char *fmt, ...)
+    __attribute__((format(printf, 6, 7)));
+/** log_request_id() - write the id of a request, and @outcome unless it is
+ * NULL, with those of others in one line of an event about requests */
+void
+log_request_id(enum event, int64_t now, const char *id, const char *outcome);
 /** log_glib_level() - convert a log level of the settings to GLib's */
 GLogLevelFlags log_glib_level(int level);
 /** log_level_enabled() - whether lines of a level are written */
@@ -90,6 +106,9 @@
 /** log_setup() - write lines of this level and more severe ones from now on;
  * the first call starts the thread that writes them */
 void log_setup(GLogLevelFlags least);
+/** log_catch_fatal() - from now on, write the queued lines and EVENT_FATAL when
+ * the process ends by a fault of its own */
+void log_catch_fatal(void);
 /** log_stop() - stop the thread when it has written the buffered lines; waits
  * for a bounded time */
 void log_stop(void);
--- a/tests/unit/log.c
+++ b/tests/unit/log.c
@@ -123,6 +123,64 @@
 }
 END_TEST
 
+/* Reads what was logged up to here, with the log stopped. */
+static char *
+read_log(int fd)
+{
+	static char text[1 << 18];
+	size_t n = 0;
+	ssize_t r;
+
+	log_stop();
+	close(STDOUT_FILENO);
+	while ((r = read(fd, text + n, sizeof text - 1 - n)) > 0)
+		n += (size_t)r;
+	text[n] = '\0';
+	return text;
+}
+
+START_TEST(ids_over_the_rate_are_written)
+{
+	int i, fd = redirect_output(), over = REQUEST_EVENT_PER_S_MAX + 100;
+	char id[32], *text;
+
+	log_setup(G_LOG_LEVEL_INFO);
+	for (i = 0; i < over; i++) {
+		g_snprintf(id, sizeof id, "id-%d", i);
+		log_request_event(EVENT_CALL, G_LOG_LEVEL_INFO, NOW_US, id,
+		    "lost", "request=%s end", id);
+	}
+	text = read_log(fd);
+	for (i = 0; i < over; i++) {
+		g_snprintf(id, sizeof id,
+		    i < REQUEST_EVENT_PER_S_MAX ? "request=id-%d end"
+						: "id-%d/lost",
+		    i);
+		ck_assert_msg(strstr(text, id) != NULL, "no %s", id);
+	}
+}
+END_TEST
+
+START_TEST(ids_are_bounded_and_counted)
+{
+	int i, fd = redirect_output(), lines = 0;
+	char id[64], *text, *at;
+
+	log_setup(G_LOG_LEVEL_INFO);
+	for (i = 0; i < 100 * ID_LINES_PER_S_MAX; i++) {
+		g_snprintf(id, sizeof id, "%060d", i);
+		log_request_id(EVENT_REQUESTS_SENT, NOW_US, id, NULL);
+		if (i % 1000 == 0)
+			g_usleep(30000);
+	}
+	text = read_log(fd);
+	for (at = text; (at = strstr(at, "event=516 requests=")); at++)
+		lines++;
+	ck_assert_int_le(lines, ID_LINES_PER_S_MAX + 1);
+	ck_assert_ptr_nonnull(strstr(text, " ids_left_out="));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -137,6 +195,8 @@
 	tcase_add_test(c, lost_lines_are_reported);
 	tcase_add_test(c, lines_are_not_split);
 	tcase_add_test(c, control_characters_are_replaced);
+	tcase_add_test(c, ids_over_the_rate_are_written);
+	tcase_add_test(c, ids_are_bounded_and_counted);
 	suite_add_tcase(s, c);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
