scripts/planned: runs of the users' mesh

The judge takes the time limit by route, excuses requests whose own daemon or the one beside their target was killed, and counts calls of targets that their running daemon took no connection for (CALL-UNSENT).

--- a/tests/fake/planned/connection.c
+++ b/tests/fake/planned/connection.c
@@ -106,19 +106,20 @@
 }
 
 int
-connection_play(struct caller *r, enum way way, GRand *rand)
+connection_play(struct caller *r, enum way way, int thread, GRand *rand)
 {
 	struct conn *c = g_new0(struct conn, 1);
 
 	c->caller = r;
 	c->rand = rand;
 	c->way = way;
+	c->thread = thread;
 	if (open_connection(c)) {
 		g_free(c);
 		return -1;
 	}
 	c->id = g_atomic_int_add(&r->last_conn, 1) + 1;
-	while (io_clock() < r->end && !exchange(c) &&
+	while (io_clock() < r->end && !exchange(c) && way != WAY_FRESH &&
 	       g_rand_double(rand) >= LEAVE_SHARE)
 		pause_some(c);
 	close(c->fd);
--- a/tests/fake/planned/main.c
+++ b/tests/fake/planned/main.c
@@ -12,6 +12,7 @@
 struct thread {
 	struct caller *caller;
 	enum way way;
+	int number;
 	guint32 seed;
 	GThread *thread;
 };
@@ -23,7 +24,7 @@
 	GRand *rand = g_rand_new_with_seed(t->seed);
 
 	while (io_clock() < t->caller->end)
-		if (connection_play(t->caller, t->way, rand))
+		if (connection_play(t->caller, t->way, t->number, rand))
 			g_usleep(RETRY_US);
 	g_rand_free(rand);
 	return NULL;
@@ -52,7 +53,8 @@
 
 	for (i = 0; i < threads; i++) {
 		t[i].caller = c;
-		t[i].way = (enum way)(i % WAYS);
+		t[i].way = c->mesh ? mesh_way(i) : (enum way)(i % WAYS);
+		t[i].number = i;
 		t[i].seed = seed * THREADS_MAX + (guint32)i;
 		t[i].thread = g_thread_new("caller", run, &t[i]);
 	}
@@ -72,8 +74,10 @@
 	struct arg_int *threads =
 	    arg_int1(NULL, "threads", "N", "connections at a time");
 	struct arg_int *seed = arg_int1(NULL, "seed", "N", "seed");
+	struct arg_lit *mesh =
+	    arg_lit0(NULL, "mesh", "send the requests of the users' mesh");
 	struct arg_end *end = arg_end(5);
-	void *table[] = { to, host, name, history, seconds, threads, seed,
+	void *table[] = { to, host, name, history, seconds, threads, seed, mesh,
 		end };
 	struct caller c = { 0 };
 	struct kq_error e;
@@ -88,6 +92,7 @@
 	c.address = to->sval[0];
 	c.host = host->sval[0];
 	c.name = name->sval[0];
+	c.mesh = mesh->count;
 	c.end = io_clock() + seconds->ival[0] * G_USEC_PER_SEC;
 	if (history_open(&c.history, history->sval[0], c.name, &e) < 0) {
 		fprintf(stderr, "fake-planned: %s\n", e.text);
--- a/tests/fake/planned/planned.h
+++ b/tests/fake/planned/planned.h
@@ -15,8 +15,8 @@
  * what came back is written to a history, from which tests/history/planned.awk
  * tells which requests were lost.
  *
- * request.c draws requests and sends them, answer.c reads answers, connection.c
- * plays a connection.
+ * request.c draws requests and sends them, mesh.c draws those of the users'
+ * mesh, answer.c reads answers, connection.c plays a connection.
  */
 
 #define ID_MAX 48 /* bytes with the final NUL */
@@ -30,7 +30,8 @@
 	WAY_SLOW_BODY, /* with a body, sent slowly */
 	WAY_HALVES, /* the second half some time after the first */
 	WAY_IDLE, /* with a long time between requests */
-	WAYS
+	WAYS,
+	WAY_FRESH = WAYS /* one on each connection; only in the mesh */
 };
 
 /** struct caller - what all threads share */
@@ -39,6 +40,7 @@
 	const char *address; /* @to as text */
 	const char *host;
 	const char *name; /* first part of the ids of requests */
+	int mesh; /* nonzero: requests are those of the users' mesh */
 	int64_t end; /* io_clock() time at which no more requests are sent */
 	gint last_conn; /* number of the last connection */
 	gint last_request; /* number of the last request */
@@ -48,7 +50,10 @@
 /** struct request - a request and what was asked for; times in us */
 struct request {
 	char id[ID_MAX];
+	const char *route; /* first part of the path; NULL: drawn when sent */
+	const char *method; /* NULL: by whether there is a body */
 	int once; /* nonzero: on a route that isn't idempotent */
+	int calls; /* that the target makes while it runs */
 	int breaks; /* nonzero: the target breaks its answer off */
 	int work_ms;
 	int bytes; /* of the answer */
@@ -79,6 +84,7 @@
 	struct caller *caller;
 	GRand *rand;
 	enum way way;
+	int thread; /* number of the thread that plays it */
 	int id;
 	int fd;
 	size_t n;
@@ -97,6 +103,10 @@
 void answer_read(struct conn *, const struct request *, struct answer *);
 /** connection_play() - open a connection and send requests on it until it ends;
  * Return: 0, or -1 if it could not be opened */
-int connection_play(struct caller *, enum way, GRand *);
+int connection_play(struct caller *, enum way, int thread, GRand *);
+/** mesh_way() - how a thread sends requests of the mesh */
+enum way mesh_way(int thread);
+/** mesh_draw() - draw a request of the mesh */
+void mesh_draw(struct conn *, struct request *);
 
 #endif
--- a/tests/fake/planned/request.c
+++ b/tests/fake/planned/request.c
@@ -38,6 +38,10 @@
 
 	memset(r, 0, sizeof *r);
 	g_snprintf(r->id, sizeof r->id, "%s-%d", c->caller->name, number);
+	if (c->caller->mesh) {
+		mesh_draw(c, r);
+		return;
+	}
 	r->once = c->way != WAY_PIPELINED && g_rand_double(rand) < 0.4;
 	r->breaks = g_rand_double(rand) < BREAK_SHARE;
 	r->work_ms = draw_work_ms(rand);
@@ -64,19 +68,26 @@
 static int
 format_head(struct conn *c, const struct request *r, char *t, size_t size)
 {
-	int route =
-	    g_rand_int_range(c->rand, 0, r->once ? ONCE_ROUTES : SAFE_ROUTES);
-	char body[40] = "";
-
+	char body[40] = "", route[16];
+
+	if (r->route)
+		g_strlcpy(route, r->route, sizeof route);
+	else
+		g_snprintf(route, sizeof route, "%s%d",
+		    r->once ? "once" : "safe",
+		    g_rand_int_range(c->rand, 0,
+			r->once ? ONCE_ROUTES : SAFE_ROUTES));
 	if (r->body_bytes)
 		g_snprintf(body, sizeof body, "Content-Length: %d\r\n",
 		    r->body_bytes);
 	return g_snprintf(t, size,
-	    "%s /%s%d/?work_ms=%d&bytes=%d&breaks=%d HTTP/1.1\r\n"
+	    "%s /%s/?work_ms=%d&bytes=%d&breaks=%d&calls=%d HTTP/1.1\r\n"
 	    "Host: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n",
-	    r->body_bytes ? "POST" : "GET", r->once ? "once" : "safe", route,
-	    r->work_ms, r->bytes, r->breaks, c->caller->host, r->id,
-	    r->limit_ms, body);
+	    r->method	    ? r->method
+	    : r->body_bytes ? "POST"
+			    : "GET",
+	    route, r->work_ms, r->bytes, r->breaks, r->calls, c->caller->host,
+	    r->id, r->limit_ms, body);
 }
 
 static int
@@ -114,7 +125,7 @@
 	int bad;
 
 	memset(body, 'b', n);
-	bad = send_pieces(c, body, n, PIECES);
+	bad = send_pieces(c, body, n, c->way == WAY_SLOW_BODY ? PIECES : 1);
 	g_free(body);
 	return bad;
 }
@@ -125,9 +136,10 @@
 	history_write(&c->caller->history, io_clock(),
 	    "call id=%s to=%s conn=%d way=%d behind=%d once=%d "
 	    "start=%" G_GINT64_FORMAT
-	    " limit_ms=%d work_ms=%d bytes=%d breaks=%d",
+	    " limit_ms=%d work_ms=%d bytes=%d breaks=%d route=%s",
 	    r->id, c->caller->address, c->id, c->way, behind, r->once, r->start,
-	    r->limit_ms, r->work_ms, r->bytes, r->breaks);
+	    r->limit_ms, r->work_ms, r->bytes, r->breaks,
+	    r->route ? r->route : "any");
 }
 
 int
--- a/tests/fake/target/job.c
+++ b/tests/fake/target/job.c
@@ -74,16 +74,27 @@
 finish_job(void *ctx, int64_t now)
 {
 	struct conn *c = ctx;
-	struct target *t = c->target;
 
 	(void)now;
+	if (!calls_begin(c))
+		job_calls_ended(c, 1);
+}
+
+void
+job_calls_ended(struct conn *c, int good)
+{
+	struct target *t = c->target;
+
 	job_log(c, "done");
 	t->running--;
 	if (t->knobs.cold && ++t->cold_done >= t->knobs.cold_calls) {
 		t->knobs.cold = 0;
 		t->cold_done = 0;
 	}
-	answer_call(c);
+	if (good)
+		answer_call(c);
+	else
+		answer_text(c, 500, "", "a call failed\n");
 	start_queued(t);
 }
 
@@ -271,6 +282,7 @@
 		job_log(c, "shed"); /* it has not run */
 		return;
 	}
+	calls_cancel(c);
 	job_log(c, "cut");
 	t->running--;
 	start_queued(t);
--- a/tests/fake/target/main.c
+++ b/tests/fake/target/main.c
@@ -6,13 +6,14 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-#define OPTIONS 8 /* besides the knobs */
+#define OPTIONS 10 /* besides the knobs */
 #define KNOBS_MAX 64
 #define NAME_MAX_BYTES 32
 
 /** struct options - command line; one number for each knob */
 struct options {
-	struct arg_str *ip, *service, *dc, *announce, *history;
+	struct arg_str *ip, *service, *dc, *announce, *history, *calls_to,
+	    *calls_host;
 	struct arg_int *port;
 	struct arg_lit *users;
 	struct arg_end *end;
@@ -31,6 +32,10 @@
 	o->dc = arg_str1(NULL, "dc", "NAME", "data centre that it is in");
 	o->announce = arg_str0(NULL, "announce", "IP:PORT",
 	    "operator port of the target's daemon");
+	o->calls_to = arg_str0(NULL, "calls-to", "IP:PORT",
+	    "daemon through which requests with calls=N make calls");
+	o->calls_host =
+	    arg_str0(NULL, "calls-host", "NAME", "Host field of these calls");
 	o->history = arg_str0(NULL, "history", "FILE",
 	    "file to append history lines to");
 	o->users = arg_lit0(NULL, "users", "speak the users' dialect");
@@ -47,6 +52,8 @@
 	o->table[n++] = o->service;
 	o->table[n++] = o->dc;
 	o->table[n++] = o->announce;
+	o->table[n++] = o->calls_to;
+	o->table[n++] = o->calls_host;
 	o->table[n++] = o->history;
 	o->table[n++] = o->users;
 	o->table[n] = o->end;
@@ -98,6 +105,11 @@
 	t->loop = io_loop_new(NULL);
 	if (conn_listen(t, e) < 0)
 		return -1;
+	if (o->calls_to->count &&
+	    calls_start(t, o->calls_to->sval[0],
+		o->calls_host->count ? o->calls_host->sval[0] : "") < 0)
+		return kq_error_set(e, KQ_LAYER_HTTP, HTTP_E_CONNECT,
+		    "--calls-to is no address");
 	job_noise_start(t);
 	admin_report_start(t);
 	history_write(&t->history, io_clock(),
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -158,6 +158,7 @@
 	char expected_start[KEY_MAX]; /* start id that may run the request */
 	char origin_service[KEY_MAX]; /* service where the call began */
 	int64_t deadline; /* io_clock() microseconds, 0 for none */
+	struct calls *calls; /* that the request makes, or NULL */
 	GChecksum *digest; /* of the request's body */
 
 	GByteArray *out; /* buffered part of the answer */
@@ -227,6 +228,9 @@
 	struct io_timer report_timer;
 	GHashTable *keys; /* set of the keys that ran */
 	struct announcer *announcer;
+	struct http_pool *calls_pool; /* to its daemon, or NULL */
+	const char *calls_to; /* address of that daemon as text */
+	const char *calls_host; /* Host field of calls */
 	int leaving; /* nonzero: SIGTERM or SIGINT was received */
 	struct io_timer leave_timer;
 };
@@ -257,6 +261,9 @@
 void job_admit(struct conn *);
 /** job_cancel() - cancel the request, if any, of a closing connection */
 void job_cancel(struct conn *);
+/** job_calls_ended() - the calls of a request have ended; nonzero @good if each
+ * was answered with 200 */
+void job_calls_ended(struct conn *, int good);
 /** job_log() - write an event of a request to the history */
 void job_log(struct conn *, const char *event);
 /** job_inflight() - requests running, hung or queued */
@@ -264,6 +271,15 @@
 /** job_noise_start() - start varying the noise factor */
 void job_noise_start(struct target *);
 
+/** calls_begin() - have a running request make the calls that calls=N in its
+ * path asks for; returns 0 if there are none */
+int calls_begin(struct conn *);
+/** calls_cancel() - give up the calls of a request that ends */
+void calls_cancel(struct conn *);
+/** calls_start() - have requests make calls through the daemon at @to
+ * (IP:PORT); returns 0 or -1 */
+int calls_start(struct target *, const char *to, const char *host);
+
 /** answer_call() - answer a request that has run */
 void answer_call(struct conn *);
 /** users_fields() - append an answer's header fields of the users' dialect */
--- a/tests/history/planned.awk
+++ b/tests/history/planned.awk
@@ -11,6 +11,7 @@
 	OVER = 1000000		# after the grace, and after a version is applied
 	REFUSE_LATE = 1000000	# after a request was whole
 	KEPT_MAX = 3		# losses beside no planned work
+	PLAN_SLACK = 20000	# by which the plan's times may be early
 	CONFIG_TIMES = 3	# as many cuts beside a configuration
 	FINDINGS_MAX = 8	# printed with their events
 	LINES_MAX = 40		# of these
@@ -37,17 +38,19 @@
 
 $2 == "plan" {
 	at = field("at")
-	if ($3 == "term" || $3 == "hup" || $3 == "start")
+	if ($3 ~ /^(term|hup|start|kill|end)$/)
 		when[$3, at, ++count[$3, at]] = $1
 	else if ($3 == "config-sent")
 		version[++versions] = field("version")
 	if ($3 == "config-sent") {
 		sent_at[field("version")] = $1
-		timeout[field("version")] = 1000 * field("timeout_ms")
+		for (i = 4; i <= NF; i++)
+			if ($i ~ /^timeout_/)
+				timeout[field("version"), substr($i, 9, index($i, "=") - 9)] = 1000 * substr($i, index($i, "=") + 1)
 	}
 	if ($3 == "config-acked")
 		acked[field("version")] = $1
-	if ($3 == "end" && (field("status") != 0 || !ends_in_time(at, $1)))
+	if ($3 == "end" && !was_killed(at, $1) && (field("status") != 0 || !ends_in_time(at, $1)))
 		ended[++ends] = $0
 	if (at != "")
 		remember(at, $0)
@@ -64,6 +67,7 @@
 	sent[id] = $1
 	began[id] = field("start")
 	time[id] = 1000 * field("limit_ms")
+	route[id] = field("route")
 	remember(id, $0)
 	remember(conn[id], $0)
 	next
@@ -88,6 +92,8 @@
 		shed[id] = 1
 	} else if ($3 == "run") {
 		runs[id]++
+		ran_beside[id] = $2
+		sub(/:.*/, ":8400", ran_beside[id])
 		run_end[id] = broke[id] = done[id] = 0
 	} else if ($3 == "broke") {
 		broke[id] = $1
@@ -106,6 +112,25 @@
 	return found + 0
 }
 
+# Nonzero if the process that ends at t was killed by the plan.
+function was_killed(at, t) { return last("kill", at, t) > last("start", at, t) }
+
+# Nonzero if a request ended with the killed process that took it or that it ran beside.
+function beside_kill(id, t) {
+	t = last("kill", to[id], over[id])
+	if (t && t > over[id] - TOUCH)
+		return 1
+	t = last("kill", ran_beside[id], over[id])
+	return t && t >= sent[id] - PLAN_SLACK
+}
+
+# Nonzero if a process that was not killed runs at a machine, so that it takes calls of
+# its target's requests.
+function runs_at(at, t) {
+	return last("start", at, t) && last("start", at, t) > last("end", at, t) &&
+	    !was_killed(at, t) && last("kill", at, t + 2 * PLAN_SLACK) <= last("start", at, t)
+}
+
 # Nonzero if a process that ends at t was told to by a SIGTERM whose grace is not over.
 function ends_in_time(at, t, i, start) {
 	start = last("start", at, t)
@@ -117,13 +142,14 @@
 
 # Shortens a request's time to the least timeout of a version that may have been in
 # force while it was open.
-function bound_time(id, i, v, next_version) {
+function bound_time(id, i, v, next_version, limit_of) {
 	for (i = 1; i <= versions; i++) {
 		v = version[i]
 		next_version = version[i + 1]
-		if (timeout[v] && timeout[v] < time[id] && sent_at[v] <= over[id] &&
+		limit_of = ((v, route[id]) in timeout) ? timeout[v, route[id]] : timeout[v, "ms"]
+		if (limit_of && limit_of < time[id] && sent_at[v] <= over[id] &&
 		    !(acked[next_version] && acked[next_version] + APPLY < began[id]))
-			time[id] = timeout[v]
+			time[id] = limit_of
 	}
 	limit[id] = began[id] + time[id]
 }
@@ -203,6 +229,8 @@
 function judge_loss(id, t) {
 	if (broke[id])
 		return excuse("worker broke off")
+	if (beside_kill(id))
+		return excuse("a daemon that it touched was killed")
 	if (over[id] >= limit[id])
 		return without_answer(id, "deadline or timeout reached")
 	if (!passed_on[id] && behind[id])
@@ -249,6 +277,8 @@
 		judge_loss(id)
 	else if (outcome[id] == "behind")
 		excuse("behind an answer that closes")
+	else if (outcome[id] == "unsent" && runs_at(to[id], over[id]))
+		finding("CALL-UNSENT", id)
 	else if (outcome[id] == "late")
 		excuse("the caller gave up")
 	if (outcome[id] == "whole")
@@ -339,7 +369,7 @@
 	close("sort")
 	print_sorted("refused", wait, waits)
 	print_sorted("refused behind another", wait_behind, waits_behind)
-	n = split("LOST-STOP LOST-HUP LOST-CONFIG LOST-KEPT TWICE REFUSED REFUSED-LATE MIXED", name, " ")
+	n = split("LOST-STOP LOST-HUP LOST-CONFIG LOST-KEPT TWICE REFUSED REFUSED-LATE MIXED CALL-UNSENT", name, " ")
 	for (i = 1; i <= n; i++)
 		print name[i] " " broken[name[i]] + 0 ", on a connection with an answer broken off: " \
 		    beside_break[name[i]] + 0
--- /dev/null
+++ b/tests/system/stop-calls.sh
@@ -0,0 +1,46 @@
+#!/bin/sh
+# A request that runs at the target of a daemon that stops makes its own calls through that
+# daemon as long as it runs, also after the time in which new callers are served.
+# usage: stop-calls.sh BUILD-DIRECTORY
+set -u
+. scripts/fleet.sh
+. scripts/dialect.sh
+REQUESTS=20
+fleet_open "$1"
+trap fleet_close EXIT
+failed=0
+
+ask() { # ID
+	code=$(curl -s -m 6 -X POST -o /dev/null -w '%{http_code}' -H "Host: h.example" -H "X-Attempt-Id: $1" \
+		-H "X-Deadline-Ms: 4500" "http://$fleet_net.1.2:8400/n/?work_ms=1400&calls=2")
+	echo "$1 $code" >>"$fleet_dir/answers"
+}
+
+dialect_platform
+dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /n/ non_idempotent),$(dialect_route_json /check/ safe)" |
+	sed 's/"timeout_ms":900/"timeout_ms":5000/g')" >"$fleet_dir/code"
+for n in 1 2; do
+	fleet_daemon 1 $n
+	dialect_target 1 $n --slots 100 --calls-to "$fleet_net.1.$n:8400" --calls-host h.example
+done
+fleet_await "http://$fleet_net.1.1:8430/v1/readiness"
+fleet_targets 2 || fleet_fail "the targets are not known"
+fleet_wait_until 5 curl -sf -m 2 -o /dev/null -H "Host: h.example" -H "X-Attempt-Id: first" -H "X-Deadline-Ms: 900" "http://$fleet_net.1.2:8400/check/?work_ms=1"
+for i in $(seq $REQUESTS); do
+	ask "n-$i" &
+	asked="${asked-} $!"
+done
+sleep 0.3
+# shellcheck disable=SC2154
+kill "$fleet_daemon_1_1"
+wait "$fleet_daemon_1_1"
+code=$?
+[ $code = 0 ] || fleet_fail "the daemon ended with $code"
+# shellcheck disable=SC2086
+wait $asked
+ran=$(grep -c ' run .* key=n-[0-9]* ' "$fleet_dir/target-1-1.history")
+echo "ran beside the daemon that stops: $ran"
+cut -d ' ' -f 2 "$fleet_dir/answers" | sort | uniq -c
+[ "$ran" -gt 3 ] || fleet_fail "the target of the daemon that stops is not used"
+[ "$(grep -c ' 200$' "$fleet_dir/answers")" = $REQUESTS ] || fleet_fail "not all requests were served"
+exit $failed
