stop: the ports stay open while requests run at the target

What callers saw: 500 to requests that a stopping daemon had taken in time and that ran at its target: the calls that the target made for them got no connection.

Cause: the callers' port closed at leave_ms, 0.3 s after the last call of another daemon was taken, whatever still ran at the target.

Ruled out: refusing such requests earlier, as a daemon doesn't know which requests will make calls.

--- a/src/core/leave/plan.c
+++ b/src/core/leave/plan.c
@@ -14,11 +14,19 @@
 	p->answer_by = p->end - ANSWER_US;
 	if (p->answer_by < now)
 		p->answer_by = now;
-	p->serve_until = p->answer_by - FINISH_US;
-	if (p->serve_until > now + serve_us)
-		p->serve_until = now + serve_us;
-	if (p->serve_until < now)
-		p->serve_until = now;
+	p->close_by = p->answer_by - FINISH_US;
+	if (p->close_by < now)
+		p->close_by = now;
+	p->serve_until =
+	    p->close_by < now + serve_us ? p->close_by : now + serve_us;
+}
+
+int
+leave_may_close(const struct leave_plan *p, int64_t now, int target_idle)
+{
+	if (now < p->serve_until)
+		return 0;
+	return target_idle || now >= p->close_by;
 }
 
 int
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -123,7 +123,10 @@
 static void
 handle_target_idle(void *ctx, void *message)
 {
-	control_answer_drains(ctx);
+	struct control *c = ctx;
+
+	c->target_idle = c->leave_announced;
+	control_answer_drains(c);
 }
 
 static void
@@ -206,12 +209,13 @@
 
 /* The target keeps running after this daemon has stopped. Requests are passed
  * to it until callers had time to connect to other daemons, so that its
- * capacity is missing no longer than necessary. */
+ * capacity is missing no longer than necessary. The ports close once those have
+ * ended: until then they may make calls through this daemon. */
 static void
 leave_step(void *ctx, int64_t now)
 {
 	struct control *c = ctx;
-	int closed = now >= c->leave.serve_until;
+	int closed = leave_may_close(&c->leave, now, c->target_idle);
 
 	if (now >= c->leave.serve_until - LEAVE_ANNOUNCE_US)
 		announce_leave(c);
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -161,6 +161,7 @@
 	int operator_drain; /* an operator drained the target */
 	int leaving;
 	int leave_announced;
+	int target_idle; /* since then, nothing runs at the target any more */
 	int data_drained; /* the data task has nothing in flight */
 	struct leave_plan leave;
 	struct io_timer leave_timer;
--- a/src/internal/leave.h
+++ b/src/internal/leave.h
@@ -14,11 +14,13 @@
  */
 
 /** struct leave_plan - times of a stop; all 0 before the order to stop
- * @serve_until: the ports close then
+ * @serve_until: the ports close then, unless requests still run at the target
+ * @close_by: they close then at the latest
  * @answer_by: what is still in flight then is ended with an answer
  * @end: the process ends then */
 struct leave_plan {
 	int64_t serve_until;
+	int64_t close_by;
 	int64_t answer_by;
 	int64_t end;
 };
@@ -29,6 +31,9 @@
  * @grace_us: time from the order to forced termination */
 void leave_plan_init(struct leave_plan *, int64_t now, int64_t serve_us,
     int64_t grace_us);
+/** leave_may_close() - whether the ports may be closed at @now; while requests
+ * run at the target, it may make calls through this daemon */
+int leave_may_close(const struct leave_plan *, int64_t now, int target_idle);
 /** leave_fits() - whether a request that starts at @now is finished or past its
  * @deadline before the stop ends it; always before the order to stop
  * @usual_us: time that such requests take at most as a rule, 0 if not known */
--- a/tests/unit/leave.c
+++ b/tests/unit/leave.c
@@ -37,6 +37,19 @@
 }
 END_TEST
 
+START_TEST(ports_stay_open_while_requests_run_at_the_target)
+{
+	struct leave_plan p;
+
+	leave_plan_init(&p, NOW, 2600 * MS, 6000 * MS);
+	ck_assert_int_eq(leave_may_close(&p, NOW + 2599 * MS, 1), 0);
+	ck_assert_int_eq(leave_may_close(&p, NOW + 2600 * MS, 1), 1);
+	ck_assert_int_eq(leave_may_close(&p, NOW + 2600 * MS, 0), 0);
+	ck_assert_int_eq(leave_may_close(&p, NOW + 4999 * MS, 0), 0);
+	ck_assert_int_eq(leave_may_close(&p, NOW + 5000 * MS, 0), 1);
+}
+END_TEST
+
 struct fits_case {
 	int64_t at_ms; /* after the order to stop */
 	int64_t deadline_ms;
@@ -207,6 +220,7 @@
 	    sizeof plans / sizeof *plans);
 	tcase_add_loop_test(t, request_that_cannot_be_finished_does_not_fit, 0,
 	    sizeof fits / sizeof *fits);
+	tcase_add_test(t, ports_stay_open_while_requests_run_at_the_target);
 	tcase_add_test(t, everything_fits_before_the_order);
 	tcase_add_test(t, time_is_unknown_after_few_answers);
 	tcase_add_test(t, steady_time_has_little_spread);
