retry: a call pays for an extra attempt when it makes it, where nothing is passed on

What callers saw: 502 after one attempt to safe requests with 0.4 to 1.8 s left, when the daemon beside their target ended; some were calls of targets, whose parents then failed.

Cause: each call reserved up to two tokens of the retry budget at its begin. A daemon of the users' fleet has 2.9 a service, so that beside two open calls the next ones had no further attempt. In the users' dialect the budget isn't passed on to the levels below, so that nothing needs a reservation.

Ruled out: a larger share of the slack, as the sum over all daemons binds.

--- a/bench/pick/caller.c
+++ b/bench/pick/caller.c
@@ -110,7 +110,7 @@
 	a->caller = c->caller;
 	a->target = (uint8_t)t;
 	a->sent = s->now;
-	a->movable = (uint8_t)retry_movable(&c->retry);
+	a->movable = (uint8_t)retry_movable(&caller->retry, &c->retry);
 	retry_begin_attempt(&c->retry);
 	s->target[t].in_transit++;
 	s->result.attempts++;
--- a/src/core/retry/call.c
+++ b/src/core/retry/call.c
@@ -16,6 +16,10 @@
 			c->extra_left = RETRY_EXTRA_MAX;
 		return;
 	}
+	if (r->pays_late) {
+		c->extra_left = RETRY_EXTRA_MAX;
+		return;
+	}
 	while (c->reserved < RETRY_EXTRA_MAX && r->tokens >= 1) {
 		r->tokens--;
 		c->reserved++;
@@ -32,8 +36,10 @@
 }
 
 int
-retry_movable(const struct retry_call *c)
+retry_movable(const struct retry *r, const struct retry_call *c)
 {
+	if (r->pays_late && c->depth == 0 && r->tokens < 2)
+		return 0;
 	return c->extra_left > 1;
 }
 
--- a/src/core/retry/pay.c
+++ b/src/core/retry/pay.c
@@ -6,12 +6,16 @@
 int
 retry_pay_attempt(struct retry *r, struct retry_call *c)
 {
-	if (c->extra_left <= 0 || (c->depth > 0 && r->tokens < 1)) {
+	int pays_now = c->depth > 0 || r->pays_late;
+
+	if (c->extra_left <= 0 || (pays_now && r->tokens < 1)) {
 		r->denied++;
 		return 0;
 	}
-	if (c->depth > 0)
+	if (pays_now)
 		r->tokens--;
+	if (pays_now && c->depth == 0)
+		c->reserved++;
 	c->extra_left--;
 	c->extra_used++;
 	return 1;
--- a/src/core/retry/retry.c
+++ b/src/core/retry/retry.c
@@ -10,6 +10,7 @@
 	r->retries = 0;
 	r->hedges = 0;
 	r->denied = 0;
+	r->pays_late = 0;
 	quantile_init(&r->latency);
 	retry_configure(r, ratio, hedge);
 }
@@ -32,6 +33,12 @@
 		r->tokens = r->tokens_max;
 }
 
+void
+retry_set_pays_late(struct retry *r, int on)
+{
+	r->pays_late = on;
+}
+
 void
 retry_set_tokens_max(struct retry *r, double most)
 {
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -162,7 +162,7 @@
 {
 	int refusable =
 	    can_move(c) && tried_may_refuse(&c->tried, c->service->pick);
-	int movable = refusable && retry_movable(&c->retry);
+	int movable = refusable && retry_movable(&c->service->retry, &c->retry);
 
 	return (c->idempotent ? WIRE_CALL_IDEMPOTENT : 0) |
 	       (c->repeat ? WIRE_CALL_REPEAT : 0) |
--- a/src/daemon/outbound/view.c
+++ b/src/daemon/outbound/view.c
@@ -15,6 +15,7 @@
 	pc.seed = rng_next(&d->rng);
 	s->pick = pick_new(&pc);
 	retry_init(&s->retry, conf->retry_ratio, conf->hedge);
+	retry_set_pays_late(&s->retry, !d->dialect->passes_retry_budget);
 	s->by_handle = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g_strlcpy(s->conf.name, conf->name, sizeof s->conf.name);
 	g_hash_table_insert(d->services, s->conf.name, s);
--- a/src/internal/retry.h
+++ b/src/internal/retry.h
@@ -19,6 +19,11 @@
  * whole call tree stay within the share that the successes at its entry allow,
  * however deep the tree is.
  *
+ * Where nothing of this is sent downstream, as targets don't pass it on, there
+ * is nothing to reserve for them: a call then pays for an extra attempt when it
+ * makes it (@pays_late). A reservation would take from the calls beside it what
+ * the call rarely uses.
+ *
  * Hedging after a quantile of the latency: Dean and Barroso, "The tail at
  * scale", CACM 2013.
  */
@@ -31,6 +36,7 @@
  * struct retry - retry budget and latencies of one service
  * @ratio: tokens that a success adds
  * @hedge: nonzero if idempotent requests may be hedged
+ * @pays_late: nonzero if calls reserve nothing
  * @tokens: extra attempts that can be paid for; may be below zero
  * @tokens_max: limit on @tokens
  * @latency: of attempts that succeeded
@@ -41,6 +47,7 @@
 struct retry {
 	double ratio;
 	int hedge;
+	int pays_late;
 	double tokens;
 	double tokens_max;
 	struct quantile latency;
@@ -56,7 +63,8 @@
  *         system
  * @idempotent: nonzero if it may be sent again after bytes of it were sent
  * @extra_left: extra attempts still allowed, by this daemon or downstream
- * @reserved: tokens taken from the bucket by retry_call_start()
+ * @reserved: tokens taken from the bucket by retry_call_start(), or for the
+ *	attempts made if the call pays late
  * @extra_used: extra attempts made so far, by this daemon or downstream;
  *              sent back with the reply
  * @attempts: attempts sent by this daemon
@@ -95,6 +103,9 @@
 /** retry_configure() - apply a new service file; latencies stay, and so do
  * tokens, but a @ratio that is not above 0 leaves none */
 void retry_configure(struct retry *, double ratio, int hedge);
+/** retry_set_pays_late() - set whether calls at depth 0 pay for extra attempts
+ * when they make them, and reserve nothing for those below */
+void retry_set_pays_late(struct retry *, int on);
 /** retry_set_tokens_max() - set the limit on tokens, at most RETRY_TOKENS_MAX;
  * where a limit holds for all daemons together, @most is the share of this one
  */
@@ -113,7 +124,7 @@
 /** retry_movable() - whether a target may refuse the next attempt only because
  * it is crowded; the last extra attempt is kept for failures. Call it before
  * retry_begin_attempt() and send the result with the attempt. */
-int retry_movable(const struct retry_call *);
+int retry_movable(const struct retry *, const struct retry_call *);
 /** retry_add_used() - account for @used extra attempts made downstream, as a
  * reply says, good or bad; call it before retry_allow_resend() */
 void retry_add_used(struct retry_call *, int used);
--- a/tests/unit/retry.c
+++ b/tests/unit/retry.c
@@ -190,6 +190,63 @@
 }
 END_TEST
 
+/* The users' fleet: a share of a few tokens, and many calls at a time. */
+START_TEST(open_calls_leave_the_budget_to_the_one_that_fails)
+{
+	struct retry_call open[20], failed;
+	struct retry r;
+	size_t i;
+
+	retry_init(&r, 0.15, 0);
+	retry_set_pays_late(&r, 1);
+	retry_set_tokens_max(&r, 2.9);
+	for (i = 0; i < 20; i++)
+		retry_call_start(&r, &open[i], 0, 0, 1, NO_DEADLINE);
+	retry_call_start(&r, &failed, 0, 0, 1, NO_DEADLINE);
+	ck_assert_int_eq(retry_allow_resend(&r, &failed, RETRY_LOST, 0),
+	    RETRY_GO);
+	retry_call_end(&r, &failed);
+	ck_assert_double_eq_tol(r.tokens, 1.9, 1e-9);
+	ck_assert(!retry_movable(&r, &open[0]));
+	ck_assert_int_eq(retry_allow_resend(&r, &open[0], RETRY_LOST, 0),
+	    RETRY_GO);
+	ck_assert_int_eq(retry_allow_resend(&r, &open[1], RETRY_LOST, 0),
+	    RETRY_NO_BUDGET);
+	for (i = 0; i < 20; i++)
+		retry_call_end(&r, &open[i]);
+	ck_assert_double_eq_tol(r.tokens, 0.9, 1e-9);
+}
+END_TEST
+
+/* Attempts beyond the first stay within the ratio and the share, however many
+ * calls are open at a time. */
+START_TEST(late_payment_stays_within_the_budget)
+{
+	struct retry_call open[50];
+	int i, n, extra = 0, calls = 0;
+	struct retry r;
+
+	retry_init(&r, 0.15, 0);
+	retry_set_pays_late(&r, 1);
+	retry_set_tokens_max(&r, 2.9);
+	for (n = 0; n < 200; n++) {
+		for (i = 0; i < 50; i++)
+			retry_call_start(&r, &open[i], 0, 0, 1, NO_DEADLINE);
+		for (i = 0; i < 50; i++)
+			while (retry_allow_resend(&r, &open[i], RETRY_LOST,
+				   0) == RETRY_GO)
+				extra++;
+		for (i = 0; i < 50; i++) {
+			retry_success(&r, 1000);
+			retry_call_end(&r, &open[i]);
+		}
+		calls += 50;
+	}
+	ck_assert_int_le(extra, calls * 15 / 100 + 3);
+	ck_assert_int_gt(extra, 200);
+}
+END_TEST
+
 START_TEST(non_idempotent_resent_only_after_not_run)
 {
 	struct retry r;
@@ -205,10 +262,10 @@
 	ck_assert_int_eq(retry_hedge_delay(&r, &c), -1);
 	ck_assert_int_eq(retry_allow_resend(&r, &c, RETRY_FINAL, 0),
 	    RETRY_NO_FINAL);
-	ck_assert(retry_movable(&c));
+	ck_assert(retry_movable(&r, &c));
 	ck_assert_int_eq(retry_allow_resend(&r, &c, RETRY_NOT_RUN, 0),
 	    RETRY_GO);
-	ck_assert(!retry_movable(&c));
+	ck_assert(!retry_movable(&r, &c));
 	retry_call_end(&r, &c);
 }
 END_TEST
@@ -249,6 +306,8 @@
 	tcase_add_test(c, lossy_chain_within_1_2);
 	tcase_add_test(c, tree_within_1_2);
 	tcase_add_loop_test(c, extra_attempts_within_ratio, 0, 4);
+	tcase_add_test(c, open_calls_leave_the_budget_to_the_one_that_fails);
+	tcase_add_test(c, late_payment_stays_within_the_budget);
 	tcase_add_test(c, non_idempotent_resent_only_after_not_run);
 	tcase_add_test(c, no_attempt_that_cannot_finish);
 	suite_add_tcase(s, c);
