--- a/src/adapter/log/log_fatal.c
+++ b/src/adapter/log/log_fatal.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <signal.h>
 #include <string.h>
 #include <unistd.h>
@@ -35,8 +36,8 @@
 	memcpy(text, head, n);
 	n += append_number(text + n, (unsigned)signal_number);
 	text[n++] = '\n';
-	if (write(STDOUT_FILENO, text, n) < 0)
-		n = 0; /* there is no other output to report it on */
+	while (write(STDOUT_FILENO, text, n) < 0 && errno == EINTR)
+		continue;
 	raise(signal_number);
 }
 
--- a/tests/fake/target/calls.c
+++ b/tests/fake/target/calls.c
@@ -70,11 +70,9 @@
 
 	c->calls->call = NULL;
 	log_answer(c, "whole");
-	if (c->calls->status != 200)
-		end_calls(c, 0);
-	else if (!--c->calls->left)
+	if (c->calls->status == 200 && !--c->calls->left)
 		end_calls(c, 1);
-	else if (start_call(c))
+	else if (c->calls->status != 200 || start_call(c))
 		end_calls(c, 0);
 }
 
@@ -172,8 +170,8 @@
 	}
 	t->calls_to = to;
 	t->calls_host = host;
-	t->calls_pool = http_pool_new(t->loop, part[0], atoi(part[1]),
-	    CONNECTIONS, 0, &limits);
+	t->calls_pool = http_pool_new(t->loop, part[0],
+	    (int)strtol(part[1], NULL, 10), CONNECTIONS, 0, &limits);
 	g_strfreev(part);
 	return 0;
 }
