outbound: the time limit of a route counts from the last byte of a request

What callers saw: 504 to requests whose target was at work, sooner than the time limit of their route after they had sent their last byte, with the caller's own deadline far; around a SIGTERM of their daemon that is an answer in place of the target's (LOST).

Cause: the daemon counted the limit from the head of the request. The limit is for how long a caller is kept waiting, which begins when its request is whole. Until then the caller's deadline alone ends it now, and the limit starts anew with the last byte.

The judge counts so from now on, which is stricter.

--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -3,11 +3,26 @@
 #include "daemon/outbound/outbound.h"
 #include "log.h"
 
+void
+outbound_start_timeout(struct out_call *c, int64_t timeout_us)
+{
+	c->timeout_us = timeout_us;
+	c->deadline = MIN(c->caller_deadline, data_now(c->data) + timeout_us);
+}
+
+/* Until the request is whole its caller isn't kept waiting, so that only the
+ * caller's own deadline ends it. */
 static void
 deadline_expired(void *ctx, int64_t now)
 {
 	struct out_call *c = ctx;
 
+	if (!c->body_whole && now < c->caller_deadline) {
+		c->deadline = c->caller_deadline;
+		io_timer_set(c->data->task.loop, &c->deadline_timer,
+		    c->deadline);
+		return;
+	}
 	c->reason = WIRE_REASON_DEADLINE;
 	outbound_give_up_call(c);
 }
@@ -186,6 +201,16 @@
 	}
 }
 
+/* The timeout of a route is for how long a caller that has sent its request is
+ * kept waiting. */
+static void
+restart_timeout(struct out_call *c)
+{
+	outbound_start_timeout(c, c->timeout_us);
+	c->retry.deadline = c->deadline;
+	io_timer_set(c->data->task.loop, &c->deadline_timer, c->deadline);
+}
+
 static void
 request_end(void *ctx, struct http_exchange *x)
 {
@@ -195,6 +220,8 @@
 	if (!c)
 		return;
 	c->body_whole = 1;
+	if (c->timeout_us)
+		restart_timeout(c);
 	if (c->state == OUT_READING) {
 		start_in_turn(c);
 		return;
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -93,7 +93,9 @@
 	int64_t tried_at; /* start of the first attempt */
 	int caller_slow; /* its reading held the answer up */
 	struct answer_time *time; /* of its route or service */
-	int64_t deadline;
+	int64_t deadline; /* that of the caller, or the end of the timeout */
+	int64_t caller_deadline;
+	int64_t timeout_us; /* of its route; 0 without one */
 	int idempotent;
 	int priority; /* 0 is the highest */
 	int64_t objective; /* an answer by then is in time */
@@ -128,6 +130,9 @@
 outbound_request(void *ctx, struct http_exchange *, const struct http_head *);
 /** outbound_start_call() - start the deadline timer of a call */
 void outbound_start_call(struct out_call *);
+/** outbound_start_timeout() - start the timeout of a call's route anew, and
+ * with it the deadline, which is that of the caller at the latest */
+void outbound_start_timeout(struct out_call *, int64_t timeout_us);
 /** outbound_refuse_at_limit() - refuse a call that did not start yet while the
  * daemon holds too many bytes. Return: nonzero if it did; the call is freed */
 int outbound_refuse_at_limit(struct out_call *);
--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -332,16 +332,14 @@
 	return 0;
 }
 
-/* Milliseconds until the deadline: what the caller gives, at most the timeout
- * of its route if there are routes; -1 when the field is invalid. */
-static int64_t
-time_left(const struct data *d, const struct http_head *h,
-    const struct terms *t)
+/* Sets how long a call may take: until the deadline @left_ms that the caller
+ * gives, and for the timeout of its route if there are routes. */
+static void
+set_time(struct out_call *c, int64_t left_ms, const struct terms *t)
 {
-	int64_t left = field_number(h, d->dialect->deadline_field,
-	    t->timeout_ms, DEADLINE_MAX_MS);
-
-	return d->view->routing ? MIN(left, t->timeout_ms) : left;
+	c->caller_deadline = c->deadline = c->started + left_ms * 1000;
+	if (c->data->view->routing)
+		outbound_start_timeout(c, t->timeout_ms * 1000);
 }
 
 void
@@ -358,7 +356,8 @@
 		return;
 	}
 	c = call_new(d, x, &t, h);
-	left_ms = time_left(d, h, &t);
+	left_ms = field_number(h, d->dialect->deadline_field, t.timeout_ms,
+	    DEADLINE_MAX_MS);
 	if (refuse_invalid(c, h, left_ms))
 		return;
 	if (d->dialect->passes_retry_budget) {
@@ -367,7 +366,7 @@
 	}
 	log_request_id(EVENT_REQUESTS_RECEIVED, c->started,
 	    data_request_id(d, &c->head, c->id), NULL);
-	c->deadline = c->started + left_ms * 1000;
+	set_time(c, left_ms, &t);
 	retry_call_start(&c->service->retry, &c->retry, depth < 0 ? 0 : depth,
 	    left < 0 ? 0 : left, c->idempotent, c->deadline);
 	if (!outbound_fits(c)) {
--- a/tests/history/planned.awk
+++ b/tests/history/planned.awk
@@ -140,13 +140,14 @@
 	return 0
 }
 
-# Shortens a request's time to the least timeout of a version that may have been in
-# force while it was open.
+# Shortens a request's time, which counts from its first byte, to the least timeout of a
+# version that may have been in force while it was open, which counts from its last.
 function bound_time(id, i, v, next_version, limit_of) {
 	for (i = 1; i <= versions; i++) {
 		v = version[i]
 		next_version = version[i + 1]
 		limit_of = ((v, route[id]) in timeout) ? timeout[v, route[id]] : timeout[v, "ms"]
+		limit_of += limit_of ? sent[id] - began[id] : 0
 		if (limit_of && limit_of < time[id] && sent_at[v] <= over[id] &&
 		    !(acked[next_version] && acked[next_version] + APPLY < began[id]))
 			time[id] = limit_of
