--- a/src/adapter/log/log_ids.c
+++ b/src/adapter/log/log_ids.c
@@ -91,3 +91,23 @@
 			put_list(&lists[i]);
 	g_mutex_unlock(&lists_lock);
 }
+
+/* Without the lock, which the thread that failed may hold. */
+void
+log_ids_dump(void)
+{
+	static const char head[] = " requests=";
+	char text[sizeof head + LIST_BYTES];
+	size_t i, n;
+
+	memcpy(text, head, sizeof head - 1);
+	for (i = 0; i < G_N_ELEMENTS(lists); i++) {
+		n = MIN(lists[i].len, (size_t)LIST_BYTES);
+		if (!n)
+			continue;
+		memcpy(text + sizeof head - 1, lists[i].text, n);
+		log_fatal_line("level=info event=",
+		    EVENT_REQUEST_FIRST + (enum event)i, text,
+		    sizeof head - 1 + n);
+	}
+}
--- a/src/adapter/log/log_impl.h
+++ b/src/adapter/log/log_impl.h
@@ -23,5 +23,12 @@
 void log_put_line(GLogLevelFlags level, const char *message);
 /** log_ids_flush() - write the ids of requests that were collected */
 void log_ids_flush(void);
+/** log_ids_dump() - write those ids from a signal handler of a process that
+ * ends; they are in the lines that log_sink_dump() writes, too, if the thread
+ * was writing them at that moment */
+void log_ids_dump(void);
+/** log_fatal_line() - write one line without its time from a signal handler of
+ * a process that ends: @level, the number of the event and @n bytes of @text */
+void log_fatal_line(const char *level, enum event, const char *text, size_t n);
 
 #endif
--- a/tests/unit/log.c
+++ b/tests/unit/log.c
@@ -1,6 +1,8 @@
 #include <check.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "log.h"
@@ -181,6 +183,66 @@
 }
 END_TEST
 
+static gpointer
+raise_fault(gpointer unused)
+{
+	raise(SIGSEGV);
+	return NULL;
+}
+
+/* A process that logs @n lines and the id of a request, and ends by a fault of
+ * one of its threads at once. Returns its process id. */
+static pid_t
+start_process_that_fails(int n)
+{
+	pid_t p = fork();
+
+	ck_assert_int_ge(p, 0);
+	if (p)
+		return p;
+	log_setup(G_LOG_LEVEL_INFO);
+	log_catch_fatal();
+	write_lines(n);
+	log_request_id(EVENT_REQUESTS_RECEIVED, NOW_US, "last", NULL);
+	g_thread_join(g_thread_new("fails", raise_fault, NULL));
+	_exit(0);
+}
+
+START_TEST(fatal_end_writes_ids_of_the_last_moment)
+{
+	int fd = redirect_output(), status;
+	pid_t p = start_process_that_fails(10);
+	char *text;
+
+	ck_assert_int_eq(waitpid(p, &status, 0), p);
+	ck_assert(WIFSIGNALED(status) && WTERMSIG(status) == SIGSEGV);
+	text = read_log(fd);
+	ck_assert_ptr_nonnull(strstr(text, "line=9 "));
+	ck_assert_ptr_nonnull(strstr(text, "event=515 requests=last\n"));
+	ck_assert_ptr_nonnull(strstr(text, "event=107 "));
+}
+END_TEST
+
+/* An output that nobody reads does not hold the process, whose other threads
+ * would go on without the one that failed. */
+START_TEST(fatal_end_does_not_wait_for_a_reader)
+{
+	int status, tries;
+	pid_t p, ended = 0;
+
+	redirect_output();
+	p = start_process_that_fails(LINES_OVER_PIPE);
+	for (tries = 0; !ended && tries < 200; tries++) {
+		g_usleep(10000);
+		ended = waitpid(p, &status, WNOHANG);
+	}
+	if (!ended)
+		kill(p, SIGKILL);
+	ck_assert_int_eq(ended, p);
+	ck_assert(WIFSIGNALED(status) && WTERMSIG(status) == SIGSEGV);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -197,6 +259,8 @@
 	tcase_add_test(c, control_characters_are_replaced);
 	tcase_add_test(c, ids_over_the_rate_are_written);
 	tcase_add_test(c, ids_are_bounded_and_counted);
+	tcase_add_test(c, fatal_end_writes_ids_of_the_last_moment);
+	tcase_add_test(c, fatal_end_does_not_wait_for_a_reader);
 	suite_add_tcase(s, c);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
