fake-target: a second answer at once doesn't come into the middle of a long body

With second_kind 5 the second answer was appended behind what had been written of the first, which for a body above the write-ahead is a part of it: the body itself was wrong, signed by the target, and no daemon could tell. Seen as MIXED for c2-109 (247203 bytes) in a trial of stop-faulty-targets.sh. It is now sent at once behind a whole body, and else before the next answer, as other kinds are.

--- a/tests/fake/target/answer.c
+++ b/tests/fake/target/answer.c
@@ -114,7 +114,9 @@
 	}
 	answer_fill(c); /* so that head and body are sent together */
 	second_prepare(c, fields);
-	if (c->second && t->knobs.second_kind == SECOND_AT_ONCE) {
+	/* not into the middle of a long body */
+	if (c->second && t->knobs.second_kind == SECOND_AT_ONCE &&
+	    c->body_left == 0) {
 		g_byte_array_append(c->out, (const guint8 *)c->second->str,
 		    (guint)c->second->len);
 		g_string_free(c->second, TRUE);
