--- a/src/adapter/log/log_event.c
+++ b/src/adapter/log/log_event.c
@@ -17,7 +17,7 @@
 static struct rate rates[EVENT_MAX];
 static GMutex rates_lock;
 static int started;
-static GLogLevelFlags least_level = G_LOG_LEVEL_INFO;
+static gint least_level = G_LOG_LEVEL_INFO; /* set beside tasks that log */
 
 /* Whether the rate limit allows a line; if so, sets @suppressed to the number
  * of lines suppressed since the last one. */
@@ -101,7 +101,7 @@
 	int suppressed;
 	va_list ap;
 
-	if (level > least_level || !rate_allows(e, now, &suppressed))
+	if (!log_level_enabled(level) || !rate_allows(e, now, &suppressed))
 		return;
 	va_start(ap, fmt);
 	put_event(e, level, suppressed, fmt, ap);
@@ -115,7 +115,7 @@
 	int suppressed;
 	va_list ap;
 
-	if (level > least_level)
+	if (!log_level_enabled(level))
 		return;
 	if (!rate_allows(e, now, &suppressed)) {
 		log_request_id(e, now, id, outcome);
@@ -138,7 +138,7 @@
 int
 log_level_enabled(GLogLevelFlags level)
 {
-	return level <= least_level;
+	return (gint)level <= g_atomic_int_get(&least_level);
 }
 
 /* Log writer of GLib: writes messages of libraries as event 0. */
@@ -165,7 +165,7 @@
 void
 log_setup(GLogLevelFlags least)
 {
-	least_level = least;
+	g_atomic_int_set(&least_level, (gint)least);
 	if (!started) {
 		started = 1;
 		g_log_set_writer_func(write_library_message, NULL, NULL);
