member: a member that leaves asks for configuration versions

A daemon that was told to stop, had announced its leaving and still served (its ports stay open while requests run at its target) ended requests with 504 by the time limit of an older version, 0.9 s in place of 3 s, though the newer one had been in force at the others for 2 s. Versions spread by datagrams; the others send none to a member that has left, and that one neither probed them nor watched the store. It learned of a version only from answers to its own calls, whose time limits were fixed by then. Seen by tests/system/stop-config.sh: its event 320 came 2.9 s after that of the others.

Pings with the usual updates: they use up the sends of the update that says that the member leaves, and unit member (leave_reaches_all) failed. Pings without any update: it failed with 10 members (2.49 s). Each ping now says once more that the sender leaves, which isn't counted. A watch of the store in place of pings: each call to the platform is charged for.

Fixed for daemons with other members.

--- a/src/core/member/probe.c
+++ b/src/core/member/probe.c
@@ -29,12 +29,38 @@
 	return time * (1 + t->health);
 }
 
+/* The others send nothing to a member that has left: the configuration version
+ * is in their answers. Other updates are left to the gossip, which counts how
+ * often they are sent. */
+static void
+ask_for_version(struct member_table *t, int64_t now)
+{
+	struct member_message *msg;
+	const struct member *m;
+	int h;
+
+	t->probe.phase = PROBE_IDLE;
+	t->probe.next_at = now + t->limits.gossip_period;
+	if (member_sample(t, 0, 1, &h) == 0)
+		return;
+	m = &member_row(t, h)->m;
+	msg = member_begin_message(t, MEMBER_PING, m->info.id);
+	msg->seq = ++t->seq;
+	member_append_update(t, msg, 0, 0, PIGGYBACK_BYTES);
+	member_send(t, &m->info.address, msg);
+}
+
 static void
 begin_probe(struct member_table *t, int64_t now)
 {
 	struct probe *p = &t->probe;
-	int h = t->leaving ? MEMBER_NONE : next_to_probe(t);
+	int h;
 
+	if (t->leaving) {
+		ask_for_version(t, now);
+		return;
+	}
+	h = next_to_probe(t);
 	p->begun = now;
 	if (h == MEMBER_NONE) {
 		p->phase = PROBE_IDLE;
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -302,6 +302,7 @@
 /** member_leave() - tell the others that we leave
  *
  * The caller goes on calling member_tick() for a second, so that this spreads.
+ * While it does, the others are asked for their configuration versions.
  */
 void member_leave(struct member_table *, int64_t now);
 /** member_set_service() - set our target's service, empty if there is none, and
