stop: other daemons learn which of their calls were taken

What callers saw: 504 unknown, reason lost, to unsafe requests that no target ran, when another daemon ended as planned.

Cause: a connection that ends told nothing about what was taken, so that what was sent and not answered may have run: also what lay unread in the socket of the daemon that ended, and what was sent after it had closed. An end of a stop now sends a last record on each accepted connection, the xid of the last call taken, and reads and drops what comes until the other side has closed, 0.1 s at most. Later calls were not run and are tried elsewhere at no cost.

Ruled out: replies of "not run" to what lies unread, as what is sent later gets none; closing on a look at the socket before each call, as what was sent just before stays unknown.

Calls to a daemon that is killed stay unknown, which is true.

--- a/src/adapter/rpc/peer_dispatch.c
+++ b/src/adapter/rpc/peer_dispatch.c
@@ -111,8 +111,12 @@
 		peer_handle_hello_call(c, x, m.rm_xid, rec, len);
 		return;
 	}
-	if (!authenticate(c, rec, len, PEER_VERF_CALL) ||
-	    handle_call(c, x, m.rm_xid, m.rm_call.cb_proc))
+	if (!authenticate(c, rec, len, PEER_VERF_CALL)) {
+		peer_reject(c);
+		return;
+	}
+	c->taken = m.rm_xid;
+	if (handle_call(c, x, m.rm_xid, m.rm_call.cb_proc))
 		peer_reject(c);
 }
 
--- a/src/adapter/rpc/peer_impl.h
+++ b/src/adapter/rpc/peer_impl.h
@@ -37,6 +37,7 @@
 	uint64_t seq_in; /* number of the next record received */
 	int64_t last_record; /* when it was received, microseconds */
 	uint32_t next_xid;
+	uint32_t taken; /* xid of the last call that was handled */
 	GByteArray *in; /* received part of an incomplete record */
 	int64_t in_since; /* when that record began to arrive */
 	GByteArray *out; /* bytes not yet accepted by the kernel */
--- a/src/daemon/data/data.c
+++ b/src/daemon/data/data.c
@@ -4,6 +4,10 @@
 #include "daemon/inbound/inbound.h"
 #include "daemon/outbound/outbound.h"
 
+/* For other daemons to read, at the end of a stop, which calls were taken; it
+ * lies within the time that a stop keeps for its end. */
+#define FINISH_US 100000
+
 int64_t
 data_now(const struct data *d)
 {
@@ -56,6 +60,8 @@
 {
 	if (peer_is_accepted(conn))
 		inbound_receive_credit(conn, m);
+	else if (m->flags & WIRE_CREDIT_LAST_TAKEN)
+		out_peer_ended(peer_ctx(conn), m->call_xid);
 	else
 		outbound_credit(peer_ctx(conn), m);
 }
@@ -237,6 +243,8 @@
 	abort_calls(d);
 	if (d->server)
 		http_server_free(d->server);
+	if (d->node && d->leave.end)
+		peer_node_finish(d->node, io_clock() + FINISH_US);
 	if (d->node)
 		peer_node_free(d->node);
 	io_timer_clear(d->task.loop, &d->measure_timer);
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -39,6 +39,8 @@
 	char datacentre[DATACENTRE_NAME_MAX];
 	uint32_t handle; /* of the candidate in the pick table of its service */
 	struct peer_conn *conn; /* NULL while there is none */
+	int ended; /* it said that it took no call after @taken */
+	uint32_t taken; /* xid */
 	int64_t connect_after; /* no connect before this time */
 	int64_t probed_at; /* when a silent peer was probed; 0 if it was not */
 	int check_asked; /* the members were asked to check it since then */
@@ -232,6 +234,9 @@
 void out_peer_opened(struct out_peer *);
 /** out_peer_closed() - end the attempts and the pull of a closed connection */
 void out_peer_closed(struct out_peer *);
+/** out_peer_ended() - close the connection to a peer that ends as planned and
+ * took no call after the one with the xid @taken: those were not run */
+void out_peer_ended(struct out_peer *, uint32_t taken);
 /** out_peer_retire() - take a peer out of its service; open attempts go on */
 void out_peer_retire(struct out_peer *);
 /** outbound_set_suspected() - set whether an instance is suspected; new calls
--- a/src/daemon/outbound/peer.c
+++ b/src/daemon/outbound/peer.c
@@ -97,8 +97,16 @@
 		send_pull(p);
 }
 
-/* Attempts that were sent and not answered may have run; those that waited for
- * the connection have not. */
+/* Whether a call was certainly not taken. What became of a repeat's earlier run
+ * is unknown all the same. */
+static int
+not_taken(const struct out_peer *p, const struct out_attempt *a)
+{
+	return p->ended && (int32_t)(a->xid - p->taken) > 0 && !a->call->repeat;
+}
+
+/* Attempts that were sent and not answered may have run, unless the peer said
+ * that it did not take them; those that waited for the connection have not. */
 void
 out_peer_closed(struct out_peer *p)
 {
@@ -117,8 +125,21 @@
 		g_hash_table_iter_init(&it, p->attempts);
 		if (!g_hash_table_iter_next(&it, NULL, &v))
 			break;
-		outbound_attempt_failed(v, RETRY_LOST);
+		if (not_taken(p, v))
+			outbound_attempt_refused(v, WIRE_REASON_NO_TARGET,
+			    NULL);
+		else
+			outbound_attempt_failed(v, RETRY_LOST);
 	}
+	p->ended = 0;
+}
+
+void
+out_peer_ended(struct out_peer *p, uint32_t taken)
+{
+	p->ended = 1;
+	p->taken = taken;
+	peer_close(p->conn);
 }
 
 void
--- a/src/internal/peer.h
+++ b/src/internal/peer.h
@@ -89,6 +89,11 @@
 /** peer_node_stop_listen() - close the listening socket; connections stay
  * open */
 void peer_node_stop_listen(struct peer_node *);
+/** peer_node_finish() - end all connections as planned: each peer that
+ * connected is told which of its calls were the last taken, by a credit with
+ * WIRE_CREDIT_LAST_TAKEN, and has until @until to read that; no record is
+ * handled any more. Call it when no callback runs. */
+void peer_node_finish(struct peer_node *, int64_t until);
 void peer_node_free(struct peer_node *);
 /** peer_node_set_call_bytes() - count the unsent bytes of all connections in a
  * limit, which lasts as long as the node; call it before there are any */
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -167,7 +167,10 @@
 enum {
 	WIRE_BODY_LAST = 1, /* nothing more follows */
 	WIRE_BODY_BROKEN = 2, /* with WIRE_BODY_LAST: the body is cut short */
-	WIRE_BODY_ANSWER = 4 /* part of the answer, not of the request */
+	WIRE_BODY_ANSWER = 4, /* part of the answer, not of the request */
+	/* of a credit of 0 bytes, the last record of an accepted connection:
+	 * calls after that xid were not taken and never will be */
+	WIRE_CREDIT_LAST_TAKEN = 8
 };
 
 /** struct wire_body - arguments of WIRE_BODY; @call_xid is the xid of WIRE_CALL
@@ -183,7 +186,9 @@
  * WIRE_CANCEL; @call_xid is the xid of WIRE_CALL */
 struct wire_credit {
 	uint32_t call_xid;
-	uint32_t flags; /* WIRE_BODY_ANSWER: credit for the answer's body */
+	/* WIRE_BODY_ANSWER: credit for the answer's body; or
+	 * WIRE_CREDIT_LAST_TAKEN */
+	uint32_t flags;
 	uint32_t bytes;
 };
 
--- a/tests/unit/peer.c
+++ b/tests/unit/peer.c
@@ -28,6 +28,8 @@
 	int wrong_bytes; /* body bytes that differ from those sent */
 	char path[64];
 	int status;
+	int ends; /* credits with WIRE_CREDIT_LAST_TAKEN */
+	uint32_t taken; /* xid of the last of them */
 };
 
 static void
@@ -83,8 +85,19 @@
 	s->body_bytes += m->body_len;
 }
 
+static void
+on_credit(void *ctx, struct peer_conn *c, const struct wire_credit *m)
+{
+	struct endpoint *s = ctx;
+
+	ck_assert_uint_eq(m->bytes, 0);
+	s->ends += m->flags == WIRE_CREDIT_LAST_TAKEN;
+	s->taken = m->call_xid;
+}
+
 static const struct peer_ops ops = { .opened = on_opened,
 	.closed = on_closed,
+	.credit = on_credit,
 	.call = on_call,
 	.reply = on_reply,
 	.body = on_body };
@@ -294,6 +307,47 @@
 }
 END_TEST
 
+/* The other end learns which calls were taken, although more came that were not
+ * read, and although it sent yet more when the connection was closed. */
+START_TEST(end_tells_which_calls_were_taken)
+{
+	int64_t before;
+	struct endpoint a, b;
+	struct peer_conn *c;
+	struct wire_call m;
+	uint32_t xid;
+	int i;
+
+	endpoint_open(&a, 11, "k");
+	endpoint_open(&b, 22, "k");
+	c = connect_endpoints(&a, &b);
+	call_init(&m, "/taken");
+	peer_send_call(c, &m);
+	xid = peer_send_call(c, &m);
+	ck_assert(run_until(&a, &b, &b.replies, 2));
+	call_init(&m, "/unread");
+	for (i = 0; i < 3; i++)
+		ck_assert_uint_gt(peer_send_call(c, &m), xid);
+	before = io_clock();
+	peer_node_finish(a.node, before + 100000);
+	ck_assert_int_lt(io_clock() - before, 1000000);
+	for (i = 0; i < 3; i++)
+		ck_assert_uint_gt(peer_send_call(c, &m), xid);
+	endpoint_close(&a);
+	for (i = 0; i < 3; i++)
+		peer_send_call(c, &m);
+	for (i = 0; i < ITERATIONS_MAX && !b.closed; i++) {
+		g_main_context_iteration(b.context, FALSE);
+		g_usleep(1000);
+	}
+	ck_assert_int_eq(b.closed, 1);
+	ck_assert_int_eq(b.ends, 1);
+	ck_assert_uint_eq(b.taken, xid);
+	ck_assert_int_eq(a.calls, 2);
+	endpoint_close(&b);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -311,6 +365,7 @@
 	tcase_add_test(c, unknown_key_is_rejected);
 	tcase_add_test(c, second_key_is_accepted);
 	tcase_add_test(c, invalid_records_are_rejected);
+	tcase_add_test(c, end_tells_which_calls_were_taken);
 	suite_add_tcase(s, c);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
