retry: an attempt that could not start costs nothing

What callers saw: 502 or 503 though the retry budget had not been used for attempts that reached a target.

Cause, found by a review by reading: the payment for an extra attempt was kept when then no target was left for it, or the stop was too near.

find-request.sh ends the daemon by SIGABRT, as the sanitizers handle SIGSEGV themselves; stop-calls.sh waits until all requests run.

--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -155,12 +155,14 @@
 try_again(struct out_call *c, enum retry_cause cause, int is_free)
 {
 	int64_t now = data_now(c->data);
-	int go = is_free && now < c->deadline && !c->repeat;
-
-	if (!go && !c->repeat)
-		go = retry_allow_resend(&c->service->retry, &c->retry, cause,
-			 now) == RETRY_GO;
-	if (go && !outbound_start_attempt(c)) {
+	int started = 0;
+
+	if (is_free && now < c->deadline && !c->repeat)
+		started = !outbound_start_attempt(c);
+	else if (!c->repeat && retry_allow_resend(&c->service->retry, &c->retry,
+				   cause, now) == RETRY_GO)
+		started = !outbound_start_paid(c);
+	if (started) {
 		c->data->counters.retries++;
 		return;
 	}
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -112,6 +112,15 @@
 	return -1;
 }
 
+int
+outbound_start_paid(struct out_call *c)
+{
+	if (!outbound_start_attempt(c))
+		return 0;
+	retry_refund(&c->service->retry, &c->retry);
+	return -1;
+}
+
 /* Makes a new request id for an attempt at a request that is not idempotent;
  * -1 when the clock of its peer is not known yet. A repeat keeps its id. */
 static int
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -36,7 +36,7 @@
 		return;
 	if (retry_allow_hedge(&c->service->retry, &c->retry, now) != RETRY_GO)
 		return;
-	if (!outbound_start_attempt(c))
+	if (!outbound_start_paid(c))
 		c->data->counters.hedges++;
 }
 
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -142,6 +142,9 @@
  * ATTEMPTS_OPEN_MAX are open, bytes of the body were freed, or no attempt or
  * target is left */
 int outbound_start_attempt(struct out_call *);
+/** outbound_start_paid() - the same for an attempt that was paid for; the
+ * payment is taken back if it can't start */
+int outbound_start_paid(struct out_call *);
 /** outbound_attempt_send() - send an attempt on its open connection; 0 or -1 */
 int outbound_attempt_send(struct out_attempt *);
 /** outbound_body_share() - get how many bytes of a request's body may be held
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -144,7 +144,7 @@
 		if (retry_allow_resend(&c->service->retry, &c->retry,
 			RETRY_FAILED, now) != RETRY_GO)
 			return 0;
-		if (outbound_start_attempt(c))
+		if (outbound_start_paid(c))
 			return 0;
 		c->data->counters.retries++;
 	}
--- a/src/daemon/outbound/silence.c
+++ b/src/daemon/outbound/silence.c
@@ -72,7 +72,7 @@
 		c->reached++;
 		if (retry_allow_resend(&c->service->retry, &c->retry,
 			RETRY_LOST, now) == RETRY_GO &&
-		    !outbound_start_attempt(c))
+		    !outbound_start_paid(c))
 			c->data->counters.retries++;
 	}
 	g_ptr_array_unref(calls);
--- a/src/internal/retry.h
+++ b/src/internal/retry.h
@@ -142,6 +142,9 @@
  * in progress; RETRY_GO pays for it */
 enum retry_verdict
 retry_allow_hedge(struct retry *, struct retry_call *, int64_t now);
+/** retry_refund() - take back the payment for an attempt that could not be
+ * started */
+void retry_refund(struct retry *, struct retry_call *);
 /** retry_call_end() - end a call: at depth 0, return the tokens reserved and
  * charge those used */
 void retry_call_end(struct retry *, struct retry_call *);
--- a/tests/system/find-request.sh
+++ b/tests/system/find-request.sh
@@ -49,7 +49,7 @@
 done
 log_of 1 | grep "event=420 .*reason=other sender=$fleet_net.1.2:8410 .*to=$killed" | tail -n 1 | grep -q . ||
 	fleet_fail "the next process doesn't say that 1.2 still sends to $killed"
-kill -SEGV "$fleet_daemon_1_1"
+kill -ABRT "$fleet_daemon_1_1"
 sleep 0.3
-log_of 1 | tail -n 1 | grep -q 'event=107 .*signal=11' || fleet_fail "the end by a signal isn't in the log"
+log_of 1 | tail -n 1 | grep -q 'event=107 .*signal=6' || fleet_fail "the end by a signal isn't in the log"
 exit $failed
--- a/tests/system/stop-calls.sh
+++ b/tests/system/stop-calls.sh
@@ -34,7 +34,8 @@
 	ask "n-$i" &
 	asked="${asked-} $!"
 done
-sleep 0.3
+all_run() { [ "$(grep -c ' run .* key=n-[0-9]* ' "$fleet_dir/target-1-1.history")" = $REQUESTS ]; }
+fleet_wait_until 1 all_run
 # shellcheck disable=SC2154
 kill "$fleet_daemon_1_1"
 wait "$fleet_daemon_1_1"
--- a/tests/unit/retry.c
+++ b/tests/unit/retry.c
@@ -218,6 +218,24 @@
 }
 END_TEST
 
+START_TEST(attempt_that_does_not_start_costs_nothing)
+{
+	struct retry_call c;
+	struct retry r;
+	int late = _i;
+
+	retry_init(&r, 0.15, 0);
+	retry_set_pays_late(&r, late);
+	retry_set_tokens_max(&r, 2.9);
+	retry_call_start(&r, &c, 0, 0, 1, NO_DEADLINE);
+	ck_assert_int_eq(retry_allow_resend(&r, &c, RETRY_LOST, 0), RETRY_GO);
+	retry_refund(&r, &c);
+	ck_assert_int_eq(c.extra_left, 2);
+	retry_call_end(&r, &c);
+	ck_assert_double_eq_tol(r.tokens, 2.9, 1e-9);
+}
+END_TEST
+
 /* Attempts beyond the first stay within the ratio and the share, however many
  * calls are open at a time. */
 START_TEST(late_payment_stays_within_the_budget)
@@ -307,6 +325,7 @@
 	tcase_add_test(c, tree_within_1_2);
 	tcase_add_loop_test(c, extra_attempts_within_ratio, 0, 4);
 	tcase_add_test(c, open_calls_leave_the_budget_to_the_one_that_fails);
+	tcase_add_loop_test(c, attempt_that_does_not_start_costs_nothing, 0, 2);
 	tcase_add_test(c, late_payment_stays_within_the_budget);
 	tcase_add_test(c, non_idempotent_resent_only_after_not_run);
 	tcase_add_test(c, no_attempt_that_cannot_finish);
