stop: few short answers don't admit long work late in a stop

What callers saw: 504 from a daemon that had been told to stop just after its start, for a request that came 3.2 s after SIGTERM and at which the target was at work.

Cause: the route had 13 answers since the start, all under 0.3 s; what is allowed beyond their mean was four times their spread. Work that takes longer than 1.5 s one time in eight is often not among 13.

Ruled out: a fixed number of answers, which would refuse routes of little traffic whose answers are alike.

--- a/src/core/leave/plan.c
+++ b/src/core/leave/plan.c
@@ -37,3 +37,15 @@
 		return 1;
 	return usual_us && now + usual_us + WAY_US <= p->answer_by;
 }
+
+int
+leave_fits_kind(const struct leave_plan *p, int64_t now, int64_t deadline,
+    const struct answer_time *t)
+{
+	int64_t usual_us = 0;
+
+	if (p->end && t)
+		usual_us = now < p->serve_until ? answer_time_most(t)
+						: answer_time_most_late(t);
+	return leave_fits(p, now, deadline, usual_us);
+}
--- a/src/daemon/data/leave.c
+++ b/src/daemon/data/leave.c
@@ -49,8 +49,7 @@
 int
 data_leave_fits(struct data *d, int64_t deadline, const struct answer_time *t)
 {
-	return leave_fits(&d->leave, data_now(d), deadline,
-	    t ? answer_time_most(t) : 0);
+	return leave_fits_kind(&d->leave, data_now(d), deadline, t);
 }
 
 void
--- a/src/internal/leave.h
+++ b/src/internal/leave.h
@@ -65,5 +65,15 @@
 /** answer_time_most() - time within which nearly all answers come, in
  * microseconds; 0 after too few answers */
 int64_t answer_time_most(const struct answer_time *);
+/** answer_time_most_late() - the same for a request that comes late in a stop:
+ * few answers that differ count for less, as little time is left for one that
+ * takes longer */
+int64_t answer_time_most_late(const struct answer_time *);
+
+/** leave_fits_kind() - whether a request of a kind that takes @t fits; NULL if
+ * only its deadline counts. Late is what comes once callers were served for
+ * the time of the plan. */
+int leave_fits_kind(const struct leave_plan *, int64_t now, int64_t deadline,
+    const struct answer_time *t);
 
 #endif
--- a/tests/unit/leave.c
+++ b/tests/unit/leave.c
@@ -208,6 +208,42 @@
 }
 END_TEST
 
+/* scripts/planned 23: the answers of a route since its daemon was started, and
+ * the request after them, 3.2 s after SIGTERM, which took 3.4 s. */
+START_TEST(few_answers_that_differ_do_not_admit_late_requests)
+{
+	static const int ms[] = { 147, 100, 202, 276, 223, 94, 202, 123, 151,
+		90, 110, 137, 181 };
+	struct answer_time t = { 0 };
+	struct leave_plan p;
+	size_t i;
+
+	for (i = 0; i < sizeof ms / sizeof *ms; i++)
+		answer_time_note(&t, ms[i] * MS);
+	leave_plan_init(&p, NOW, 2600 * MS, 6000 * MS);
+	ck_assert(leave_fits_kind(&p, NOW + 2599 * MS, NOW + 9810 * MS, &t));
+	ck_assert(!leave_fits_kind(&p, NOW + 3190 * MS, NOW + 9810 * MS, &t));
+	ck_assert(leave_fits_kind(&p, NOW + 3190 * MS, NOW + 5500 * MS, &t));
+}
+END_TEST
+
+START_TEST(many_answers_or_alike_admit_late_requests)
+{
+	struct answer_time few = { 0 }, many = { 0 };
+	struct leave_plan p;
+	int i;
+
+	for (i = 0; i < 15; i++)
+		answer_time_note(&few, (200 + i % 3) * MS);
+	for (i = 0; i < 200; i++)
+		answer_time_note(&many, (100 + i % 5 * 50) * MS);
+	leave_plan_init(&p, NOW, 2600 * MS, 6000 * MS);
+	ck_assert(leave_fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, &few));
+	ck_assert(leave_fits_kind(&p, NOW + 4400 * MS, NOW + 9810 * MS, &many));
+	ck_assert(!leave_fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, NULL));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -231,6 +267,8 @@
 	tcase_add_test(t, request_without_an_answer_yet_is_included);
 	tcase_add_test(t, long_answer_is_forgotten_after_many_short_ones);
 	tcase_add_test(t, longer_work_is_noticed_after_few_answers);
+	tcase_add_test(t, few_answers_that_differ_do_not_admit_late_requests);
+	tcase_add_test(t, many_answers_or_alike_admit_late_requests);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
