tried: targets that refused for another one's sake are asked again if it is gone

What callers saw: 503 no-target, or 502 to safe requests, with 0.2 to 5.0 s left, while other targets of the service were there, with 0 to 14 of 80 slots in use.

Cause: a target may refuse as full while another one is left for the request. If that one is gone (its daemon was killed and the members don't know yet), the request ended, as the second round was only for refusals by slow and stopping targets.

A last target that is full itself starts no second round, so that an overloaded service gets no further attempts.

Before and after: unit tried, second_round_if_the_target_left_is_gone fails without the change.

--- a/src/core/pick/tried.c
+++ b/src/core/pick/tried.c
@@ -10,6 +10,12 @@
 	       (t->soft_refusals || (uint32_t)t->n < pick_count(p));
 }
 
+void
+tried_note_full(struct tried *t, int allowed)
+{
+	t->allowed_full = allowed ? t->allowed_full + 1 : 0;
+}
+
 static uint32_t
 choose_untried(struct tried *t, struct pick *p, int64_t now)
 {
@@ -23,7 +29,8 @@
 {
 	uint32_t h = choose_untried(t, p, now);
 
-	if (h == PICK_NONE && t->soft_refusals && !t->second_round) {
+	if (h == PICK_NONE && !t->second_round &&
+	    (t->soft_refusals || t->allowed_full)) {
 		t->second_round = 1;
 		t->n = 0;
 		h = choose_untried(t, p, now);
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -194,6 +194,8 @@
 	c->reached += reason == WIRE_REASON_SHED;
 	c->tried.soft_refusals +=
 	    reason == WIRE_REASON_SLOW || reason == WIRE_REASON_DRAINING;
+	if (reason == WIRE_REASON_FULL)
+		tried_note_full(&c->tried, a->refusable);
 	outbound_trace_attempt(a, wire_reason_name(reason), 0);
 	outbound_log_attempt(a, "not-run", 0, load);
 	pick_refused(c->service->pick, a->handle, data_now(c->data), reason,
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -158,15 +158,18 @@
  * only while another one is left for it; a crowded one also only if the call
  * has more than one extra attempt left. */
 static uint32_t
-call_flags(const struct out_call *c)
+call_flags(struct out_attempt *a)
 {
-	int refusable =
+	const struct out_call *c = a->call;
+	int movable;
+
+	a->refusable =
 	    can_move(c) && tried_may_refuse(&c->tried, c->service->pick);
-	int movable = refusable && retry_movable(&c->service->retry, &c->retry);
+	movable = a->refusable && retry_movable(&c->service->retry, &c->retry);
 
 	return (c->idempotent ? WIRE_CALL_IDEMPOTENT : 0) |
 	       (c->repeat ? WIRE_CALL_REPEAT : 0) |
-	       (refusable ? WIRE_CALL_HAS_ALTERNATIVE : 0) |
+	       (a->refusable ? WIRE_CALL_HAS_ALTERNATIVE : 0) |
 	       (movable ? WIRE_CALL_REFUSE_CROWDED : 0);
 }
 
@@ -190,7 +193,7 @@
 	m->left_us =
 	    left_us(c->body_whole ? c->deadline : c->caller_deadline, now);
 	m->objective_us = left_us(MIN(c->objective, c->deadline), now);
-	m->flags = call_flags(c);
+	m->flags = call_flags(a);
 	m->retries_left = retry_begin_attempt(&c->retry);
 	m->depth = c->retry.depth + 1;
 	m->service = c->service->conf.name;
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -67,6 +67,7 @@
 	int64_t started;
 	size_t body_sent; /* bytes of the body */
 	int end_sent; /* the last message of the body was sent */
+	int refusable; /* the target may refuse, as another one is left */
 	size_t credit; /* bytes of the body that may still be sent */
 	size_t window; /* most bytes of the answer given credit at once */
 	size_t promised; /* bytes of the answer that may still come */
--- a/src/internal/tried.h
+++ b/src/internal/tried.h
@@ -27,18 +27,24 @@
  * @total: attempts in both rounds
  * @soft_refusals: refusals because the target's machine was slow, or its daemon
  *	stops
+ * @allowed_full: refusals by targets that were full and could refuse only as
+ *	another target was left, if none was full beyond that
  * @second_round: nonzero once the second round has begun */
 struct tried {
 	uint32_t handle[TRIED_MAX];
 	int n;
 	int total;
 	int soft_refusals;
+	int allowed_full;
 	int second_round;
 };
 
 /** tried_next() - choose the next target and add it to those tried.
  * Return: handle, or PICK_NONE when none is left. */
 uint32_t tried_next(struct tried *, struct pick *, int64_t now);
+/** tried_note_full() - a target was full and refused; @allowed: it could refuse
+ * only as another target was left */
+void tried_note_full(struct tried *, int allowed);
 /** tried_may_refuse() - whether a target that is slow or full may refuse the
  * request, because another can be tried without using retry budget */
 int tried_may_refuse(const struct tried *, const struct pick *);
--- a/tests/unit/tried.c
+++ b/tests/unit/tried.c
@@ -95,6 +95,43 @@
 }
 END_TEST
 
+/* Two targets refuse since a third one is left, and that one turns out to be
+ * gone: they are tried once more, and may not refuse again. */
+START_TEST(second_round_if_the_target_left_is_gone)
+{
+	struct pick *p = new_table(3);
+	struct tried t = { 0 };
+	int n;
+
+	for (n = 0; n < 2; n++) {
+		ck_assert_uint_ne(tried_next(&t, p, 0), PICK_NONE);
+		ck_assert_int_eq(tried_may_refuse(&t, p), 1);
+		tried_note_full(&t, 1);
+	}
+	ck_assert_uint_ne(tried_next(&t, p, 0), PICK_NONE);
+	ck_assert_int_eq(tried_may_refuse(&t, p), 0);
+	ck_assert_uint_ne(tried_next(&t, p, 0), PICK_NONE);
+	ck_assert_int_eq(tried_may_refuse(&t, p), 0);
+	pick_free(p);
+}
+END_TEST
+
+/* Full targets that had to take the request get it once. */
+START_TEST(no_second_round_if_the_last_target_is_full)
+{
+	struct pick *p = new_table(3);
+	struct tried t = { 0 };
+	int n = 0;
+
+	while (tried_next(&t, p, 0) != PICK_NONE) {
+		tried_note_full(&t, tried_may_refuse(&t, p));
+		n++;
+	}
+	ck_assert_int_eq(n, 3);
+	pick_free(p);
+}
+END_TEST
+
 START_TEST(tried_targets_are_bounded)
 {
 	struct pick *p = new_table(4 * TRIED_MAX);
@@ -121,6 +158,8 @@
 	tcase_add_test(c, may_refuse_until_soft_max_or_second_round);
 	tcase_add_test(c, last_target_may_not_refuse);
 	tcase_add_test(c, last_free_target_may_not_refuse);
+	tcase_add_test(c, second_round_if_the_target_left_is_gone);
+	tcase_add_test(c, no_second_round_if_the_last_target_is_full);
 	tcase_add_test(c, tried_targets_are_bounded);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
