--- a/tests/fake/planned/answer.c
+++ b/tests/fake/planned/answer.c
@@ -9,6 +9,8 @@
 #define GIVE_UP_US 400000 /* after the deadline */
 #define SLOW_READ_BYTES 25000
 #define SLOW_READ_US 50000
+#define LENGTH_NONE (-1)
+#define LENGTH_CHUNKED (-2)
 
 /* Receives more bytes; 0, or -1 at the end of the connection or at @end. */
 static int
@@ -52,8 +54,8 @@
 	g_free(key);
 }
 
-/* Reads a head; the length of the body, or -1 if there is no whole head or one
- * that isn't an answer with a length. */
+/* Reads a head; the length of the body, LENGTH_CHUNKED, or LENGTH_NONE if there
+ * is no whole head or one that isn't an answer with a length. */
 static int64_t
 read_head(struct conn *c, const struct request *r, struct answer *a,
     int64_t end)
@@ -63,7 +65,7 @@
 
 	while (!(head_end = strstr(c->in, "\r\n\r\n")))
 		if (receive(c, end))
-			return -1;
+			return LENGTH_NONE;
 	head_end[2] = '\0';
 	if (strncmp(c->in, "HTTP/1.1 ", 9) != 0)
 		a->outcome = OUTCOME_BAD;
@@ -76,8 +78,11 @@
 	head_field(c->in, "Connection", value, sizeof value);
 	a->closes = !g_ascii_strcasecmp(value, "close");
 	head_field(c->in, "Content-Length", value, sizeof value);
-	length = *value ? strtoll(value, NULL, 10) : -1;
-	if (length < 0 || (a->status / 100 == 2 && length != r->bytes))
+	length = *value ? strtoll(value, NULL, 10) : LENGTH_NONE;
+	head_field(c->in, "Transfer-Encoding", value, sizeof value);
+	if (!g_ascii_strcasecmp(value, "chunked"))
+		length = LENGTH_CHUNKED;
+	else if (length < 0 || (a->status / 100 == 2 && length != r->bytes))
 		a->outcome = OUTCOME_BAD;
 	drop(c, (size_t)(head_end - c->in) + 4);
 	return length;
@@ -99,18 +104,19 @@
 	return 1;
 }
 
-/* Reads a body; 0, or -1 if it is not complete. */
+/* Reads bytes of a body up to the position @to; 0, or -1 if they are not
+ * complete. */
 static int
-read_body(struct conn *c, const struct request *r, struct answer *a,
-    int64_t length, int64_t end)
+read_bytes(struct conn *c, const struct request *r, struct answer *a,
+    int64_t at, int64_t to, int64_t end)
 {
-	int64_t at = 0, paused = 0;
+	int64_t paused = at;
 	size_t n;
 
-	while (at < length) {
+	while (at < to) {
 		if (!c->n && receive(c, end))
 			return -1;
-		n = MIN(c->n, (size_t)(length - at));
+		n = MIN(c->n, (size_t)(to - at));
 		if (a->status / 100 == 2 && !is_body(c, r, at, n))
 			a->outcome = OUTCOME_BAD;
 		drop(c, n);
@@ -124,6 +130,62 @@
 	return 0;
 }
 
+/* Reads a line into @t without its end; 0, or -1 if it is not complete. */
+static int
+read_line(struct conn *c, char *t, size_t size, int64_t end)
+{
+	char *line_end;
+
+	while (!(line_end = strstr(c->in, "\r\n")))
+		if (receive(c, end))
+			return -1;
+	*line_end = '\0';
+	g_strlcpy(t, c->in, size);
+	drop(c, (size_t)(line_end - c->in) + 2);
+	return 0;
+}
+
+/* Reads a body in chunks and the trailer; 0, or -1 if it is not complete. */
+static int
+read_chunks(struct conn *c, const struct request *r, struct answer *a,
+    int64_t end)
+{
+	char line[ID_MAX], *rest;
+	int64_t at = 0, n;
+
+	for (;;) {
+		if (read_line(c, line, sizeof line, end))
+			return -1;
+		n = strtoll(line, &rest, 16);
+		if (rest == line || n < 0)
+			a->outcome = OUTCOME_BAD;
+		if (n <= 0)
+			break;
+		if (read_bytes(c, r, a, at, at + n, end) ||
+		    read_line(c, line, sizeof line, end))
+			return -1;
+		if (*line)
+			a->outcome = OUTCOME_BAD;
+		at += n;
+	}
+	if (a->status / 100 == 2 && at != r->bytes)
+		a->outcome = OUTCOME_BAD;
+	do
+		if (read_line(c, line, sizeof line, end))
+			return -1;
+	while (*line);
+	return 0;
+}
+
+static int
+read_body(struct conn *c, const struct request *r, struct answer *a,
+    int64_t length, int64_t end)
+{
+	if (length == LENGTH_CHUNKED)
+		return read_chunks(c, r, a, end);
+	return length < 0 ? -1 : read_bytes(c, r, a, 0, length, end);
+}
+
 void
 answer_read(struct conn *c, const struct request *r, struct answer *a)
 {
@@ -132,7 +194,7 @@
 
 	memset(a, 0, sizeof *a);
 	length = read_head(c, r, a, end);
-	if (length >= 0 && !read_body(c, r, a, length, end))
+	if (!read_body(c, r, a, length, end))
 		return;
 	if (a->outcome == OUTCOME_BAD)
 		return;
--- a/tests/fake/planned/main.c
+++ b/tests/fake/planned/main.c
@@ -76,9 +76,11 @@
 	struct arg_int *seed = arg_int1(NULL, "seed", "N", "seed");
 	struct arg_lit *mesh =
 	    arg_lit0(NULL, "mesh", "send the requests of the users' mesh");
+	struct arg_lit *chunked = arg_lit0(NULL, "chunked",
+	    "send half of the bodies of the mesh in chunks");
 	struct arg_end *end = arg_end(5);
 	void *table[] = { to, host, name, history, seconds, threads, seed, mesh,
-		end };
+		chunked, end };
 	struct caller c = { 0 };
 	struct kq_error e;
 
@@ -93,6 +95,7 @@
 	c.host = host->sval[0];
 	c.name = name->sval[0];
 	c.mesh = mesh->count;
+	c.chunked = chunked->count;
 	c.end = io_clock() + seconds->ival[0] * G_USEC_PER_SEC;
 	if (history_open(&c.history, history->sval[0], c.name, &e) < 0) {
 		fprintf(stderr, "fake-planned: %s\n", e.text);
--- a/tests/fake/planned/mesh.c
+++ b/tests/fake/planned/mesh.c
@@ -66,4 +66,6 @@
 	r->bytes = g_rand_int_range(c->rand, 1, ANSWER_BYTES);
 	r->body_bytes = k->body_bytes;
 	r->limit_ms = k->deadline_ms;
+	if (c->caller->chunked && r->body_bytes)
+		r->chunked = g_rand_boolean(c->rand);
 }
--- a/tests/fake/planned/planned.h
+++ b/tests/fake/planned/planned.h
@@ -41,6 +41,8 @@
 	const char *host;
 	const char *name; /* first part of the ids of requests */
 	int mesh; /* nonzero: requests are those of the users' mesh */
+	int chunked; /* nonzero: half of the bodies of the mesh come in chunks
+		      */
 	int64_t end; /* io_clock() time at which no more requests are sent */
 	gint last_conn; /* number of the last connection */
 	gint last_request; /* number of the last request */
@@ -58,6 +60,7 @@
 	int work_ms;
 	int bytes; /* of the answer */
 	int body_bytes; /* of the request */
+	int chunked; /* nonzero: the body is sent in chunks */
 	int limit_ms; /* deadline */
 	int64_t start; /* of sending */
 };
--- a/tests/fake/planned/request.c
+++ b/tests/fake/planned/request.c
@@ -13,6 +13,7 @@
 #define LARGE_BYTES 400000
 #define SMALL_BYTES 2000
 #define BODY_MAX 20000
+#define CHUNKS 5 /* that a body has */
 #define PIECES 8 /* that a body is sent in */
 #define PAUSE_MAX_US 200000 /* between them */
 #define TEXT_MAX 1024
@@ -77,7 +78,9 @@
 		    r->once ? "once" : "safe",
 		    g_rand_int_range(c->rand, 0,
 			r->once ? ONCE_ROUTES : SAFE_ROUTES));
-	if (r->body_bytes)
+	if (r->chunked)
+		g_strlcpy(body, "Transfer-Encoding: chunked\r\n", sizeof body);
+	else if (r->body_bytes)
 		g_snprintf(body, sizeof body, "Content-Length: %d\r\n",
 		    r->body_bytes);
 	return g_snprintf(t, size,
@@ -118,15 +121,38 @@
 	return 0;
 }
 
+/* The body as it is sent; chunks of equal size do not end where pieces do. */
+static GString *
+format_body(const struct request *r)
+{
+	GString *b = g_string_new(NULL);
+	int left = r->body_bytes, n = r->body_bytes;
+
+	if (r->chunked)
+		n = MAX(1, left / CHUNKS);
+	while (left > 0) {
+		n = MIN(n, left);
+		if (r->chunked)
+			g_string_append_printf(b, "%x\r\n", (unsigned)n);
+		g_string_set_size(b, b->len + (gsize)n);
+		memset(b->str + b->len - n, 'b', (size_t)n);
+		if (r->chunked)
+			g_string_append(b, "\r\n");
+		left -= n;
+	}
+	if (r->chunked)
+		g_string_append(b, "0\r\n\r\n");
+	return b;
+}
+
 static int
-send_body(struct conn *c, size_t n)
+send_body(struct conn *c, const struct request *r)
 {
-	char *body = g_malloc(n);
-	int bad;
+	GString *b = format_body(r);
+	int bad = send_pieces(c, b->str, b->len,
+	    c->way == WAY_SLOW_BODY ? PIECES : 1);
 
-	memset(body, 'b', n);
-	bad = send_pieces(c, body, n, c->way == WAY_SLOW_BODY ? PIECES : 1);
-	g_free(body);
+	g_string_free(b, TRUE);
 	return bad;
 }
 
@@ -156,7 +182,7 @@
 	}
 	bad = send_pieces(c, t, length, c->way == WAY_HALVES ? 2 : 1);
 	if (!bad && r->body_bytes)
-		bad = send_body(c, (size_t)r->body_bytes);
+		bad = send_body(c, r);
 	for (i = 0; i < n && !bad; i++)
 		log_sent(c, &r[i], i > 0);
 	return bad;
