planned.awk: kills beside the target apart from those of the own daemon; cases of the mesh

Of a review: the excuse for kills hid how many requests ended with the daemon of their target, which the users' rules may count; the two are printed apart now.

--- a/tests/history/planned.awk
+++ b/tests/history/planned.awk
@@ -12,6 +12,7 @@
 	REFUSE_LATE = 1000000	# after a request was whole
 	KEPT_MAX = 3		# losses beside no planned work
 	PLAN_SLACK = 20000	# by which the plan's times may be early
+	START = 1000000		# until a daemon's ports are open
 	CONFIG_TIMES = 3	# as many cuts beside a configuration
 	FINDINGS_MAX = 8	# printed with their events
 	LINES_MAX = 40		# of these
@@ -50,7 +51,7 @@
 	}
 	if ($3 == "config-acked")
 		acked[field("version")] = $1
-	if ($3 == "end" && !was_killed(at, $1) && (field("status") != 0 || !ends_in_time(at, $1)))
+	if ($3 == "end" && !(was_killed(at, $1) && field("status") == 137) && (field("status") != 0 || !ends_in_time(at, $1)))
 		ended[++ends] = $0
 	if (at != "")
 		remember(at, $0)
@@ -115,19 +116,23 @@
 # Nonzero if the process that ends at t was killed by the plan.
 function was_killed(at, t) { return last("kill", at, t) > last("start", at, t) }
 
-# Nonzero if a request ended with the killed process that took it or that it ran beside.
-function beside_kill(id, t) {
+# Why a request is excused that ended with the killed process that took it or that it ran
+# beside; empty if it did not.
+function killed_with(id, t) {
 	t = last("kill", to[id], over[id])
 	if (t && t > over[id] - TOUCH)
-		return 1
+		return "its daemon was killed"
 	t = last("kill", ran_beside[id], over[id])
-	return t && t >= sent[id] - PLAN_SLACK
+	if (t && t >= sent[id] - PLAN_SLACK)
+		return "the daemon beside its target was killed"
+	return ""
 }
 
 # Nonzero if a process that was not killed runs at a machine, so that it takes calls of
 # its target's requests.
 function runs_at(at, t) {
-	return last("start", at, t) && last("start", at, t) > last("end", at, t) &&
+	return last("start", at, t - START) && last("start", at, t) > last("end", at, t) &&
+	    last("start", at, t) <= t - START &&
 	    !was_killed(at, t) && last("kill", at, t + 2 * PLAN_SLACK) <= last("start", at, t)
 }
 
@@ -230,8 +235,8 @@
 function judge_loss(id, t) {
 	if (broke[id])
 		return excuse("worker broke off")
-	if (beside_kill(id))
-		return excuse("a daemon that it touched was killed")
+	if (killed_with(id))
+		return excuse(killed_with(id))
 	if (over[id] >= limit[id])
 		return without_answer(id, "deadline or timeout reached")
 	if (!passed_on[id] && behind[id])
