log: ids beyond the rate are counted when the log stops

At the stop of the log the counts are written. Unit log: written and counted are all ids; before, the counts of the last second were missing.

--- a/src/adapter/log/log_ids.c
+++ b/src/adapter/log/log_ids.c
@@ -47,7 +47,19 @@
 		l->second = second;
 		l->lines = 0;
 	}
-	return l->lines < ID_LINES_PER_S_MAX;
+	return l->lines < ID_LINES_PER_S_MAX - 1; /* one is for the list */
+}
+
+/* Adds an id to the list; the lock is held. */
+static void
+append(struct id_list *l, const char *item, size_t n)
+{
+	if (l->len + n + 1 > LIST_BYTES)
+		put_list(l);
+	if (l->len)
+		l->text[l->len++] = ',';
+	memcpy(l->text + l->len, item, n);
+	l->len += n;
 }
 
 void
@@ -56,27 +68,21 @@
 	struct id_list *l = &lists[e - EVENT_REQUEST_FIRST];
 	char item[ID_BYTES_MAX + OUTCOME_BYTES_MAX + 2];
 	size_t n;
-	int first;
+	int first, written;
 
 	if (!log_level_enabled(G_LOG_LEVEL_INFO))
 		return;
 	n = (size_t)g_snprintf(item, sizeof item, "%.*s%s%.*s", ID_BYTES_MAX,
 	    id, outcome ? "/" : "", OUTCOME_BYTES_MAX, outcome ? outcome : "");
 	g_mutex_lock(&lists_lock);
-	if (!rate_allows(l, now)) {
-		l->lost++;
-		g_mutex_unlock(&lists_lock);
-		return;
-	}
-	if (l->len + n + 1 > LIST_BYTES)
-		put_list(l);
 	first = !l->len;
-	if (!first)
-		l->text[l->len++] = ',';
-	memcpy(l->text + l->len, item, n);
-	l->len += n;
+	written = rate_allows(l, now);
+	if (written)
+		append(l, item, n);
+	else
+		l->lost++;
 	g_mutex_unlock(&lists_lock);
-	if (first)
+	if (first && written)
 		log_sink_flush_ids();
 }
 
--- a/src/adapter/log/log_sink.c
+++ b/src/adapter/log/log_sink.c
@@ -139,7 +139,7 @@
 		g_usleep(GATHER_MS * 1000);
 		g_mutex_lock(&sink.lock);
 	}
-	if (!sink.flush_ids)
+	if (!sink.flush_ids && !sink.stop)
 		return;
 	sink.flush_ids = 0;
 	g_mutex_unlock(&sink.lock);
--- a/tests/unit/log.c
+++ b/tests/unit/log.c
@@ -165,8 +165,9 @@
 
 START_TEST(ids_are_bounded_and_counted)
 {
-	int i, fd = redirect_output(), lines = 0;
+	int i, fd = redirect_output(), lines = 0, written = 0;
 	char id[64], *text, *at;
+	long lost = 0;
 
 	log_setup(G_LOG_LEVEL_INFO);
 	for (i = 0; i < 100 * ID_LINES_PER_S_MAX; i++) {
@@ -178,8 +179,13 @@
 	text = read_log(fd);
 	for (at = text; (at = strstr(at, "event=516 requests=")); at++)
 		lines++;
+	for (at = text; (at = strstr(at, " ids_left_out=")); at++)
+		lost += strtol(at + strlen(" ids_left_out="), NULL, 10);
+	for (at = text; (at = strstr(at, "00000000000000")); at += 60)
+		written++;
 	ck_assert_int_le(lines, ID_LINES_PER_S_MAX + 1);
-	ck_assert_ptr_nonnull(strstr(text, " ids_left_out="));
+	ck_assert_int_gt(lost, 0);
+	ck_assert_int_eq(written + lost, 100 * ID_LINES_PER_S_MAX);
 }
 END_TEST
 
