log: 510 names no instance where an answer was taken back

Found by a review, by reading: the instance stayed after take_answer_back(), so that a line with outcome=unknown named one that had answered nothing.

--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -91,6 +91,7 @@
 	outbound_hold_end(c);
 	c->state = OUT_TRYING;
 	c->winner = NULL;
+	c->answered_by = 0;
 	c->status = 0;
 	c->may_have_run = 1;
 	return 0;
