outbound: a request has to be complete within its route's time limit

What callers saw: nothing yet; found by a review of the limit that counts from the last byte, by reading. A request that didn't become complete, also as the daemon had stopped reading it, was held until its caller's deadline, up to 600 s; a stop admitted a request that is sent on in pieces by a deadline that moved later, and ended it at its target's work.

The limit counts from the head until the request is complete and starts anew then, so that it is held twice the limit at most. A stop, and the daemon beside the target, go by the latest deadline of a request that is sent on in pieces; its retries by the present one.

--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -199,8 +199,7 @@
 	memset(m, 0, G_STRUCT_OFFSET(struct wire_call, field));
 	m->config_version = c->data->view->rules_version;
 	m->incarnation = a->peer->incarnation;
-	m->left_us =
-	    left_us(c->body_whole ? c->deadline : c->caller_deadline, now);
+	m->left_us = left_us(outbound_latest_deadline(c), now);
 	m->objective_us = left_us(MIN(c->objective, c->deadline), now);
 	m->flags = call_flags(a);
 	m->retries_left = retry_begin_attempt(&c->retry);
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -8,21 +8,22 @@
 {
 	c->timeout_us = timeout_us;
 	c->deadline = MIN(c->caller_deadline, data_now(c->data) + timeout_us);
+	c->retry.deadline = c->deadline;
+}
+
+int64_t
+outbound_latest_deadline(const struct out_call *c)
+{
+	return c->body_whole
+		   ? c->deadline
+		   : MIN(c->caller_deadline, c->deadline + c->timeout_us);
 }
 
-/* Until the request is whole its caller isn't kept waiting, so that only the
- * caller's own deadline ends it. */
 static void
 deadline_expired(void *ctx, int64_t now)
 {
 	struct out_call *c = ctx;
 
-	if (!c->body_whole && now < c->caller_deadline) {
-		c->deadline = c->caller_deadline;
-		io_timer_set(c->data->task.loop, &c->deadline_timer,
-		    c->deadline);
-		return;
-	}
 	c->reason = WIRE_REASON_DEADLINE;
 	outbound_give_up_call(c);
 }
@@ -102,11 +103,11 @@
 {
 	int64_t delay;
 
+	c->state = OUT_TRYING;
 	if (!outbound_fits(c)) {
 		outbound_refuse_leaving(c);
 		return -1;
 	}
-	c->state = OUT_TRYING;
 	c->tried_at = data_now(c->data);
 	if (outbound_start_attempt(c)) {
 		if (c->reason != WIRE_REASON_CRASHES)
@@ -201,13 +202,12 @@
 	}
 }
 
-/* The timeout of a route is for how long a caller that has sent its request is
- * kept waiting. */
+/* The timeout of a route is how long a caller waits that has sent its request;
+ * the request itself has to come within as long. */
 static void
 restart_timeout(struct out_call *c)
 {
 	outbound_start_timeout(c, c->timeout_us);
-	c->retry.deadline = c->deadline;
 	io_timer_set(c->data->task.loop, &c->deadline_timer, c->deadline);
 }
 
--- a/src/daemon/outbound/leave.c
+++ b/src/daemon/outbound/leave.c
@@ -1,10 +1,14 @@
 #include "daemon/outbound/outbound.h"
 
-/* A repeat always goes on: its earlier run may have an answer already. */
+/* A repeat always goes on: its earlier run may have an answer already. A
+ * request that is still being read is asked again before it is sent on. */
 int
 outbound_fits(const struct out_call *c)
 {
-	return c->repeat || data_leave_fits(c->data, c->deadline, c->time);
+	int64_t deadline =
+	    c->state == OUT_READING ? c->deadline : outbound_latest_deadline(c);
+
+	return c->repeat || data_leave_fits(c->data, deadline, c->time);
 }
 
 void
