--- a/tests/system/find-request.sh
+++ b/tests/system/find-request.sh
@@ -52,4 +52,11 @@
 kill -ABRT "$fleet_daemon_1_1"
 sleep 0.3
 log_of 1 | tail -n 1 | grep -q 'event=107 .*signal=6' || fleet_fail "the end by a signal isn't in the log"
+# The sanitizers handle SIGSEGV themselves.
+if ! ldd "$fleet_build/kumquatrockd" | grep -qE 'lib[at]san'; then
+	# shellcheck disable=SC2154
+	kill -SEGV "$fleet_daemon_1_2"
+	sleep 0.3
+	log_of 2 | tail -n 1 | grep -q 'event=107 .*signal=11' || fleet_fail "the end by SIGSEGV isn't in the log"
+fi
 exit $failed
--- a/tests/system/stop-calls.sh
+++ b/tests/system/stop-calls.sh
@@ -35,7 +35,7 @@
 	asked="${asked-} $!"
 done
 all_run() { [ "$(grep -c ' run .* key=n-[0-9]* ' "$fleet_dir/target-1-1.history")" = $REQUESTS ]; }
-fleet_wait_until 1 all_run
+fleet_wait_until 1 all_run || fleet_fail "not all requests run at the target of the daemon that stops"
 # shellcheck disable=SC2154
 kill "$fleet_daemon_1_1"
 wait "$fleet_daemon_1_1"
--- a/tests/system/stop-few.sh
+++ b/tests/system/stop-few.sh
@@ -38,7 +38,7 @@
 done
 asked=
 for i in $(seq $OPEN); do
-	ask s "open-$i" 4000 &
+	ask s "open-$i" 4800 &
 	asked="$asked $!"
 done
 sleep 0.3
