planned.awk: times are compared as numbers

The judge compared the time at which a request began as text; the other side is written as 3.65564e+09 from 2,147 s after the machine's start on, and sorts before any such time. A version that was still in force was left out, so that the limit was that of a later one.

--- a/tests/history/planned.awk
+++ b/tests/history/planned.awk
@@ -66,7 +66,7 @@
 	behind[id] = field("behind") + 0
 	once[id] = field("once") + 0
 	sent[id] = $1
-	began[id] = field("start")
+	began[id] = field("start") + 0
 	time[id] = 1000 * field("limit_ms")
 	route[id] = field("route")
 	remember(id, $0)
