rig: the users' side of a mesh on real processes

One program plays 13 daemons and targets, the mesh's four kinds of request with their rates, habits, deadlines, time limits, calls through the own daemon and repeats, readiness, restarts with SIGKILL at the end of the grace, and trouble drawn by a seed. The stand-in target names the attempt in failures, too, ends work at its deadline, may leave requests beyond its queue unanswered, report that it drains, and make calls at once on any route.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 UNITS := $(notdir $(basename $(wildcard tests/unit/*.c)))
 
 PROGS := $(if $(DAEMON_SRC),$(O)/kumquatrockd) $(if $(TOOL_SRC),$(O)/kumquatrock) \
-	$(BENCH:%=$(O)/bench-%) $(FAKES:%=$(O)/fake-%) $(O)/history-check $(O)/script-run
+	$(BENCH:%=$(O)/bench-%) $(FAKES:%=$(O)/fake-%) $(O)/history-check $(O)/script-run \
+	$(O)/rig-mesh $(O)/rig-redirect.so
 UNIT_PROGS := $(UNITS:%=$(O)/unit-%)
 
 all: $(PROGS)
@@ -64,6 +65,16 @@
 $(foreach b,$(BENCH),$(eval $(call multi_prog,bench,$(b),bench)))
 $(foreach f,$(FAKES),$(eval $(call multi_prog,fake,$(f),tests/fake)))
 
+# The callers' side of tests/fake/planned is part of the rig.
+RIG_SRC := $(filter-out tests/rig/redirect.c,$(wildcard tests/rig/*.c)) \
+	$(addprefix tests/fake/planned/,answer.c request.c mesh.c)
+$(O)/rig-mesh: $(RIG_SRC:%.c=$(O)/%.o) $(O)/libkumquatrock.a
+	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+
+$(O)/rig-redirect.so: tests/rig/redirect.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -shared -fPIC -o $@ $< -ldl
+
 $(O)/history-check: $(patsubst %.c,$(O)/%.o,$(wildcard tests/history/*.c)) $(O)/libkumquatrock.a
 	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
 
--- a/tests/fake/planned/answer.c
+++ b/tests/fake/planned/answer.c
@@ -77,6 +77,8 @@
 		a->outcome = OUTCOME_BAD;
 	head_field(c->in, "Connection", value, sizeof value);
 	a->closes = !g_ascii_strcasecmp(value, "close");
+	head_field(c->in, "Retry-After", value, sizeof value);
+	a->retry_after_ms = (int)(g_ascii_strtod(value, NULL) * 1000);
 	head_field(c->in, "Content-Length", value, sizeof value);
 	length = *value ? strtoll(value, NULL, 10) : LENGTH_NONE;
 	head_field(c->in, "Transfer-Encoding", value, sizeof value);
@@ -192,6 +194,9 @@
 	int64_t end = r->start + r->limit_ms * INT64_C(1000) + GIVE_UP_US;
 	int64_t length;
 
+	if (r->patience_ms)
+		end = r->start + r->patience_ms * INT64_C(1000);
+
 	memset(a, 0, sizeof *a);
 	length = read_head(c, r, a, end);
 	if (!read_body(c, r, a, length, end))
@@ -200,3 +205,12 @@
 		return;
 	a->outcome = io_clock() >= end ? OUTCOME_LATE : OUTCOME_CUT;
 }
+
+const char *
+answer_outcome_name(enum outcome o)
+{
+	static const char *const names[] = { "whole", "cut", "bad", "behind",
+		"late" };
+
+	return names[o];
+}
--- a/tests/fake/planned/connection.c
+++ b/tests/fake/planned/connection.c
@@ -14,9 +14,6 @@
 #define IDLE_MAX_US 4000000
 #define LEAVE_SHARE 0.05 /* of the exchanges after which the caller closes */
 
-static const char *const outcome_names[] = { "whole", "cut", "bad", "behind",
-	"late" };
-
 static int
 open_connection(struct conn *c)
 {
@@ -41,8 +38,8 @@
 {
 	history_write(&c->caller->history, io_clock(),
 	    "answer id=%s conn=%d outcome=%s status=%d signed=%d closes=%d",
-	    r->id, c->id, outcome_names[a->outcome], a->status, a->is_signed,
-	    a->closes);
+	    r->id, c->id, answer_outcome_name(a->outcome), a->status,
+	    a->is_signed, a->closes);
 }
 
 static void
--- a/tests/fake/planned/planned.h
+++ b/tests/fake/planned/planned.h
@@ -56,16 +56,22 @@
 	const char *method; /* NULL: by whether there is a body */
 	int once; /* nonzero: on a route that isn't idempotent */
 	int calls; /* that the target makes while it runs */
+	const char *call; /* route of these; NULL: the target's default */
+	int together; /* nonzero: they are made at once */
+	int fails; /* nonzero: the target answers with a failure */
 	int breaks; /* nonzero: the target breaks its answer off */
 	int work_ms;
 	int bytes; /* of the answer */
 	int body_bytes; /* of the request */
 	int chunked; /* nonzero: the body is sent in chunks */
 	int limit_ms; /* deadline */
+	int patience_ms; /* after which the caller gives up, 0: @limit_ms */
+	const char *kind; /* for the history, NULL: as the route */
+	const char *first; /* id of the first attempt, NULL: this one */
 	int64_t start; /* of sending */
 };
 
-/** enum outcome - how a request ended, see outcome_names */
+/** enum outcome - how a request ended, see answer_outcome_name() */
 enum outcome {
 	OUTCOME_WHOLE,
 	OUTCOME_CUT, /* the connection ended without a complete answer */
@@ -80,6 +86,7 @@
 	int status; /* 0 if there was no head */
 	int is_signed;
 	int closes; /* nonzero: it announces the end of the connection */
+	int retry_after_ms;
 };
 
 /** struct conn - a connection; @in holds bytes received and not yet used */
@@ -104,6 +111,8 @@
 int request_send(struct conn *, struct request *, int n);
 /** answer_read() - read the answer to a request */
 void answer_read(struct conn *, const struct request *, struct answer *);
+/** answer_outcome_name() - for the history */
+const char *answer_outcome_name(enum outcome);
 /** connection_play() - open a connection and send requests on it until it ends;
  * Return: 0, or -1 if it could not be opened */
 int connection_play(struct caller *, enum way, int thread, GRand *);
--- a/tests/fake/planned/request.c
+++ b/tests/fake/planned/request.c
@@ -69,7 +69,7 @@
 static int
 format_head(struct conn *c, const struct request *r, char *t, size_t size)
 {
-	char body[40] = "", route[16];
+	char body[40] = "", route[16], calls[64] = "";
 
 	if (r->route)
 		g_strlcpy(route, r->route, sizeof route);
@@ -83,14 +83,17 @@
 	else if (r->body_bytes)
 		g_snprintf(body, sizeof body, "Content-Length: %d\r\n",
 		    r->body_bytes);
+	if (r->call)
+		g_snprintf(calls, sizeof calls, "&call=%s&together=%d&fails=%d",
+		    r->call, r->together, r->fails);
 	return g_snprintf(t, size,
-	    "%s /%s/?work_ms=%d&bytes=%d&breaks=%d&calls=%d HTTP/1.1\r\n"
+	    "%s /%s/?work_ms=%d&bytes=%d&breaks=%d&calls=%d%s HTTP/1.1\r\n"
 	    "Host: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n",
 	    r->method	    ? r->method
 	    : r->body_bytes ? "POST"
 			    : "GET",
-	    route, r->work_ms, r->bytes, r->breaks, r->calls, c->caller->host,
-	    r->id, r->limit_ms, body);
+	    route, r->work_ms, r->bytes, r->breaks, r->calls, calls,
+	    c->caller->host, r->id, r->limit_ms, body);
 }
 
 static int
@@ -162,10 +165,15 @@
 	history_write(&c->caller->history, io_clock(),
 	    "call id=%s to=%s conn=%d way=%d behind=%d once=%d "
 	    "start=%" G_GINT64_FORMAT
-	    " limit_ms=%d work_ms=%d bytes=%d breaks=%d route=%s",
+	    " limit_ms=%d work_ms=%d bytes=%d breaks=%d route=%s kind=%s "
+	    "first=%s",
 	    r->id, c->caller->address, c->id, c->way, behind, r->once, r->start,
 	    r->limit_ms, r->work_ms, r->bytes, r->breaks,
-	    r->route ? r->route : "any");
+	    r->route ? r->route : "any",
+	    r->kind    ? r->kind
+	    : r->route ? r->route
+		       : "any",
+	    r->first ? r->first : r->id);
 }
 
 int
--- a/tests/fake/target/announce.c
+++ b/tests/fake/target/announce.c
@@ -165,7 +165,7 @@
 	for (l = t->conns.head; l; l = l->next) {
 		c = l->data;
 		if (c->state != CONN_READING && c->state != CONN_OPENING &&
-		    c->state != CONN_HUNG)
+		    c->state != CONN_HUNG && c->state != CONN_DEAF)
 			return 1;
 	}
 	return 0;
@@ -186,6 +186,29 @@
 	io_timer_set(t->loop, &t->leave_timer, now + LEAVE_CHECK_MS * 1000);
 }
 
+static void
+end_draining(void *ctx, int64_t now)
+{
+	struct target *t = ctx;
+
+	(void)now;
+	announce_leave(t);
+}
+
+/* Reports at once that the target drains, and leaves some time later. */
+static void
+start_draining(struct target *t)
+{
+	t->draining = 1;
+	history_write(&t->history, io_clock(), "drain service=%s dc=%s",
+	    t->service, t->dc);
+	announce_again(t->announcer, io_now(t->loop));
+	t->leave_timer.fire = end_draining;
+	t->leave_timer.ctx = t;
+	io_timer_set(t->loop, &t->leave_timer,
+	    io_now(t->loop) + t->knobs.drain_ms * 1000);
+}
+
 void
 announce_leave(struct target *t)
 {
@@ -193,6 +216,10 @@
 
 	if (t->leaving)
 		return;
+	if (!t->draining && t->knobs.drain_ms && a->pool) {
+		start_draining(t);
+		return;
+	}
 	t->leaving = 1;
 	history_write(&t->history, io_clock(), "leave service=%s dc=%s",
 	    t->service, t->dc);
--- a/tests/fake/target/calls.c
+++ b/tests/fake/target/calls.c
@@ -3,56 +3,68 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PATH "/check/?work_ms=40&bytes=200"
+#define ROUTE "check"
 #define WORK_MS 40
 #define ANSWER_BYTES 200
 #define CONNECTIONS 60
 #define LIMIT_MS 500 /* deadline, if the caller's own isn't sooner */
+#define CALLS_MAX 8 /* of a request */
 
 /**
- * struct calls - calls that a request makes one after the other while it runs
- * @left: how many are still to be made, with the present one
- * @made: how many were begun
- * @call: the present one
+ * struct call - a call that a request makes while it runs
+ * @http: NULL once it has ended
  * @status: of its answer, 0 before the head
  * @is_signed: its answer has a signature
  */
-struct calls {
-	int left;
-	int made;
-	struct http_call *call;
+struct call {
+	struct conn *conn;
+	struct http_call *http;
 	char id[KEY_MAX + 16];
 	int status;
 	int is_signed;
 };
 
+/**
+ * struct calls - calls that a request makes while it runs
+ * @count: how many it makes in all
+ * @made: how many were begun
+ * @good: how many were answered with 200
+ * @together: nonzero if they are made at once, else one after the other
+ * @route: first part of their path
+ */
+struct calls {
+	int count;
+	int made;
+	int good;
+	int together;
+	char route[FIELD_MAX];
+	struct call call[CALLS_MAX];
+};
+
 static int start_call(struct conn *);
 
 static void
-log_answer(struct conn *c, const char *outcome)
+log_answer(const struct call *l, const char *outcome)
 {
-	struct target *t = c->target;
-
-	history_write(&t->history, io_clock(),
+	history_write(&l->conn->target->history, io_clock(),
 	    "answer id=%s conn=calls outcome=%s status=%d signed=%d closes=0",
-	    c->calls->id, outcome, c->calls->status, c->calls->is_signed);
+	    l->id, outcome, l->status, l->is_signed);
 }
 
 static void
 end_calls(struct conn *c, int good)
 {
-	g_free(c->calls);
-	c->calls = NULL;
+	calls_cancel(c);
 	job_calls_ended(c, good);
 }
 
 static void
 on_head(void *ctx, const struct http_head *h)
 {
-	struct calls *k = ((struct conn *)ctx)->calls;
+	struct call *l = ctx;
 
-	k->status = h->status;
-	k->is_signed = http_head_find(h, "X-Server-Signature") != NULL;
+	l->status = h->status;
+	l->is_signed = http_head_find(h, "X-Server-Signature") != NULL;
 }
 
 static void
@@ -66,25 +78,29 @@
 static void
 on_done(void *ctx)
 {
-	struct conn *c = ctx;
+	struct call *l = ctx;
+	struct conn *c = l->conn;
+	struct calls *k = c->calls;
 
-	c->calls->call = NULL;
-	log_answer(c, "whole");
-	if (c->calls->status == 200 && !--c->calls->left)
+	l->http = NULL;
+	log_answer(l, "whole");
+	if (l->status != 200)
+		end_calls(c, 0);
+	else if (++k->good == k->count)
 		end_calls(c, 1);
-	else if (c->calls->status != 200 || start_call(c))
+	else if (!k->together && start_call(c))
 		end_calls(c, 0);
 }
 
 static void
 on_failed(void *ctx, const struct kq_error *e, int sent)
 {
-	struct conn *c = ctx;
+	struct call *l = ctx;
 
 	(void)e;
-	c->calls->call = NULL;
-	log_answer(c, sent ? "cut" : "unsent");
-	end_calls(c, 0);
+	l->http = NULL;
+	log_answer(l, sent ? "cut" : "unsent");
+	end_calls(l->conn, 0);
 }
 
 static const struct http_call_ops ops = {
@@ -95,15 +111,16 @@
 };
 
 static void
-log_call(struct conn *c, int64_t now, int limit_ms)
+log_call(const struct call *l, int64_t now, int limit_ms)
 {
+	struct conn *c = l->conn;
 	struct target *t = c->target;
 
 	history_write(&t->history, now,
 	    "call id=%s to=%s conn=calls way=6 behind=0 once=0 start=%" G_GINT64_FORMAT
-	    " limit_ms=%d work_ms=%d bytes=%d breaks=0 route=check parent=%s",
-	    c->calls->id, t->calls_to, now, limit_ms, WORK_MS, ANSWER_BYTES,
-	    c->key);
+	    " limit_ms=%d work_ms=%d bytes=%d breaks=0 route=%s parent=%s",
+	    l->id, t->calls_to, now, limit_ms, WORK_MS, ANSWER_BYTES,
+	    c->calls->route, c->key);
 }
 
 static int
@@ -111,50 +128,66 @@
 {
 	struct target *t = c->target;
 	struct calls *k = c->calls;
+	struct call *l = &k->call[k->made];
 	int64_t now = io_clock(), limit_ms = LIMIT_MS;
-	char limit[16];
+	char limit[16], path[PATH_MAX_BYTES];
 	struct http_field f[] = { { "Host", t->calls_host },
-		{ "X-Attempt-Id", k->id }, { "X-Deadline-Ms", limit } };
+		{ "X-Attempt-Id", l->id }, { "X-Deadline-Ms", limit } };
 
 	if (c->deadline)
 		limit_ms = MIN(limit_ms, (c->deadline - now) / 1000);
 	if (limit_ms <= 0)
 		return -1;
+	l->conn = c;
 	g_snprintf(limit, sizeof limit, "%d", (int)limit_ms);
-	g_snprintf(k->id, sizeof k->id, "%s.%d", c->key, ++k->made);
-	k->status = k->is_signed = 0;
-	k->call = http_call_start(t->calls_pool, "GET", PATH, f,
-	    G_N_ELEMENTS(f), HTTP_LENGTH_NONE, 0, &ops, c, NULL);
-	if (!k->call)
+	g_snprintf(l->id, sizeof l->id, "%s.%d", c->key, ++k->made);
+	g_snprintf(path, sizeof path, "/%s/?work_ms=%d&bytes=%d", k->route,
+	    WORK_MS, ANSWER_BYTES);
+	l->http = http_call_start(t->calls_pool, "GET", path, f,
+	    G_N_ELEMENTS(f), HTTP_LENGTH_NONE, 0, &ops, l, NULL);
+	if (!l->http)
 		return -1;
-	log_call(c, now, (int)limit_ms);
+	log_call(l, now, (int)limit_ms);
 	return 0;
 }
 
 int
 calls_begin(struct conn *c)
 {
+	struct calls *k;
 	int n = (int)path_number(c, "calls", 0);
 
-	if (!n || !c->target->calls_pool)
+	if (n <= 0 || !c->target->calls_pool)
 		return 0;
-	c->calls = g_new0(struct calls, 1);
-	c->calls->left = n;
-	if (start_call(c))
-		end_calls(c, 0);
+	k = c->calls = g_new0(struct calls, 1);
+	k->count = MIN(n, CALLS_MAX);
+	k->together = path_number(c, "together", 0) != 0;
+	g_strlcpy(k->route, ROUTE, sizeof k->route);
+	path_text(c, "call", k->route, sizeof k->route);
+	do
+		if (start_call(c)) {
+			end_calls(c, 0);
+			break;
+		}
+	while (k->together && k->made < k->count);
 	return 1;
 }
 
 void
 calls_cancel(struct conn *c)
 {
-	if (!c->calls)
+	struct calls *k = c->calls;
+	int i;
+
+	if (!k)
 		return;
-	if (c->calls->call) {
-		log_answer(c, "late"); /* given up by the caller */
-		http_call_cancel(c->calls->call);
+	for (i = 0; i < k->made; i++) {
+		if (!k->call[i].http)
+			continue;
+		log_answer(&k->call[i], "late"); /* given up by the caller */
+		http_call_cancel(k->call[i].http);
 	}
-	g_free(c->calls);
+	g_free(k);
 	c->calls = NULL;
 }
 
--- a/tests/fake/target/job.c
+++ b/tests/fake/target/job.c
@@ -8,6 +8,8 @@
 #define NOT_RUN_FIELDS "Not-Run: 1\r\n"
 #define USERS_NOT_RUN_FIELDS "X-Not-Executed: 1\r\n"
 #define STATUS_MISDIRECTED 421
+#define STATUS_FAILED 500
+#define STATUS_TIMEOUT 504
 #define PACE_USUAL 100 /* percent */
 
 int
@@ -65,36 +67,83 @@
 		s *= (double)t->knobs.cold_factor;
 	if (t->users)
 		s *= (double)t->knobs.pace / PACE_USUAL;
+	if (t->knobs.knee && t->running * 100 > t->knobs.slots * t->knobs.knee)
+		s *= (double)t->knobs.knee_factor / 100;
 	return (int64_t)(s * t->noise * (double)t->knobs.straggle);
 }
 
 static void start_queued(struct target *);
 
+/* Ends a run with a failure of the target's own. */
+static void
+fail_run(struct conn *c, int status, const char *text)
+{
+	struct target *t = c->target;
+
+	job_log(c, "done");
+	t->running--;
+	answer_text(c, status, "", text);
+	start_queued(t);
+}
+
+static void
+time_out(void *ctx, int64_t now)
+{
+	struct conn *c = ctx;
+
+	(void)now;
+	calls_cancel(c);
+	fail_run(c, STATUS_TIMEOUT, "deadline\n");
+}
+
 static void
 finish_job(void *ctx, int64_t now)
 {
 	struct conn *c = ctx;
+	struct target *t = c->target;
 
 	(void)now;
+	if (t->knobs.deadline_ends && c->deadline) {
+		c->timer.fire = time_out;
+		io_timer_set(t->loop, &c->timer, c->deadline);
+	}
 	if (!calls_begin(c))
 		job_calls_ended(c, 1);
 }
 
+/* Runs the request until its work is done, or until its deadline. */
+static void
+set_end(struct conn *c)
+{
+	struct target *t = c->target;
+	int64_t end = io_now(t->loop) + service_time(c);
+
+	c->timer.fire = finish_job;
+	if (t->knobs.deadline_ends && c->deadline && c->deadline < end) {
+		c->timer.fire = time_out;
+		end = c->deadline;
+	}
+	io_timer_set(t->loop, &c->timer, end);
+}
+
 void
 job_calls_ended(struct conn *c, int good)
 {
 	struct target *t = c->target;
 
+	io_timer_clear(t->loop, &c->timer);
+	if (!good || path_number(c, "fails", 0)) {
+		fail_run(c, STATUS_FAILED,
+		    good ? "failed\n" : "a call failed\n");
+		return;
+	}
 	job_log(c, "done");
 	t->running--;
 	if (t->knobs.cold && ++t->cold_done >= t->knobs.cold_calls) {
 		t->knobs.cold = 0;
 		t->cold_done = 0;
 	}
-	if (good)
-		answer_call(c);
-	else
-		answer_text(c, 500, "", "a call failed\n");
+	answer_call(c);
 	start_queued(t);
 }
 
@@ -136,9 +185,8 @@
 		c->state = CONN_HUNG;
 		return;
 	}
-	c->timer.fire = finish_job;
 	c->timer.ctx = c;
-	io_timer_set(t->loop, &c->timer, io_now(t->loop) + service_time(c));
+	set_end(c);
 }
 
 /* The deadline of a queued request is over. */
@@ -258,6 +306,11 @@
 		run_job(c);
 	} else if ((long)t->queue.length < t->knobs.queue) {
 		enqueue(c);
+	} else if (t->knobs.full_hangs) {
+		t->counts.shed++;
+		job_log(c, "shed");
+		c->state = CONN_DEAF;
+		return;
 	} else {
 		refuse(c, &t->counts.shed);
 		return;
@@ -294,7 +347,12 @@
 	struct target *t = ctx;
 
 	t->noise = 1;
-	if (t->knobs.noisy_ms > 0)
+	if (t->knobs.noisy_ms > 0 && t->knobs.noisy_share > 0)
+		t->noise =
+		    g_rand_int_range(t->rand, 0, 100) < t->knobs.noisy_share
+			? (double)t->knobs.noisy_factor
+			: 1;
+	else if (t->knobs.noisy_ms > 0)
 		t->noise = g_rand_double_range(t->rand, 1,
 		    1 + (double)t->knobs.noisy_factor);
 	io_timer_set(t->loop, &t->noise_timer,
--- a/tests/fake/target/parse.c
+++ b/tests/fake/target/parse.c
@@ -129,8 +129,9 @@
 	return http_parser_execute(&c->parser, &settings, b, n) == n ? 0 : -1;
 }
 
-long
-path_number(const struct conn *c, const char *name, long otherwise)
+/* The value of NAME=VALUE in the path of a request, NULL without it. */
+static const char *
+path_value(const struct conn *c, const char *name)
 {
 	const char *at = strchr(c->path, '?');
 	size_t n = strlen(name);
@@ -138,8 +139,25 @@
 	while (at) {
 		at++;
 		if (!strncmp(at, name, n) && at[n] == '=')
-			return strtol(at + n + 1, NULL, 10);
+			return at + n + 1;
 		at = strchr(at, '&');
 	}
-	return otherwise;
+	return NULL;
+}
+
+long
+path_number(const struct conn *c, const char *name, long otherwise)
+{
+	const char *at = path_value(c, name);
+
+	return at ? strtol(at, NULL, 10) : otherwise;
+}
+
+void
+path_text(const struct conn *c, const char *name, char *value, size_t size)
+{
+	const char *at = path_value(c, name);
+
+	if (at)
+		g_strlcpy(value, at, MIN(size, strcspn(at, "&") + 1));
 }
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -38,6 +38,10 @@
 struct knobs {
 	long slots; /* requests run at once */
 	long queue; /* requests that may wait for a slot */
+	long full_hangs; /* nonzero: one beyond that gets no answer */
+	long deadline_ends; /* nonzero: work ends with 504 at its deadline */
+	long knee; /* percent of slots in use above which work is slower */
+	long knee_factor; /* of the service time then, percent */
 	long connections; /* open at once; further ones are closed on accept */
 	long connect_us; /* delay before a connection's first request is read */
 	long service_us; /* mean service time; exponential unless fixed */
@@ -55,6 +59,7 @@
 	 * noisy_ms 0 for none. */
 	long noisy_ms;
 	long noisy_factor;
+	long noisy_share; /* percent of periods with noisy_factor, 0: uniform */
 	long report_lag_ms; /* least age of /health and /load, 0 for current */
 	long report_lie; /* in flight claimed by /load, -1 for the true one */
 	long cut; /* next answers truncated in the middle of the body */
@@ -73,6 +78,7 @@
 	long other_id; /* next answers with another attempt's id */
 	long misdirect; /* next requests taken as meant for another start id */
 	long limit_per_s; /* limit that all answers state, 0 for none */
+	long drain_ms; /* reports that it drains so long before it leaves */
 	long says_leaving; /* nonzero: all answers say that it leaves */
 	long second; /* next answers sent once more, see second_kind */
 	long second_kind; /* enum second */
@@ -133,6 +139,7 @@
 	CONN_QUEUED, /* the request waits for a slot */
 	CONN_RUNNING,
 	CONN_HUNG, /* the request runs and is never answered */
+	CONN_DEAF, /* the request never runs and is never answered */
 	CONN_ANSWERING
 };
 
@@ -231,7 +238,8 @@
 	struct http_pool *calls_pool; /* to its daemon, or NULL */
 	const char *calls_to; /* address of that daemon as text */
 	const char *calls_host; /* Host field of calls */
-	int leaving; /* nonzero: SIGTERM or SIGINT was received */
+	int leaving; /* nonzero: it withdraws its announcement */
+	int draining; /* nonzero: it reports that it drains */
 	struct io_timer leave_timer;
 };
 
@@ -257,6 +265,10 @@
  * it: work_ms, bytes and breaks act on that request as knobs do on all */
 long path_number(const struct conn *, const char *name, long otherwise);
 
+/** path_text() - copy the value of NAME=VALUE in the path of a request; @value
+ * stays as it is without it */
+void path_text(const struct conn *, const char *name, char *value, size_t);
+
 /** job_admit() - answer, run, queue or refuse a request that is whole */
 void job_admit(struct conn *);
 /** job_cancel() - cancel the request, if any, of a closing connection */
@@ -272,7 +284,8 @@
 void job_noise_start(struct target *);
 
 /** calls_begin() - have a running request make the calls that calls=N in its
- * path asks for; returns 0 if there are none */
+ * path asks for, on the route call=NAME, all at once with together=1; returns 0
+ * if there are none */
 int calls_begin(struct conn *);
 /** calls_cancel() - give up the calls of a request that ends */
 void calls_cancel(struct conn *);
--- a/tests/fake/target/users.c
+++ b/tests/fake/target/users.c
@@ -37,9 +37,10 @@
 {
 	struct target *g = c->target;
 	int answers_call = status == 200 && *c->key;
+	long pace = (long)((double)g->knobs.pace * g->noise);
 
 	g_string_append_printf(t, "X-Server-Load: %d,%u,%ld,%ld\r\n",
-	    g->running, g->queue.length, g->knobs.slots, g->knobs.pace);
+	    g->running, g->queue.length, g->knobs.slots, pace);
 	g_string_append_printf(t, "X-Instance-Id: %s\r\n", g->start_id);
 	g_string_append_printf(t, "X-Cold-Remaining-Ms: %ld\r\n",
 	    g->knobs.cold_ms);
@@ -48,10 +49,12 @@
 		    g->knobs.limit_per_s);
 	if (g->knobs.says_leaving)
 		g_string_append(t, "Server-Leaving: 1\r\n");
+	if (*c->key)
+		g_string_append_printf(t, "X-Attempt-Id: %s\r\n",
+		    answers_call && take_one(&g->knobs.other_id) ? "another"
+								 : c->key);
 	if (!answers_call)
 		return;
-	g_string_append_printf(t, "X-Attempt-Id: %s\r\n",
-	    take_one(&g->knobs.other_id) ? "another" : c->key);
 	if (!take_one(&g->knobs.unsigned_next))
 		g_string_append_printf(t, "X-Server-Signature: %s.%s\r\n",
 		    g->start_id, c->origin_service);
@@ -71,9 +74,10 @@
 	sequence += SEQUENCE_STEP;
 	g_string_append_printf(body,
 	    "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\","
-	    "\"version\":\"v1\",\"slots\":%ld,\"state\":\"ready\","
+	    "\"version\":\"v1\",\"slots\":%ld,\"state\":\"%s\","
 	    "\"cold_remaining_ms\":%ld,\"sequence\":%" G_GINT64_FORMAT
 	    ",\"born\":%" G_GINT64_FORMAT "}",
-	    t->service, t->ip, t->port, t->dc, t->knobs.slots, t->knobs.cold_ms,
-	    sequence, t->born);
+	    t->service, t->ip, t->port, t->dc, t->knobs.slots,
+	    t->draining ? "draining" : "ready", t->knobs.cold_ms, sequence,
+	    t->born);
 }
--- /dev/null
+++ b/tests/rig/plan.h
@@ -0,0 +1,61 @@
+#ifndef RIG_PLAN_H
+#define RIG_PLAN_H
+
+#include "rig.h"
+
+/**
+ * struct action - something that is brought about at one moment of a run
+ * @act: does it, in a thread of its own
+ * @at_ms: from the begin of traffic
+ * @first: number that chooses a machine, or what @act makes of it
+ * @count: of steps
+ * @ms: duration or pause
+ */
+struct action {
+	struct rig *rig;
+	const char *name;
+	void (*act)(const struct action *);
+	int at_ms;
+	int first;
+	int count;
+	int ms;
+};
+
+/** action_machine() - a machine that is kept running; the same @turn may choose
+ * another one as machines come and go */
+struct machine *action_machine(struct rig *, int turn);
+/** pause_ms() - sleep */
+void pause_ms(int);
+
+/* Planned work: planned.c. */
+void act_restart_series(const struct action *);
+void act_restart_together(const struct action *);
+void act_restart_twice(const struct action *);
+void act_reload_series(const struct action *);
+void act_reload_and_stop(const struct action *);
+void act_configure(const struct action *);
+void act_configure_and_restart(const struct action *);
+void act_evacuate(const struct action *);
+void act_release(const struct action *);
+void act_add(const struct action *);
+void act_remove(const struct action *);
+void act_replace_target(const struct action *);
+
+/* Unplanned trouble: trouble.c. */
+void act_slow_targets(const struct action *);
+void act_fail_targets(const struct action *);
+void act_kill_target(const struct action *);
+void act_pause_target(const struct action *);
+void act_burst(const struct action *);
+void act_impatience(const struct action *);
+void act_starve(const struct action *);
+void act_pause(const struct action *);
+void act_pause_at_stop(const struct action *);
+void act_link(const struct action *);
+void act_link_at_stop(const struct action *);
+void act_kill(const struct action *);
+void act_kill_beside(const struct action *);
+void act_kill_many(const struct action *);
+void act_store(const struct action *);
+
+#endif
--- /dev/null
+++ b/tests/rig/planned.c
@@ -0,0 +1,173 @@
+#include <signal.h>
+
+#include "plan.h"
+
+#define TOGETHER_MAX 3 /* daemons that stop at one moment */
+#define NEW_MS                                                        \
+	1500 /* from the start of a new machine to the end of the old \
+	      */
+#define TARGET_END_TRIES 80 /* of 100 ms */
+#define MACHINES_LEAST 11 /* below which none is taken away */
+
+void
+act_restart_series(const struct action *a)
+{
+	int i;
+
+	for (i = 0; i < a->count; i++) {
+		machine_stop(action_machine(a->rig, a->first + i));
+		pause_ms(a->ms);
+	}
+}
+
+void
+act_restart_together(const struct action *a)
+{
+	int i, n = 2 + a->count % (TOGETHER_MAX - 1);
+
+	for (i = 0; i < n; i++) {
+		machine_stop(action_machine(a->rig, a->first + i * a->count));
+		pause_ms(a->ms / 10 % 60);
+	}
+}
+
+void
+act_restart_twice(const struct action *a)
+{
+	struct machine *m = action_machine(a->rig, a->first);
+
+	machine_stop(m);
+	pause_ms(a->ms);
+	machine_stop(m);
+}
+
+void
+act_reload_series(const struct action *a)
+{
+	struct machine *m;
+	int i;
+
+	for (i = 0; i < a->count * 2; i++) {
+		m = action_machine(a->rig, a->first + i / 2);
+		if (a->first % 2)
+			machine_write_settings(m, 1);
+		machine_signal(m, SIGHUP);
+		pause_ms(a->ms / 5);
+	}
+}
+
+/* SIGHUP over and over at several daemons, before one of them stops and
+ * meanwhile. */
+void
+act_reload_and_stop(const struct action *a)
+{
+	struct machine *m = action_machine(a->rig, a->first);
+	int i;
+
+	for (i = 0; i < a->count; i++) {
+		machine_write_settings(m, 1);
+		machine_signal(m, SIGHUP);
+		pause_ms(a->ms / 20 + 5);
+	}
+	machine_stop(m);
+	for (i = 0; i < a->count; i++) {
+		machine_signal(m, SIGHUP);
+		machine_signal(action_machine(a->rig, a->first + i), SIGHUP);
+		pause_ms(a->ms / 10 + 5);
+	}
+}
+
+void
+act_configure(const struct action *a)
+{
+	int i;
+
+	for (i = 0; i < a->count / 2 + 1; i++) {
+		a->rig->timeout_turn += a->first % 2;
+		a->rig->split_turn += a->first % 3 == 0;
+		a->rig->extra_turn++;
+		store_configure(a->rig);
+		pause_ms(a->ms / 3);
+	}
+}
+
+void
+act_configure_and_restart(const struct action *a)
+{
+	a->rig->timeout_turn++;
+	store_configure(a->rig);
+	pause_ms(a->ms / 4);
+	act_restart_series(a);
+}
+
+void
+act_evacuate(const struct action *a)
+{
+	int zone = 1 + a->first % ZONES;
+
+	store_evacuate(a->rig, zone, 1);
+	pause_ms(a->ms * 2);
+	store_evacuate(a->rig, zone, 0);
+}
+
+/* Has the target of a machine drain and end, then the daemon. */
+static void
+take_away(struct machine *m)
+{
+	int i;
+
+	m->target_wanted = 0;
+	note(m->rig, "target-drains at=%s", m->address);
+	machine_signal_target(m, SIGTERM);
+	for (i = 0; i < TARGET_END_TRIES && machine_signal_target(m, 0); i++)
+		pause_ms(100);
+	m->wanted = 0;
+	machine_stop(m);
+}
+
+void
+act_release(const struct action *a)
+{
+	struct machine *m = action_machine(a->rig, a->first);
+
+	if (!machine_add(a->rig, m->zone, m->service, 1))
+		return;
+	pause_ms(NEW_MS);
+	take_away(m);
+}
+
+void
+act_add(const struct action *a)
+{
+	struct machine *m = action_machine(a->rig, a->first);
+
+	machine_add(a->rig, m->zone, m->service, 1);
+}
+
+void
+act_remove(const struct action *a)
+{
+	struct rig *r = a->rig;
+	int i, n = 0;
+
+	g_mutex_lock(&r->lock);
+	for (i = 0; i < r->machine_count; i++)
+		n += r->machine[i].target_wanted;
+	g_mutex_unlock(&r->lock);
+	if (n > MACHINES_LEAST)
+		take_away(action_machine(r, a->first));
+}
+
+/* A target drains and another one starts there; its daemon may stop meanwhile.
+ */
+void
+act_replace_target(const struct action *a)
+{
+	struct machine *m = action_machine(a->rig, a->first);
+
+	note(a->rig, "target-drains at=%s", m->address);
+	machine_signal_target(m, SIGTERM);
+	pause_ms(a->ms * 2);
+	if (a->first % 2)
+		machine_stop(m);
+}
--- /dev/null
+++ b/tests/rig/rig.h
@@ -0,0 +1,247 @@
+#ifndef RIG_H
+#define RIG_H
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdint.h>
+
+#include "../fake/planned/planned.h"
+#include "history.h"
+
+/**
+ * DOC: The users' side of a mesh, on real processes.
+ *
+ * One program starts the stand-in of the platform and, for each machine, a
+ * daemon and the stand-in of its target; it plays the callers of the machines,
+ * draws planned and unplanned trouble by a seed, and writes what happened to
+ * history files, from which judge.c tells which requests were lost.
+ *
+ * mesh.c is the deployment: machines and kinds of request. process.c starts
+ * programs, machine.c keeps a machine's processes and asks whether its daemon
+ * is ready, store.c writes configurations and evacuations, traffic.c draws
+ * requests, attempt.c plays them, plan.c draws trouble, trouble.c brings it
+ * about, link.c is a proxy between daemons and the store.
+ *
+ * Lines of the history, besides those of tests/fake/planned and
+ * tests/fake/target; all are written by "plan":
+ *
+ *	start, term, hup, kill, stop, cont, end (status=) at=DAEMON
+ *	overrun at=DAEMON	SIGKILL, since it outlived its grace
+ *	memory at=DAEMON	SIGKILL, since it exceeded its memory
+ *	ready, unready at=DAEMON	what callers of the machine are told
+ *	slow, unslow at=DAEMON	it gets a part of its processor's time
+ *	link at=DAEMON mode= ms=	its connections, "open" ends it
+ *	store mode=		how the platform acts, "ok" ends it
+ *	config-sent version= timeout_ROUTE=..., config-acked version= code=
+ *	evacuated, back dc=
+ *	target-start, target-drains, target-kill, target-end at=DAEMON
+ *	target-set at=DAEMON what=	a knob of the target, "calm" ends it
+ */
+
+#define MACHINES_MAX 40
+#define ZONES 3
+#define PORT_CALLER 8400
+#define PORT_PEER 8410
+#define PORT_PEER_PROXY 8411
+#define PORT_OPERATOR 8420
+#define PORT_READY 8430
+#define PORT_HEARTBEAT 8440
+#define PORT_TARGET 9001
+#define PORT_STORE 20200
+#define PORT_STORE_PROXY 20201
+#define RIG_HOST "h.example"
+#define GRACE_S 6
+
+/** enum habit - how the callers of a kind use connections */
+enum habit { HABIT_PIPELINE, HABIT_POOL, HABIT_FRESH };
+
+/** struct kind - a kind of request; sizes in bytes */
+struct kind {
+	const char *name;
+	const char *route;
+	const char *service;
+	const char *method;
+	const char *call; /* route of the calls that its target makes */
+	int once; /* nonzero: it is not idempotent */
+	enum habit habit;
+	int priority;
+	int timeout_ms; /* of its route, 0: its deadline */
+	int deadline_ms;
+	int work_ms, work_max_ms;
+	int body_bytes, answer_bytes; /* means */
+	int calls; /* 0 or how many its target makes */
+	int together;
+	double fail_share;
+	double per_s; /* in all data centres; 0: only called */
+};
+
+extern const struct kind kinds[];
+extern const int kind_count;
+
+/** struct place - where the machines of the first moment are */
+struct place {
+	int zone; /* from 1 */
+	const char *service;
+};
+
+extern const struct place places[];
+extern const int place_count;
+/** mesh_services - names, the last one NULL */
+extern const char *const mesh_services[];
+/** mesh_zone_share - of the requests, by zone - 1 */
+extern const double mesh_zone_share[ZONES];
+
+struct rig;
+
+/**
+ * struct machine - a daemon and its target; what is marked with an asterisk is
+ * guarded by @lock
+ * @number: from 1, among those of its zone
+ * @wanted: * nonzero while the daemon is started again when it ends
+ * @pid: * of the daemon, 0 between two
+ * @target_wanted: * the same for its target
+ * @target_pid: * of the target
+ * @stopped: * nonzero while the daemon is suspended
+ * @in: nonzero while callers of the machine give it new work
+ * @misses: answers other than 200 in a row to the question for readiness
+ * @link: how its connections act, see enum link_mode; @link_ms its delay
+ */
+struct machine {
+	struct rig *rig;
+	int zone;
+	int number;
+	const char *service;
+	char ip[16];
+	char address[24]; /* of the daemon, for callers */
+	GMutex lock;
+	int wanted;
+	GPid pid;
+	int target_wanted;
+	GPid target_pid;
+	int stopped;
+	gint in;
+	int misses;
+	gint link;
+	gint link_ms;
+	int settings; /* how often they were changed */
+	struct caller caller;
+	GMutex pool_lock;
+	GQueue pool; /* struct idle, connections that no request uses */
+	GThread *daemon_keeper;
+	GThread *target_keeper;
+	GThread *ready_asker;
+};
+
+/** struct rig - a run */
+struct rig {
+	const char *build; /* directory with the programs */
+	const char *dir; /* of settings, logs and histories */
+	const char *net; /* first two numbers of all addresses */
+	guint32 seed;
+	int seconds;
+	double load; /* factor of the requests */
+	int harsh; /* nonzero: callers in ways that daemons stumble over */
+	int proxied; /* nonzero: connections between daemons have a proxy */
+	int64_t begin; /* of traffic, io_clock() */
+	int64_t end;
+	gint ending; /* nonzero: nothing is started again */
+	struct history history;
+	GPid platform;
+	GMutex lock; /* of @machine_count and the configuration */
+	struct machine machine[MACHINES_MAX];
+	int machine_count;
+	int version; /* of the last configuration sent */
+	int timeout_turn; /* chooses its time limits */
+	int split_turn; /* chooses where batch goes */
+	int extra_turn; /* chooses the routes that come and go */
+	gint burst; /* percent of the usual requests */
+	gint impatient; /* percent of callers that give up early */
+};
+
+/** note() - write an event to the history */
+void
+note(struct rig *, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+
+/** process_start() - run a program with its output appended to a file in the
+ * run's directory; @env is NULL or an environment. Return: 0 if it could not be
+ * started */
+GPid process_start(struct rig *, const char *log, char **argv, char **env);
+/** process_await() - wait for its end; Return: as a shell's $? */
+int process_await(GPid);
+
+/** machine_add() - start a machine's processes; Return: NULL if there are too
+ * many */
+struct machine *
+machine_add(struct rig *, int zone, const char *service, int cold);
+/** machine_write_settings() - write the daemon's settings, changed ones if
+ * @change */
+void machine_write_settings(struct machine *, int change);
+/** machine_signal() - signal the daemon, and note it; Return: its process, 0 if
+ * it does not run */
+GPid machine_signal(struct machine *, int signal);
+/** machine_hold() - suspend the daemon or let it go on, without a note */
+void machine_hold(struct machine *, int hold);
+/** machine_stop() - SIGTERM, and SIGKILL once the grace is over */
+void machine_stop(struct machine *);
+/** machine_signal_target() - the same for its target, without a note */
+GPid machine_signal_target(struct machine *, int signal);
+/** machine_set_target() - change knobs of its target; @what is for the note */
+void machine_set_target(struct machine *, const char *knobs, const char *what);
+/** machine_close() - wait until its daemon has ended, and end the rest */
+void machine_close(struct machine *);
+/** machine_start_asking() - keep asking whether the daemon is ready */
+void machine_start_asking(struct machine *);
+
+/** rig_http() - send a request and read the answer; Return: its status, 0 if
+ * there is none within @ms */
+int rig_http(const char *ip, int port, int ms, const char *method,
+    const char *path, const char *body);
+
+/** store_configure() - send the next version of the configuration */
+void store_configure(struct rig *);
+void store_evacuate(struct rig *, int zone, int begins);
+/** store_fault() - have the platform act as @mode from now on */
+void store_fault(struct rig *, const char *mode);
+
+/** traffic_start() - start the callers of all data centres; they end at
+ * rig->end */
+struct traffic *traffic_start(struct rig *);
+void traffic_join(struct traffic *);
+
+/** struct task - requests that arrive at once */
+struct task {
+	const struct kind *kind;
+	int zone;
+	int n; /* BATCH_MAX at most */
+	guint32 seed;
+};
+
+/** attempt_play() - play the requests of a task and their repeats */
+void attempt_play(struct rig *, struct task *);
+
+/** enum link_mode - how a proxy treats bytes */
+enum link_mode { LINK_OPEN, LINK_DELAY, LINK_SILENT, LINK_ONE_WAY, LINK_RESET };
+
+/** link_start() - have a proxy forward connections to @port of the machine, or
+ * from the machine to the store if @to_ip */
+void link_start(struct machine *, int listen_port, const char *to_ip, int port);
+void link_set(struct machine *, enum link_mode, int ms);
+
+/** enum profile - which troubles a run has */
+enum profile {
+	PROFILE_PLANNED, /* planned work only */
+	PROFILE_TARGETS, /* beside it, targets in trouble */
+	PROFILE_STARVED, /* and daemons that are slow or stand still */
+	PROFILE_LINKS, /* and connections that are delayed, reset or silent */
+	PROFILE_KILLS, /* and daemons that are killed, and the store */
+	PROFILES
+};
+
+/** plan_start() - draw the run's trouble and bring it about in time */
+GThread *plan_start(struct rig *);
+
+/** judge() - judge history files, merged by time, and print the findings;
+ * Return: 0 if there are none */
+int judge(char **files, int n);
+
+#endif
--- /dev/null
+++ b/tests/rig/store.c
@@ -0,0 +1,149 @@
+#include <string.h>
+
+#include "rig.h"
+
+#define STORE_MS 5000
+#define FAULT_MS 900
+#define ROUTE_EXTRAS 4 /* routes that come and go, one at a time */
+#define SPLIT_WEIGHT 3 /* of cloner, where codebook has 1 */
+
+static char *
+store_ip(struct rig *r)
+{
+	return g_strdup_printf("%s.0.10", r->net);
+}
+
+/* Time limit of a route in the present version. */
+static int
+timeout_of(const struct rig *r, const struct kind *k)
+{
+	int limit = k->timeout_ms ? k->timeout_ms : k->deadline_ms;
+
+	return limit * (4 + r->timeout_turn % 3) / 5;
+}
+
+static void
+append_route(const struct rig *r, GString *t, const struct kind *k)
+{
+	char *to;
+
+	if (strcmp(k->route, "batch") != 0 || r->split_turn % 3 == 0)
+		to = g_strdup_printf("\"service\":\"%s\"", k->service);
+	else if (r->split_turn % 3 == 1)
+		to = g_strdup_printf("\"traffic_split\":[{\"service\":"
+				     "\"cloner\",\"weight\":%d},{\"service\":"
+				     "\"codebook\",\"weight\":1}]",
+		    SPLIT_WEIGHT);
+	else
+		to = g_strdup("\"service\":\"codebook\"");
+	g_string_append_printf(t,
+	    "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"%s\"},"
+	    "\"specification\":{\"host\":\"%s\",\"path_prefix\":\"/%s/\","
+	    "\"kind\":\"%s\",\"timeout_ms\":%d,\"target_latency_ms\":500,"
+	    "\"priority\":%d,%s,\"max_attempts\":2}},\n",
+	    k->route, RIG_HOST, k->route, k->once ? "non_idempotent" : "safe",
+	    timeout_of(r, k), k->priority, to);
+	g_free(to);
+}
+
+static void
+append_resources(const struct rig *r, GString *t)
+{
+	int i;
+
+	for (i = 0; i < kind_count; i++)
+		append_route(r, t, &kinds[i]);
+	g_string_append_printf(t,
+	    "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"extra%d\"},"
+	    "\"specification\":{\"host\":\"%s\",\"path_prefix\":\"/extra%d/\","
+	    "\"kind\":\"safe\",\"timeout_ms\":1000,\"target_latency_ms\":500,"
+	    "\"priority\":2,\"service\":\"codebook\",\"max_attempts\":2}},\n",
+	    r->extra_turn % ROUTE_EXTRAS, RIG_HOST,
+	    r->extra_turn % ROUTE_EXTRAS);
+	for (i = 0; mesh_services[i]; i++)
+		g_string_append_printf(t,
+		    "{\"resource_kind\":\"services\",\"metadata\":{\"name\":"
+		    "\"%s\"},\"specification\":{\"health_path\":\"/health\","
+		    "\"max_connections\":260,\"cold_start_s\":3.0,"
+		    "\"cold_per_s\":19.0}},\n",
+		    mesh_services[i]);
+	g_string_append(t,
+	    "{\"resource_kind\":\"limits\",\"metadata\":{\"name\":\"limits\"},"
+	    "\"specification\":{\"max_header_bytes\":16384,"
+	    "\"max_body_bytes\":1048576,\"header_timeout_ms\":3000,"
+	    "\"idle_timeout_ms\":5000}}");
+}
+
+static void
+note_limits(struct rig *r)
+{
+	GString *t = g_string_new(NULL);
+	int i;
+
+	for (i = 0; i < kind_count; i++)
+		g_string_append_printf(t, " timeout_%s=%d", kinds[i].route,
+		    timeout_of(r, &kinds[i]));
+	note(r, "config-sent version=%d%s", r->version, t->str);
+	g_string_free(t, TRUE);
+}
+
+void
+store_configure(struct rig *r)
+{
+	GString *t = g_string_new(NULL);
+	char *ip = store_ip(r);
+	int first, version, code = 0;
+
+	g_mutex_lock(&r->lock);
+	first = !r->version;
+	version = ++r->version;
+	g_string_append_printf(t,
+	    "{\"metadata\":{\"name\":\"main\"},\"specification\":{\"version\":"
+	    "%d,\"resources\":[",
+	    version);
+	append_resources(r, t);
+	g_string_append(t, "]}}");
+	note_limits(r);
+	while (code != 200 && code != 201 && !g_atomic_int_get(&r->ending)) {
+		code = rig_http(ip, PORT_STORE, STORE_MS,
+		    first ? "POST" : "PUT",
+		    first ? "/v1/objects/config" : "/v1/objects/config/main",
+		    t->str);
+		note(r, "config-acked version=%d code=%d", version, code);
+		if (code != 200 && code != 201)
+			g_usleep(G_USEC_PER_SEC / 5);
+	}
+	g_mutex_unlock(&r->lock);
+	g_string_free(t, TRUE);
+	g_free(ip);
+}
+
+void
+store_evacuate(struct rig *r, int zone, int begins)
+{
+	char *ip = store_ip(r), *path, *body;
+
+	path = begins ? g_strdup("/v1/objects/evacuations")
+		      : g_strdup_printf("/v1/objects/evacuations/dc%d", zone);
+	body = g_strdup_printf("{\"metadata\":{\"name\":\"dc%d\"},"
+			       "\"specification\":{}}",
+	    zone);
+	note(r, "%s dc=dc%d", begins ? "evacuated" : "back", zone);
+	rig_http(ip, PORT_STORE, STORE_MS, begins ? "POST" : "DELETE", path,
+	    begins ? body : NULL);
+	g_free(body);
+	g_free(path);
+	g_free(ip);
+}
+
+void
+store_fault(struct rig *r, const char *mode)
+{
+	char *ip = store_ip(r);
+	char *path = g_strdup_printf("/fake/fault?mode=%s", mode);
+
+	note(r, "store mode=%s", mode);
+	rig_http(ip, PORT_STORE, FAULT_MS, "POST", path, NULL);
+	g_free(path);
+	g_free(ip);
+}
