rig: a judge of histories by the users' rules

Reads requests, machines and versions from the histories of a run and names for each loss and each excuse the clause that it rests on.

--- /dev/null
+++ b/tests/rig/judge_other.c
@@ -0,0 +1,145 @@
+#include "judge_impl.h"
+
+#define STATUS_TIMEOUT 408
+#define STATUS_MISDIRECTED 421
+#define STATUS_TOO_MANY 429
+#define STATUS_UNAVAILABLE 503
+#define STATUS_FAILED 400
+#define LONG_LEAST 8 /* requests that pass the time of their route */
+#define LONG_PART 4
+#define GONE_FEW 3
+
+static int
+is_promise(int status)
+{
+	return status == STATUS_TIMEOUT || status == STATUS_MISDIRECTED ||
+	       status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
+}
+
+static int
+is_success(const struct judged_request *q)
+{
+	return q->outcome == SEEN_WHOLE && q->status / 100 == 2;
+}
+
+static void
+judge_answer(struct judgement *j, const struct judged_request *q)
+{
+	int refused =
+	    q->outcome == SEEN_WHOLE && !q->is_signed &&
+	    (q->status == STATUS_TOO_MANY || q->status == STATUS_UNAVAILABLE);
+
+	if (q->outcome == SEEN_BAD)
+		judge_find(j, "MIXED/not-its-answer", q);
+	else if (is_success(q) && !q->is_signed)
+		judge_find(j, "MIXED/unsigned", q);
+	else if (is_success(q) && !q->first->answers_whole)
+		judge_find(j, "MIXED/not-whole", q);
+	if (refused && q->over > q->sent + OVER_US)
+		judge_find_unless(j, "INFO/refused-late", "information", q);
+}
+
+void
+judge_other(struct judgement *j, struct judged_request *q)
+{
+	if (q->once && q->runs->len > 1)
+		judge_find(j, "TWICE", q);
+	if (q->once && q->runs->len && q->outcome == SEEN_WHOLE &&
+	    is_promise(q->status))
+		judge_find(j, "REFUSED", q);
+	if (!q->sent)
+		return;
+	judge_answer(j, q);
+	if (q->outcome == SEEN_NOTHING)
+		judge_excuse(j, q->parent ? "call-given-up" : "open-at-end");
+	else if (q->outcome == SEEN_LATE)
+		judge_excuse(j, "caller-gave-up");
+	else if (q->outcome == SEEN_BEHIND)
+		judge_excuse(j, "behind-an-answer-that-closes");
+	else if (q->outcome == SEEN_UNSENT && judge_up(q->to, q->over))
+		judge_find_unless(j, "INFO/call-unsent", "information", q);
+	else if (q->outcome == SEEN_UNSENT)
+		judge_excuse(j, "call-daemon-down");
+}
+
+/* Whether requests that pass the time of their route get an answer soon after
+ * it; those whose caller leaves before are not asked. */
+static void
+judge_timeouts(struct judgement *j)
+{
+	GPtrArray *slow = g_ptr_array_new();
+	struct judged_request *q;
+	int64_t most;
+	guint i, all = 0;
+
+	for (i = 0; i < j->requests->len; i++) {
+		q = g_ptr_array_index(j->requests, i);
+		most = q->sent && q->over ? judge_longest(j, q) : 0;
+		if (!most || q->over <= q->sent + most ||
+		    q->outcome == SEEN_UNSENT ||
+		    !judge_in_touch(q->to, q->sent + most + HALF_SECOND_US))
+			continue;
+		if (q->over > q->sent + most + HALF_SECOND_US)
+			g_ptr_array_add(slow, q);
+		else if (q->outcome == SEEN_LATE)
+			continue;
+		all++;
+	}
+	if (slow->len * 2 > all ||
+	    (slow->len >= LONG_LEAST && slow->len * LONG_PART > all))
+		for (i = 0; i < slow->len; i++)
+			judge_find(j, "CONFIG/timeout",
+			    g_ptr_array_index(slow, i));
+	g_ptr_array_free(slow, TRUE);
+}
+
+static int
+has_run_after(const struct judged_request *q, int64_t t)
+{
+	guint i;
+
+	for (i = 0; i < q->runs->len; i++)
+		if (g_array_index(q->runs, struct run, i).from > t)
+			return 1;
+	return 0;
+}
+
+/* Requests that their callers left: those that reach a target later, and work
+ * that goes on. */
+static void
+judge_gone(struct judgement *j)
+{
+	GPtrArray *reached = g_ptr_array_new(), *working = g_ptr_array_new();
+	const struct judged_request *q;
+	const struct run *r;
+	int64_t t;
+	guint i, all = 0;
+
+	for (i = 0; i < j->requests->len; i++) {
+		q = g_ptr_array_index(j->requests, i);
+		t = q->over + HALF_SECOND_US;
+		if (q->outcome != SEEN_LATE || !judge_in_touch(q->to, t))
+			continue;
+		if (has_run_after(q, t))
+			g_ptr_array_add(reached, (void *)q);
+		r = judge_last_run(q);
+		if (!r || q->once || r->from + q->work <= t || r->from > t)
+			continue;
+		all++;
+		if (r->to > t)
+			g_ptr_array_add(working, (void *)q);
+	}
+	for (i = 0; reached->len > GONE_FEW && i < reached->len; i++)
+		judge_find(j, "GONE/passed-on", g_ptr_array_index(reached, i));
+	for (i = 0; working->len * 4 > all && i < working->len; i++)
+		judge_find(j, "GONE/at-work", g_ptr_array_index(working, i));
+	g_ptr_array_free(working, TRUE);
+	g_ptr_array_free(reached, TRUE);
+}
+
+void
+judge_other_counts(struct judgement *j)
+{
+	judge_timeouts(j);
+	judge_gone(j);
+}
--- /dev/null
+++ b/tests/rig/judge_plan.c
@@ -0,0 +1,255 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "judge_line.h"
+
+#define TRUNCATES 3 /* answers that target-set spoils */
+#define RESETS 3
+
+static void
+read_fell(struct judgement *j, const struct line *l)
+{
+	line_beside(j, l)->fell = l->t;
+}
+
+static void
+read_start(struct judgement *j, const struct line *l)
+{
+	struct judged_machine *m = line_machine(j, l);
+	struct span *s;
+	guint i;
+
+	g_array_append_val(m->start, l->t);
+	if (!m->left)
+		g_array_append_val(m->begun, l->t);
+	m->killed = m->forced = m->left = 0;
+	for (i = 0; i < m->spans->len; i++) {
+		s = &g_array_index(m->spans, struct span, i);
+		if (s->to == NEVER && s->trouble <= TROUBLE_STOP)
+			s->to = l->t;
+	}
+}
+
+static void
+read_term(struct judgement *j, const struct line *l)
+{
+	g_array_append_val(line_machine(j, l)->term, l->t);
+}
+
+static void
+read_hup(struct judgement *j, const struct line *l)
+{
+	g_array_append_val(line_machine(j, l)->hup, l->t);
+}
+
+static void
+begin_span(struct judged_machine *m, enum trouble trouble, int64_t t)
+{
+	struct span s = { trouble, t, NEVER };
+
+	g_array_append_val(m->spans, s);
+}
+
+static void
+end_span(struct judged_machine *m, enum trouble trouble, int64_t t)
+{
+	struct span *s;
+	guint i;
+
+	for (i = 0; i < m->spans->len; i++) {
+		s = &g_array_index(m->spans, struct span, i);
+		if (s->trouble == trouble && s->to == NEVER)
+			s->to = t;
+	}
+}
+
+static void
+read_kill(struct judgement *j, const struct line *l)
+{
+	struct judged_machine *m = line_machine(j, l);
+
+	m->killed = 1;
+	begin_span(m, TROUBLE_KILL, l->t);
+}
+
+static void
+read_stop(struct judgement *j, const struct line *l)
+{
+	begin_span(line_machine(j, l), TROUBLE_STOP, l->t);
+}
+
+static void
+read_cont(struct judgement *j, const struct line *l)
+{
+	end_span(line_machine(j, l), TROUBLE_STOP, l->t);
+}
+
+static void
+read_slow(struct judgement *j, const struct line *l)
+{
+	begin_span(line_machine(j, l), TROUBLE_SLOW, l->t);
+}
+
+static void
+read_unslow(struct judgement *j, const struct line *l)
+{
+	end_span(line_machine(j, l), TROUBLE_SLOW, l->t);
+}
+
+static void
+read_link(struct judgement *j, const struct line *l)
+{
+	struct judged_machine *m = line_machine(j, l);
+	char mode[FIELD_BYTES];
+
+	line_field(l, "mode", mode);
+	end_span(m, TROUBLE_LINK, l->t);
+	if (strcmp(mode, "open") != 0)
+		begin_span(m, TROUBLE_LINK, l->t);
+}
+
+static void
+read_overrun(struct judgement *j, const struct line *l)
+{
+	line_machine(j, l)->forced = 1;
+	judge_find_line(j, "Fault/grace-over", l->text);
+}
+
+static void
+read_memory(struct judgement *j, const struct line *l)
+{
+	line_machine(j, l)->forced = 1;
+	judge_find_line(j, "Fault/memory", l->text);
+}
+
+/* An end that neither a SIGTERM in its grace nor a SIGKILL explains. */
+static void
+read_end(struct judgement *j, const struct line *l)
+{
+	struct judged_machine *m = line_machine(j, l);
+	int64_t start = judge_last(m->start, l->t);
+	int64_t term = 0;
+	guint i;
+
+	for (i = 0; i < m->term->len && term < start; i++)
+		term = g_array_index(m->term, int64_t, i);
+	g_array_append_val(m->end, l->t);
+	m->left = !m->killed && term < start;
+	if (m->killed || m->forced)
+		return;
+	if (line_number(l, "status") || term < start)
+		judge_find_line(j, "Fault/own-end", l->text);
+	else if (l->t > term + GRACE_US)
+		judge_find_line(j, "Fault/grace-over", l->text);
+}
+
+/* The target's open runs end with it. */
+static void
+read_target_end(struct judgement *j, const struct line *l)
+{
+	struct judged_machine *m = line_machine(j, l);
+	struct judged_request *q;
+	struct run *r;
+	guint i, k;
+
+	for (i = 0; i < j->requests->len; i++) {
+		q = g_ptr_array_index(j->requests, i);
+		for (k = 0; k < q->runs->len; k++) {
+			r = &g_array_index(q->runs, struct run, k);
+			if (r->at == m && r->how == RUN_OPEN)
+				judge_broke_off(r, l->t);
+		}
+	}
+}
+
+/* A knob that nothing turns back works for a few requests. */
+static void
+note_unsound(struct judged_machine *m, int begins, int64_t t)
+{
+	struct span s = { 0, t, t + TOUCH_US };
+	struct span *last;
+
+	if (begins) {
+		g_array_append_val(m->unsound, s);
+	} else if (m->unsound->len) {
+		last = &g_array_index(m->unsound, struct span,
+		    m->unsound->len - 1);
+		last->to = t;
+	}
+}
+
+static void
+read_target_set(struct judgement *j, const struct line *l)
+{
+	struct judged_machine *m = line_machine(j, l);
+	char what[FIELD_BYTES];
+
+	line_field(l, "what", what);
+	if (strcmp(what, "slow") != 0)
+		note_unsound(m, strcmp(what, "calm") != 0, l->t);
+	m->truncates = !strcmp(what, "cut") ? TRUNCATES : m->truncates;
+	m->resets = !strcmp(what, "reset") ? RESETS : m->resets;
+}
+
+static void
+read_other(struct judgement *j, const struct line *l)
+{
+	line_machine(j, l);
+}
+
+static void
+read_limits(struct version *v, const struct line *l)
+{
+	char **word = g_strsplit(l->text, " ", -1), *value;
+	int i;
+
+	for (i = 0; word[i]; i++) {
+		value = strchr(word[i], '=');
+		if (!value || !g_str_has_prefix(word[i], "timeout_"))
+			continue;
+		*value = '\0';
+		g_hash_table_insert(v->timeouts,
+		    g_strdup(word[i] + strlen("timeout_")),
+		    GINT_TO_POINTER((int)strtol(value + 1, NULL, 10)));
+	}
+	g_strfreev(word);
+}
+
+static void
+read_config_sent(struct judgement *j, const struct line *l)
+{
+	struct version v = { (int)line_number(l, "version"), l->t, NEVER,
+		NULL };
+
+	v.timeouts =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	read_limits(&v, l);
+	g_array_append_val(j->versions, v);
+}
+
+static void
+read_config_acked(struct judgement *j, const struct line *l)
+{
+	struct version *v;
+	int64_t code = line_number(l, "code");
+	guint i;
+
+	for (i = 0; i < j->versions->len; i++) {
+		v = &g_array_index(j->versions, struct version, i);
+		if (v->number == line_number(l, "version") &&
+		    v->acked == NEVER && (!code || code / 100 == 2))
+			v->acked = l->t;
+	}
+}
+
+const struct line_kind line_kinds_plan[] = { { "start", read_start },
+	{ "term", read_term }, { "hup", read_hup }, { "kill", read_kill },
+	{ "stop", read_stop }, { "cont", read_cont }, { "slow", read_slow },
+	{ "unslow", read_unslow }, { "link", read_link },
+	{ "overrun", read_overrun }, { "memory", read_memory },
+	{ "end", read_end }, { "ready", read_other }, { "unready", read_other },
+	{ "target-start", read_other }, { "target-drains", read_other },
+	{ "target-kill", read_target_end }, { "target-end", read_target_end },
+	{ "target-set", read_target_set }, { "fell", read_fell },
+	{ "config-sent", read_config_sent },
+	{ "config-acked", read_config_acked }, { NULL, NULL } };
