--- a/tests/rig/judge_impl.h
+++ b/tests/rig/judge_impl.h
@@ -24,9 +24,7 @@
 #define SLACK_US (200 * MS)
 #define TOUCH_US (3000 * MS)
 #define OVER_US (1000 * MS) /* after the grace, and after the time to apply */
-#define EARLY_US                                                    \
-	(3000 * MS) /* after SIGTERM, up to which the grace excuses \
-		     */
+#define EARLY_US (3000 * MS) /* of a stop: sent so early */
 #define LAST_SIXTH_US (GRACE_US * 5 / 6)
 #define HALF_SECOND_US (500 * MS)
 #define KEPT_MAX 3
@@ -85,6 +83,8 @@
 	int64_t passed;
 	struct judged_request *first; /* with this id */
 	int answers_whole; /* runs of the id that came to their end */
+	const char
+	    *excuse; /* of the other clauses, where it may count as kept */
 	GArray *runs; /* struct run */
 	GPtrArray *lines;
 };
--- a/tests/rig/judge_lost.c
+++ b/tests/rig/judge_lost.c
@@ -130,8 +130,10 @@
 		judge_find_unless(j, "LOST/kept", "target-not-sound", q);
 	else if (q->status)
 		judge_find_unless(j, "LOST/kept", "answer-had-begun", q);
-	else
+	else {
+		q->excuse = excuse;
 		g_ptr_array_add(j->kept, q);
+	}
 }
 
 static void
@@ -162,7 +164,9 @@
 		lose_by_config(j, q);
 	else {
 		q->to->far_cut++;
-		lose_kept(j, q, "no-planned-work");
+		lose_kept(j, q,
+		    judge_in_touch(q->to, q->over) ? "kept-up-to-three"
+						   : "no-planned-work");
 	}
 }
 
@@ -224,6 +228,6 @@
 		if (j->kept->len > KEPT_MAX)
 			judge_find(j, "LOST/kept", q);
 		else
-			judge_excuse(j, "kept-up-to-three");
+			judge_excuse(j, q->excuse);
 	}
 }
--- a/tests/rig/judge_plan.c
+++ b/tests/rig/judge_plan.c
@@ -174,7 +174,7 @@
 	} else if (m->unsound->len) {
 		last = &g_array_index(m->unsound, struct span,
 		    m->unsound->len - 1);
-		last->to = t;
+		last->to = MIN(last->to, t);
 	}
 }
 
--- a/tests/rig/judge_print.c
+++ b/tests/rig/judge_print.c
@@ -68,10 +68,19 @@
 	}
 }
 
+static void
+tell_machine(const char *what, const struct judged_machine *m,
+    const struct judged_request *q)
+{
+	if (m)
+		tell_lines(what, m->lines, q->began - BEFORE_US, q->over);
+}
+
 static void
 tell(const struct finding *f, int with_events)
 {
 	const struct judged_request *q = f->request;
+	const struct run *r;
 
 	if (f->unless)
 		printf("excused-if/%s ", f->unless);
@@ -85,9 +94,10 @@
 	if (!with_events)
 		return;
 	tell_lines("events", q->lines, 0, NEVER);
-	if (q->to)
-		tell_lines("machine", q->to->lines, q->began - BEFORE_US,
-		    q->over);
+	tell_machine("machine", q->to, q);
+	r = judge_last_run(q);
+	if (r && r->at != q->to)
+		tell_machine("target's machine", r->at, q);
 }
 
 static int
