--- a/tests/rig/judge_impl.h
+++ b/tests/rig/judge_impl.h
@@ -175,6 +175,9 @@
 
 /** judge_last_run() - NULL if it has not run */
 const struct run *judge_last_run(const struct judged_request *);
+/** judge_was_cut() - nonzero if its connection ended without its whole answer,
+ * also behind an answer that closes if a target had it */
+int judge_was_cut(const struct judged_request *);
 void judge_lost(struct judgement *, struct judged_request *);
 /** judge_lost_counts() - judge what depends on how often it happens */
 void judge_lost_counts(struct judgement *);
--- a/tests/rig/judge_lost.c
+++ b/tests/rig/judge_lost.c
@@ -8,6 +8,13 @@
 		   : NULL;
 }
 
+int
+judge_was_cut(const struct judged_request *q)
+{
+	return q->outcome == SEEN_CUT ||
+	       (q->outcome == SEEN_BEHIND && q->passed);
+}
+
 /* Nonzero if a target was at work until the request ended. */
 static int
 at_work(const struct judged_request *q)
@@ -121,7 +128,7 @@
 static void
 lose_kept(struct judgement *j, struct judged_request *q, const char *excuse)
 {
-	if (q->outcome != SEEN_CUT || !q->passed || broke_off(q) ||
+	if (!judge_was_cut(q) || !q->passed || broke_off(q) ||
 	    !judge_in_touch(q->to, q->over))
 		judge_excuse(j, excuse);
 	else if (is_troubled_beside(q))
@@ -191,7 +198,7 @@
 		q->to->near++;
 	else
 		q->to->far++;
-	if (q->outcome != SEEN_CUT && !own)
+	if (!judge_was_cut(q) && !own)
 		return;
 	excuse = excuse_of(j, q);
 	if (excuse)
--- a/tests/rig/judge_other.c
+++ b/tests/rig/judge_other.c
@@ -54,7 +54,7 @@
 		judge_excuse(j, q->parent ? "call-given-up" : "open-at-end");
 	else if (q->outcome == SEEN_LATE)
 		judge_excuse(j, "caller-gave-up");
-	else if (q->outcome == SEEN_BEHIND)
+	else if (q->outcome == SEEN_BEHIND && !judge_was_cut(q))
 		judge_excuse(j, "behind-an-answer-that-closes");
 	else if (q->outcome == SEEN_UNSENT && judge_up(q->to, q->over))
 		judge_find_unless(j, "INFO/call-unsent", "information", q);
