--- a/tests/rig/judge.c
+++ b/tests/rig/judge.c
@@ -23,6 +23,7 @@
 	g_array_free(m->end, TRUE);
 	g_array_free(m->spans, TRUE);
 	g_array_free(m->unsound, TRUE);
+	g_array_free(m->parted, TRUE);
 	g_ptr_array_free(m->lines, TRUE);
 	g_free(m);
 }
--- a/tests/rig/judge_impl.h
+++ b/tests/rig/judge_impl.h
@@ -106,6 +106,7 @@
 	GArray *begun; /* of @start, not after an end by itself */
 	GArray *spans; /* struct span */
 	GArray *unsound; /* struct span, of its target */
+	GArray *parted; /* struct span, of its path to the store */
 	int killed, forced, left; /* since its start */
 	int truncates, resets; /* answers that its target still breaks off */
 	int near, near_cut, far, far_cut; /* beside a configuration or not */
@@ -157,6 +158,8 @@
 /** judge_is_unsound() - nonzero if its target was in trouble between the times
  */
 int judge_is_unsound(const struct judged_machine *, int64_t from, int64_t to);
+/** judge_is_parted() - nonzero if its path to the store was disturbed */
+int judge_is_parted(const struct judged_machine *, int64_t from, int64_t to);
 /** judge_in_touch() - nonzero if nothing happened to it for so long */
 int judge_in_touch(const struct judged_machine *, int64_t t);
 /** judge_up() - nonzero if its daemon runs and was told nothing else */
--- a/tests/rig/judge_line.c
+++ b/tests/rig/judge_line.c
@@ -50,6 +50,7 @@
 	m->term = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	m->hup = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	m->end = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	m->parted = g_array_new(FALSE, FALSE, sizeof(struct span));
 	m->unsound = g_array_new(FALSE, FALSE, sizeof(struct span));
 	m->spans = g_array_new(FALSE, FALSE, sizeof(struct span));
 	m->lines = g_ptr_array_new();
