silence: own pauses are not a peer's silence

What callers saw: 504 `unknown`, reason `lost`, to unsafe requests at which their target was at work, at the moment their daemon ran again after it had stood still together with the daemon beside the target. sh tests/system/silent-together.sh build.

Cause: a connection between daemons is closed 1.2 s after a question without an answer, by the clock alone. The check for it may come late by any time, as this process did not run, and the other one may not have run either. The member table and the inbound side leave out own pauses; this place did not.

Evidence: event 431, silent_us=1855662, where the callers' daemon had run for 0.65 s since its question.

Ruled out: an answer that lay unread in the socket. The loop reads sockets before it runs timers.

Now the time by which a check comes late moves the moment of the question. The same holds for a daemon that gets a part of each second.

--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -121,6 +121,7 @@
 	GHashTable *ramps; /* data centre name to struct ramp */
 	struct io_timer ramp_timer;
 	struct io_timer silence_timer;
+	int64_t silence_due; /* next check for silent peers */
 
 	struct peer_node *node;
 	GHashTable *conns; /* id to struct in_conn */
--- a/src/daemon/outbound/silence.c
+++ b/src/daemon/outbound/silence.c
@@ -114,9 +114,11 @@
 
 /* Probes a silent peer. While the probe is unanswered, new calls avoid the
  * peer, then the members check it, so that the others avoid it too, then its
- * idempotent calls are sent again, then its connection is closed. */
+ * idempotent calls are sent again, then its connection is closed. Time by which
+ * the check comes @late is not counted: this task did not run, and the peer may
+ * not have run either. */
 static void
-check_peer(struct out_peer *p, int64_t now)
+check_peer(struct out_peer *p, int64_t now, int64_t late)
 {
 	if (p->suspected && p->service)
 		pick_note_unresponsive(p->service->pick, p->handle, now);
@@ -130,6 +132,7 @@
 			send_probe(p, now);
 		return;
 	}
+	p->probed_at += late;
 	if (now - p->probed_at > AVOID_AFTER_US && p->service)
 		pick_note_unresponsive(p->service->pick, p->handle, now);
 	if (now - p->probed_at > CHECK_AFTER_US && !p->check_asked) {
@@ -156,11 +159,13 @@
 {
 	struct data *d = ctx;
 	GList *peers = g_hash_table_get_values(d->peers), *l;
+	int64_t late = MAX(0, now - d->silence_due);
 
 	for (l = peers; l; l = l->next)
-		check_peer(l->data, now);
+		check_peer(l->data, now, late);
 	g_list_free(peers);
-	io_timer_set(d->task.loop, &d->silence_timer, now + CHECK_PERIOD_US);
+	d->silence_due = now + CHECK_PERIOD_US;
+	io_timer_set(d->task.loop, &d->silence_timer, d->silence_due);
 }
 
 void
@@ -168,6 +173,6 @@
 {
 	d->silence_timer.fire = check_peers;
 	d->silence_timer.ctx = d;
-	io_timer_set(d->task.loop, &d->silence_timer,
-	    io_clock() + CHECK_PERIOD_US);
+	d->silence_due = io_clock() + CHECK_PERIOD_US;
+	io_timer_set(d->task.loop, &d->silence_timer, d->silence_due);
 }
