silence: a stop keeps silent connections with open calls

What callers saw: from a daemon that stops, 504 `unknown` to unsafe and 502 to safe requests, reason `lost`, while their target is at work and would have answered within the grace. sh tests/system/stop-silent.sh build.

Cause: a connection between daemons is closed 1.45 s after its last record, so that new calls get a new one. The daemon beside the target only stood still for 2.3 s. A daemon that stops needs no new connections, and its requests have until the end of the grace.

Evidence: events 101, 432, 431 at the callers' daemon, attempts=10, within its grace; the target ends its work later.

Ruled out: members that declare the other daemon dead (connections with open attempts are kept then); its own SIGTERM (the same without); a daemon that gets a part of each second (nothing lost before).

Now such a connection is kept while attempts are open on it; safe requests go to another target as before.

Not mended: the same beside no stop, where new calls need a connection that works.

--- a/src/daemon/outbound/silence.c
+++ b/src/daemon/outbound/silence.c
@@ -112,6 +112,14 @@
 	d->events->peer_silent(d->events_ctx, p->incarnation);
 }
 
+/* While this daemon stops, a peer may only stand still: requests that it runs
+ * can be answered until the end of the stop. */
+static int
+answers_awaited(const struct out_peer *p)
+{
+	return p->data->leave.end && g_hash_table_size(p->attempts);
+}
+
 /* Probes a silent peer. While the probe is unanswered, new calls avoid the
  * peer, then the members check it, so that the others avoid it too, then its
  * idempotent calls are sent again, then its connection is closed. Time by which
@@ -139,7 +147,7 @@
 		p->check_asked = 1;
 		ask_check(p, now);
 	}
-	if (now - p->probed_at > CLOSE_AFTER_US) {
+	if (now - p->probed_at > CLOSE_AFTER_US && !answers_awaited(p)) {
 		log_event(EVENT_PEER_TIMEOUT, G_LOG_LEVEL_WARNING, now,
 		    "unresponsive connection closed "
 		    "incarnation=%016" G_GINT64_MODIFIER
