--- a/src/adapter/io/tcp.c
+++ b/src/adapter/io/tcp.c
@@ -50,12 +50,22 @@
 	return fd;
 }
 
+static void
+set_user_timeout(int fd, unsigned ms)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
 void
 io_limit_silence(int fd)
 {
-	unsigned ms = IO_USER_TIMEOUT_MS;
+	set_user_timeout(fd, IO_USER_TIMEOUT_MS);
+}
 
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+void
+io_allow_silence(int fd)
+{
+	set_user_timeout(fd, 0);
 }
 
 static int
--- a/src/internal/io.h
+++ b/src/internal/io.h
@@ -82,6 +82,9 @@
  * bytes sent for IO_USER_TIMEOUT_MS, also if it only stopped reading;
  * io_connect_tcp() does this */
 void io_limit_silence(int fd);
+/** io_allow_silence() - undo io_limit_silence(): a connection whose peer stops
+ * reading for a while stays open */
+void io_allow_silence(int fd);
 /** io_listen_tcp() - open a non-blocking listening socket on a numeric IP
  * address and a port; the socket or -1 with errno */
 int io_listen_tcp(const char *ip, int port);
