rpc: a daemon that stands still keeps the answers sent to it

What callers saw: 504 `unknown`, reason `lost`, to unsafe requests that had run and were answered, and answers that end early, as their daemon ran again after it had stood still for 3 s, in calm and at its stop. sh tests/system/still-reader.sh build.

Cause: TCP_USER_TIMEOUT, 1.5 s, on connections accepted from daemons; a closed window counts as silence. The daemon that sends answers need not find out quickly: the one that waits asks.

Evidence: no events 430 to 433 at either daemon; outcome=answer (512) where the target is. With answers that fit in a socket nothing is lost.

Ruled out: the check for silence of the daemon that stood still (mended before).

Now such a connection is broken after 10 s without any byte taken. io_limit_silence() takes the time as an argument, 0 for connections to targets.

--- a/src/adapter/http/call.c
+++ b/src/adapter/http/call.c
@@ -176,7 +176,7 @@
 	c->notify_drained = 0;
 	out_clear(&l->out);
 	shutdown(l->fd, SHUT_WR);
-	io_limit_silence(l->fd);
+	io_limit_silence(l->fd, IO_USER_TIMEOUT_MS);
 	http_call_pause(c, 0);
 	link_update_watch(l);
 	return 1;
--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -222,7 +222,7 @@
 		return;
 	}
 	l->connected = 1;
-	io_allow_silence(l->fd);
+	io_limit_silence(l->fd, 0);
 	l->last_byte = io_now(l->pool->loop);
 	link_flush(l);
 }
--- a/src/adapter/io/tcp.c
+++ b/src/adapter/io/tcp.c
@@ -50,22 +50,10 @@
 	return fd;
 }
 
-static void
-set_user_timeout(int fd, unsigned ms)
-{
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
-}
-
 void
-io_limit_silence(int fd)
+io_limit_silence(int fd, unsigned ms)
 {
-	set_user_timeout(fd, IO_USER_TIMEOUT_MS);
-}
-
-void
-io_allow_silence(int fd)
-{
-	set_user_timeout(fd, 0);
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
 static int
@@ -105,7 +93,7 @@
 	fd = open_socket(ip, port, &a, &n);
 	if (fd < 0)
 		return -1;
-	io_limit_silence(fd);
+	io_limit_silence(fd, IO_USER_TIMEOUT_MS);
 	if (connect(fd, (struct sockaddr *)&a, n) < 0 && errno != EINPROGRESS)
 		return close_keep_errno(fd);
 	return fd;
--- a/src/adapter/rpc/peer_node.c
+++ b/src/adapter/rpc/peer_node.c
@@ -7,6 +7,8 @@
 #include "peer_impl.h"
 
 #define RECORD_MARK_LEN 4
+/* for which a daemon that connected may stand still and keep its answers */
+#define PEER_STILL_MS 10000
 
 struct peer_node *
 peer_node_new(struct io_loop *loop, uint64_t incarnation,
@@ -40,7 +42,7 @@
 		if (fd < 0)
 			return;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-		io_limit_silence(fd);
+		io_limit_silence(fd, PEER_STILL_MS);
 		peer_conn_new(n, fd, 1);
 	}
 }
--- a/src/internal/io.h
+++ b/src/internal/io.h
@@ -79,12 +79,9 @@
 void io_timer_clear(struct io_loop *, struct io_timer *);
 
 /** io_limit_silence() - break a TCP connection whose peer takes none of the
- * bytes sent for IO_USER_TIMEOUT_MS, also if it only stopped reading;
- * io_connect_tcp() does this */
-void io_limit_silence(int fd);
-/** io_allow_silence() - undo io_limit_silence(): a connection whose peer stops
- * reading for a while stays open */
-void io_allow_silence(int fd);
+ * bytes sent for @ms, also if it only stopped reading, never if that is 0;
+ * io_connect_tcp() does this with IO_USER_TIMEOUT_MS */
+void io_limit_silence(int fd, unsigned ms);
 /** io_listen_tcp() - open a non-blocking listening socket on a numeric IP
  * address and a port; the socket or -1 with errno */
 int io_listen_tcp(const char *ip, int port);
