rpc: a stop keeps connections to daemons that take no bytes

What callers saw: from a daemon that stops, 504 `unknown`, reason `lost`, to unsafe requests with long bodies under way, as the daemon beside their target stood still for 2.3 s. sh tests/system/stop-still-upload.sh build.

Cause: TCP_USER_TIMEOUT, 1.5 s, on connections that a daemon opens to others; a closed window counts as silence. The check for silence keeps such a connection during a stop, the system didn't.

Evidence: event 430, no 431; 504 before the other daemon runs again.

Ruled out: the daemon of the callers itself standing still in its stop (15 of 15 answered before).

Now a daemon lifts the bound on these connections once it is told to stop, and on those that it opens later.

--- a/src/adapter/rpc/peer_conn.c
+++ b/src/adapter/rpc/peer_conn.c
@@ -160,6 +160,12 @@
 	free_closed(n);
 }
 
+void
+peer_allow_silence(struct peer_conn *c)
+{
+	io_limit_silence(c->fd, 0);
+}
+
 int
 peer_is_open(const struct peer_conn *c)
 {
--- a/src/daemon/data/leave.c
+++ b/src/daemon/data/leave.c
@@ -35,6 +35,7 @@
 	d->leave = *(struct leave_plan *)message;
 	g_free(message);
 	http_server_disable_keepalive(d->server);
+	outbound_allow_silence(d);
 	d->leave_timer.fire = leave_due;
 	d->leave_timer.ctx = d;
 	leave_due(d, data_now(d));
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -252,6 +252,9 @@
     int64_t at);
 /** outbound_silence_start() - start the checks for peers that do not answer */
 void outbound_silence_start(struct data *);
+/** outbound_allow_silence() - keep connections to peers that stand still, from
+ * the order to stop on */
+void outbound_allow_silence(struct data *);
 /** out_service_probe() - probe a candidate of a service if one is due */
 void out_service_probe(struct out_service *);
 
--- a/src/daemon/outbound/peer.c
+++ b/src/daemon/outbound/peer.c
@@ -87,8 +87,10 @@
 	}
 	once_clock_update(&p->clock, peer_hello_clock(p->conn),
 	    data_now(p->data));
-	if (p->data->leave.end)
+	if (p->data->leave.end) {
+		peer_allow_silence(p->conn);
 		outbound_refuse_late(p->data);
+	}
 	while ((a = take_waiting(p)))
 		if (outbound_attempt_send(a))
 			outbound_attempt_refused(a, WIRE_REASON_NO_TARGET,
--- a/src/daemon/outbound/silence.c
+++ b/src/daemon/outbound/silence.c
@@ -176,6 +176,21 @@
 	io_timer_set(d->task.loop, &d->silence_timer, d->silence_due);
 }
 
+void
+outbound_allow_silence(struct data *d)
+{
+	GHashTableIter it;
+	struct out_peer *p;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, d->peers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		p = v;
+		if (p->conn && peer_is_open(p->conn))
+			peer_allow_silence(p->conn);
+	}
+}
+
 void
 outbound_silence_start(struct data *d)
 {
--- a/src/internal/peer.h
+++ b/src/internal/peer.h
@@ -108,6 +108,8 @@
 peer_connect(struct peer_node *, const char *ip, int port, struct kq_error *);
 /** peer_close() - close a connection; calls ops->closed before it returns */
 void peer_close(struct peer_conn *);
+/** peer_allow_silence() - keep a connection although the peer reads nothing */
+void peer_allow_silence(struct peer_conn *);
 int peer_is_open(const struct peer_conn *);
 /** peer_is_accepted() - nonzero if the peer initiated the connection */
 int peer_is_accepted(const struct peer_conn *);
