--- a/src/adapter/io/tcp.c
+++ b/src/adapter/io/tcp.c
@@ -51,10 +51,8 @@
 }
 
 void
-io_limit_silence(int fd)
+io_limit_silence(int fd, unsigned ms)
 {
-	unsigned ms = IO_USER_TIMEOUT_MS;
-
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
@@ -95,7 +93,7 @@
 	fd = open_socket(ip, port, &a, &n);
 	if (fd < 0)
 		return -1;
-	io_limit_silence(fd);
+	io_limit_silence(fd, IO_USER_TIMEOUT_MS);
 	if (connect(fd, (struct sockaddr *)&a, n) < 0 && errno != EINPROGRESS)
 		return close_keep_errno(fd);
 	return fd;
--- a/src/daemon/outbound/silence.c
+++ b/src/daemon/outbound/silence.c
@@ -112,11 +112,21 @@
 	d->events->peer_silent(d->events_ctx, p->incarnation);
 }
 
+/* While this daemon stops, a peer may only stand still: requests that it runs
+ * can be answered until the end of the stop. */
+static int
+answers_awaited(const struct out_peer *p)
+{
+	return p->data->leave.end && g_hash_table_size(p->attempts);
+}
+
 /* Probes a silent peer. While the probe is unanswered, new calls avoid the
  * peer, then the members check it, so that the others avoid it too, then its
- * idempotent calls are sent again, then its connection is closed. */
+ * idempotent calls are sent again, then its connection is closed. Time by which
+ * the check comes @late is not counted: this task did not run, and the peer may
+ * not have run either. */
 static void
-check_peer(struct out_peer *p, int64_t now)
+check_peer(struct out_peer *p, int64_t now, int64_t late)
 {
 	if (p->suspected && p->service)
 		pick_note_unresponsive(p->service->pick, p->handle, now);
@@ -130,13 +140,14 @@
 			send_probe(p, now);
 		return;
 	}
+	p->probed_at += late;
 	if (now - p->probed_at > AVOID_AFTER_US && p->service)
 		pick_note_unresponsive(p->service->pick, p->handle, now);
 	if (now - p->probed_at > CHECK_AFTER_US && !p->check_asked) {
 		p->check_asked = 1;
 		ask_check(p, now);
 	}
-	if (now - p->probed_at > CLOSE_AFTER_US) {
+	if (now - p->probed_at > CLOSE_AFTER_US && !answers_awaited(p)) {
 		log_event(EVENT_PEER_TIMEOUT, G_LOG_LEVEL_WARNING, now,
 		    "unresponsive connection closed "
 		    "incarnation=%016" G_GINT64_MODIFIER
@@ -156,11 +167,28 @@
 {
 	struct data *d = ctx;
 	GList *peers = g_hash_table_get_values(d->peers), *l;
+	int64_t late = MAX(0, now - d->silence_due);
 
 	for (l = peers; l; l = l->next)
-		check_peer(l->data, now);
+		check_peer(l->data, now, late);
 	g_list_free(peers);
-	io_timer_set(d->task.loop, &d->silence_timer, now + CHECK_PERIOD_US);
+	d->silence_due = now + CHECK_PERIOD_US;
+	io_timer_set(d->task.loop, &d->silence_timer, d->silence_due);
+}
+
+void
+outbound_allow_silence(struct data *d)
+{
+	GHashTableIter it;
+	struct out_peer *p;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, d->peers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		p = v;
+		if (p->conn && peer_is_open(p->conn))
+			peer_allow_silence(p->conn);
+	}
 }
 
 void
@@ -168,6 +196,6 @@
 {
 	d->silence_timer.fire = check_peers;
 	d->silence_timer.ctx = d;
-	io_timer_set(d->task.loop, &d->silence_timer,
-	    io_clock() + CHECK_PERIOD_US);
+	d->silence_due = io_clock() + CHECK_PERIOD_US;
+	io_timer_set(d->task.loop, &d->silence_timer, d->silence_due);
 }
