A stop ends within its grace when nobody reads the log

What callers saw: nothing by itself; the daemon may be killed at the end of its grace, before its last words to other daemons and its last lines are out. Cause: the waits of the end, 0.1 s for other daemons and 0.5 s for the log, had bounds of their own, where the plan keeps 0.4 s; the grace was counted from when the control task took up the signal. Ruled out: a shorter fixed wait for the log; it would lose lines where there is time. Not covered: a process without processor time in the last 0.1 s.

--- a/src/adapter/log/log_event.c
+++ b/src/adapter/log/log_event.c
@@ -174,7 +174,7 @@
 }
 
 void
-log_stop(void)
+log_stop(int64_t most_us)
 {
-	log_sink_stop();
+	log_sink_stop(most_us);
 }
--- a/src/adapter/log/log_impl.h
+++ b/src/adapter/log/log_impl.h
@@ -7,8 +7,9 @@
 
 /** log_sink_start() - start the thread that writes lines to standard output */
 void log_sink_start(void);
-/** log_sink_stop() - wait a bounded time until all lines are written */
-void log_sink_stop(void);
+/** log_sink_stop() - wait until all lines are written, for @most_us
+ * microseconds at most */
+void log_sink_stop(int64_t most_us);
 /** log_sink_put() - queue one line, which ends with a newline; once the thread
  * is started it never blocks on the output */
 void log_sink_put(const char *line, size_t n);
--- a/src/adapter/log/log_sink.c
+++ b/src/adapter/log/log_sink.c
@@ -10,7 +10,6 @@
 #define BUFFER_BYTES \
 	262144 /* a second of lines at the full rate, with a blocked output */
 #define GATHER_MS 20 /* for which lines are collected for one write */
-#define STOP_WAIT_MS 500 /* at most, for the output when the log stops */
 
 /* Lines are queued in a ring buffer and written by a separate thread, so that
  * an output that nobody reads blocks only that thread. */
@@ -189,9 +188,9 @@
 }
 
 void
-log_sink_stop(void)
+log_sink_stop(int64_t most_us)
 {
-	int64_t until = g_get_monotonic_time() + STOP_WAIT_MS * INT64_C(1000);
+	int64_t until = g_get_monotonic_time() + most_us;
 
 	if (!sink.thread)
 		return;
--- a/src/core/leave/plan.c
+++ b/src/core/leave/plan.c
@@ -1,6 +1,8 @@
 #include "leave.h"
 
-#define EXIT_US 400000 /* the process ends this long before it is killed */
+#define EXIT_US \
+	400000 /* the process begins to end so long before it is killed */
+#define SPARE_US 100000 /* it waits for nothing in the last of that time */
 #define ANSWER_US 100000 /* for the last answers to be sent */
 /* At least this long is left to finish requests after the ports have closed. */
 #define FINISH_US 500000
@@ -11,6 +13,7 @@
     int64_t grace_us)
 {
 	p->end = now + (grace_us > EXIT_US ? grace_us - EXIT_US : 0);
+	p->exit_by = now + (grace_us > SPARE_US ? grace_us - SPARE_US : 0);
 	p->answer_by = p->end - ANSWER_US;
 	if (p->answer_by < now)
 		p->answer_by = now;
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -233,11 +233,13 @@
 begin_leave(void *ctx, void *message)
 {
 	struct control *c = ctx;
+	int64_t ordered = *(int64_t *)message;
 
+	g_free(message);
 	if (c->leaving)
 		return;
 	c->leaving = 1;
-	leave_plan_init(&c->leave, control_now(c),
+	leave_plan_init(&c->leave, ordered,
 	    c->settings.leave_ms * INT64_C(1000),
 	    (int64_t)(c->settings.grace_s * 1e6));
 	log_event(EVENT_STOPPING, G_LOG_LEVEL_MESSAGE, control_now(c),
@@ -269,11 +271,18 @@
 }
 
 void
-control_leave(struct control *c, void (*done)(void *ctx), void *ctx)
+control_leave(struct control *c, int64_t now, void (*done)(void *ctx),
+    void *ctx)
 {
 	c->leave_done = done;
 	c->leave_ctx = ctx;
-	task_post(&c->task, begin_leave, c, NULL);
+	task_post(&c->task, begin_leave, c, g_memdup2(&now, sizeof now));
+}
+
+int64_t
+control_exit_by(const struct control *c)
+{
+	return c->leave.exit_by;
 }
 
 /* Messages that are still handled here may use the clients, so these live until
--- a/src/daemon/data/data.c
+++ b/src/daemon/data/data.c
@@ -244,7 +244,8 @@
 	if (d->server)
 		http_server_free(d->server);
 	if (d->node && d->leave.end)
-		peer_node_finish(d->node, io_clock() + FINISH_US);
+		peer_node_finish(d->node,
+		    MIN(io_clock() + FINISH_US, d->leave.exit_by));
 	if (d->node)
 		peer_node_free(d->node);
 	io_timer_clear(d->task.loop, &d->measure_timer);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -8,6 +8,7 @@
 
 #include "daemon/control/control.h"
 #include "daemon/reload.h"
+#include "io.h"
 #include "log.h"
 #include "version.h"
 
@@ -55,7 +56,7 @@
 	struct program *p = ctx;
 
 	if (!p->leaving)
-		control_leave(p->control, leave_done, p);
+		control_leave(p->control, io_clock(), leave_done, p);
 	p->leaving = 1;
 	return G_SOURCE_CONTINUE;
 }
@@ -92,6 +93,7 @@
 	struct program p = { 0 };
 	struct kq_error e = { 0 };
 	struct data *d;
+	int64_t exit_by;
 
 	p.control = control_new(s, incarnation, &e);
 	d = p.control
@@ -100,7 +102,7 @@
 	if (!d) {
 		log_event(EVENT_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL, 0, "%s",
 		    e.text);
-		log_stop();
+		log_stop(LOG_STOP_US);
 		return EXIT_PORTS;
 	}
 	control_set_data(p.control, d);
@@ -121,11 +123,13 @@
 	g_main_loop_run(p.loop);
 	reload_stop(p.reload);
 	control_stop(p.control);
+	exit_by = control_exit_by(p.control);
 	data_stop(d);
 	control_free(p.control);
 	g_main_loop_unref(p.loop);
 	log_event(EVENT_STOPPED, G_LOG_LEVEL_MESSAGE, 0, "stopped");
-	log_stop();
+	log_stop(exit_by ? CLAMP(exit_by - io_clock(), 0, LOG_STOP_US)
+			 : LOG_STOP_US);
 	return EXIT_SUCCESS;
 }
 
--- a/src/internal/leave.h
+++ b/src/internal/leave.h
@@ -17,12 +17,14 @@
  * @serve_until: the ports close then, unless requests still run at the target
  * @close_by: they close then at the latest
  * @answer_by: what is still in flight then is ended with an answer
- * @end: the process ends then */
+ * @end: the process begins to end then
+ * @exit_by: it waits for nothing any more, other daemons or its log, then */
 struct leave_plan {
 	int64_t serve_until;
 	int64_t close_by;
 	int64_t answer_by;
 	int64_t end;
+	int64_t exit_by;
 };
 
 /** leave_plan_init() - plan a stop that was ordered at @now
--- a/src/internal/log.h
+++ b/src/internal/log.h
@@ -21,6 +21,7 @@
 #define REQUEST_EVENT_PER_S_MAX \
 	400 /* twice the usual rate of one daemon over a day */
 #define ID_LINES_PER_S_MAX 100 /* of each event */
+#define LOG_STOP_US 500000 /* usual wait of log_stop() */
 #define EVENT_REQUEST_FIRST \
 	500 /* events from this number on are about requests */
 
@@ -110,8 +111,8 @@
  * the process ends by a fault of its own */
 void log_catch_fatal(void);
 /** log_stop() - stop the thread when it has written the buffered lines; waits
- * for a bounded time */
-void log_stop(void);
+ * for @most_us microseconds at most */
+void log_stop(int64_t most_us);
 /** log_lines_lost() - number of lines dropped since the start because the
  * buffer was full */
 uint64_t log_lines_lost(void);
--- a/tests/unit/leave.c
+++ b/tests/unit/leave.c
@@ -12,17 +12,18 @@
 	int64_t serve_until_ms;
 	int64_t answer_by_ms;
 	int64_t end_ms;
+	int64_t exit_by_ms;
 };
 
 static const struct plan_case plans[] = {
-	{ 2600, 6000, 2600, 5500, 5600 },
-	{ 0, 6000, 0, 5500, 5600 },
+	{ 2600, 6000, 2600, 5500, 5600, 5900 },
+	{ 0, 6000, 0, 5500, 5600, 5900 },
 	/* no time would be left to finish what is in flight */
-	{ 5400, 6000, 5000, 5500, 5600 },
-	{ 9000, 6000, 5000, 5500, 5600 },
-	{ 2600, 1000, 0, 500, 600 },
-	{ 2600, 450, 0, 0, 50 },
-	{ 2600, 0, 0, 0, 0 },
+	{ 5400, 6000, 5000, 5500, 5600, 5900 },
+	{ 9000, 6000, 5000, 5500, 5600, 5900 },
+	{ 2600, 1000, 0, 500, 600, 900 },
+	{ 2600, 450, 0, 0, 50, 350 },
+	{ 2600, 0, 0, 0, 0, 0 },
 };
 
 START_TEST(plan_leaves_time_to_finish)
@@ -34,6 +35,7 @@
 	ck_assert_int_eq(p.serve_until, NOW + t->serve_until_ms * MS);
 	ck_assert_int_eq(p.answer_by, NOW + t->answer_by_ms * MS);
 	ck_assert_int_eq(p.end, NOW + t->end_ms * MS);
+	ck_assert_int_eq(p.exit_by, NOW + t->exit_by_ms * MS);
 }
 END_TEST
 
--- a/tests/unit/log.c
+++ b/tests/unit/log.c
@@ -56,7 +56,7 @@
 	log_setup(G_LOG_LEVEL_INFO);
 	write_lines(LINES_OVER_PIPE);
 	start = g_get_monotonic_time();
-	log_stop();
+	log_stop(LOG_STOP_US);
 	ck_assert_int_lt(g_get_monotonic_time() - start, 1000000);
 }
 END_TEST
@@ -66,9 +66,9 @@
 	close(redirect_output());
 	log_setup(G_LOG_LEVEL_INFO);
 	write_lines(1);
-	log_stop();
+	log_stop(LOG_STOP_US);
 	write_lines(1);
-	log_stop();
+	log_stop(LOG_STOP_US);
 }
 END_TEST
 
@@ -118,7 +118,7 @@
 
 	log_setup(G_LOG_LEVEL_INFO);
 	log_event(EVENT_CALL, G_LOG_LEVEL_INFO, NOW_US, "path=/a\nevent=1");
-	log_stop();
+	log_stop(LOG_STOP_US);
 	r = read(fd, text, sizeof text - 1);
 	ck_assert_int_gt(r, 0);
 	ck_assert_ptr_nonnull(strstr(text, "path=/a?event=1\n"));
@@ -133,7 +133,7 @@
 	size_t n = 0;
 	ssize_t r;
 
-	log_stop();
+	log_stop(LOG_STOP_US);
 	close(STDOUT_FILENO);
 	while ((r = read(fd, text + n, sizeof text - 1 - n)) > 0)
 		n += (size_t)r;
