A stop leaves whole answers to callers that read late

What callers saw: at a daemon that reached the end of its grace, the first part of an answer and then the end of the connection, or a reset, though the target had made the answer whole. Cause: bounds on what the kernel and the daemon take for a caller that does not read were kept to the end of the process; a close with unread input resets the connection. Ruled out: ending later; the grace is bounded and such a caller may read at any time.

--- /dev/null
+++ b/src/adapter/http/finish.c
@@ -0,0 +1,115 @@
+#include <errno.h>
+#include <limits.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "conn.h"
+
+/* The end of a server before the end of its process. What the kernel has taken
+ * outlives the process: it goes to a caller that reads it later, unless bytes
+ * that the caller sent lie unread as the socket is closed. */
+
+#define KERNEL_BYTES_MAX (INT_MAX / 2) /* beyond what any kernel allows */
+#define DROPS_MAX 16 /* reads at once */
+#define STEP_US 5000 /* between looks at the connections */
+
+/* The largest buffer that a socket may ask for, or 0. */
+static int
+largest_buffer(void)
+{
+	int n = KERNEL_BYTES_MAX, largest = 0;
+	socklen_t len = sizeof largest;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return 0;
+	if (setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &n, sizeof n) ||
+	    getsockopt(fd, SOL_SOCKET, SO_SNDBUF, &largest, &len))
+		largest = 0;
+	close(fd);
+	return largest;
+}
+
+/* The kernel may have given more by itself than can be asked for. */
+static void
+unbind_socket(int fd, int largest)
+{
+	int n = KERNEL_BYTES_MAX, has = 0;
+	socklen_t len = sizeof has;
+
+	if (!getsockopt(fd, SOL_SOCKET, SO_SNDBUF, &has, &len) && has < largest)
+		(void)setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &n, sizeof n);
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &n, sizeof n);
+}
+
+void
+http_server_unbind(struct http_server *s)
+{
+	int largest = largest_buffer();
+	struct http_conn *c;
+
+	for (c = s->conns; c; c = c->next)
+		if (out_pending(&c->out))
+			unbind_socket(c->fd, largest);
+}
+
+/* Drops what the caller sent. Return: 0, or -1 if the connection has failed. */
+static int
+drop_input(struct http_conn *c)
+{
+	ssize_t n = 0;
+	int i;
+
+	for (i = 0; i < DROPS_MAX; i++) {
+		n = recv(c->fd, c->server->scratch, HTTP_READ_BYTES,
+		    MSG_DONTWAIT);
+		if (n <= 0)
+			break;
+	}
+	return n >= 0 || errno == EAGAIN || errno == EINTR ? 0 : -1;
+}
+
+/* Sends what is left and drops what comes. Return: whether the caller has
+ * everything, or can't get more. */
+static int
+finish_conn(struct http_conn *c)
+{
+	if (c->send_errno || drop_input(c))
+		return 1;
+	if (out_pending(&c->out) && out_send(&c->out, c->fd, NULL, 0) < 0 &&
+	    errno != EAGAIN && errno != EINTR)
+		return 1;
+	if (out_pending(&c->out))
+		return 0;
+	if (!c->reset)
+		shutdown(c->fd, SHUT_WR);
+	return !conn_unacked(c);
+}
+
+/* Return: the number of connections that are not finished. */
+static int
+finish_conns(struct http_server *s)
+{
+	struct http_conn *c, *next;
+	int n = 0;
+
+	for (c = s->conns; c; c = next) {
+		next = c->next;
+		if (c->line.first)
+			continue;
+		if (finish_conn(c))
+			conn_close(c);
+		else
+			n++;
+	}
+	return n;
+}
+
+void
+http_server_finish(struct http_server *s, int64_t until)
+{
+	while (finish_conns(s) && io_clock() < until)
+		g_usleep(STEP_US);
+}
--- a/src/daemon/data/data.c
+++ b/src/daemon/data/data.c
@@ -4,8 +4,8 @@
 #include "daemon/inbound/inbound.h"
 #include "daemon/outbound/outbound.h"
 
-/* For other daemons to read, at the end of a stop, which calls were taken; it
- * lies within the time that a stop keeps for its end. */
+/* For callers to take the last of their answers, and for other daemons to read
+ * which calls were taken, at the end of a stop. */
 #define FINISH_US 100000
 
 int64_t
@@ -232,6 +232,12 @@
 		inbound_abort_run(c);
 }
 
+static int64_t
+finish_by(const struct data *d)
+{
+	return MIN(io_clock() + FINISH_US, d->leave.exit_by);
+}
+
 void
 data_stop(struct data *d)
 {
@@ -241,11 +247,12 @@
 		data_end_calls(d);
 	data_log_leave(d);
 	abort_calls(d);
+	if (d->server && d->leave.end)
+		http_server_finish(d->server, finish_by(d));
 	if (d->server)
 		http_server_free(d->server);
 	if (d->node && d->leave.end)
-		peer_node_finish(d->node,
-		    MIN(io_clock() + FINISH_US, d->leave.exit_by));
+		peer_node_finish(d->node, finish_by(d));
 	if (d->node)
 		peer_node_free(d->node);
 	io_timer_clear(d->task.loop, &d->measure_timer);
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -103,6 +103,7 @@
 	int calls_refused; /* call_bytes was at its limit at the last call */
 	int draining; /* the daemon is stopping */
 	int calls_ended; /* data_end_calls() has run */
+	int unbound; /* answers are taken ahead of callers, see leave.c */
 	int64_t drain_started;
 	struct io_timer drain_timer;
 	int drained_sent; /* the drained event was sent */
--- a/src/daemon/data/leave.c
+++ b/src/daemon/data/leave.c
@@ -12,6 +12,16 @@
 	inbound_end_calls(d);
 }
 
+/* What a caller did not read is taken from other daemons and given to the
+ * kernel, which has it after this process. */
+static void
+unbind_answers(struct data *d)
+{
+	d->unbound = 1;
+	outbound_take_answers(d);
+	http_server_unbind(d->server);
+}
+
 static void
 leave_due(void *ctx, int64_t now)
 {
@@ -21,6 +31,8 @@
 		data_end_calls(d);
 		return;
 	}
+	if (now >= d->leave.close_by)
+		unbind_answers(d);
 	outbound_refuse_late(d);
 	inbound_refuse_late(d);
 	io_timer_set(d->task.loop, &d->leave_timer,
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -52,9 +52,10 @@
 /* Allows the peer to send further bytes of the answer, up to this call's share
  * of what the daemon may hold, which never exceeds the window that the call
  * began with. */
-static void
-give_credit(struct out_call *c, struct out_attempt *a)
+void
+outbound_give_credit(struct out_call *c)
 {
+	struct out_attempt *a = c->winner;
 	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, 0 };
 	struct byte_limit *b = &c->data->call_bytes;
 	size_t share = byte_limit_share(b, WIRE_CHUNK_MAX, a->window);
@@ -76,6 +77,14 @@
 	byte_limit_give(&a->call->data->call_bytes, n);
 }
 
+/* Whether credit needn't wait for the caller: what it has not read by the end
+ * of the process is lost. */
+static int
+ahead_of_caller(const struct data *d)
+{
+	return d->unbound && !byte_limit_is_short(&d->call_bytes);
+}
+
 /* Passes bytes of the answer on to the caller. Credit for them waits until
  * outbound_drained() while too many bytes are unsent. */
 static void
@@ -87,10 +96,10 @@
 		return;
 	note_received(a, n);
 	n = outbound_hold_body(c, http_exchange_write(c->exchange, p, n));
-	if (n <= a->window / CREDIT_PARTS)
-		give_credit(c, a);
-	else
+	if (n > a->window / CREDIT_PARTS)
 		c->caller_slow = 1;
+	if (n <= a->window / CREDIT_PARTS || ahead_of_caller(c->data))
+		outbound_give_credit(c);
 }
 
 static void
@@ -255,5 +264,5 @@
 	struct out_call *c = http_exchange_ctx(x);
 
 	if (c && c->winner)
-		give_credit(c, c->winner);
+		outbound_give_credit(c);
 }
--- a/tests/system/stop-end.sh
+++ b/tests/system/stop-end.sh
@@ -46,6 +46,7 @@
 kill "$fleet_daemon_1_1"
 start=$(date +%s%3N)
 sleep 1.2
+# shellcheck disable=SC2154
 kill -STOP "$fleet_daemon_1_2"
 wait "$fleet_daemon_1_1"
 code=$?
--- a/tests/unit/http_stop.c
+++ b/tests/unit/http_stop.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <pthread.h>
 
 #include "http_bed.h"
@@ -160,6 +161,59 @@
 }
 END_TEST
 
+#define LATE_BYTES 400000 /* of an answer that nobody reads yet */
+
+/* Sends requests and responds to the first: the other one lies unread. */
+static int
+respond_unread(const struct http_server_ops *ops)
+{
+	const struct http_limits limits = HTTP_LIMITS_DEFAULT;
+	int64_t until = bed_timeout_at();
+	char *body = g_malloc0(LATE_BYTES);
+	int fd;
+
+	nheld = 0;
+	bed_server_start(&limits, ops);
+	http_server_disable_keepalive(bed.server);
+	fd = io_connect_tcp("127.0.0.1", bed.port);
+	while (send(fd, request, sizeof request - 1, MSG_NOSIGNAL) < 0)
+		bed_step(until);
+	while (!nheld)
+		bed_step(until);
+	http_exchange_write_head(held[0], 200, NULL, 0, LATE_BYTES);
+	http_exchange_write(held[0], body, LATE_BYTES);
+	http_exchange_end(held[0]);
+	ck_assert_int_gt(send(fd, request, sizeof request - 1, 0), 0);
+	g_free(body);
+	return fd;
+}
+
+/* A caller that reads only once the server has ended gets its answer whole. */
+START_TEST(finish_leaves_whole_answers_to_late_readers)
+{
+	struct http_server_ops ops = bed_ops;
+	char buf[65536];
+	ssize_t n;
+	size_t sum = 0;
+	int fd;
+
+	bed_setup();
+	ops.end = hold_request;
+	fd = respond_unread(&ops);
+	http_server_unbind(bed.server);
+	http_server_finish(bed.server, io_clock());
+	http_server_free(bed.server);
+	bed.server = NULL;
+	while ((n = recv(fd, buf, sizeof buf, 0)) > 0 ||
+	       (n < 0 && errno == EAGAIN))
+		sum += n > 0 ? (size_t)n : 0;
+	ck_assert_int_eq(n, 0);
+	ck_assert_uint_gt(sum, LATE_BYTES);
+	close(fd);
+	bed_teardown();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -171,6 +225,7 @@
 	tcase_set_timeout(c, 120);
 	tcase_add_test(c, stop_cuts_no_connection_that_was_opened);
 	tcase_add_loop_test(c, stop_answers_all_requests_that_were_read, 0, 2);
+	tcase_add_test(c, finish_leaves_whole_answers_to_late_readers);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
