A daemon waits for a port that is in use at its start

What callers saw: no daemon at an address whose former daemon was still ending, until the next start. Cause: ports were opened once, and the daemon ended with 4. Evidence: tests/system/port-in-use.sh: status 4 at once before; after: it serves once the former daemon has ended; status 4 after 5 s; SIGTERM in the wait ends it with 0. Ruled out: SO_REUSEPORT, as both processes would then get connections; a wait for UDP alone, as any port may be the one in use.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 
 #include "daemon/control/control.h"
+#include "daemon/ports.h"
 #include "daemon/reload.h"
 #include "io.h"
 #include "log.h"
@@ -86,20 +87,28 @@
 	return v;
 }
 
+static int
+stopped(int64_t log_us)
+{
+	log_event(EVENT_STOPPED, G_LOG_LEVEL_MESSAGE, 0, "stopped");
+	log_stop(log_us);
+	return EXIT_SUCCESS;
+}
+
 static int
 run(const struct settings *s, const char *path)
 {
 	uint64_t incarnation = new_incarnation();
 	struct program p = { 0 };
 	struct kq_error e = { 0 };
-	struct data *d;
+	struct data *d = NULL;
+	enum ports_outcome outcome;
 	int64_t exit_by;
 
-	p.control = control_new(s, incarnation, &e);
-	d = p.control
-		? data_new(s, incarnation, &control_data_events, p.control, &e)
-		: NULL;
-	if (!d) {
+	outcome = ports_open(s, incarnation, &p.control, &d, &e);
+	if (outcome == PORTS_STOPPED)
+		return stopped(LOG_STOP_US);
+	if (outcome == PORTS_FAILED) {
 		log_event(EVENT_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL, 0, "%s",
 		    e.text);
 		log_stop(LOG_STOP_US);
@@ -127,10 +136,8 @@
 	data_stop(d);
 	control_free(p.control);
 	g_main_loop_unref(p.loop);
-	log_event(EVENT_STOPPED, G_LOG_LEVEL_MESSAGE, 0, "stopped");
-	log_stop(exit_by ? CLAMP(exit_by - io_clock(), 0, LOG_STOP_US)
-			 : LOG_STOP_US);
-	return EXIT_SUCCESS;
+	return stopped(exit_by ? CLAMP(exit_by - io_clock(), 0, LOG_STOP_US)
+			       : LOG_STOP_US);
 }
 
 static int
