The peer port waits after a failed accept

What callers saw: nothing lost; a daemon without free descriptors used all of its processor time. Cause: accept() on the peer port was tried again at each turn of the loop, as the socket stays ready.

--- a/src/adapter/rpc/peer_impl.h
+++ b/src/adapter/rpc/peer_impl.h
@@ -54,6 +54,7 @@
 	void *ctx;
 	int listen_fd;
 	struct io_watch listen_watch;
+	struct io_timer listen_timer; /* due when accept is tried again */
 	GPtrArray *conns;
 	GPtrArray *closed; /* to be freed when no callback is running */
 	int depth; /* nesting of running callbacks */
--- a/src/adapter/rpc/peer_node.c
+++ b/src/adapter/rpc/peer_node.c
@@ -7,6 +7,7 @@
 #include "peer_impl.h"
 
 #define RECORD_MARK_LEN 4
+#define ACCEPT_RETRY_US 100000 /* no accept after a failed one */
 
 struct peer_node *
 peer_node_new(struct io_loop *loop, uint64_t incarnation,
@@ -28,6 +29,27 @@
 	return n;
 }
 
+static void
+accept_again(void *ctx, int64_t now)
+{
+	struct peer_node *n = ctx;
+
+	io_watch_events(n->loop, &n->listen_watch, IO_READ);
+}
+
+/* Without free descriptors the socket stays ready. */
+static void
+accept_failed(struct peer_node *n)
+{
+	if (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED)
+		return;
+	io_watch_events(n->loop, &n->listen_watch, 0);
+	n->listen_timer.fire = accept_again;
+	n->listen_timer.ctx = n;
+	io_timer_set(n->loop, &n->listen_timer,
+	    io_now(n->loop) + ACCEPT_RETRY_US);
+}
+
 static void
 accept_ready(void *ctx, int ready)
 {
@@ -37,8 +59,10 @@
 	for (;;) {
 		fd = accept4(n->listen_fd, NULL, NULL,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd < 0)
+		if (fd < 0) {
+			accept_failed(n);
 			return;
+		}
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
 		io_limit_silence(fd);
 		peer_conn_new(n, fd, 1);
@@ -63,6 +87,7 @@
 	if (n->listen_fd < 0)
 		return;
 	io_watch_remove(n->loop, &n->listen_watch);
+	io_timer_clear(n->loop, &n->listen_timer);
 	close(n->listen_fd);
 	n->listen_fd = -1;
 }
