Answers of a daemon that ends are fetched ahead of late readers

What callers saw: a long answer was cut, at a daemon that went on, when the daemon of the target ended. Cause: credit for an answer waits for its caller; what was not fetched by the end of the target's daemon was cut there.

--- a/src/core/byte_limit.c
+++ b/src/core/byte_limit.c
@@ -20,6 +20,12 @@
 	return b->used >= b->limit;
 }
 
+int
+byte_limit_is_half(const struct byte_limit *b)
+{
+	return b->used >= b->limit / 2;
+}
+
 int
 byte_limit_is_short(const struct byte_limit *b)
 {
--- a/src/daemon/outbound/leave.c
+++ b/src/daemon/outbound/leave.c
@@ -84,17 +84,10 @@
 	for_each_call(d, refuse_late);
 }
 
-static void
-take_answer(struct out_call *c)
-{
-	if (c->state == OUT_ANSWERING && c->winner)
-		outbound_give_credit(c);
-}
-
 void
 outbound_take_answers(struct data *d)
 {
-	for_each_call(d, take_answer);
+	for_each_call(d, outbound_take_answer);
 }
 
 static void
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -192,12 +192,11 @@
 /** outbound_refuse_late() - refuse the calls of which nothing was sent to a
  * target and that can't be finished any more before this daemon ends */
 void outbound_refuse_late(struct data *);
-/** outbound_take_answers() - give all calls credit for their answers, though
- * their callers have not read what came */
+/** outbound_take_answer() - if this daemon or the peer that answers a call
+ * ends, give credit for the answer, though its caller has not read what came */
+void outbound_take_answer(struct out_call *);
+/** outbound_take_answers() - the same for all calls */
 void outbound_take_answers(struct data *);
-/** outbound_give_credit() - allow the peer that answers to send further bytes
- * of the answer */
-void outbound_give_credit(struct out_call *);
 /** outbound_end_calls() - end all calls, as this daemon ends */
 void outbound_end_calls(struct data *);
 /** outbound_call_free() - write the log line and span of a call, and free it */
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -52,8 +52,8 @@
 /* Allows the peer to send further bytes of the answer, up to this call's share
  * of what the daemon may hold, which never exceeds the window that the call
  * began with. */
-void
-outbound_give_credit(struct out_call *c)
+static void
+give_credit(struct out_call *c)
 {
 	struct out_attempt *a = c->winner;
 	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, 0 };
@@ -77,12 +77,15 @@
 	byte_limit_give(&a->call->data->call_bytes, n);
 }
 
-/* Whether credit needn't wait for the caller: what it has not read by the end
- * of the process is lost. */
+/* Whether credit needn't wait for the caller, as what is not taken by the end
+ * of this daemon or of the peer is lost; never at the cost of other calls. */
 static int
-ahead_of_caller(const struct data *d)
+ahead_of_caller(const struct out_attempt *a)
 {
-	return d->unbound && !byte_limit_is_short(&d->call_bytes);
+	const struct data *d = a->call->data;
+
+	return (d->unbound || !a->peer->live) &&
+	       !byte_limit_is_half(&d->call_bytes);
 }
 
 /* Passes bytes of the answer on to the caller. Credit for them waits until
@@ -98,8 +101,8 @@
 	n = outbound_hold_body(c, http_exchange_write(c->exchange, p, n));
 	if (n > a->window / CREDIT_PARTS)
 		c->caller_slow = 1;
-	if (n <= a->window / CREDIT_PARTS || ahead_of_caller(c->data))
-		outbound_give_credit(c);
+	if (n <= a->window / CREDIT_PARTS || ahead_of_caller(a))
+		give_credit(c);
 }
 
 static void
@@ -217,6 +220,14 @@
 	outbound_attempt_refused(a, m->reason, &m->load);
 }
 
+void
+outbound_take_answer(struct out_call *c)
+{
+	if (c->state == OUT_ANSWERING && c->winner &&
+	    ahead_of_caller(c->winner))
+		give_credit(c);
+}
+
 void
 outbound_reply(void *ctx, struct peer_conn *conn, uint32_t xid,
     const struct wire_reply *m)
@@ -264,5 +275,5 @@
 	struct out_call *c = http_exchange_ctx(x);
 
 	if (c && c->winner)
-		outbound_give_credit(c);
+		give_credit(c);
 }
--- a/src/daemon/outbound/view.c
+++ b/src/daemon/outbound/view.c
@@ -159,5 +159,6 @@
 	for (i = 0; i < d->view->ninstance; i++)
 		update_instance(d, &d->view->instance[i]);
 	close_not_live(d);
+	outbound_take_answers(d);
 	g_hash_table_foreach_remove(d->peers, is_unused, NULL);
 }
--- a/src/internal/byte_limit.h
+++ b/src/internal/byte_limit.h
@@ -36,6 +36,8 @@
 void byte_limit_give(struct byte_limit *, size_t n);
 /** byte_limit_reached() - whether nothing new is to be held */
 int byte_limit_reached(const struct byte_limit *);
+/** byte_limit_is_half() - whether half of the bytes or more are in use */
+int byte_limit_is_half(const struct byte_limit *);
 /** byte_limit_is_short() - whether so much is in use that holders that make no
  * use of theirs should give it back */
 int byte_limit_is_short(const struct byte_limit *);
