--- a/tests/unit/byte_limit.c
+++ b/tests/unit/byte_limit.c
@@ -50,6 +50,18 @@
 }
 END_TEST
 
+START_TEST(half_is_in_use_from_half_of_the_limit_on)
+{
+	struct byte_limit b = { LIMIT, 0 };
+
+	ck_assert(!byte_limit_is_half(&b));
+	byte_limit_take(&b, LIMIT / 2 - 1);
+	ck_assert(!byte_limit_is_half(&b));
+	byte_limit_take(&b, 1);
+	ck_assert(byte_limit_is_half(&b));
+}
+END_TEST
+
 /* Whatever the limit is, as settings allow small ones. */
 START_TEST(bytes_are_short_in_the_last_quarter_of_the_limit)
 {
@@ -85,6 +97,7 @@
 	int failed;
 
 	tcase_add_test(t, share_shrinks_with_what_is_free);
+	tcase_add_test(t, half_is_in_use_from_half_of_the_limit_on);
 	tcase_add_test(t, all_connections_get_a_share_below_the_limit);
 	tcase_add_test(t,
 	    holders_that_are_refused_at_the_limit_exceed_it_by_one_share);
