--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -7,7 +7,9 @@
 #include <stdlib.h>
 
 #include "daemon/control/control.h"
+#include "daemon/ports.h"
 #include "daemon/reload.h"
+#include "io.h"
 #include "log.h"
 #include "version.h"
 
@@ -55,7 +57,7 @@
 	struct program *p = ctx;
 
 	if (!p->leaving)
-		control_leave(p->control, leave_done, p);
+		control_leave(p->control, io_clock(), leave_done, p);
 	p->leaving = 1;
 	return G_SOURCE_CONTINUE;
 }
@@ -85,22 +87,31 @@
 	return v;
 }
 
+static int
+stopped(int64_t log_us)
+{
+	log_event(EVENT_STOPPED, G_LOG_LEVEL_MESSAGE, 0, "stopped");
+	log_stop(log_us);
+	return EXIT_SUCCESS;
+}
+
 static int
 run(const struct settings *s, const char *path)
 {
 	uint64_t incarnation = new_incarnation();
 	struct program p = { 0 };
 	struct kq_error e = { 0 };
-	struct data *d;
-
-	p.control = control_new(s, incarnation, &e);
-	d = p.control
-		? data_new(s, incarnation, &control_data_events, p.control, &e)
-		: NULL;
-	if (!d) {
+	struct data *d = NULL;
+	enum ports_outcome outcome;
+	int64_t exit_by;
+
+	outcome = ports_open(s, incarnation, &p.control, &d, &e);
+	if (outcome == PORTS_STOPPED)
+		return stopped(LOG_STOP_US);
+	if (outcome == PORTS_FAILED) {
 		log_event(EVENT_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL, 0, "%s",
 		    e.text);
-		log_stop();
+		log_stop(LOG_STOP_US);
 		return EXIT_PORTS;
 	}
 	control_set_data(p.control, d);
@@ -121,12 +132,12 @@
 	g_main_loop_run(p.loop);
 	reload_stop(p.reload);
 	control_stop(p.control);
+	exit_by = control_exit_by(p.control);
 	data_stop(d);
 	control_free(p.control);
 	g_main_loop_unref(p.loop);
-	log_event(EVENT_STOPPED, G_LOG_LEVEL_MESSAGE, 0, "stopped");
-	log_stop();
-	return EXIT_SUCCESS;
+	return stopped(exit_by ? CLAMP(exit_by - io_clock(), 0, LOG_STOP_US)
+			       : LOG_STOP_US);
 }
 
 static int
--- a/src/daemon/outbound/leave.c
+++ b/src/daemon/outbound/leave.c
@@ -84,6 +84,12 @@
 	for_each_call(d, refuse_late);
 }
 
+void
+outbound_take_answers(struct data *d)
+{
+	for_each_call(d, outbound_take_answer);
+}
+
 static void
 end_call(struct out_call *c)
 {
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -66,8 +66,9 @@
 
 /* Allows the peer to send further bytes of the answer. */
 static void
-give_credit(struct out_call *c, struct out_attempt *a)
+give_credit(struct out_call *c)
 {
+	struct out_attempt *a = c->winner;
 	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, 0 };
 	size_t share = credit_share(a);
 
@@ -88,6 +89,17 @@
 	byte_limit_give(&a->call->data->call_bytes, n);
 }
 
+/* Whether credit needn't wait for the caller, as what is not taken by the end
+ * of this daemon or of the peer is lost; never at the cost of other calls. */
+static int
+ahead_of_caller(const struct out_attempt *a)
+{
+	const struct data *d = a->call->data;
+
+	return (d->unbound || !a->peer->live) &&
+	       !byte_limit_is_half(&d->call_bytes);
+}
+
 /* Passes bytes of the answer on to the caller. Credit for them waits until
  * outbound_drained() while too many bytes are unsent. */
 static void
@@ -99,10 +111,10 @@
 		return;
 	note_received(a, n);
 	n = outbound_hold_body(c, http_exchange_write(c->exchange, p, n));
-	if (n <= a->window / CREDIT_PARTS)
-		give_credit(c, a);
-	else
+	if (n > a->window / CREDIT_PARTS)
 		c->caller_slow = 1;
+	if (n <= a->window / CREDIT_PARTS || ahead_of_caller(a))
+		give_credit(c);
 }
 
 int
@@ -227,6 +239,14 @@
 	outbound_attempt_refused(a, m->reason, &m->load);
 }
 
+void
+outbound_take_answer(struct out_call *c)
+{
+	if (c->state == OUT_ANSWERING && c->winner &&
+	    ahead_of_caller(c->winner))
+		give_credit(c);
+}
+
 void
 outbound_reply(void *ctx, struct peer_conn *conn, uint32_t xid,
     const struct wire_reply *m)
@@ -274,5 +294,5 @@
 	struct out_call *c = http_exchange_ctx(x);
 
 	if (c && c->winner)
-		give_credit(c, c->winner);
+		give_credit(c);
 }
