Test target: an endless answer is made once, not at every write

Cause: the time goes in the stand-in target, not in the daemon. For each 64 kB of an endless answer it joined pieces of 12 to 27 bytes anew; over two thirds of its time (perf: strlen, g_array_append_vals, flood_fill). Beside busy processes it therefore still wrote the floods of 450 callers when the other requests began, and these waited for its loop.

Ruled out: the daemon's loop. Its data thread runs 1 to 2% of the time and reads 64 kB of a connection a turn.

--- a/tests/fake/target/flood.c
+++ b/tests/fake/target/flood.c
@@ -52,9 +52,26 @@
 	conn_flush(c);
 }
 
+/* Whole repeats of what a kind consists of, made once. */
+static const GByteArray *
+block_of(enum flood kind)
+{
+	static GByteArray *block[G_N_ELEMENTS(floods)];
+	const char *repeat = floods[kind].repeat;
+
+	if (block[kind])
+		return block[kind];
+	block[kind] = g_byte_array_new();
+	while (block[kind]->len < WRITE_AHEAD)
+		g_byte_array_append(block[kind], (const guint8 *)repeat,
+		    (guint)strlen(repeat));
+	return block[kind];
+}
+
 void
 flood_fill(struct conn *c)
 {
-	while (c->out->len < WRITE_AHEAD)
-		append(c, floods[c->flood].repeat);
+	const GByteArray *b = block_of(c->flood);
+
+	g_byte_array_append(c->out, b->data, b->len);
 }
