rig: traffic goes on while the store is down; more kinds of trouble

Found by reading and in trial runs, cause of each: - a version was sent under the lock that callers take to choose a machine, so that all traffic stood still while the store was down or slow; it has a lock of its own now. Time limits could change between the note in the history and the version that was sent; both are made under that lock. - a retry of a version or an evacuation had no end, and an evacuation that the store didn't take back stayed; both are tried a bounded number of times. - a machine could be started after the run had told all to end, and an action ended on another machine than it began on; two actions could suspend a daemon, and the first to end let it go on. - a proxy that held back bytes turned without pause. - the stand-in of the platform didn't break watches in the users' dialect. New: half of the daemons at once, full, cold and lying targets, repeats at once, all daemons killed, a data centre lost, an address that another service gets, links to the store; large answers are as long as their time allows; twice as many actions and more slow bodies, long work and answers broken off where callers are harsh.

--- a/tests/fake/platform/fault.c
+++ b/tests/fake/platform/fault.c
@@ -68,6 +68,7 @@
 	} else if (g_str_equal(m, "break-watch")) {
 		p->mode = FAULT_BREAK_WATCH;
 		watch_abort_all(p);
+		users_abort_watches(p);
 	} else if (g_str_equal(m, "old-watch")) {
 		p->mode = FAULT_OLD_WATCH;
 		watch_answer_all(p);
--- a/tests/fake/platform/users.c
+++ b/tests/fake/platform/users.c
@@ -138,6 +138,10 @@
 		soup_server_message_set_status(msg, SOUP_STATUS_GONE, NULL);
 		return;
 	}
+	if (p->mode == FAULT_BREAK_WATCH) {
+		serve_abort(msg);
+		return;
+	}
 	answer = p->mode == FAULT_DEAF_WATCH ? NULL
 					     : format_events(p, kind, from, 0);
 	if (answer) {
--- a/tests/rig/attempt.c
+++ b/tests/rig/attempt.c
@@ -11,17 +11,18 @@
 #define SPREAD 0.3 /* of work */
 #define SPREAD_BYTES 0.6
 #define RETRIES 1
+#define ABUSIVE_RETRIES 4
 #define RETRY_AFTER_SHARE 3 /* a caller waits a third of its time at most */
 #define STATUS_TIMEOUT 408
 #define STATUS_MISDIRECTED 421
 #define STATUS_TOO_MANY 429
 #define STATUS_UNAVAILABLE 503
-#define SLOW_BODY_SHARE 0.3 /* of requests with a body, where harsh */
+#define SLOW_BODY_SHARE 0.4 /* of requests with a body, where harsh */
 #define HALVES_SHARE 0.1
-#define BREAK_SHARE 0.01
-#define LARGE_SHARE 0.05 /* of answers, read slowly */
-#define LARGE_BYTES 300000
-#define LONG_SHARE 0.05 /* of requests with several times the work */
+#define BREAK_SHARE 0.02
+#define LARGE_SHARE 0.08 /* of answers, read slowly */
+#define LARGE_PER_MS 60 /* bytes of a large answer, by the deadline */
+#define LONG_SHARE 0.1 /* of requests with several times the work */
 #define LONG_FACTOR 4
 #define OUT_SHARE 0.5 /* of requests that still use an open connection */
 
@@ -68,7 +69,8 @@
 	count = r->machine_count;
 	g_mutex_unlock(&r->lock);
 	for (i = 0; i < count; i++) {
-		if (r->machine[i].zone != p->zone || !r->machine[i].wanted)
+		if (r->machine[i].zone != p->zone ||
+		    !machine_is_wanted(&r->machine[i]))
 			continue;
 		all[n++] = &r->machine[i];
 		if (g_atomic_int_get(&r->machine[i].in))
@@ -179,7 +181,7 @@
 	if (n == 1 && share < SLOW_BODY_SHARE + HALVES_SHARE)
 		return WAY_HALVES;
 	if (share < SLOW_BODY_SHARE + HALVES_SHARE + LARGE_SHARE) {
-		q->bytes = LARGE_BYTES;
+		q->bytes = LARGE_PER_MS * q->limit_ms / n;
 		return WAY_SLOW_READER;
 	}
 	return WAY_SINGLE;
@@ -254,11 +256,17 @@
 {
 	struct request q;
 	struct conn *c;
-	int i;
+	int i, abusive;
 	int64_t left;
 
-	for (i = 0; i < RETRIES && comes_again(first, &a); i++) {
+	abusive = g_rand_int_range(p->rand, 0, 100) <
+		  g_atomic_int_get(&p->rig->abusive);
+	for (i = 0; i < (abusive ? ABUSIVE_RETRIES : RETRIES) &&
+		    comes_again(first, &a);
+	     i++) {
 		left = end - io_clock();
+		if (abusive)
+			a.retry_after_ms = 0;
 		if (a.retry_after_ms * INT64_C(1000) > left / RETRY_AFTER_SHARE)
 			return;
 		g_usleep((gulong)(a.retry_after_ms * INT64_C(1000)));
--- a/tests/rig/link.c
+++ b/tests/rig/link.c
@@ -54,7 +54,8 @@
 static int
 mode_of(const struct link *l)
 {
-	return g_atomic_int_get(&l->machine->link);
+	return g_atomic_int_get(
+	    l->backward ? &l->machine->store_link : &l->machine->link);
 }
 
 /* Nonzero if bytes of this direction pass now. */
@@ -138,7 +139,7 @@
 		p = g_queue_peek_head(&l->stream[i].pieces);
 		if (p && p->due > now)
 			ms = MIN(ms, (int)((p->due - now) / 1000) + 1);
-		else if (p)
+		else if (p && passes(l, &l->stream[i]))
 			f[!i].events |= POLLOUT;
 	}
 	for (i = 0; i < 2; i++)
@@ -246,13 +247,27 @@
 	g_thread_unref(g_thread_new("door", accept_links, d));
 }
 
-void
-link_set(struct machine *m, enum link_mode mode, int ms)
+static void
+set_mode(struct machine *m, gint *link, enum link_mode mode, int ms)
 {
 	static const char *const names[] = { "open", "delay", "silent",
 		"one-way", "reset" };
 
-	note(m->rig, "link at=%s mode=%s ms=%d", m->address, names[mode], ms);
+	note(m->rig, "%s at=%s mode=%s ms=%d",
+	    link == &m->link ? "link" : "store-link", m->address, names[mode],
+	    ms);
 	g_atomic_int_set(&m->link_ms, ms);
-	g_atomic_int_set(&m->link, mode);
+	g_atomic_int_set(link, (int)mode);
+}
+
+void
+link_set(struct machine *m, enum link_mode mode, int ms)
+{
+	set_mode(m, &m->link, mode, ms);
+}
+
+void
+link_set_store(struct machine *m, enum link_mode mode, int ms)
+{
+	set_mode(m, &m->store_link, mode, ms);
 }
--- a/tests/rig/machine.c
+++ b/tests/rig/machine.c
@@ -34,8 +34,8 @@
     "]\n}\n";
 #define CONNECTIONS 3000
 
-static char *
-file_of(struct machine *m, const char *ending)
+char *
+machine_file(struct machine *m, const char *ending)
 {
 	return g_strdup_printf("%s/dc%d-%d%s", m->rig->dir, m->zone, m->number,
 	    ending);
@@ -44,8 +44,9 @@
 void
 machine_write_settings(struct machine *m, int change)
 {
-	char *path = file_of(m, ".json"), *text;
+	char *path = machine_file(m, ".json"), *text;
 
+	g_mutex_lock(&m->lock);
 	m->settings += change;
 	text = g_strdup_printf(settings_format, m->zone, m->number, m->ip,
 	    m->zone, m->service, m->ip, PORT_TARGET, m->ip, PORT_CALLER,
@@ -53,6 +54,7 @@
 	    m->ip, PORT_STORE_PROXY, GRACE_S, CONNECTIONS + m->settings);
 	if (!g_file_set_contents(path, text, -1, NULL))
 		fprintf(stderr, "rig: cannot write %s\n", path);
+	g_mutex_unlock(&m->lock);
 	g_free(text);
 	g_free(path);
 }
@@ -80,7 +82,7 @@
 start_daemon(struct machine *m)
 {
 	char *program = g_build_filename(m->rig->build, "kumquatrockd", NULL);
-	char *settings = file_of(m, ".json");
+	char *settings = machine_file(m, ".json");
 	char *log = g_strdup_printf("daemon-%d-%d.log", m->zone, m->number);
 	char *argv[] = { program, (char *)"--settings", settings, NULL };
 	char **env = m->rig->proxied ? daemon_environment(m->rig) : NULL;
@@ -98,78 +100,33 @@
 	return pid;
 }
 
-static gpointer
-keep_daemon(gpointer arg)
-{
-	struct machine *m = arg;
-	int status;
-
-	while (m->wanted && !g_atomic_int_get(&m->rig->ending)) {
-		g_mutex_lock(&m->lock);
-		m->pid = start_daemon(m);
-		m->stopped = 0;
-		g_mutex_unlock(&m->lock);
-		if (!m->pid)
-			break;
-		status = process_await(m->pid);
-		g_mutex_lock(&m->lock);
-		m->pid = 0;
-		g_mutex_unlock(&m->lock);
-		note(m->rig, "end at=%s status=%d", m->address, status);
-		g_usleep(AGAIN_US);
-	}
-	return NULL;
-}
-
+/* Starts the daemon if it is to run; Return: its process, 0 if it is not */
 static GPid
-start_target(struct machine *m)
+start_wanted(struct machine *m)
 {
-	struct rig *r = m->rig;
-	char *program = g_build_filename(r->build, "fake-target", NULL);
-	char *history = file_of(m, "-target.history");
-	char *log = g_strdup_printf("target-%d-%d.log", m->zone, m->number);
-	char *dc = g_strdup_printf("dc%d", m->zone);
-	char *beat = g_strdup_printf("%s:%d", m->ip, PORT_HEARTBEAT);
-	char *seed = g_strdup_printf("%u",
-	    r->seed * 100 + (guint)(m->zone * 10 + m->number));
-	const char *argv[] = { program, "--users", "--ip", m->ip, "--port",
-		G_STRINGIFY(PORT_TARGET), "--service", m->service, "--dc", dc,
-		"--announce", beat, "--calls-to", m->address, "--calls-host",
-		RIG_HOST, "--history", history, "--slots", "18", "--queue",
-		"36", "--full-hangs", "1", "--deadline-ends", "1", "--knee",
-		"80", "--noisy-ms", "150", "--noisy-share", "25",
-		"--noisy-factor", "5", "--drain-ms", "2300", "--chunked",
-		m->number % 2 ? "0" : "1", "--seed", seed, NULL };
-	GPid pid;
+	GPid pid = 0;
 
-	note(r, "target-start at=%s", m->address);
-	pid = process_start(r, log, (char **)argv, NULL);
-	g_free(seed);
-	g_free(beat);
-	g_free(dc);
-	g_free(log);
-	g_free(history);
-	g_free(program);
+	g_mutex_lock(&m->lock);
+	m->holders = 0;
+	if (m->wanted && !g_atomic_int_get(&m->rig->ending))
+		pid = m->pid = start_daemon(m);
+	g_mutex_unlock(&m->lock);
 	return pid;
 }
 
 static gpointer
-keep_target(gpointer arg)
+keep_daemon(gpointer arg)
 {
 	struct machine *m = arg;
+	GPid pid;
 	int status;
 
-	while (m->target_wanted && !g_atomic_int_get(&m->rig->ending)) {
+	while ((pid = start_wanted(m))) {
+		status = process_await(pid);
 		g_mutex_lock(&m->lock);
-		m->target_pid = start_target(m);
-		g_mutex_unlock(&m->lock);
-		if (!m->target_pid)
-			break;
-		status = process_await(m->target_pid);
-		g_mutex_lock(&m->lock);
-		m->target_pid = 0;
+		m->pid = 0;
+		note(m->rig, "end at=%s status=%d", m->address, status);
 		g_mutex_unlock(&m->lock);
-		note(m->rig, "target-end at=%s status=%d", m->address, status);
 		g_usleep(AGAIN_US);
 	}
 	return NULL;
@@ -220,7 +177,7 @@
 	link_start(m, PORT_PEER_PROXY, m->ip, PORT_PEER);
 	link_start(m, PORT_STORE_PROXY, NULL, PORT_STORE);
 	m->daemon_keeper = g_thread_new("daemon", keep_daemon, m);
-	m->target_keeper = g_thread_new("target", keep_target, m);
+	target_keep(m);
 	m->ready_asker = NULL;
 	r->machine_count++;
 	g_mutex_unlock(&r->lock);
@@ -245,6 +202,18 @@
 	}
 }
 
+/* Sends a signal to the daemon, under its lock. It goes on once nobody holds
+ * it. */
+static void
+pass_signal(struct machine *m, int signal)
+{
+	if (signal == SIGSTOP)
+		m->holders++;
+	if (signal == SIGCONT && (!m->holders || --m->holders))
+		return;
+	kill(m->pid, signal);
+}
+
 GPid
 machine_signal(struct machine *m, int signal)
 {
@@ -254,9 +223,7 @@
 	pid = m->pid;
 	if (pid) {
 		note(m->rig, "%s at=%s", name_of_signal(signal), m->address);
-		kill(pid, signal);
-		if (signal == SIGSTOP || signal == SIGCONT)
-			m->stopped = signal == SIGSTOP;
+		pass_signal(m, signal);
 	}
 	g_mutex_unlock(&m->lock);
 	return pid;
@@ -267,7 +234,7 @@
 {
 	g_mutex_lock(&m->lock);
 	if (m->pid)
-		kill(m->pid, hold ? SIGSTOP : SIGCONT);
+		pass_signal(m, hold ? SIGSTOP : SIGCONT);
 	g_mutex_unlock(&m->lock);
 }
 
@@ -307,27 +274,33 @@
 		g_free(o);
 }
 
-GPid
-machine_signal_target(struct machine *m, int signal)
+void
+machine_retire(struct machine *m)
 {
-	GPid pid;
+	g_mutex_lock(&m->lock);
+	m->wanted = 0;
+	g_mutex_unlock(&m->lock);
+	machine_stop(m);
+}
+
+int
+machine_is_wanted(struct machine *m)
+{
+	int wanted;
 
 	g_mutex_lock(&m->lock);
-	pid = m->target_pid;
-	if (pid)
-		kill(pid, signal);
+	wanted = m->wanted;
 	g_mutex_unlock(&m->lock);
-	return pid;
+	return wanted;
 }
 
 void
-machine_set_target(struct machine *m, const char *knobs, const char *what)
+machine_give_service(struct machine *m, const char *service)
 {
-	char *path = g_strdup_printf("/fake/set?%s", knobs);
-
-	note(m->rig, "target-set at=%s what=%s", m->address, what);
-	rig_http(m->ip, PORT_TARGET, ASK_MS, "POST", path, NULL);
-	g_free(path);
+	g_mutex_lock(&m->lock);
+	m->service = service;
+	g_mutex_unlock(&m->lock);
+	machine_write_settings(m, 0);
 }
 
 /* Memory of a process that is in use now, in kB. */
--- a/tests/rig/main.c
+++ b/tests/rig/main.c
@@ -62,7 +62,7 @@
 	GThread *plan;
 	int i;
 
-	store_configure(r);
+	store_configure(r, 0);
 	start_machines(r);
 	g_usleep(LEAD_S * G_USEC_PER_SEC);
 	r->begin = io_clock();
@@ -145,6 +145,7 @@
 	r.harsh = r.seed / PROFILES % 2;
 	r.proxied = r.seed % PROFILES == PROFILE_LINKS;
 	g_mutex_init(&r.lock);
+	g_mutex_init(&r.store_lock);
 	history = g_build_filename(r.dir, "rig.history", NULL);
 	if (history_open(&r.history, history, "plan", &e) < 0 ||
 	    start_platform(&r)) {
--- a/tests/rig/plan.c
+++ b/tests/rig/plan.c
@@ -6,6 +6,7 @@
 #define SETTLE_MS 3000 /* before the first and after the last action */
 #define PAUSE_LEAST_MS 300 /* between two actions */
 #define PAUSE_MOST_MS 2000
+#define HARSH_DENSER 2 /* times as many actions where callers are harsh */
 #define ACTIONS_MAX 400
 
 /** struct choice - an action that a plan may draw, with its share */
@@ -18,7 +19,8 @@
 static const struct choice planned[] = {
 	{ "restart-series", act_restart_series, 14 },
 	{ "restart-together", act_restart_together, 12 },
-	{ "restart-twice", act_restart_twice, 6 },
+	{ "restart-twice", act_restart_twice, 4 },
+	{ "restart-half", act_restart_half, 6 },
 	{ "reload-series", act_reload_series, 8 },
 	{ "reload-and-stop", act_reload_and_stop, 10 },
 	{ "configure", act_configure, 12 },
@@ -37,6 +39,10 @@
 	{ "pause-target", act_pause_target, 3 },
 	{ "burst", act_burst, 4 },
 	{ "impatience", act_impatience, 3 },
+	{ "fill-targets", act_fill_targets, 6 },
+	{ "cold-targets", act_cold_targets, 3 },
+	{ "lie", act_lie, 2 },
+	{ "abuse", act_abuse, 3 },
 };
 
 static const struct choice starved[] = {
@@ -44,12 +50,14 @@
 	{ "pause", act_pause, 6 },
 	{ "pause-at-stop", act_pause_at_stop, 8 },
 	{ "slow-targets", act_slow_targets, 4 },
+	{ "fill-targets", act_fill_targets, 3 },
 	{ "burst", act_burst, 2 },
 };
 
 static const struct choice links[] = {
 	{ "link", act_link, 10 },
 	{ "link-at-stop", act_link_at_stop, 8 },
+	{ "store-links", act_store_links, 3 },
 	{ "slow-targets", act_slow_targets, 3 },
 };
 
@@ -57,8 +65,12 @@
 	{ "kill", act_kill, 6 },
 	{ "kill-beside", act_kill_beside, 6 },
 	{ "kill-many", act_kill_many, 2 },
+	{ "kill-all", act_kill_all, 1 },
+	{ "lose-zone", act_lose_zone, 1 },
 	{ "kill-target", act_kill_target, 4 },
-	{ "store", act_store, 8 },
+	{ "reuse", act_reuse, 2 },
+	{ "store", act_store, 6 },
+	{ "store-links", act_store_links, 4 },
 	{ "slow-targets", act_slow_targets, 3 },
 };
 
@@ -77,6 +89,7 @@
 	[PROFILE_KILLS] = { kills, G_N_ELEMENTS(kills), 60 },
 };
 
+/** struct plan - actions in the order of their times */
 struct plan {
 	struct rig *rig;
 	GRand *rand;
@@ -122,7 +135,8 @@
 		a->ms = g_rand_int_range(p->rand, 50, 1550);
 		printf("%6d %s first=%d count=%d ms=%d\n", at, c->name,
 		    a->first, a->count, a->ms);
-		at += g_rand_int_range(p->rand, PAUSE_LEAST_MS, PAUSE_MOST_MS);
+		at += g_rand_int_range(p->rand, PAUSE_LEAST_MS, PAUSE_MOST_MS) /
+		      (r->harsh ? HARSH_DENSER : 1);
 	}
 }
 
@@ -171,18 +185,30 @@
 	return g_thread_new("plan", run_plan, p);
 }
 
-struct machine *
-action_machine(struct rig *r, int turn)
+int
+action_machines(struct rig *r, int turn, int n, struct machine **m)
 {
 	struct machine *wanted[MACHINES_MAX];
-	int i, n = 0;
+	int i, count, all = 0;
 
 	g_mutex_lock(&r->lock);
-	for (i = 0; i < r->machine_count; i++)
-		if (r->machine[i].wanted)
-			wanted[n++] = &r->machine[i];
+	count = r->machine_count;
 	g_mutex_unlock(&r->lock);
-	return n ? wanted[turn % n] : &r->machine[0];
+	for (i = 0; i < count; i++)
+		if (machine_is_wanted(&r->machine[i]))
+			wanted[all++] = &r->machine[i];
+	for (i = 0; i < n && i < all; i++)
+		m[i] = wanted[(turn + i) % all];
+	return i;
+}
+
+struct machine *
+action_machine(struct rig *r, int turn)
+{
+	struct machine *m = &r->machine[0];
+
+	action_machines(r, turn, 1, &m);
+	return m;
 }
 
 void
--- a/tests/rig/plan.h
+++ b/tests/rig/plan.h
@@ -24,6 +24,8 @@
 /** action_machine() - a machine that is kept running; the same @turn may choose
  * another one as machines come and go */
 struct machine *action_machine(struct rig *, int turn);
+/** action_machines() - several of them, from @turn on; Return: how many */
+int action_machines(struct rig *, int turn, int n, struct machine **);
 /** pause_ms() - sleep */
 void pause_ms(int);
 
@@ -31,6 +33,7 @@
 void act_restart_series(const struct action *);
 void act_restart_together(const struct action *);
 void act_restart_twice(const struct action *);
+void act_restart_half(const struct action *);
 void act_reload_series(const struct action *);
 void act_reload_and_stop(const struct action *);
 void act_configure(const struct action *);
@@ -41,13 +44,19 @@
 void act_remove(const struct action *);
 void act_replace_target(const struct action *);
 
-/* Unplanned trouble: trouble.c. */
+/* Targets and callers in trouble: trouble.c. */
 void act_slow_targets(const struct action *);
 void act_fail_targets(const struct action *);
 void act_kill_target(const struct action *);
 void act_pause_target(const struct action *);
 void act_burst(const struct action *);
 void act_impatience(const struct action *);
+void act_fill_targets(const struct action *);
+void act_cold_targets(const struct action *);
+void act_lie(const struct action *);
+void act_abuse(const struct action *);
+
+/* Daemons, links and the store in trouble: daemons.c. */
 void act_starve(const struct action *);
 void act_pause(const struct action *);
 void act_pause_at_stop(const struct action *);
@@ -56,6 +65,10 @@
 void act_kill(const struct action *);
 void act_kill_beside(const struct action *);
 void act_kill_many(const struct action *);
+void act_kill_all(const struct action *);
+void act_lose_zone(const struct action *);
+void act_reuse(const struct action *);
 void act_store(const struct action *);
+void act_store_links(const struct action *);
 
 #endif
--- a/tests/rig/planned.c
+++ b/tests/rig/planned.c
@@ -3,11 +3,9 @@
 #include "plan.h"
 
 #define TOGETHER_MAX 3 /* daemons that stop at one moment */
-#define NEW_MS                                                        \
-	1500 /* from the start of a new machine to the end of the old \
-	      */
+#define NEW_MS 1500 /* a new machine runs before the old one ends */
 #define TARGET_END_TRIES 80 /* of 100 ms */
-#define MACHINES_LEAST 11 /* below which none is taken away */
+#define SERVICE_LEAST 2 /* machines of a service that are left */
 
 void
 act_restart_series(const struct action *a)
@@ -80,13 +78,14 @@
 void
 act_configure(const struct action *a)
 {
-	int i;
+	int i, changes = CHANGE_EXTRA;
 
+	if (a->first % 2)
+		changes |= CHANGE_TIMEOUT;
+	if (a->first % 3 == 0)
+		changes |= CHANGE_SPLIT;
 	for (i = 0; i < a->count / 2 + 1; i++) {
-		a->rig->timeout_turn += a->first % 2;
-		a->rig->split_turn += a->first % 3 == 0;
-		a->rig->extra_turn++;
-		store_configure(a->rig);
+		store_configure(a->rig, changes);
 		pause_ms(a->ms / 3);
 	}
 }
@@ -94,20 +93,23 @@
 void
 act_configure_and_restart(const struct action *a)
 {
-	a->rig->timeout_turn++;
-	store_configure(a->rig);
+	store_configure(a->rig, CHANGE_TIMEOUT);
 	pause_ms(a->ms / 4);
 	act_restart_series(a);
 }
 
+/* One data centre at a time is out. */
 void
 act_evacuate(const struct action *a)
 {
 	int zone = 1 + a->first % ZONES;
 
-	store_evacuate(a->rig, zone, 1);
-	pause_ms(a->ms * 2);
+	if (!g_atomic_int_compare_and_exchange(&a->rig->evacuating, 0, 1))
+		return;
+	if (store_evacuate(a->rig, zone, 1))
+		pause_ms(a->ms * 4);
 	store_evacuate(a->rig, zone, 0);
+	g_atomic_int_set(&a->rig->evacuating, 0);
 }
 
 /* Has the target of a machine drain and end, then the daemon. */
@@ -116,13 +118,13 @@
 {
 	int i;
 
-	m->target_wanted = 0;
+	if (!target_retire(m))
+		return;
 	note(m->rig, "target-drains at=%s", m->address);
 	machine_signal_target(m, SIGTERM);
 	for (i = 0; i < TARGET_END_TRIES && machine_signal_target(m, 0); i++)
 		pause_ms(100);
-	m->wanted = 0;
-	machine_stop(m);
+	machine_retire(m);
 }
 
 void
@@ -130,8 +132,10 @@
 {
 	struct machine *m = action_machine(a->rig, a->first);
 
-	if (!machine_add(a->rig, m->zone, m->service, 1))
+	if (!machine_add(a->rig, m->zone, m->service, 1)) {
+		note(a->rig, "no-machine-left");
 		return;
+	}
 	pause_ms(NEW_MS);
 	take_away(m);
 }
@@ -141,21 +145,43 @@
 {
 	struct machine *m = action_machine(a->rig, a->first);
 
-	machine_add(a->rig, m->zone, m->service, 1);
+	if (!machine_add(a->rig, m->zone, m->service, 1))
+		note(a->rig, "no-machine-left");
 }
 
-void
-act_remove(const struct action *a)
+/* Machines whose targets stay, of one service. */
+static int
+count_of_service(struct rig *r, const char *service)
 {
-	struct rig *r = a->rig;
 	int i, n = 0;
 
 	g_mutex_lock(&r->lock);
 	for (i = 0; i < r->machine_count; i++)
-		n += r->machine[i].target_wanted;
+		n += r->machine[i].target_wanted &&
+		     r->machine[i].service == service;
 	g_mutex_unlock(&r->lock);
-	if (n > MACHINES_LEAST)
-		take_away(action_machine(r, a->first));
+	return n;
+}
+
+void
+act_remove(const struct action *a)
+{
+	struct machine *m = action_machine(a->rig, a->first);
+
+	if (count_of_service(a->rig, m->service) > SERVICE_LEAST)
+		take_away(m);
+}
+
+/* Half of the daemons stop within a moment. */
+void
+act_restart_half(const struct action *a)
+{
+	int i, n = 2 * (a->count / 2 + 2);
+
+	for (i = 0; i < n; i++) {
+		machine_stop(action_machine(a->rig, a->first + 2 * i));
+		pause_ms(a->ms / 8);
+	}
 }
 
 /* A target drains and another one starts there; its daemon may stop meanwhile.
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -17,10 +17,10 @@
  * history files, from which judge.c tells which requests were lost.
  *
  * mesh.c is the deployment: machines and kinds of request. process.c starts
- * programs, machine.c keeps a machine's processes and asks whether its daemon
- * is ready, store.c writes configurations and evacuations, traffic.c draws
- * requests, attempt.c plays them, plan.c draws trouble, trouble.c brings it
- * about, link.c is a proxy between daemons and the store.
+ * programs, machine.c keeps a machine's daemon and asks whether it is ready,
+ * target.c keeps its target, store.c writes configurations and evacuations,
+ *traffic.c draws requests, attempt.c plays them, plan.c draws trouble,
+ *trouble.c brings it about, link.c is a proxy between daemons and the store.
  *
  * Lines of the history, besides those of tests/fake/planned and
  * tests/fake/target; all are written by "plan":
@@ -30,7 +30,9 @@
  *	memory at=DAEMON	SIGKILL, since it exceeded its memory
  *	ready, unready at=DAEMON	what callers of the machine are told
  *	slow, unslow at=DAEMON	it gets a part of its processor's time
- *	link at=DAEMON mode= ms=	its connections, "open" ends it
+ *	link, store-link at=DAEMON mode= ms=	its connections from other
+ *				daemons or to the store, "open" ends it
+ *	service at=DAEMON name=	another one has its address from now on
  *	store mode=		how the platform acts, "ok" ends it
  *	config-sent version= timeout_ROUTE=..., config-acked version= code=
  *	evacuated, back dc=
@@ -101,10 +103,13 @@
  * @pid: * of the daemon, 0 between two
  * @target_wanted: * the same for its target
  * @target_pid: * of the target
- * @stopped: * nonzero while the daemon is suspended
+ * @holders: * how many suspend the daemon
+ * @service: * given to another one at times
  * @in: nonzero while callers of the machine give it new work
  * @misses: answers other than 200 in a row to the question for readiness
- * @link: how its connections act, see enum link_mode; @link_ms its delay
+ * @settings: * how often they were changed
+ * @link: how its connections from other daemons act, see enum link_mode
+ * @store_link: the same for those to the store; @link_ms is the delay of both
  */
 struct machine {
 	struct rig *rig;
@@ -118,12 +123,13 @@
 	GPid pid;
 	int target_wanted;
 	GPid target_pid;
-	int stopped;
+	int holders;
 	gint in;
 	int misses;
 	gint link;
+	gint store_link;
 	gint link_ms;
-	int settings; /* how often they were changed */
+	int settings;
 	struct caller caller;
 	GMutex pool_lock;
 	GQueue pool; /* struct idle, connections that no request uses */
@@ -147,7 +153,9 @@
 	gint ending; /* nonzero: nothing is started again */
 	struct history history;
 	GPid platform;
-	GMutex lock; /* of @machine_count and the configuration */
+	GMutex lock; /* of @machine_count */
+	GMutex store_lock; /* of the configuration */
+	gint evacuating; /* nonzero: a data centre is out */
 	struct machine machine[MACHINES_MAX];
 	int machine_count;
 	int version; /* of the last configuration sent */
@@ -156,6 +164,7 @@
 	int extra_turn; /* chooses the routes that come and go */
 	gint burst; /* percent of the usual requests */
 	gint impatient; /* percent of callers that give up early */
+	gint abusive; /* percent of callers that repeat often and at once */
 };
 
 /** note() - write an event to the history */
@@ -173,16 +182,29 @@
  * many */
 struct machine *
 machine_add(struct rig *, int zone, const char *service, int cold);
+/** machine_file() - name of a file of the machine in the run's directory */
+char *machine_file(struct machine *, const char *ending);
 /** machine_write_settings() - write the daemon's settings, changed ones if
  * @change */
 void machine_write_settings(struct machine *, int change);
 /** machine_signal() - signal the daemon, and note it; Return: its process, 0 if
  * it does not run */
 GPid machine_signal(struct machine *, int signal);
-/** machine_hold() - suspend the daemon or let it go on, without a note */
+/** machine_hold() - suspend the daemon, or let it go on unless another one
+ * holds it; without a note */
 void machine_hold(struct machine *, int hold);
 /** machine_stop() - SIGTERM, and SIGKILL once the grace is over */
 void machine_stop(struct machine *);
+/** machine_retire() - machine_stop(), and no daemon is started there again */
+void machine_retire(struct machine *);
+int machine_is_wanted(struct machine *);
+/** machine_give_service() - from the next start of daemon and target on */
+void machine_give_service(struct machine *, const char *service);
+/** target_keep() - start the target, and again each time it ends */
+void target_keep(struct machine *);
+/** target_retire() - no target is started there again; Return: nonzero if that
+ * was not so before */
+int target_retire(struct machine *);
 /** machine_signal_target() - the same for its target, without a note */
 GPid machine_signal_target(struct machine *, int signal);
 /** machine_set_target() - change knobs of its target; @what is for the note */
@@ -197,9 +219,19 @@
 int rig_http(const char *ip, int port, int ms, const char *method,
     const char *path, const char *body);
 
-/** store_configure() - send the next version of the configuration */
-void store_configure(struct rig *);
-void store_evacuate(struct rig *, int zone, int begins);
+/** enum change - what differs in the next version of the configuration */
+enum change {
+	CHANGE_TIMEOUT = 1, /* time limits of all routes */
+	CHANGE_SPLIT = 2, /* where a route goes */
+	CHANGE_EXTRA = 4 /* a route comes, one goes */
+};
+
+/** store_configure() - send the next version of the configuration, with a set
+ * of changes */
+void store_configure(struct rig *, int changes);
+/** store_evacuate() - begin or end an evacuation; Return: nonzero if the store
+ * took it */
+int store_evacuate(struct rig *, int zone, int begins);
 /** store_fault() - have the platform act as @mode from now on */
 void store_fault(struct rig *, const char *mode);
 
@@ -226,6 +258,8 @@
  * from the machine to the store if @to_ip */
 void link_start(struct machine *, int listen_port, const char *to_ip, int port);
 void link_set(struct machine *, enum link_mode, int ms);
+/** link_set_store() - the same for its connections to the store */
+void link_set_store(struct machine *, enum link_mode, int ms);
 
 /** enum profile - which troubles a run has */
 enum profile {
--- a/tests/rig/store.c
+++ b/tests/rig/store.c
@@ -4,6 +4,12 @@
 
 #define STORE_MS 5000
 #define FAULT_MS 900
+#define AGAIN_US 200000 /* after an answer that is no success */
+#define TRIES 60
+#define STATUS_OK 200
+#define STATUS_CREATED 201
+#define STATUS_NOT_FOUND 404
+#define STATUS_CONFLICT 409
 #define ROUTE_EXTRAS 4 /* routes that come and go, one at a time */
 #define SPLIT_WEIGHT 3 /* of cloner, where codebook has 1 */
 
@@ -87,14 +93,28 @@
 	g_string_free(t, TRUE);
 }
 
+/* Nonzero if the store may be asked once more. */
+static int
+goes_on(struct rig *r, int *code, int tries)
+{
+	if (*code == STATUS_OK || *code == STATUS_CREATED || tries >= TRIES)
+		return 0;
+	if (tries)
+		g_usleep(AGAIN_US);
+	return !g_atomic_int_get(&r->ending);
+}
+
 void
-store_configure(struct rig *r)
+store_configure(struct rig *r, int changes)
 {
 	GString *t = g_string_new(NULL);
 	char *ip = store_ip(r);
-	int first, version, code = 0;
+	int first, version, tries, code = 0;
 
-	g_mutex_lock(&r->lock);
+	g_mutex_lock(&r->store_lock);
+	r->timeout_turn += !!(changes & CHANGE_TIMEOUT);
+	r->split_turn += !!(changes & CHANGE_SPLIT);
+	r->extra_turn += !!(changes & CHANGE_EXTRA);
 	first = !r->version;
 	version = ++r->version;
 	g_string_append_printf(t,
@@ -104,24 +124,23 @@
 	append_resources(r, t);
 	g_string_append(t, "]}}");
 	note_limits(r);
-	while (code != 200 && code != 201 && !g_atomic_int_get(&r->ending)) {
+	for (tries = 0; goes_on(r, &code, tries); tries++) {
 		code = rig_http(ip, PORT_STORE, STORE_MS,
 		    first ? "POST" : "PUT",
 		    first ? "/v1/objects/config" : "/v1/objects/config/main",
 		    t->str);
 		note(r, "config-acked version=%d code=%d", version, code);
-		if (code != 200 && code != 201)
-			g_usleep(G_USEC_PER_SEC / 5);
 	}
-	g_mutex_unlock(&r->lock);
+	g_mutex_unlock(&r->store_lock);
 	g_string_free(t, TRUE);
 	g_free(ip);
 }
 
-void
+int
 store_evacuate(struct rig *r, int zone, int begins)
 {
 	char *ip = store_ip(r), *path, *body;
+	int tries, code = 0;
 
 	path = begins ? g_strdup("/v1/objects/evacuations")
 		      : g_strdup_printf("/v1/objects/evacuations/dc%d", zone);
@@ -129,11 +148,18 @@
 			       "\"specification\":{}}",
 	    zone);
 	note(r, "%s dc=dc%d", begins ? "evacuated" : "back", zone);
-	rig_http(ip, PORT_STORE, STORE_MS, begins ? "POST" : "DELETE", path,
-	    begins ? body : NULL);
+	for (tries = 0; goes_on(r, &code, tries); tries++) {
+		code = rig_http(ip, PORT_STORE, STORE_MS,
+		    begins ? "POST" : "DELETE", path, begins ? body : NULL);
+		if (code == (begins ? STATUS_CONFLICT : STATUS_NOT_FOUND))
+			code = STATUS_OK; /* an earlier try took effect */
+	}
+	note(r, "%s dc=dc%d code=%d",
+	    begins ? "evacuation-acked" : "back-acked", zone, code);
 	g_free(body);
 	g_free(path);
 	g_free(ip);
+	return code == STATUS_OK || code == STATUS_CREATED;
 }
 
 void
--- a/tests/rig/trouble.c
+++ b/tests/rig/trouble.c
@@ -2,27 +2,82 @@
 
 #include "plan.h"
 
-#define STARVE_STEP_MS 50 /* a starved daemon runs for a part of each */
-#define FREEZE_MOST_MS 3000
-#define BURST_PERCENT 170
-#define USUAL_PERCENT 100
+#define BURST_MORE 70 /* percent of the usual requests */
 #define IMPATIENT_PERCENT 20
+#define ABUSIVE_PERCENT 30
+#define SEVERAL 3 /* targets in trouble at a time, at most */
+
+/* Changes knobs of some targets for a time. */
+static void
+set_for(const struct action *a, const char *knobs, const char *usual,
+    const char *what)
+{
+	struct machine *m[SEVERAL];
+	int i, n = action_machines(a->rig, a->first, 1 + a->count % SEVERAL, m);
+
+	for (i = 0; i < n; i++)
+		machine_set_target(m[i], knobs, what);
+	pause_ms(1000 + a->ms * 2);
+	for (i = 0; i < n; i++)
+		machine_set_target(m[i], usual, "calm");
+}
 
 void
 act_slow_targets(const struct action *a)
 {
-	struct machine *m;
-	int i, n = 1 + a->count % 3;
+	set_for(a, "straggle=4", "straggle=1", "slow");
+}
+
+void
+act_fill_targets(const struct action *a)
+{
+	set_for(a, "slots=3&queue=6", "slots=18&queue=36", "full");
+}
+
+/* They say that they are well, and fail. */
+void
+act_lie(const struct action *a)
+{
+	if (a->first % 2)
+		set_for(a, "report_lie=0&hang=6", "report_lie=-1&hang=0",
+		    "lies");
+	else
+		set_for(a, "report_lie=0&reset_after_read=20",
+		    "report_lie=-1&reset_after_read=0", "lies");
+}
+
+/* The targets of a data centre end and come back cold together. */
+void
+act_cold_targets(const struct action *a)
+{
+	struct machine *m[MACHINES_MAX];
+	int i, n = action_machines(a->rig, 0, MACHINES_MAX, m);
+	int zone = 1 + a->first % ZONES;
 
 	for (i = 0; i < n; i++) {
-		m = action_machine(a->rig, a->first + i);
-		machine_set_target(m, "straggle=4", "slow");
+		if (m[i]->zone != zone)
+			continue;
+		note(a->rig, "target-kill at=%s", m[i]->address);
+		machine_signal_target(m[i], SIGKILL);
 	}
+	pause_ms(600); /* until they run again */
+	for (i = 0; i < n; i++)
+		if (m[i]->zone == zone)
+			machine_set_target(m[i], "cold=1&cold_ms=3000", "cold");
+	pause_ms(3000);
+	for (i = 0; i < n; i++)
+		if (m[i]->zone == zone)
+			machine_set_target(m[i], "cold=0&cold_ms=0", "calm");
+}
+
+void
+act_abuse(const struct action *a)
+{
+	note(a->rig, "abuse percent=%d", ABUSIVE_PERCENT);
+	g_atomic_int_add(&a->rig->abusive, ABUSIVE_PERCENT);
 	pause_ms(1000 + a->ms * 2);
-	for (i = 0; i < n; i++) {
-		m = action_machine(a->rig, a->first + i);
-		machine_set_target(m, "straggle=1", "calm");
-	}
+	g_atomic_int_add(&a->rig->abusive, -ABUSIVE_PERCENT);
+	note(a->rig, "abuse percent=0");
 }
 
 void
@@ -62,131 +117,17 @@
 void
 act_burst(const struct action *a)
 {
-	g_atomic_int_set(&a->rig->burst, BURST_PERCENT);
-	note(a->rig, "burst percent=%d", BURST_PERCENT);
+	g_atomic_int_add(&a->rig->burst, BURST_MORE);
+	note(a->rig, "burst percent=%d", g_atomic_int_get(&a->rig->burst));
 	pause_ms(a->ms * 2);
-	g_atomic_int_set(&a->rig->burst, USUAL_PERCENT);
-	note(a->rig, "burst percent=%d", USUAL_PERCENT);
+	g_atomic_int_add(&a->rig->burst, -BURST_MORE);
+	note(a->rig, "burst percent=%d", g_atomic_int_get(&a->rig->burst));
 }
 
 void
 act_impatience(const struct action *a)
 {
-	g_atomic_int_set(&a->rig->impatient, IMPATIENT_PERCENT);
+	g_atomic_int_add(&a->rig->impatient, IMPATIENT_PERCENT);
 	pause_ms(a->ms * 3);
-	g_atomic_int_set(&a->rig->impatient, 0);
-}
-
-/* Lets a daemon run for a part of each step only. */
-static void
-starve(struct machine *m, int run_percent, int ms)
-{
-	int run = STARVE_STEP_MS * run_percent / 100, t;
-
-	note(m->rig, "slow at=%s", m->address);
-	for (t = 0; t < ms; t += STARVE_STEP_MS) {
-		machine_hold(m, 1);
-		pause_ms(STARVE_STEP_MS - run);
-		machine_hold(m, 0);
-		pause_ms(run);
-	}
-	note(m->rig, "unslow at=%s", m->address);
-}
-
-void
-act_starve(const struct action *a)
-{
-	struct machine *m = action_machine(a->rig, a->first);
-
-	if (a->first % 2)
-		machine_stop(m);
-	starve(m, 10 + a->count * 5, 2000 + a->ms * 2);
-}
-
-static void
-freeze(struct machine *m, int ms)
-{
-	machine_signal(m, SIGSTOP);
-	pause_ms(ms);
-	machine_signal(m, SIGCONT);
-}
-
-void
-act_pause(const struct action *a)
-{
-	freeze(action_machine(a->rig, a->first),
-	    a->first % 3 ? a->ms : MIN(a->ms * 2, FREEZE_MOST_MS));
-}
-
-/* Two daemons stop within a moment of each other; one of them, or another one,
- * stands still meanwhile. */
-void
-act_pause_at_stop(const struct action *a)
-{
-	struct machine *m = action_machine(a->rig, a->first);
-
-	machine_stop(m);
-	pause_ms(a->ms / 4);
-	machine_stop(action_machine(a->rig, a->first + a->count));
-	freeze(action_machine(a->rig, a->first + a->first % 3), a->ms);
-}
-
-void
-act_link(const struct action *a)
-{
-	static const enum link_mode modes[] = { LINK_DELAY, LINK_SILENT,
-		LINK_ONE_WAY, LINK_RESET, LINK_DELAY };
-	enum link_mode mode = modes[(size_t)a->first % G_N_ELEMENTS(modes)];
-	struct machine *m = action_machine(a->rig, a->first);
-
-	link_set(m, mode, a->ms / 5);
-	pause_ms(mode == LINK_RESET ? 50 : 500 + a->ms * 2);
-	link_set(m, LINK_OPEN, 0);
-}
-
-void
-act_link_at_stop(const struct action *a)
-{
-	machine_stop(action_machine(a->rig, a->first + a->count % 2));
-	act_link(a);
-}
-
-void
-act_kill(const struct action *a)
-{
-	machine_signal(action_machine(a->rig, a->first), SIGKILL);
-}
-
-/* Kills a daemon a moment before or after another one is told to stop. */
-void
-act_kill_beside(const struct action *a)
-{
-	struct machine *victim = action_machine(a->rig, a->first + a->count);
-
-	if (a->first % 2)
-		machine_signal(victim, SIGKILL);
-	machine_stop(action_machine(a->rig, a->first));
-	pause_ms(a->ms / 2);
-	if (a->first % 2 == 0)
-		machine_signal(victim, SIGKILL);
-}
-
-void
-act_kill_many(const struct action *a)
-{
-	int i;
-
-	for (i = 0; i < a->count; i++)
-		machine_signal(action_machine(a->rig, a->first + i), SIGKILL);
-}
-
-void
-act_store(const struct action *a)
-{
-	static const char *const modes[] = { "down", "slow&ms=300",
-		"lose-answer&count=2", "break-watch", "deaf-watch" };
-
-	store_fault(a->rig, modes[(size_t)a->first % G_N_ELEMENTS(modes)]);
-	pause_ms(500 + a->ms * 2);
-	store_fault(a->rig, "ok");
+	g_atomic_int_add(&a->rig->impatient, -IMPATIENT_PERCENT);
 }
