--- a/tests/rig/machine.c
+++ b/tests/rig/machine.c
@@ -9,6 +9,7 @@
 #include "rig.h"
 
 #define AGAIN_US 300000 /* from the end of a daemon to its next start */
+#define POLL_US 5000
 #define ASK_US 1000000 /* between two questions for readiness */
 #define ASK_MS 900
 #define MISSES_OUT 2
@@ -110,6 +111,8 @@
 	m->holders = 0;
 	if (m->wanted && !g_atomic_int_get(&m->rig->ending))
 		pid = m->pid = start_daemon(m);
+	if (pid)
+		m->started = io_clock();
 	g_mutex_unlock(&m->lock);
 	return pid;
 }
@@ -238,6 +241,22 @@
 	g_mutex_unlock(&m->lock);
 }
 
+int
+machine_await_start(struct machine *m, int64_t since)
+{
+	int64_t end = io_clock() + (GRACE_S + 1) * G_USEC_PER_SEC;
+	int is_new = 0;
+
+	while (!is_new && io_clock() < end) {
+		g_usleep(POLL_US);
+		g_mutex_lock(&m->lock);
+		is_new = m->started > since;
+		g_mutex_unlock(&m->lock);
+	}
+	return is_new;
+}
+
+/** struct overdue - a daemon that was told to stop */
 struct overdue {
 	struct machine *machine;
 	GPid pid;
--- a/tests/rig/plan.c
+++ b/tests/rig/plan.c
@@ -20,6 +20,7 @@
 	{ "restart-series", act_restart_series, 14 },
 	{ "restart-together", act_restart_together, 12 },
 	{ "restart-twice", act_restart_twice, 4 },
+	{ "restart-young", act_restart_young, 6 },
 	{ "restart-half", act_restart_half, 6 },
 	{ "reload-series", act_reload_series, 8 },
 	{ "reload-and-stop", act_reload_and_stop, 10 },
--- a/tests/rig/plan.h
+++ b/tests/rig/plan.h
@@ -33,6 +33,7 @@
 void act_restart_series(const struct action *);
 void act_restart_together(const struct action *);
 void act_restart_twice(const struct action *);
+void act_restart_young(const struct action *);
 void act_restart_half(const struct action *);
 void act_reload_series(const struct action *);
 void act_reload_and_stop(const struct action *);
--- a/tests/rig/planned.c
+++ b/tests/rig/planned.c
@@ -1,10 +1,13 @@
 #include <signal.h>
 
+#include "io.h"
 #include "plan.h"
 
 #define TOGETHER_MAX 3 /* daemons that stop at one moment */
 #define NEW_MS 1500 /* a new machine runs before the old one ends */
 #define TARGET_END_TRIES 80 /* of 100 ms */
+#define YOUNG_STOPS 3
+#define YOUNG_LEAST_MS 100 /* from a start to the next stop */
 #define SERVICE_LEAST 2 /* machines of a service that are left */
 
 void
@@ -172,6 +175,22 @@
 		take_away(m);
 }
 
+/* Stops a daemon again soon after each start. */
+void
+act_restart_young(const struct action *a)
+{
+	struct machine *m = action_machine(a->rig, a->first);
+	int64_t since = io_clock();
+	int i;
+
+	machine_stop(m);
+	for (i = 0; i < YOUNG_STOPS && machine_await_start(m, since); i++) {
+		since = io_clock();
+		pause_ms(YOUNG_LEAST_MS + a->ms * (i + 1) / 2);
+		machine_stop(m);
+	}
+}
+
 /* Half of the daemons stop within a moment. */
 void
 act_restart_half(const struct action *a)
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -101,6 +101,7 @@
  * @number: from 1, among those of its zone
  * @wanted: * nonzero while the daemon is started again when it ends
  * @pid: * of the daemon, 0 between two
+ * @started: * when it was started last, io_clock()
  * @target_wanted: * the same for its target
  * @target_pid: * of the target
  * @holders: * how many suspend the daemon
@@ -121,6 +122,7 @@
 	GMutex lock;
 	int wanted;
 	GPid pid;
+	int64_t started;
 	int target_wanted;
 	GPid target_pid;
 	int holders;
@@ -193,6 +195,9 @@
 /** machine_hold() - suspend the daemon, or let it go on unless another one
  * holds it; without a note */
 void machine_hold(struct machine *, int hold);
+/** machine_await_start() - wait until a daemon was started there later than at
+ * a time; Return: 0 if that takes longer than a stop may */
+int machine_await_start(struct machine *, int64_t since);
 /** machine_stop() - SIGTERM, and SIGKILL once the grace is over */
 void machine_stop(struct machine *);
 /** machine_retire() - machine_stop(), and no daemon is started there again */
