--- a/tests/rig/daemons.c
+++ b/tests/rig/daemons.c
@@ -1,9 +1,11 @@
 #include <signal.h>
 
+#include "io.h"
 #include "plan.h"
 
 #define STARVE_STEP_MS 50 /* a starved daemon runs for a part of each */
 #define FREEZE_MOST_MS 3000
+#define STILL 3 /* daemons that stand still while one ends */
 #define SERVICES 4 /* in mesh_services */
 
 /* Lets a daemon run for a part of each step only. */
@@ -60,6 +62,23 @@
 	freeze(action_machine(a->rig, a->first + a->first % 3), a->ms);
 }
 
+/* A daemon stops, and others stand still until it has ended. */
+void
+act_pause_over_end(const struct action *a)
+{
+	struct machine *m[1 + STILL];
+	int i, n = action_machines(a->rig, a->first, 1 + STILL, m);
+	int64_t since = io_clock();
+
+	machine_stop(m[0]);
+	pause_ms(a->ms + a->count * 300);
+	for (i = 1; i < n; i++)
+		machine_signal(m[i], SIGSTOP);
+	machine_await_start(m[0], since);
+	for (i = 1; i < n; i++)
+		machine_signal(m[i], SIGCONT);
+}
+
 void
 act_link(const struct action *a)
 {
--- a/tests/rig/plan.c
+++ b/tests/rig/plan.c
@@ -50,6 +50,7 @@
 	{ "starve", act_starve, 8 },
 	{ "pause", act_pause, 6 },
 	{ "pause-at-stop", act_pause_at_stop, 8 },
+	{ "pause-over-end", act_pause_over_end, 6 },
 	{ "slow-targets", act_slow_targets, 4 },
 	{ "fill-targets", act_fill_targets, 3 },
 	{ "burst", act_burst, 2 },
--- a/tests/rig/plan.h
+++ b/tests/rig/plan.h
@@ -61,6 +61,7 @@
 void act_starve(const struct action *);
 void act_pause(const struct action *);
 void act_pause_at_stop(const struct action *);
+void act_pause_over_end(const struct action *);
 void act_link(const struct action *);
 void act_link_at_stop(const struct action *);
 void act_kill(const struct action *);
