--- a/tests/rig/target.c
+++ b/tests/rig/target.c
@@ -4,6 +4,7 @@
 #include "rig.h"
 
 #define AGAIN_US 300000 /* from the end of a target to its next start */
+#define LATE_END_MS "300" /* of a broken answer, after its bytes */
 #define SET_MS 900
 
 static GPid
@@ -24,7 +25,9 @@
 		"36", "--full-hangs", "1", "--deadline-ends", "1", "--knee",
 		"80", "--noisy-ms", "150", "--noisy-share", "25",
 		"--noisy-factor", "5", "--drain-ms", "2300", "--chunked",
-		m->number % 2 ? "0" : "1", "--seed", seed, NULL };
+		(m->zone + m->number) % 2 ? "0" : "1", "--cut-ms",
+		r->harsh && m->number % 3 == 1 ? LATE_END_MS : "0", "--seed",
+		seed, NULL };
 	GPid pid;
 
 	note(r, "target-start at=%s", m->address);
