A stop bounds what the kernel takes for late readers

What callers saw: nothing; found by reading. With many callers that read nothing, each could have had up to the kernel's largest buffer in the last 0.5 s of a stop. Now 32 MB for all together, 64 KB each at least, as before the stop. tests/system/stop-late-reader.sh: 6 of 6 in all four cases; unit-http_stop passes. Not measured: the kernel's memory beside 900 callers that read nothing at a stop.

--- a/src/adapter/http/finish.c
+++ b/src/adapter/http/finish.c
@@ -1,5 +1,4 @@
 #include <errno.h>
-#include <limits.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -11,35 +10,35 @@
  * outlives the process: it goes to a caller that reads it later, unless bytes
  * that the caller sent lie unread as the socket is closed. */
 
-#define KERNEL_BYTES_MAX (INT_MAX / 2) /* beyond what any kernel allows */
+#define KERNEL_BYTES 33554432 /* that the kernel may take for all callers */
 #define DROPS_MAX 16 /* reads at once */
 #define STEP_US 5000 /* between looks at the connections */
 
-/* The largest buffer that a socket may ask for, or 0. */
+/* What the kernel makes of a request for a buffer of @n bytes, or 0. */
 static int
-largest_buffer(void)
+buffer_for(int n)
 {
-	int n = KERNEL_BYTES_MAX, largest = 0;
-	socklen_t len = sizeof largest;
+	int got = 0;
+	socklen_t len = sizeof got;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	if (fd < 0)
 		return 0;
 	if (setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &n, sizeof n) ||
-	    getsockopt(fd, SOL_SOCKET, SO_SNDBUF, &largest, &len))
-		largest = 0;
+	    getsockopt(fd, SOL_SOCKET, SO_SNDBUF, &got, &len))
+		got = 0;
 	close(fd);
-	return largest;
+	return got;
 }
 
-/* The kernel may have given more by itself than can be asked for. */
+/* The kernel may have given more by itself. */
 static void
-unbind_socket(int fd, int largest)
+unbind_socket(int fd, int n, int buffer)
 {
-	int n = KERNEL_BYTES_MAX, has = 0;
+	int has = 0;
 	socklen_t len = sizeof has;
 
-	if (!getsockopt(fd, SOL_SOCKET, SO_SNDBUF, &has, &len) && has < largest)
+	if (!getsockopt(fd, SOL_SOCKET, SO_SNDBUF, &has, &len) && has < buffer)
 		(void)setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &n, sizeof n);
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &n, sizeof n);
 }
@@ -47,12 +46,18 @@
 void
 http_server_unbind(struct http_server *s)
 {
-	int largest = largest_buffer();
+	int bytes, buffer, n = 0;
 	struct http_conn *c;
 
+	for (c = s->conns; c; c = c->next)
+		n += out_pending(&c->out) > 0;
+	if (!n)
+		return;
+	bytes = MAX(KERNEL_BYTES / n, HTTP_KERNEL_UNSENT_BYTES);
+	buffer = buffer_for(bytes);
 	for (c = s->conns; c; c = c->next)
 		if (out_pending(&c->out))
-			unbind_socket(c->fd, largest);
+			unbind_socket(c->fd, bytes, buffer);
 }
 
 /* Drops what the caller sent. Return: 0, or -1 if the connection has failed. */
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -213,8 +213,8 @@
 int http_server_end_stalled(struct http_server *, int64_t before);
 /** http_server_held() - add up what the connections hold */
 void http_server_held(const struct http_server *, struct http_held *);
-/** http_server_unbind() - let the kernel take as much as it can of what is
- * unsent, shortly before the end of the process */
+/** http_server_unbind() - let the kernel take more of what is unsent, shortly
+ * before the end of the process, up to a bound for all callers */
 void http_server_unbind(struct http_server *);
 /** http_server_finish() - without the loop, send what is left and close the
  * connections whose requests have ended; waits until @until at most */
