--- a/tests/fake/planned/planned.h
+++ b/tests/fake/planned/planned.h
@@ -97,6 +97,7 @@
 	int thread; /* number of the thread that plays it */
 	int id;
 	int fd;
+	int64_t sent_at; /* just before the last bytes were sent */
 	size_t n;
 	char in[16385]; /* with a final NUL */
 };
