--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -24,12 +24,6 @@
 {
 	struct out_call *c = ctx;
 
-	if (now < c->caller_deadline && outbound_caller_holds_up(c)) {
-		c->deadline = c->caller_deadline;
-		io_timer_set(c->data->task.loop, &c->deadline_timer,
-		    c->deadline);
-		return;
-	}
 	c->reason = WIRE_REASON_DEADLINE;
 	outbound_give_up_call(c);
 }
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -139,9 +139,6 @@
 /** outbound_latest_deadline() - latest time that the deadline of a call may
  * still move to: the timeout starts anew when the request is complete */
 int64_t outbound_latest_deadline(const struct out_call *);
-/** outbound_caller_holds_up() - whether more of a call's answer does not come
- * because the caller has yet to read what came */
-int outbound_caller_holds_up(const struct out_call *);
 /** outbound_refuse_at_limit() - refuse a call that did not start yet while the
  * daemon holds too many bytes. Return: nonzero if it did; the call is freed */
 int outbound_refuse_at_limit(struct out_call *);
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -49,33 +49,21 @@
 	io_timer_clear(c->data->task.loop, &c->hedge_timer);
 }
 
-/* A call's share of what the daemon may hold, which never exceeds the window
- * that the call began with. */
-static size_t
-credit_share(const struct out_attempt *a)
-{
-	return byte_limit_share(&a->call->data->call_bytes, WIRE_CHUNK_MAX,
-	    a->window);
-}
-
-static int
-credit_is_due(const struct out_attempt *a, size_t share)
-{
-	return a->promised + share / CREDIT_PARTS <= share;
-}
-
-/* Allows the peer to send further bytes of the answer. */
+/* Allows the peer to send further bytes of the answer, up to this call's share
+ * of what the daemon may hold, which never exceeds the window that the call
+ * began with. */
 static void
 give_credit(struct out_call *c)
 {
 	struct out_attempt *a = c->winner;
 	struct wire_credit m = { a->xid, WIRE_BODY_ANSWER, 0 };
-	size_t share = credit_share(a);
+	struct byte_limit *b = &c->data->call_bytes;
+	size_t share = byte_limit_share(b, WIRE_CHUNK_MAX, a->window);
 
-	if (!a->peer->conn || !credit_is_due(a, share))
+	if (!a->peer->conn || a->promised + share / CREDIT_PARTS > share)
 		return;
 	m.bytes = share - a->promised;
-	byte_limit_take(&c->data->call_bytes, m.bytes);
+	byte_limit_take(b, m.bytes);
 	a->promised = share;
 	peer_send_credit(a->peer->conn, &m);
 }
@@ -117,13 +105,6 @@
 		give_credit(c);
 }
 
-int
-outbound_caller_holds_up(const struct out_call *c)
-{
-	return c->state == OUT_ANSWERING && c->winner && c->caller_slow &&
-	       credit_is_due(c->winner, credit_share(c->winner));
-}
-
 static void
 forward_head(struct out_attempt *a, const struct wire_reply *m)
 {
