http: a closed connection to a target has the bound on silence again

What callers saw: 504 at the deadline, and the unsafe request run at the target seconds later, for nobody and outside of its limits. Cause: took the bound from connections to targets; what was in the system's buffers at the close was delivered when the target went on. Ruled out: a reset at once, as answers under way to nobody cost nothing and a request just sent may end in order.

--- a/src/adapter/http/link.c
+++ b/src/adapter/http/link.c
@@ -102,6 +102,8 @@
 	in_pause(&l->in, 1);
 	io_watch_remove(p->loop, &l->watch);
 	io_timer_clear(p->loop, &l->timer);
+	/* else bytes of a request that was given up may arrive much later */
+	io_limit_silence(l->fd, IO_USER_TIMEOUT_MS);
 	close(l->fd);
 	list_remove(l);
 	p->nopen--;
