inbound: an extra answer to the request before doesn't end the next one

Cause: a target may send an answer once more, late, where the next one is due. The daemon took such an answer for the end of the request that waited, closed the connection, so that the target dropped the work, and answered 502 if no other target was left. The answer's id says that it is not to that request; the request's own follows.

Now an answer that names the request before on its connection, with a length of up to 64 KB, is read over (event 502 as before), and the connection is not used again after that. All others are dropped as before: those without an id or with an id that the connection doesn't know (dialect.sh, other_id).

Ruled out: requests that may run once only; they are sent on unused connections. Reading over every answer with another id (not tried): dialect.sh has another target tried then, as that answer may be the only one that comes.

--- a/src/adapter/http/call.c
+++ b/src/adapter/http/call.c
@@ -187,6 +187,18 @@
 	return c->link && !c->link->answered;
 }
 
+void
+http_call_set_tag(struct http_call *c, uint64_t tag)
+{
+	c->tag = tag;
+}
+
+uint64_t
+http_call_earlier_tag(const struct http_call *c)
+{
+	return c->link ? c->link->earlier_tag : 0;
+}
+
 void
 http_call_pause(struct http_call *c, int on)
 {
--- a/src/adapter/http/link.h
+++ b/src/adapter/http/link.h
@@ -7,6 +7,8 @@
 /* no spare connection is opened after one was lost or could not be opened */
 #define HTTP_SPARE_RETRY_US 1000000
 #define HTTP_INTERIM_MAX 16 /* interim responses to one request */
+#define HTTP_EXTRA_MAX 4 /* responses to earlier requests read over */
+#define HTTP_EXTRA_BYTES 65536 /* most bytes of the body of one of these */
 #define HTTP_IDLE_MAX 64 /* idle connections of a pool kept for reuse */
 
 /**
@@ -32,7 +34,10 @@
  * @read_disabled: the socket was readable while the call was paused, so that
  *                 it is no longer watched for input
  * @interim: the message being read is a 1xx response
+ * @extra: the message being read is one more response to an earlier call
  * @answered: a response to an earlier call was complete
+ * @earlier_tag: tag of that call
+ * @earlier_head: that call's method was HEAD
  * @last_byte: when the last byte was sent or received, or when the connection
  *             or its call began, if later
  */
@@ -50,7 +55,10 @@
 	int corked;
 	int read_disabled;
 	int interim;
+	int extra;
 	int answered;
+	uint64_t earlier_tag;
+	int earlier_head;
 	int64_t last_byte;
 	struct io_watch watch;
 	struct io_timer timer;
@@ -70,6 +78,8 @@
  *                    call began
  * @paused: the user suspended reading
  * @half_closed: the user gave the call up by http_call_shutdown()
+ * @nextra: responses to earlier calls that were read over
+ * @tag: see http_call_set_tag()
  * @notify_drained: bytes are buffered; the callback drained is due once they
  *                  are sent
  * @body_left: bytes of the request's body still to be written, or
@@ -89,6 +99,8 @@
 	int paused;
 	int half_closed;
 	int ninterim;
+	int nextra;
+	uint64_t tag;
 	int notify_drained;
 	int64_t body_left;
 };
--- a/src/adapter/http/link_read.c
+++ b/src/adapter/http/link_read.c
@@ -4,6 +4,20 @@
 #include <string.h>
 #include <sys/socket.h>
 
+/* Only one of a known, small length on a connection that stays open can be read
+ * over: the end of others is not known, or the call's own can't follow. */
+static int
+is_extra(struct http_link *l, const struct http_in *in)
+{
+	struct http_call *c = l->call;
+
+	return c->ops->is_extra && l->answered && !l->earlier_head &&
+	       in->head.length >= 0 && in->head.length <= HTTP_EXTRA_BYTES &&
+	       http_should_keep_alive(&in->parser) &&
+	       c->nextra < HTTP_EXTRA_MAX &&
+	       c->ops->is_extra(c->ctx, &in->head);
+}
+
 static int
 on_head(void *ctx, struct http_in *in)
 {
@@ -19,6 +33,11 @@
 		    "too many interim responses");
 	if (l->interim)
 		return 1;
+	l->extra = is_extra(l, in);
+	if (l->extra) {
+		l->call->nextra++;
+		return http_no_body(status);
+	}
 	l->call->ops->head(l->call->ctx, &in->head);
 	if (l->closed)
 		return 1;
@@ -30,7 +49,7 @@
 {
 	struct http_link *l = ctx;
 
-	if (!l->closed)
+	if (!l->closed && !l->extra)
 		l->call->ops->body(l->call->ctx, data, n);
 }
 
@@ -102,11 +121,14 @@
 	struct http_call *c = l->call;
 	int reuse = l->in.keep_alive && c->ended && !c->half_closed &&
 		    !out_pending(&l->out) && !l->in.unparsed_len && !eof &&
-		    !l->send_errno && l->pool->count[LINK_IDLE] < HTTP_IDLE_MAX;
+		    !c->nextra && !l->send_errno &&
+		    l->pool->count[LINK_IDLE] < HTTP_IDLE_MAX;
 
 	l->call = NULL;
 	c->link = NULL;
 	l->answered = 1;
+	l->earlier_tag = c->tag;
+	l->earlier_head = c->method_is_head;
 	if (reuse) {
 		in_pause(&l->in, 0);
 		in_next_message(&l->in);
@@ -129,8 +151,9 @@
 		}
 		if (l->closed || !l->in.ended)
 			return;
-		if (!l->interim)
+		if (!l->interim && !l->extra)
 			break;
+		l->extra = 0;
 		in_next_message(&l->in);
 		if (!l->in.unparsed_len)
 			return;
@@ -156,7 +179,7 @@
 	}
 	if (l->closed)
 		return;
-	if (l->in.ended && !l->interim)
+	if (l->in.ended && !l->interim && !l->extra)
 		finish_call(l, 1);
 	else
 		fail(l, HTTP_E_CLOSED, "connection closed before a response",
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -291,6 +291,16 @@
 /** inbound_note_unwanted_bytes() - count bytes of an answer that nobody waits
  * for; 1 if there were too many: the request was aborted and the call freed */
 int inbound_note_unwanted_bytes(struct in_call *, size_t n);
+/** inbound_answers_other() - whether an answer is to another request, as a late
+ * second answer to an earlier request or health check on the connection: it
+ * names the id of another attempt, or names none and is a success or not the
+ * connection's first */
+int inbound_answers_other(const struct in_call *, const struct http_head *);
+/** inbound_is_extra_answer() - whether a head is that of one more answer to the
+ * request before on the connection, by its id; for http_call_ops */
+int inbound_is_extra_answer(void *ctx, const struct http_head *);
+/** inbound_tag_call() - note the request's id for the next on its connection */
+void inbound_tag_call(struct in_call *);
 /** inbound_note_lost() - note that the target broke off a request or its
  * answer, and check whether it ended */
 void inbound_note_lost(struct in_call *);
--- a/src/daemon/inbound/run.c
+++ b/src/daemon/inbound/run.c
@@ -14,25 +14,6 @@
 	return http_head_find(h, d->dialect->not_run_field) != NULL;
 }
 
-/* Whether an answer is to another request, as a late second answer to an
- * earlier request or health check on the connection: it names the id of another
- * attempt, or names none and is a success or not the connection's first. */
-static int
-answers_other_request(const struct in_call *c, const struct http_head *h)
-{
-	const char *field = c->data->dialect->attempt_field;
-	const char *attempt = field ? head_copy_find(&c->head, field) : NULL;
-	const char *echo;
-
-	if (!attempt)
-		return 0;
-	echo = http_head_find(h, field);
-	if (!echo)
-		return (h->status >= 200 && h->status < 300) ||
-		       !http_call_is_first(c->target_call);
-	return strcmp(echo, attempt) != 0;
-}
-
 /* Why an answer can't be passed on, or NULL: in a dialect with signatures it
  * has a content coding or lacks the signature that each 2xx answer has. */
 static const char *
@@ -121,7 +102,7 @@
 		return;
 	/* Before any statement in it is used: "not run" may be about another
 	 * request. */
-	if (answers_other_request(c, h)) {
+	if (inbound_answers_other(c, h)) {
 		drop_answer(c, "other-request");
 		return;
 	}
@@ -241,6 +222,7 @@
 	.done = target_done,
 	.failed = target_failed,
 	.drained = target_drained,
+	.is_extra = inbound_is_extra_answer,
 };
 
 void
@@ -380,6 +362,7 @@
 		reply_not_sent(c, now, WIRE_REASON_FULL);
 		return;
 	}
+	inbound_tag_call(c);
 	log_request_id(EVENT_REQUESTS_SENT, now, inbound_request_id(c), NULL);
 	if (c->work)
 		work_note_admission(c->work, 1);
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -287,6 +287,9 @@
  *          of the request may have reached the other side. The call is invalid
  *          after this returns.
  * @drained: all request bytes written so far were given to the kernel
+ * @is_extra: whether this head, on a connection used before, is that of one
+ *            more response to an earlier call; that is read over then, and the
+ *            call's own awaited; may be NULL
  */
 struct http_call_ops {
 	void (*head)(void *ctx, const struct http_head *);
@@ -294,6 +297,7 @@
 	void (*done)(void *ctx);
 	void (*failed)(void *ctx, const struct kq_error *, int sent);
 	void (*drained)(void *ctx);
+	int (*is_extra)(void *ctx, const struct http_head *);
 };
 
 /**
@@ -351,6 +355,12 @@
 /** http_call_is_first() - whether no response came before on the connection of
  * a call, so that what comes can't be a copy of an earlier one */
 int http_call_is_first(const struct http_call *);
+/** http_call_set_tag() - set a number by which the next call on the connection
+ * knows this one */
+void http_call_set_tag(struct http_call *, uint64_t tag);
+/** http_call_earlier_tag() - the tag of the call before this one on its
+ * connection, 0 if it has none */
+uint64_t http_call_earlier_tag(const struct http_call *);
 /** http_call_pause() - suspend (@on nonzero) or resume reading the response */
 void http_call_pause(struct http_call *, int on);
 
