planned: a request's last byte is noted as its sending begins

The line "call" bore the time after the send. The time is taken right before the last send now. Nothing else is excused by it: what counts from the last byte begins earlier by some us.

--- a/tests/fake/planned/planned.h
+++ b/tests/fake/planned/planned.h
@@ -97,6 +97,7 @@
 	int thread; /* number of the thread that plays it */
 	int id;
 	int fd;
+	int64_t sent_last; /* when sending of the last bytes began */
 	size_t n;
 	char in[16385]; /* with a final NUL */
 };
@@ -106,7 +107,8 @@
 /** request_share_limit() - give requests that are sent at once the longest
  * deadline among them, as each answer waits for those before it */
 void request_share_limit(struct request *, int n);
-/** request_send() - send requests at once and write that to the history;
+/** request_send() - send requests at once and write that to the history, at the
+ * time at which their last bytes were sent;
  * Return: 0, or -1 if the connection took only a part */
 int request_send(struct conn *, struct request *, int n);
 /** answer_read() - read the answer to a request */
--- a/tests/fake/planned/request.c
+++ b/tests/fake/planned/request.c
@@ -99,6 +99,7 @@
 static int
 send_bytes(struct conn *c, const char *p, size_t n)
 {
+	c->sent_last = io_clock();
 	return send(c->fd, p, n, MSG_NOSIGNAL) == (ssize_t)n ? 0 : -1;
 }
 
@@ -162,7 +163,7 @@
 static void
 log_sent(struct conn *c, const struct request *r, int behind)
 {
-	history_write(&c->caller->history, io_clock(),
+	history_write(&c->caller->history, c->sent_last,
 	    "call id=%s to=%s conn=%d way=%d behind=%d once=%d "
 	    "start=%" G_GINT64_FORMAT
 	    " limit_ms=%d work_ms=%d bytes=%d breaks=%d route=%s kind=%s "
