--- a/tests/system/endless.sh
+++ b/tests/system/endless.sh
@@ -43,8 +43,10 @@
 		set_target "flood=2&flood_kind=$kind"
 		method=GET
 		[ $route = s ] || method=POST
+		body=/dev/null # writing an endless one would take part of the time
+		[ $kind != 8 ] || body=$fleet_dir/body
 		start=$(date +%s%3N)
-		status=$(curl -s -m 5 -X $method -o "$fleet_dir/body" -w '%{http_code}' -H "$(host)" \
+		status=$(curl -s -m 5 -X $method -o "$body" -w '%{http_code}' -H "$(host)" \
 			-H "X-Attempt-Id: $route$kind" -H "X-Deadline-Ms: $DEADLINE_MS" "http://$at/$route/flood/")
 		code=$?
 		took=$(($(date +%s%3N) - start))
