admit: the plan of starts doesn't count on one place while a first answer is under way

What callers saw: 503 "deadline", not run, a millisecond after the request, with 15 s left, at targets with 200 free places.

Cause: until a target has answered anything at most one request is in flight there. The plan of starts took that limit for the whole time in which the waiting requests would run, one after the other, so that long ones seemed to expire in the queue; they were marked for refusal, and stayed so after the first answer a few milliseconds later. Class: a state of a moment is taken as lasting.

Change: while the first answer is expected, for 0.3 s as before, the plan has the limit that holds after it. A target that has still not answered then is planned with one place, as before. At most one request is in flight until the first answer, as before.

Open: a request that is taken out of a queue is reported as "deadline" whatever the reason was.

--- a/src/core/admit/admit.c
+++ b/src/core/admit/admit.c
@@ -65,9 +65,16 @@
 }
 
 void
-admit_set_unknown(struct admit *a, int unknown)
+admit_await_answer(struct admit *a, int64_t by)
 {
-	a->unknown = unknown;
+	a->unknown = 1;
+	a->answer_by = by;
+}
+
+void
+admit_note_answered(struct admit *a)
+{
+	a->unknown = 0;
 }
 
 void
--- a/src/core/admit/cold.c
+++ b/src/core/admit/cold.c
@@ -77,16 +77,26 @@
 		admit_turn_cold(a, ADMIT_CAUSE_STALL);
 }
 
-int
-admit_limit(const struct admit *a, int64_t now)
+static int
+limit_once_known(const struct admit *a, int64_t now)
 {
-	if (a->unknown)
-		return 1;
 	if (a->suspect || idle(a, now) || stalled(a, now, 1))
 		return admit_cold_limit(a);
 	return a->trial.limit ? a->trial.limit : (int)a->limit;
 }
 
+int
+admit_limit(const struct admit *a, int64_t now)
+{
+	return a->unknown ? 1 : limit_once_known(a, now);
+}
+
+int
+admit_plan_limit(const struct admit *a, int64_t now)
+{
+	return a->unknown && now >= a->answer_by ? 1 : limit_once_known(a, now);
+}
+
 int
 admit_cold(const struct admit *a, int64_t now)
 {
--- a/src/core/admit/impl.h
+++ b/src/core/admit/impl.h
@@ -125,6 +125,7 @@
  *	reports, until @limit reaches WARM_SHARE of @ceiling
  * @suspect: nonzero if the last answer was slow or a failure
  * @unknown: nonzero until the target has answered anything
+ * @answer_by: while @unknown, until when its first answer is expected
  * @draining: nonzero once the target takes no new requests
  * @out: nonzero while the data centre is out
  * @epoch: raised whenever the target is declared cold; the outcome of a
@@ -165,6 +166,7 @@
 	int cold;
 	int suspect;
 	int unknown;
+	int64_t answer_by;
 	int draining;
 	int out;
 	uint32_t epoch;
@@ -215,6 +217,11 @@
 /** queue_rekey() - change the key of the entry at @slot, and so its order */
 void queue_rekey(struct queue *, uint16_t slot, int64_t key);
 
+/** admit_plan_limit() - requests in flight allowed in the time for which the
+ * starts of waiting requests are planned. A target that is about to give its
+ * first answer takes more than admit_limit() from then on */
+int admit_plan_limit(const struct admit *, int64_t now);
+
 /** enum triage - what the plan of starts, which admit_triage() makes, says of a
  * request that can't run at once */
 enum triage {
@@ -227,8 +234,7 @@
  * one, which may be NULL; waiting requests that can't be in time are moved
  * behind the others or marked for refusal. Return: what the plan says of the
  * incoming request */
-enum triage
-admit_triage(struct admit *, int64_t now, const struct entry *, int limit);
+enum triage admit_triage(struct admit *, int64_t now, const struct entry *);
 /** admit_make_room() - evict a waiting request for the incoming one, by marking
  * it for refusal: a late one, or else one in time that is evicted rather than
  * the incoming one. Return: nonzero if there was one */
--- a/src/core/admit/pop.c
+++ b/src/core/admit/pop.c
@@ -43,7 +43,7 @@
 	}
 	queue_mark_late(&a->queue, now);
 	if (a->queue.n > 1)
-		admit_triage(a, now, NULL, admit_limit(a, now));
+		admit_triage(a, now, NULL);
 	if (queue_peek(&a->queue)->key == REFUSE_KEY) {
 		item->handle = queue_take(&a->queue, &item->tag);
 		return refuse_item(a, item, ADMIT_FULL);
--- a/src/core/admit/request.c
+++ b/src/core/admit/request.c
@@ -98,9 +98,9 @@
 /** Why a request that can't run at once may not join the queue; ADMIT_OK if it
  * may. Evicts a waiting request for it if the queue is full. */
 static enum admit_reason
-try_queue(struct admit *a, int64_t now, struct entry *e, int limit)
+try_queue(struct admit *a, int64_t now, struct entry *e)
 {
-	enum triage t = admit_triage(a, now, e, limit);
+	enum triage t = admit_triage(a, now, e);
 
 	if (t != TRIAGE_IN_TIME && e->other_target)
 		return ADMIT_FULL;
@@ -137,7 +137,7 @@
 	*reason = immediate_refusal(a, now, w);
 	room = *reason == ADMIT_OK && can_run_now(a, now, w, limit);
 	if (*reason == ADMIT_OK && !room)
-		*reason = try_queue(a, now, &e, limit);
+		*reason = try_queue(a, now, &e);
 	if (*reason != ADMIT_OK) {
 		a->counters.refused[*reason]++;
 		return ADMIT_REFUSE;
--- a/src/core/admit/triage.c
+++ b/src/core/admit/triage.c
@@ -183,16 +183,15 @@
  * and keep their places. An incoming request that is not in time and has
  * another target is refused by the caller, so the queue is left as it is. */
 enum triage
-admit_triage(struct admit *a, int64_t now, const struct entry *incoming,
-    int limit)
+admit_triage(struct admit *a, int64_t now, const struct entry *incoming)
 {
 	struct plan p;
 	int kept[PLAN_MAX + 1], removed[PLAN_MAX + 1];
 	int i, w, n = 0, nremoved = 0, in_time = 1;
 	double ahead = 0;
 
-	p.limit = limit;
-	p.first = first_start(a, now, limit);
+	p.limit = admit_plan_limit(a, now);
+	p.first = first_start(a, now, p.limit);
 	plan_fill(&p, &a->queue, incoming);
 	for (i = 0; i < p.n && p.entry[i]->key < LATE_KEY; i++) {
 		kept[n++] = i;
--- a/src/daemon/inbound/stated.c
+++ b/src/daemon/inbound/stated.c
@@ -11,7 +11,7 @@
 {
 	d->target_answered = 0;
 	d->first_answer_by = data_now(d) + FIRST_ANSWER_WAIT_US;
-	admit_set_unknown(d->admit, 1);
+	admit_await_answer(d->admit, d->first_answer_by);
 }
 
 int
@@ -26,7 +26,7 @@
 {
 	d->target_answered = 1;
 	if (d->admit)
-		admit_set_unknown(d->admit, 0);
+		admit_note_answered(d->admit);
 }
 
 /* The limit that a head states, as text; NULL without one. */
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -224,9 +224,12 @@
     int slack);
 /** admit_reported_cold() - whether the target is cold by its own last report */
 int admit_reported_cold(const struct admit *, int64_t now);
-/** admit_set_unknown() - set whether the target has not answered yet since
- * admit_new(): meanwhile at most one request is in flight */
-void admit_set_unknown(struct admit *, int unknown);
+/** admit_await_answer() - the target has not answered yet since admit_new(): at
+ * most one request is in flight until admit_note_answered(). Its answer is
+ * expected until @by: before then, waiting requests are not refused for the
+ * places that it has once it has answered */
+void admit_await_answer(struct admit *, int64_t by);
+void admit_note_answered(struct admit *);
 /** admit_set_stated_rate() - start at most @per_s requests a second, with a
  * burst of those of one second, the limit that the target states; 0: no limit
  */
--- a/tests/unit/admit_rules.c
+++ b/tests/unit/admit_rules.c
@@ -85,6 +85,67 @@
 }
 END_TEST
 
+#define LONG_REQUESTS 10
+#define ANSWER_BY (300 * MS)
+
+/* Sends long requests, a millisecond after each other, to a target that has not
+ * answered yet. Return: how many are refused at once. */
+static int
+send_long_requests(struct admit *a, int64_t from)
+{
+	enum admit_reason why;
+	struct admit_run run;
+	int i, refused = 0;
+	uint32_t h;
+
+	for (i = 0; i < LONG_REQUESTS; i++) {
+		int64_t now = from + i * MS;
+		struct admit_want w = { .deadline = now + 15 * SECOND,
+			.start_by = now + 4 * SECOND,
+			.need_us = 2 * SECOND };
+
+		refused += admit_request_for(a, now, &w, (uint32_t)i, &run, &h,
+			       &why) == ADMIT_REFUSE;
+	}
+	return refused;
+}
+
+START_TEST(long_requests_wait_for_first_answer)
+{
+	struct admit_config c = { 200, 260, 100000, 0, 20 * MS, 0, 32, 0, 0,
+		0 };
+	struct admit *a = admit_new(&c, 0);
+	struct admit_item item;
+	int i;
+
+	admit_await_answer(a, ANSWER_BY);
+	ck_assert_int_eq(send_long_requests(a, 0), 0);
+	ck_assert_int_eq(admit_in_flight(a), 1);
+	ck_assert_int_eq(admit_pop(a, ANSWER_BY - 1, &item), ADMIT_POP_NONE);
+	admit_note_answered(a);
+	for (i = 1; i < LONG_REQUESTS; i++)
+		ck_assert_int_eq(admit_pop(a, ANSWER_BY - 1, &item),
+		    ADMIT_POP_RUN);
+	admit_free(a);
+}
+END_TEST
+
+START_TEST(target_whose_first_answer_is_late_gets_one_request)
+{
+	struct admit_config c = { 200, 260, 100000, 0, 20 * MS, 0, 32, 0, 0,
+		0 };
+	struct admit *a = admit_new(&c, 0);
+	struct admit_item item;
+
+	admit_await_answer(a, ANSWER_BY);
+	send_long_requests(a, ANSWER_BY);
+	ck_assert_int_eq(admit_in_flight(a), 1);
+	ck_assert_int_eq(admit_pop(a, ANSWER_BY + LONG_REQUESTS * MS, &item),
+	    ADMIT_POP_REFUSED);
+	admit_free(a);
+}
+END_TEST
+
 START_TEST(limit_rises_only_after_cold_calls)
 {
 	struct admit_config c = { 12, 260, 2, 10, 20 * MS, 0, 8, 0, 0, 0 };
@@ -210,6 +271,8 @@
 	tcase_add_test(c, limit_rises_only_after_cold_calls);
 	tcase_add_test(c, requests_from_before_restart_do_not_warm);
 	tcase_add_test(c, burst_at_new_target_is_not_refused_as_cold);
+	tcase_add_test(c, long_requests_wait_for_first_answer);
+	tcase_add_test(c, target_whose_first_answer_is_late_gets_one_request);
 	tcase_add_test(c, stalled_target_is_cold);
 	tcase_add_test(c, crowded_from_half_the_limit);
 	suite_add_tcase(s, c);
