--- a/tests/fake/target/knobs.c
+++ b/tests/fake/target/knobs.c
@@ -60,7 +60,7 @@
 	KNOB(second, 0, "next answers sent once more before the next answer"),
 	KNOB(second_kind, 1,
 	    "1 copy, 2 not run, 3 without id, 4 cut, 5 at once, "
-	    "6 not run without id, 7 failure without id"),
+	    "6 not run without id, 7 failure without id, 8 cut body"),
 	KNOB(crash, 0, "1: requests to paths with /crash/ end the target"),
 	KNOB(crash_ms, 40, "time from the start of such a run until then"),
 	KNOB(flood, 0, "next answers that never end, to paths with /flood/"),
--- a/tests/fake/target/second.c
+++ b/tests/fake/target/second.c
@@ -25,6 +25,13 @@
 		    id);
 		return;
 	}
+	if (kind == SECOND_CUT_BODY) {
+		g_string_append_printf(t,
+		    "HTTP/1.1 200 OK\r\n%s%sX-Server-Signature: %s.%s\r\n"
+		    "Content-Length: 4000\r\n\r\nsecond",
+		    fields, id, c->target->start_id, c->origin_service);
+		return;
+	}
 	g_string_append_printf(t,
 	    "HTTP/1.1 200 OK\r\n%s%sX-Server-Signature: %s.%s\r\n"
 	    "Content-Length: 6\r\n\r\nsecond",
--- a/tests/fake/target/target.h
+++ b/tests/fake/target/target.h
@@ -117,7 +117,8 @@
 	SECOND_AT_ONCE, /* the first answer again, in one segment with it */
 	/* that the request was not run, without the attempt's id */
 	SECOND_NOT_RUN_NO_ID,
-	SECOND_FAILED_NO_ID /* a failure, without the attempt's id */
+	SECOND_FAILED_NO_ID, /* a failure, without the attempt's id */
+	SECOND_CUT_BODY /* the first answer again, cut within its body */
 };
 
 /** enum flood - bytes without end, sent until the caller closes the connection
