http: a connection to a target that is closed with a part of its request unsent is reset

What callers saw: 504 at the deadline, and the unsafe request run at the target 3 s later, for nobody and outside of its limits; the same with safe ones whose callers had left.

Cause: sets the bound on silence as the connection is closed, but the system acts on it only with its next probe of the target's window, which by then may be seconds away; what lay in its buffers arrived when the target went on before that. Found in review.

Change: if bytes of the request are unsent as the connection is closed, it is reset, and a call is not given up by a half-closed connection then, but closed. The target never gets the whole request. The reason against a reset (a request just sent may end in order) holds only where all of it was sent; nothing changes there.

--- a/src/adapter/http/call.c
+++ b/src/adapter/http/call.c
@@ -169,7 +169,7 @@
 {
 	struct http_link *l = c->link;
 
-	if (!l || !c->sent)
+	if (!l || !c->sent || io_unsent(l->fd))
 		return 0;
 	c->half_closed = 1;
 	c->ended = 1;
--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -118,7 +118,6 @@
 void
 conn_close(struct http_conn *c)
 {
-	struct linger reset = { 1, 0 };
 	struct http_server *s = c->server;
 
 	if (c->closed)
@@ -134,7 +133,7 @@
 	io_watch_remove(s->loop, &c->watch);
 	io_timer_clear(s->loop, &c->timer);
 	if (c->reset)
-		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+		io_reset_on_close(c->fd);
 	close(c->fd);
 	list_remove(c);
 	c->next = s->closed;
--- a/src/adapter/http/link.c
+++ b/src/adapter/http/link.c
@@ -103,6 +103,8 @@
 	io_watch_remove(p->loop, &l->watch);
 	io_timer_clear(p->loop, &l->timer);
 	/* else bytes of a request that was given up may arrive much later */
+	if (io_unsent(l->fd))
+		io_reset_on_close(l->fd);
 	io_limit_silence(l->fd, IO_USER_TIMEOUT_MS);
 	close(l->fd);
 	list_remove(l);
--- a/src/adapter/io/tcp.c
+++ b/src/adapter/io/tcp.c
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -56,6 +58,22 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
+int
+io_unsent(int fd)
+{
+	int n = 0;
+
+	return ioctl(fd, SIOCOUTQNSD, &n) ? 0 : n;
+}
+
+void
+io_reset_on_close(int fd)
+{
+	struct linger reset = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
 static int
 close_keep_errno(int fd)
 {
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -354,8 +354,8 @@
  *
  * The sending side of the connection is closed, which the other side takes as
  * cancellation; @done or @failed follows when it has closed the connection too
- * or has answered all the same. Return: nonzero, or 0 if nothing was sent; then
- * nothing was done.
+ * or has answered all the same. Return: nonzero, or 0 if nothing or not all of
+ * what was written was sent; then nothing was done.
  */
 int http_call_shutdown(struct http_call *);
 /** http_call_is_first() - whether no response came before on the connection of
--- a/src/internal/io.h
+++ b/src/internal/io.h
@@ -82,6 +82,12 @@
  * bytes sent for @ms, also if it only stopped reading, never if that is 0;
  * io_connect_tcp() does this with IO_USER_TIMEOUT_MS */
 void io_limit_silence(int fd, unsigned ms);
+/** io_unsent() - bytes that the system has taken for a TCP connection and has
+ * not sent yet */
+int io_unsent(int fd);
+/** io_reset_on_close() - drop what is not sent, and reset the connection, as it
+ * is closed */
+void io_reset_on_close(int fd);
 /** io_listen_tcp() - open a non-blocking listening socket on a numeric IP
  * address and a port; the socket or -1 with errno */
 int io_listen_tcp(const char *ip, int port);
