A stop lets the kernel take up to 256 MB for late readers

What callers saw: in a planned stop, the head and a part of an answer that their target had made whole, and that came whole before: 0 of 20 answers of 3.5 MB.

Cause: bounds what the kernel takes for all callers at 32 MB; twenty callers that read late need 70. Found in review. Class: a bound on memory that costs answers, chosen without a measurement.

Ruled out: no bound at all, as callers that read nothing could then take the kernel's buffers without end.

Not measured: the kernel's memory beside 900 callers that read nothing at a stop.

--- a/src/adapter/http/finish.c
+++ b/src/adapter/http/finish.c
@@ -10,7 +10,9 @@
  * outlives the process: it goes to a caller that reads it later, unless bytes
  * that the caller sent lie unread as the socket is closed. */
 
-#define KERNEL_BYTES 33554432 /* that the kernel may take for all callers */
+/* Bytes that the kernel may take for all callers: the largest buffers, as Linux
+ * sets them, of 64 callers. */
+#define KERNEL_BYTES 268435456
 #define DROPS_MAX 16 /* reads at once */
 #define STEP_US 5000 /* between looks at the connections */
 
