--- a/tests/rig/judge_impl.h
+++ b/tests/rig/judge_impl.h
@@ -155,6 +155,9 @@
 int64_t judge_last(const GArray *times, int64_t t);
 /** judge_disturbed() - nonzero if there was trouble between the times */
 int judge_disturbed(const struct judged_machine *, int64_t from, int64_t to);
+/** judge_link_harmed() - nonzero if the connections to it were cut or harmed in
+ * the time for which that excuses, up to @t */
+int judge_link_harmed(const struct judged_machine *, int64_t t);
 /** judge_is_unsound() - nonzero if its target was in trouble between the times
  */
 int judge_is_unsound(const struct judged_machine *, int64_t from, int64_t to);
--- a/tests/rig/judge_time.c
+++ b/tests/rig/judge_time.c
@@ -32,6 +32,21 @@
 	return overlaps(m->spans, from, to);
 }
 
+int
+judge_link_harmed(const struct judged_machine *m, int64_t t)
+{
+	const struct span *s;
+	guint i;
+
+	for (i = 0; i < m->spans->len; i++) {
+		s = &g_array_index(m->spans, struct span, i);
+		if (s->trouble == TROUBLE_LINK && s->from <= t &&
+		    s->to >= t - TOUCH_US)
+			return 1;
+	}
+	return 0;
+}
+
 int
 judge_is_unsound(const struct judged_machine *m, int64_t from, int64_t to)
 {
