planned.awk: links in trouble excuse as killed daemons do

Cause: planned.awk knew kills as the only unplanned disturbance.

Only what was traced is excused: links, not daemons that stand still or are starved (scripts/planned has neither), and beside the target only while the request is open. Checked after all other excuses, so that the losses that count by number count as before.

--- a/tests/history/planned.awk
+++ b/tests/history/planned.awk
@@ -51,6 +51,8 @@
 	}
 	if ($3 == "config-acked")
 		acked[field("version")] = $1
+	if ($3 == "link")
+		note_link(at, field("mode"), $1)
 	if ($3 == "end" && !(was_killed(at, $1) && field("status") == 137) && (field("status") != 0 || !ends_in_time(at, $1)))
 		ended[++ends] = $0
 	if (at != "")
@@ -113,6 +115,32 @@
 	return found + 0
 }
 
+# Keeps the times in which connections from other daemons to one are cut or harmed.
+function note_link(at, mode, t) {
+	if (links[at] && !((at, links[at]) in harmed_to))
+		harmed_to[at, links[at]] = t
+	if (mode != "open")
+		harmed_from[at, ++links[at]] = t
+}
+
+function link_harmed(at, from, to_time, i) {
+	for (i = 1; i <= links[at]; i++)
+		if (harmed_from[at, i] <= to_time &&
+		    (!((at, i) in harmed_to) || harmed_to[at, i] >= from))
+			return 1
+	return 0
+}
+
+# Why a request is excused that ended beside a link in trouble; empty if there was none.
+function cut_off_with(id) {
+	if (link_harmed(to[id], began[id] - TOUCH, over[id]))
+		return "the links of its daemon were in trouble"
+	if (ran_beside[id] && ran_beside[id] != to[id] &&
+	    link_harmed(ran_beside[id], sent[id] - PLAN_SLACK, over[id]))
+		return "the links of the daemon beside the target were in trouble"
+	return ""
+}
+
 # Nonzero if the process that ends at t was killed by the plan.
 function was_killed(at, t) { return last("kill", at, t) > last("start", at, t) }
 
@@ -246,6 +274,8 @@
 	t = stop_of(id)
 	if (t && grace_excuses(id, t))
 		return without_answer(id, "worker at work in the last sixth")
+	if (cut_off_with(id))
+		return excuse(cut_off_with(id))
 	if (t)
 		return finding("LOST-STOP", id)
 	if (outcome[id] != "cut")
