rig: only what a target says that it broke off excuses, not how often it was told to

What callers saw: answers cut beside a stop of their daemon, whole at their target. The judge could excuse up to three of them (worker-broke-off) for each time a target had been set to cut answers or to reset connections.

Cause, a blind judge: it counted down three spoilt answers from the line target-set, whether the target spoilt them or not: one that was sent again by the daemon, or whose caller had left, or that "calm" took back, left its excuse to the next loss at that target of the shape "whole at the target, cut at the caller", or "cut within 20 ms of its run".

Changed: the stand-in writes broke for an answer that its knobs cut, stop_next and reset_after_read break off, as it does for breaks=1; the judge reads that alone.

Histories of rigs from before this change have no such lines for knobs and are judged more harshly.

--- a/tests/fake/target/answer.c
+++ b/tests/fake/target/answer.c
@@ -103,10 +103,14 @@
 	if (t->knobs.stop_next > 0) {
 		t->knobs.stop_next--;
 		c->stop_left = t->knobs.stop_at;
+		if (t->knobs.stop_at < (long)c->out->len + length)
+			job_log(c, "broke");
 	}
 	if (t->knobs.cut > 0) {
 		t->knobs.cut--;
 		c->body_stop = c->body_left / 2;
+		if (c->body_stop > 0)
+			job_log(c, "broke");
 	}
 	if (path_number(c, "breaks", 0)) {
 		job_log(c, "broke");
--- a/tests/fake/target/job.c
+++ b/tests/fake/target/job.c
@@ -177,6 +177,7 @@
 	}
 	if (t->knobs.reset_after_read > 0) {
 		t->knobs.reset_after_read--;
+		job_log(c, "broke");
 		conn_reset(c);
 		return;
 	}
--- a/tests/rig/judge_impl.h
+++ b/tests/rig/judge_impl.h
@@ -108,7 +108,6 @@
 	GArray *unsound; /* struct span, of its target */
 	GArray *parted; /* struct span, of its path to the store */
 	int killed, forced, left; /* since its start */
-	int truncates, resets; /* answers that its target still breaks off */
 	int near, near_cut, far, far_cut; /* beside a configuration or not */
 	int64_t fell; /* when its target last dropped all requests */
 	GPtrArray *lines;
--- a/tests/rig/judge_plan.c
+++ b/tests/rig/judge_plan.c
@@ -3,9 +3,6 @@
 
 #include "judge_line.h"
 
-#define TRUNCATES 3 /* answers that target-set spoils */
-#define RESETS 3
-
 static void
 read_fell(struct judgement *j, const struct line *l)
 {
@@ -199,8 +196,6 @@
 	line_field(l, "what", what);
 	if (strcmp(what, "slow") != 0)
 		note_unsound(m, strcmp(what, "calm") != 0, l->t);
-	m->truncates = !strcmp(what, "cut") ? TRUNCATES : m->truncates;
-	m->resets = !strcmp(what, "reset") ? RESETS : m->resets;
 }
 
 static void
--- a/tests/rig/judge_read.c
+++ b/tests/rig/judge_read.c
@@ -101,21 +101,6 @@
 	return SEEN_NOTHING;
 }
 
-/* The target spoilt the answer that did not come whole. */
-static void
-take_truncated(struct judged_request *q)
-{
-	struct run *r;
-
-	if (q->outcome != SEEN_CUT || !q->is_signed || !q->runs->len)
-		return;
-	r = &g_array_index(q->runs, struct run, q->runs->len - 1);
-	if (r->how != RUN_DONE || !r->at->truncates)
-		return;
-	r->at->truncates--;
-	judge_broke_off(r, r->to);
-}
-
 static void
 read_answer(struct judgement *j, const struct line *l)
 {
@@ -132,7 +117,6 @@
 	q->status = (int)line_number(l, "status");
 	q->is_signed = (int)line_number(l, "signed");
 	q->over = l->t;
-	take_truncated(q);
 }
 
 /* The request that a target has: the newest one that isn't over. */
@@ -218,16 +202,12 @@
 {
 	struct run *r = run_of(j, l);
 
-	if (!r)
+	if (!r || r->how == RUN_BROKE)
 		return;
 	r->how = RUN_CUT;
 	r->to = l->t;
 	if (r->at->fell && l->t - r->at->fell <= ORDER_US)
 		judge_broke_off(r, l->t);
-	if (r->at->resets && l->t - r->from <= ORDER_US) {
-		r->at->resets--;
-		judge_broke_off(r, l->t);
-	}
 }
 
 static void
--- a/tests/system/fakes.sh
+++ b/tests/system/fakes.sh
@@ -210,6 +210,11 @@
 expect_equal hang-cancelled 1 "$(count $T cancelled)"
 set_target reset-after-read=1
 expect_equal reset-after-read 56 "$(curl_code http://$T/x)"
+set_target 'stop-next=1&stop-at=600'
+expect_equal stop 18 "$(curl_code "http://$T/x?bytes=1000")"
+set_target 'stop-next=1&stop-at=100000'
+expect_equal stop-beyond 0 "$(curl_code http://$T/x)"
+expect_equal broke-noted 5 "$(grep -c ' broke ' "$dir/target")"
 expect_equal unknown-setting 400 "$(status -X POST "http://$T/fake/set?strangle=2")"
 
 set_target straggle=200
