rig: a knob that is turned back is named, so that each ends its own trouble

What callers saw: answers cut by a daemon in calm while its target was sound again, up to 3 s after; the judge printed them as excused-if/target-not-sound.

Cause: the line "calm" didn't say which knob it ends. The judge let it end the last one begun, so that of two that overlap at one target one went on for 3 s, and the "calm" of slow, which is no fault, ended another's. One that was held for longer than 3 s was taken for over before it was: there the judge was too harsh.

Changed: the rig writes calm of=KNOB; that ends all that the knob was set for, as it has one value, and not before.

--- a/tests/rig/judge_impl.h
+++ b/tests/rig/judge_impl.h
@@ -92,8 +92,10 @@
 /** enum trouble - an unplanned disturbance of a machine */
 enum trouble { TROUBLE_KILL, TROUBLE_STOP, TROUBLE_SLOW, TROUBLE_LINK };
 
-/** struct span - a time of trouble; @to is NEVER until its end is seen */
+/** struct span - a time of trouble; @to is NEVER until its end is seen, but
+ * where @what, the knob of a target, is not NULL */
 struct span {
+	const char *what;
 	enum trouble trouble;
 	int64_t from;
 	int64_t to;
--- a/tests/rig/judge_plan.c
+++ b/tests/rig/judge_plan.c
@@ -42,7 +42,7 @@
 static void
 begin_span(GArray *spans, enum trouble trouble, int64_t t)
 {
-	struct span s = { trouble, t, NEVER };
+	struct span s = { NULL, trouble, t, NEVER };
 
 	g_array_append_val(spans, s);
 }
@@ -173,17 +173,26 @@
 
 /* A knob that nothing turns back works for a few requests. */
 static void
-note_unsound(struct judged_machine *m, int begins, int64_t t)
+begin_unsound(struct judged_machine *m, const char *what, int64_t t)
 {
-	struct span s = { 0, t, t + TOUCH_US };
-	struct span *last;
-
-	if (begins) {
-		g_array_append_val(m->unsound, s);
-	} else if (m->unsound->len) {
-		last = &g_array_index(m->unsound, struct span,
-		    m->unsound->len - 1);
-		last->to = MIN(last->to, t);
+	struct span s = { what, 0, t, t + TOUCH_US };
+
+	g_array_append_val(m->unsound, s);
+}
+
+/* A knob that is turned back ends all that it was set for. */
+static void
+end_unsound(struct judged_machine *m, const char *what, int64_t t)
+{
+	struct span *s;
+	guint i;
+
+	for (i = 0; i < m->unsound->len; i++) {
+		s = &g_array_index(m->unsound, struct span, i);
+		if (g_strcmp0(s->what, what) != 0)
+			continue;
+		s->to = t;
+		s->what = NULL;
 	}
 }
 
@@ -194,8 +203,10 @@
 	char what[FIELD_BYTES];
 
 	line_field(l, "what", what);
-	if (strcmp(what, "slow") != 0)
-		note_unsound(m, strcmp(what, "calm") != 0, l->t);
+	if (!strcmp(what, "calm") && line_field(l, "of", what))
+		end_unsound(m, what, l->t);
+	else if (strcmp(what, "slow") != 0)
+		begin_unsound(m, judge_keep(j, what), l->t);
 }
 
 static void
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -37,7 +37,7 @@
  *	config-sent version= timeout_ROUTE=..., config-acked version= code=
  *	evacuated, back dc=
  *	target-start, target-drains, target-kill, target-end at=DAEMON
- *	target-set at=DAEMON what=	a knob of the target, "calm" ends it
+ *	target-set at=DAEMON what=	a knob of the target, "calm of=" ends it
  */
 
 #define MACHINES_MAX 40
--- a/tests/rig/trouble.c
+++ b/tests/rig/trouble.c
@@ -14,12 +14,14 @@
 {
 	struct machine *m[SEVERAL];
 	int i, n = action_machines(a->rig, a->first, 1 + a->count % SEVERAL, m);
+	char *calm = g_strdup_printf("calm of=%s", what);
 
 	for (i = 0; i < n; i++)
 		machine_set_target(m[i], knobs, what);
 	pause_ms(1000 + a->ms * 2);
 	for (i = 0; i < n; i++)
-		machine_set_target(m[i], usual, "calm");
+		machine_set_target(m[i], usual, calm);
+	g_free(calm);
 }
 
 void
@@ -67,7 +69,8 @@
 	pause_ms(3000);
 	for (i = 0; i < n; i++)
 		if (m[i]->zone == zone)
-			machine_set_target(m[i], "cold=0&cold_ms=0", "calm");
+			machine_set_target(m[i], "cold=0&cold_ms=0",
+			    "calm of=cold");
 }
 
 void
@@ -111,7 +114,7 @@
 	machine_signal_target(m, SIGSTOP);
 	pause_ms(a->ms * 2);
 	machine_signal_target(m, SIGCONT);
-	note(a->rig, "target-set at=%s what=calm", m->address);
+	note(a->rig, "target-set at=%s what=calm of=pause", m->address);
 }
 
 void
