rig: the judge asks for the run that was under way as the request ended

What callers saw: nothing; two readings of a run that begins only after its request has ended, as one that a link or a full target held. The judge took its target for at work at the end.

Cause: it looked at the last run of a request, whenever that began. RULES speak of "a request at which its worker is at work", and of one at which "the worker was still at work in the last sixth". So a request that was cut in the last sixth before any target worked on it was excused (blind), one that was answered by its daemon before counted as broken off (harsh), and a target that broke off a later run excused an earlier end (blind).

--- a/tests/rig/judge_lost.c
+++ b/tests/rig/judge_lost.c
@@ -15,11 +15,26 @@
 	       (q->outcome == SEEN_BEHIND && q->passed);
 }
 
+/* The last run that began before the request ended; NULL if there is none. */
+static const struct run *
+run_at_end(const struct judged_request *q)
+{
+	const struct run *r, *found = NULL;
+	guint i;
+
+	for (i = 0; i < q->runs->len; i++) {
+		r = &g_array_index(q->runs, struct run, i);
+		if (r->from <= q->over + ORDER_US)
+			found = r;
+	}
+	return found;
+}
+
 /* Nonzero if a target was at work until the request ended. */
 static int
 at_work(const struct judged_request *q)
 {
-	const struct run *r = judge_last_run(q);
+	const struct run *r = run_at_end(q);
 
 	return r && r->how != RUN_BROKE &&
 	       !(r->how == RUN_DONE && r->to < q->over);
@@ -28,7 +43,7 @@
 static int
 broke_off(const struct judged_request *q)
 {
-	const struct run *r = judge_last_run(q);
+	const struct run *r = run_at_end(q);
 
 	return r && r->how == RUN_BROKE && r->to <= q->over + ORDER_US;
 }
@@ -70,7 +85,7 @@
 static int
 is_last_sixth(const struct judged_request *q, int64_t term)
 {
-	const struct run *r = judge_last_run(q);
+	const struct run *r = run_at_end(q);
 
 	return term && r && q->sent <= term + EARLY_US &&
 	       q->over >= term + LAST_SIXTH_US && r->to >= term + LAST_SIXTH_US;
