A stop's grace counts from before a suspension in which SIGTERM came

Cause: the grace counted from when the main task took up the signal; a signal doesn't tell when it was sent. Class: a time limit that counts from when the work on it begins.

Change: the main task notes the time each 0.1 s while no order to stop has come, the clock read first. The grace counts from the last such time, by leave_since(), so that a third of it is left in any case. Signals have a handler of the daemon's own, and only the main thread takes them (threads start with them held), so that one that waited is seen before the time is noted; GLib hands them on in a second thread, later. Ports stay open for leave_ms from when the order is taken up. Event 101 tells what was counted (held_ms).

Open: a signal that comes late in a suspension is counted from its beginning, so that long work is ended early; a suspension over two thirds of the grace, with SIGTERM early in it, still ends by SIGKILL.

--- a/src/core/leave/plan.c
+++ b/src/core/leave/plan.c
@@ -6,22 +6,37 @@
 #define ANSWER_US 100000 /* for the last answers to be sent */
 /* At least this long is left to finish requests after the ports have closed. */
 #define FINISH_US 500000
+#define GRACE_LEFT 3 /* part of the grace that no suspension takes */
 #define WAY_US 50000 /* of a request and its answer */
 
+static int64_t
+at_least(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+static int64_t
+at_most(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+int64_t
+leave_since(int64_t since, int64_t now, int64_t grace_us)
+{
+	return at_least(since, now - grace_us + grace_us / GRACE_LEFT);
+}
+
 void
-leave_plan_init(struct leave_plan *p, int64_t now, int64_t serve_us,
-    int64_t grace_us)
+leave_plan_init(struct leave_plan *p, int64_t since, int64_t now,
+    int64_t serve_us, int64_t grace_us)
 {
-	p->end = now + (grace_us > EXIT_US ? grace_us - EXIT_US : 0);
-	p->exit_by = now + (grace_us > SPARE_US ? grace_us - SPARE_US : 0);
-	p->answer_by = p->end - ANSWER_US;
-	if (p->answer_by < now)
-		p->answer_by = now;
-	p->close_by = p->answer_by - FINISH_US;
-	if (p->close_by < now)
-		p->close_by = now;
-	p->serve_until =
-	    p->close_by < now + serve_us ? p->close_by : now + serve_us;
+	p->end = since + at_least(grace_us - EXIT_US, 0);
+	p->exit_by = since + at_least(grace_us - SPARE_US, 0);
+	p->answer_by = at_least(p->end - ANSWER_US, since);
+	p->close_by = at_least(p->answer_by - FINISH_US, since);
+	p->serve_until = at_most(p->close_by, now + serve_us);
+	p->late_from = at_most(p->close_by, since + serve_us);
 }
 
 int
@@ -48,7 +63,7 @@
 	int64_t usual_us = 0;
 
 	if (p->end && t)
-		usual_us = now < p->serve_until ? answer_time_most(t)
-						: answer_time_most_late(t);
+		usual_us = now < p->late_from ? answer_time_most(t)
+					      : answer_time_most_late(t);
 	return leave_fits(p, now, deadline, usual_us);
 }
--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -233,23 +233,24 @@
 begin_leave(void *ctx, void *message)
 {
 	struct control *c = ctx;
-	int64_t ordered = *(int64_t *)message;
+	int64_t now = control_now(c), ordered = *(int64_t *)message;
+	int64_t grace_us = (int64_t)(c->settings.grace_s * 1e6);
 
 	g_free(message);
 	if (c->leaving)
 		return;
 	c->leaving = 1;
-	leave_plan_init(&c->leave, ordered,
-	    c->settings.leave_ms * INT64_C(1000),
-	    (int64_t)(c->settings.grace_s * 1e6));
-	log_event(EVENT_STOPPING, G_LOG_LEVEL_MESSAGE, control_now(c),
+	ordered = leave_since(ordered, now, grace_us);
+	leave_plan_init(&c->leave, ordered, now,
+	    c->settings.leave_ms * INT64_C(1000), grace_us);
+	log_event(EVENT_STOPPING, G_LOG_LEVEL_MESSAGE, now,
 	    "stopping: callers are told to use other daemons, requests in flight"
-	    " are finished leave_ms=%d grace_s=%.1f",
-	    c->settings.leave_ms, c->settings.grace_s);
+	    " are finished leave_ms=%d grace_s=%.1f held_ms=%" G_GINT64_FORMAT,
+	    c->settings.leave_ms, c->settings.grace_s, (now - ordered) / 1000);
 	data_leave(c->data, &c->leave);
 	c->leave_timer.fire = leave_step;
 	c->leave_timer.ctx = c;
-	leave_step(c, control_now(c));
+	leave_step(c, now);
 }
 
 static void
@@ -271,12 +272,12 @@
 }
 
 void
-control_leave(struct control *c, int64_t now, void (*done)(void *ctx),
+control_leave(struct control *c, int64_t since, void (*done)(void *ctx),
     void *ctx)
 {
 	c->leave_done = done;
 	c->leave_ctx = ctx;
-	task_post(&c->task, begin_leave, c, g_memdup2(&now, sizeof now));
+	task_post(&c->task, begin_leave, c, g_memdup2(&since, sizeof since));
 }
 
 int64_t
--- a/src/daemon/control/control.h
+++ b/src/daemon/control/control.h
@@ -21,10 +21,10 @@
 void control_start(struct control *);
 /** control_set_settings() - take settings that changed at run time; copied */
 void control_set_settings(struct control *, const struct settings *);
-/** control_leave() - stop gracefully by an order that came at @now; @done is
- * called in the control task when nothing is in flight and the members were
+/** control_leave() - stop gracefully by an order that came after @since; @done
+ * is called in the control task when nothing is in flight and the members were
  * told, or shortly before the grace period is over */
-void control_leave(struct control *, int64_t now, void (*done)(void *ctx),
+void control_leave(struct control *, int64_t since, void (*done)(void *ctx),
     void *ctx);
 /** control_exit_by() - until when the end of the process may wait; 0 if it was
  * not told to stop; after control_stop() */
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,7 +1,6 @@
 #include <argtable2.h>
-#include <glib-unix.h>
+#include <glib.h>
 #include <malloc.h>
-#include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +8,7 @@
 #include "daemon/control/control.h"
 #include "daemon/ports.h"
 #include "daemon/reload.h"
+#include "daemon/signals.h"
 #include "io.h"
 #include "log.h"
 #include "version.h"
@@ -42,38 +42,22 @@
 	g_idle_add(quit, p->loop);
 }
 
-static gboolean
-reload_signal(gpointer ctx)
+static void
+reload_signal(void *ctx)
 {
 	struct program *p = ctx;
 
 	reload_settings(p->reload, "signal");
-	return G_SOURCE_CONTINUE;
 }
 
-static gboolean
-stop_signal(gpointer ctx)
+static void
+stop_signal(void *ctx, int64_t since)
 {
 	struct program *p = ctx;
 
 	if (!p->leaving)
-		control_leave(p->control, io_clock(), leave_done, p);
+		control_leave(p->control, since, leave_done, p);
 	p->leaving = 1;
-	return G_SOURCE_CONTINUE;
-}
-
-/* The signals that the daemon handles: until it does, their default would end
- * it, so that one that comes earlier waits. */
-static void
-hold_signals(int how)
-{
-	sigset_t set;
-
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigaddset(&set, SIGHUP);
-	pthread_sigmask(how, &set, NULL);
 }
 
 static uint64_t
@@ -116,13 +100,10 @@
 	}
 	control_set_data(p.control, d);
 	p.loop = g_main_loop_new(NULL, FALSE);
-	g_unix_signal_add(SIGTERM, stop_signal, &p);
-	g_unix_signal_add(SIGINT, stop_signal, &p);
 	p.reload = reload_start(path, s, p.control, d);
-	g_unix_signal_add(SIGHUP, reload_signal, &p);
-	hold_signals(SIG_UNBLOCK);
 	data_start(d);
 	control_start(p.control);
+	signals_start(stop_signal, reload_signal, &p);
 	log_event(EVENT_STARTED, G_LOG_LEVEL_MESSAGE, 0,
 	    "started name=%s ip=%s caller_port=%d peer_port=%d "
 	    "operator_port=%d datacentre=%s incarnation=%016" G_GINT64_MODIFIER
@@ -184,7 +165,7 @@
 	int code = EXIT_SUCCESS, serve = 0, errors;
 	char *path;
 
-	hold_signals(SIG_BLOCK);
+	signals_hold();
 	errors = arg_parse(argc, argv, table);
 	if (help->count) {
 		printf("usage: kumquatrockd");
--- a/src/daemon/reload.c
+++ b/src/daemon/reload.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/stat.h>
 
+#include "daemon/signals.h"
 #include "io.h"
 #include "log.h"
 
@@ -144,14 +145,17 @@
 start_reading(struct reload *r, const char *why)
 {
 	struct reading *f = g_new0(struct reading, 1);
-	GTask *task = g_task_new(NULL, r->stopped, reading_done, r);
+	GTask *task;
 
+	signals_hold();
+	task = g_task_new(NULL, r->stopped, reading_done, r);
 	r->reading = 1;
 	f->path = g_strdup(r->path);
 	f->why = why;
 	f->seen = r->seen;
 	g_task_set_task_data(task, f, reading_free);
 	g_task_run_in_thread(task, read_file);
+	signals_release();
 	g_object_unref(task);
 }
 
--- a/src/internal/leave.h
+++ b/src/internal/leave.h
@@ -13,26 +13,34 @@
  * "Congestion avoidance and control", SIGCOMM 1988; RFC 6298).
  */
 
+/** leave_since() - the moment from which the grace of a stop counts that is
+ * taken up at @now, if the order came after @since: the earliest, but so that a
+ * third of the grace is left after a long suspension */
+int64_t leave_since(int64_t since, int64_t now, int64_t grace_us);
+
 /** struct leave_plan - times of a stop; all 0 before the order to stop
  * @serve_until: the ports close then, unless requests still run at the target
+ * @late_from: callers could have been served until then, so that what comes
+ *	later is late
  * @close_by: they close then at the latest
  * @answer_by: what is still in flight then is ended with an answer
  * @end: the process begins to end then
  * @exit_by: it waits for nothing any more, other daemons or its log, then */
 struct leave_plan {
 	int64_t serve_until;
+	int64_t late_from;
 	int64_t close_by;
 	int64_t answer_by;
 	int64_t end;
 	int64_t exit_by;
 };
 
-/** leave_plan_init() - plan a stop that was ordered at @now
- * @serve_us: time for which callers are to be served, shortened where
+/** leave_plan_init() - plan a stop that was ordered at @since
+ * @serve_us: time from @now for which callers are to be served, shortened where
  *	@grace_us leaves no time to finish after it
  * @grace_us: time from the order to forced termination */
-void leave_plan_init(struct leave_plan *, int64_t now, int64_t serve_us,
-    int64_t grace_us);
+void leave_plan_init(struct leave_plan *, int64_t since, int64_t now,
+    int64_t serve_us, int64_t grace_us);
 /** leave_may_close() - whether the ports may be closed at @now; while requests
  * run at the target, it may make calls through this daemon */
 int leave_may_close(const struct leave_plan *, int64_t now, int target_idle);
--- a/tests/unit/leave.c
+++ b/tests/unit/leave.c
@@ -31,7 +31,7 @@
 	const struct plan_case *t = &plans[_i];
 	struct leave_plan p;
 
-	leave_plan_init(&p, NOW, t->serve_ms * MS, t->grace_ms * MS);
+	leave_plan_init(&p, NOW, NOW, t->serve_ms * MS, t->grace_ms * MS);
 	ck_assert_int_eq(p.serve_until, NOW + t->serve_until_ms * MS);
 	ck_assert_int_eq(p.answer_by, NOW + t->answer_by_ms * MS);
 	ck_assert_int_eq(p.end, NOW + t->end_ms * MS);
@@ -39,11 +39,58 @@
 }
 END_TEST
 
+struct since_case {
+	int64_t grace_ms;
+	int64_t ran_ms; /* so long before the order is taken up */
+	int64_t counted_ms;
+	int64_t answer_in_ms; /* after it is taken up */
+	int64_t exit_in_ms;
+};
+
+static const struct since_case held[] = {
+	{ 6000, 0, 0, 5500, 5900 },
+	{ 6000, 100, 100, 5400, 5800 },
+	{ 6000, 2770, 2770, 2730, 3130 },
+	{ 6000, 4000, 4000, 1500, 1900 },
+	/* a third of the grace is left */
+	{ 6000, 4001, 4000, 1500, 1900 },
+	{ 6000, 60000, 4000, 1500, 1900 },
+	{ 60000, 50000, 40000, 19500, 19900 },
+};
+
+START_TEST(grace_counts_from_when_the_order_may_have_come)
+{
+	const struct since_case *t = &held[_i];
+	struct leave_plan p;
+	int64_t since =
+	    leave_since(NOW - t->ran_ms * MS, NOW, t->grace_ms * MS);
+
+	ck_assert_int_eq(since, NOW - t->counted_ms * MS);
+	leave_plan_init(&p, since, NOW, 2600 * MS, t->grace_ms * MS);
+	ck_assert_int_eq(p.answer_by, NOW + t->answer_in_ms * MS);
+	ck_assert_int_eq(p.exit_by, NOW + t->exit_in_ms * MS);
+}
+END_TEST
+
+/* Callers and members are told only once the order is taken up. */
+START_TEST(ports_stay_open_after_a_suspension)
+{
+	struct leave_plan p;
+
+	leave_plan_init(&p, NOW - 1000 * MS, NOW, 2600 * MS, 6000 * MS);
+	ck_assert_int_eq(leave_may_close(&p, NOW + 2599 * MS, 1), 0);
+	ck_assert_int_eq(leave_may_close(&p, NOW + 2600 * MS, 1), 1);
+	leave_plan_init(&p, NOW - 3000 * MS, NOW, 2600 * MS, 6000 * MS);
+	ck_assert_int_eq(leave_may_close(&p, NOW + 1999 * MS, 1), 0);
+	ck_assert_int_eq(leave_may_close(&p, NOW + 2000 * MS, 0), 1);
+}
+END_TEST
+
 START_TEST(ports_stay_open_while_requests_run_at_the_target)
 {
 	struct leave_plan p;
 
-	leave_plan_init(&p, NOW, 2600 * MS, 6000 * MS);
+	leave_plan_init(&p, NOW, NOW, 2600 * MS, 6000 * MS);
 	ck_assert_int_eq(leave_may_close(&p, NOW + 2599 * MS, 1), 0);
 	ck_assert_int_eq(leave_may_close(&p, NOW + 2600 * MS, 1), 1);
 	ck_assert_int_eq(leave_may_close(&p, NOW + 2600 * MS, 0), 0);
@@ -83,7 +130,7 @@
 	const struct fits_case *t = &fits[_i];
 	struct leave_plan p;
 
-	leave_plan_init(&p, NOW, 2600 * MS, 6000 * MS);
+	leave_plan_init(&p, NOW, NOW, 2600 * MS, 6000 * MS);
 	ck_assert_int_eq(leave_fits(&p, NOW + t->at_ms * MS,
 			     NOW + t->deadline_ms * MS, t->usual_ms * MS),
 	    t->fits);
@@ -222,7 +269,7 @@
 
 	for (i = 0; i < sizeof ms / sizeof *ms; i++)
 		answer_time_note(&t, ms[i] * MS);
-	leave_plan_init(&p, NOW, 2600 * MS, 6000 * MS);
+	leave_plan_init(&p, NOW, NOW, 2600 * MS, 6000 * MS);
 	ck_assert(leave_fits_kind(&p, NOW + 2599 * MS, NOW + 9810 * MS, &t));
 	ck_assert(!leave_fits_kind(&p, NOW + 3190 * MS, NOW + 9810 * MS, &t));
 	ck_assert(leave_fits_kind(&p, NOW + 3190 * MS, NOW + 5500 * MS, &t));
@@ -239,7 +286,7 @@
 		answer_time_note(&few, (200 + i % 3) * MS);
 	for (i = 0; i < 200; i++)
 		answer_time_note(&many, (100 + i % 5 * 50) * MS);
-	leave_plan_init(&p, NOW, 2600 * MS, 6000 * MS);
+	leave_plan_init(&p, NOW, NOW, 2600 * MS, 6000 * MS);
 	ck_assert(leave_fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, &few));
 	ck_assert(leave_fits_kind(&p, NOW + 4400 * MS, NOW + 9810 * MS, &many));
 	ck_assert(!leave_fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, NULL));
@@ -256,6 +303,9 @@
 
 	tcase_add_loop_test(t, plan_leaves_time_to_finish, 0,
 	    sizeof plans / sizeof *plans);
+	tcase_add_loop_test(t, grace_counts_from_when_the_order_may_have_come,
+	    0, sizeof held / sizeof *held);
+	tcase_add_test(t, ports_stay_open_after_a_suspension);
 	tcase_add_loop_test(t, request_that_cannot_be_finished_does_not_fit, 0,
 	    sizeof fits / sizeof *fits);
 	tcase_add_test(t, ports_stay_open_while_requests_run_at_the_target);
