rig: stops with requests that are chosen for them, held settings and logs, late targets

Cause: the rig's callers come by chance, so that what needs a state of a daemon and a request that suits it (a young daemon and long work, a stop and longer time limits, a daemon that is held up as another one ends) comes seldom. No rig held up the disk of the settings, the log's reader, or the first answer of a target.

--- a/tests/rig/attempt.c
+++ b/tests/rig/attempt.c
@@ -24,6 +24,13 @@
 #define LARGE_PER_MS 60 /* bytes of a large answer, by the deadline */
 #define LONG_SHARE 0.1 /* of requests with several times the work */
 #define LONG_FACTOR 4
+#define AIM_SHARE 0.6 /* of requests, at machines that callers are led to */
+#define LONG_DEADLINE_MS 4000
+#define AIM_TRIES 8
+#define AIM_LONG_KIND 0.9 /* the same of long kinds */
+#define AIM_LONG_SHARE 0.7
+#define OVER_PERCENT 52 /* work, of the usual time limit */
+#define LONG_PERCENT 60 /* of the longest work */
 #define OUT_SHARE 0.5 /* of requests that still use an open connection */
 
 /** struct idle - a connection between two requests */
@@ -87,6 +94,49 @@
 	return in[g_rand_int_range(p->rand, 0, n_in)];
 }
 
+static int
+is_long(const struct kind *k)
+{
+	return k->deadline_ms >= LONG_DEADLINE_MS;
+}
+
+/* A machine of the zone that callers are led to, else NULL. */
+static struct machine *
+choose_aimed(struct play *p)
+{
+	struct rig *r = p->rig;
+	struct machine *aimed[MACHINES_MAX];
+	int i, count, n = 0;
+
+	g_mutex_lock(&r->lock);
+	count = r->machine_count;
+	g_mutex_unlock(&r->lock);
+	for (i = 0; i < count; i++)
+		if (r->machine[i].zone == p->zone &&
+		    g_atomic_int_get(&r->machine[i].aim) >= AIM_MORE)
+			aimed[n++] = &r->machine[i];
+	if (!n || g_rand_double(p->rand) >=
+		      (is_long(p->kind) ? AIM_LONG_KIND : AIM_SHARE))
+		return NULL;
+	return aimed[g_rand_int_range(p->rand, 0, n)];
+}
+
+static struct machine *
+choose_one(struct play *p)
+{
+	struct machine *m = choose_aimed(p);
+	int tries;
+
+	for (tries = 0; !m && tries < AIM_TRIES; tries++) {
+		m = choose_machine(p);
+		if (!m)
+			break;
+		if (g_atomic_int_get(&m->aim) == AIM_AWAY)
+			m = NULL;
+	}
+	return m;
+}
+
 static struct conn *
 take_idle(struct machine *m)
 {
@@ -135,6 +185,27 @@
 	return c;
 }
 
+/* Work of requests that are meant for a machine's present state. */
+static int
+draw_work(struct play *p)
+{
+	const struct kind *k = p->kind;
+	int ms =
+	    MIN(k->work_max_ms, (int)draw_around(p->rand, k->work_ms, SPREAD));
+	int aim = g_atomic_int_get(&p->machine->aim);
+	int is_longer = aim == AIM_NONE && is_long(k) &&
+			g_rand_int_range(p->rand, 0, 100) <
+			    g_atomic_int_get(&p->rig->long_percent);
+
+	if (is_longer ||
+	    (aim == AIM_LONG && g_rand_double(p->rand) < AIM_LONG_SHARE))
+		return k->work_max_ms * LONG_PERCENT / 100;
+	if (aim == AIM_OVER && !is_long(k))
+		return (k->timeout_ms ? k->timeout_ms : k->deadline_ms) *
+		       OVER_PERCENT / 100;
+	return ms;
+}
+
 static void
 draw_request(struct play *p, struct request *q, int left_ms)
 {
@@ -153,8 +224,7 @@
 		q->calls = k->calls;
 	q->together = k->together;
 	q->fails = g_rand_double(p->rand) < k->fail_share;
-	q->work_ms =
-	    MIN(k->work_max_ms, (int)draw_around(p->rand, k->work_ms, SPREAD));
+	q->work_ms = draw_work(p);
 	q->bytes = 1 + (int)draw_around(p->rand, k->answer_bytes, SPREAD_BYTES);
 	if (k->body_bytes) {
 		q->body_bytes =
@@ -271,7 +341,7 @@
 			return;
 		g_usleep((gulong)(a.retry_after_ms * INT64_C(1000)));
 		left = end - io_clock();
-		p->machine = choose_machine(p);
+		p->machine = choose_one(p);
 		if (left <= 0 || !p->machine)
 			return;
 		c = open_conn(p->machine);
@@ -298,7 +368,7 @@
 	int i;
 
 	p.rand = g_rand_new_with_seed(t->seed);
-	p.machine = choose_machine(&p);
+	p.machine = choose_one(&p);
 	if (p.machine && t->kind->habit != HABIT_FRESH)
 		c = take_idle(p.machine);
 	if (p.machine && !c)
--- a/tests/rig/machine.c
+++ b/tests/rig/machine.c
@@ -84,7 +84,8 @@
 {
 	char *program = g_build_filename(m->rig->build, "kumquatrockd", NULL);
 	char *settings = machine_file(m, ".json");
-	char *log = g_strdup_printf("daemon-%d-%d.log", m->zone, m->number);
+	char *log = g_strdup_printf("daemon-%d-%d.%s", m->zone, m->number,
+	    m->log_reader ? "pipe" : "log");
 	char *argv[] = { program, (char *)"--settings", settings, NULL };
 	char **env = m->rig->proxied ? daemon_environment(m->rig) : NULL;
 	const struct rlimit descriptors = { DESCRIPTORS, DESCRIPTORS };
@@ -176,6 +177,9 @@
 	g_queue_init(&m->pool);
 	prepare_caller(m);
 	m->wanted = m->target_wanted = 1;
+	g_atomic_int_set(&m->connect_us, CONNECT_US);
+	if (r->piped_logs)
+		log_open(m);
 	machine_write_settings(m, 0);
 	link_start(m, PORT_PEER_PROXY, m->ip, PORT_PEER);
 	link_start(m, PORT_STORE_PROXY, NULL, PORT_STORE);
@@ -393,4 +397,6 @@
 	machine_signal_target(m, SIGKILL);
 	g_thread_join(m->target_keeper);
 	g_thread_join(m->ready_asker);
+	if (m->log_reader)
+		log_close(m);
 }
--- a/tests/rig/main.c
+++ b/tests/rig/main.c
@@ -142,7 +142,9 @@
 	r.seconds = seconds->ival[0];
 	r.load = load->dval[0];
 	r.burst = 100;
+	r.limits_percent = 100;
 	r.harsh = r.seed / PROFILES % 2;
+	r.piped_logs = r.seed % PROFILES == PROFILE_STARVED;
 	r.proxied = r.seed % PROFILES == PROFILE_LINKS;
 	g_mutex_init(&r.lock);
 	g_mutex_init(&r.store_lock);
--- a/tests/rig/plan.c
+++ b/tests/rig/plan.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "io.h"
 #include "plan.h"
@@ -7,6 +8,11 @@
 #define PAUSE_LEAST_MS 300 /* between two actions */
 #define PAUSE_MOST_MS 2000
 #define HARSH_DENSER 2 /* times as many actions where callers are harsh */
+#define AIMED_PAUSE_LEAST_MS 800 /* between two aimed actions */
+#define AIMED_PAUSE_MOST_MS 2500
+#define AIMED_FIRST_MS 500
+#define AIMED_LAST_MS 9000 /* before the end, as they take that long */
+#define AIMED_SEED 0x61696d /* so that they don't change the other actions */
 #define ACTIONS_MAX 400
 
 /** struct choice - an action that a plan may draw, with its share */
@@ -76,19 +82,46 @@
 	{ "slow-targets", act_slow_targets, 3 },
 };
 
+static const struct choice aimed_planned[] = {
+	{ "stop-young", act_stop_young, 6 },
+	{ "stop-limits", act_stop_limits, 4 },
+};
+
+static const struct choice aimed_targets[] = {
+	{ "stop-young", act_stop_young, 4 },
+	{ "stop-limits", act_stop_limits, 3 },
+	{ "late-targets", act_late_targets, 6 },
+};
+
+static const struct choice aimed_starved[] = {
+	{ "stop-young", act_stop_young, 2 },
+	{ "stop-limits", act_stop_limits, 2 },
+	{ "stop-unread", act_stop_unread, 6 },
+	{ "hold-settings", act_hold_settings, 4 },
+	{ "hold-log", act_hold_log, 4 },
+};
+
 /** struct list - choices beside planned work */
 struct list {
 	const struct choice *choice;
 	size_t n;
 	int planned_percent; /* share of planned work */
+	const struct choice *aimed; /* besides, drawn apart */
+	size_t aimed_n;
 };
 
+#define AIMED(list) list, G_N_ELEMENTS(list)
+
 static const struct list lists[PROFILES] = {
-	[PROFILE_PLANNED] = { NULL, 0, 100 },
-	[PROFILE_TARGETS] = { targets, G_N_ELEMENTS(targets), 65 },
-	[PROFILE_STARVED] = { starved, G_N_ELEMENTS(starved), 60 },
-	[PROFILE_LINKS] = { links, G_N_ELEMENTS(links), 60 },
-	[PROFILE_KILLS] = { kills, G_N_ELEMENTS(kills), 60 },
+	[PROFILE_PLANNED] = { NULL, 0, 100, AIMED(aimed_planned) },
+	[PROFILE_TARGETS] = { targets, G_N_ELEMENTS(targets), 65,
+	    AIMED(aimed_targets) },
+	[PROFILE_STARVED] = { starved, G_N_ELEMENTS(starved), 60,
+	    AIMED(aimed_starved) },
+	[PROFILE_LINKS] = { links, G_N_ELEMENTS(links), 60,
+	    AIMED(aimed_planned) },
+	[PROFILE_KILLS] = { kills, G_N_ELEMENTS(kills), 60,
+	    AIMED(aimed_planned) },
 };
 
 /** struct plan - actions in the order of their times */
@@ -114,34 +147,70 @@
 }
 
 static void
-draw_plan(struct plan *p)
+draw_action(struct plan *p, GRand *rand, const struct choice *c, int at)
+{
+	struct action *a = &p->action[p->n++];
+
+	a->rig = p->rig;
+	a->name = c->name;
+	a->act = c->act;
+	a->at_ms = at;
+	a->first = g_rand_int_range(rand, 0, 1000);
+	a->count = g_rand_int_range(rand, 2, 7);
+	a->ms = g_rand_int_range(rand, 50, 1550);
+}
+
+static void
+draw_plan(struct plan *p, const struct list *l)
 {
-	struct rig *r = p->rig;
-	const struct list *l = &lists[r->seed % PROFILES];
+	int at = SETTLE_MS, last = p->rig->seconds * 1000 - SETTLE_MS;
 	const struct choice *c;
-	struct action *a;
-	int at = SETTLE_MS, last = r->seconds * 1000 - SETTLE_MS;
 
 	while (at < last && p->n < ACTIONS_MAX) {
 		if (g_rand_int_range(p->rand, 0, 100) < l->planned_percent)
 			c = draw_from(p->rand, planned, G_N_ELEMENTS(planned));
 		else
 			c = draw_from(p->rand, l->choice, l->n);
-		a = &p->action[p->n++];
-		a->rig = r;
-		a->name = c->name;
-		a->act = c->act;
-		a->at_ms = at;
-		a->first = g_rand_int_range(p->rand, 0, 1000);
-		a->count = g_rand_int_range(p->rand, 2, 7);
-		a->ms = g_rand_int_range(p->rand, 50, 1550);
-		printf("%6d %s first=%d count=%d ms=%d\n", at, c->name,
-		    a->first, a->count, a->ms);
+		draw_action(p, p->rand, c, at);
 		at += g_rand_int_range(p->rand, PAUSE_LEAST_MS, PAUSE_MOST_MS) /
-		      (r->harsh ? HARSH_DENSER : 1);
+		      (p->rig->harsh ? HARSH_DENSER : 1);
 	}
 }
 
+static void
+draw_aimed(struct plan *p, const struct list *l)
+{
+	int at = AIMED_FIRST_MS, last = p->rig->seconds * 1000 - AIMED_LAST_MS;
+	GRand *rand = g_rand_new_with_seed(p->rig->seed ^ AIMED_SEED);
+	const struct choice *c;
+
+	while (at < last && p->n < ACTIONS_MAX) {
+		c = draw_from(rand, l->aimed, l->aimed_n);
+		draw_action(p, rand, c, at);
+		at += g_rand_int_range(rand, AIMED_PAUSE_LEAST_MS,
+		    AIMED_PAUSE_MOST_MS);
+	}
+	g_rand_free(rand);
+}
+
+static int
+order_actions(const void *a, const void *b)
+{
+	const struct action *x = a, *y = b;
+
+	return x->at_ms - y->at_ms;
+}
+
+static void
+print_plan(const struct plan *p)
+{
+	const struct action *a;
+
+	for (a = p->action; a < p->action + p->n; a++)
+		printf("%6d %s first=%d count=%d ms=%d\n", a->at_ms, a->name,
+		    a->first, a->count, a->ms);
+}
+
 static gpointer
 run_action(gpointer arg)
 {
@@ -183,7 +252,10 @@
 
 	p->rig = r;
 	p->rand = g_rand_new_with_seed(r->seed);
-	draw_plan(p);
+	draw_plan(p, &lists[r->seed % PROFILES]);
+	draw_aimed(p, &lists[r->seed % PROFILES]);
+	qsort(p->action, (size_t)p->n, sizeof p->action[0], order_actions);
+	print_plan(p);
 	return g_thread_new("plan", run_plan, p);
 }
 
--- a/tests/rig/plan.h
+++ b/tests/rig/plan.h
@@ -54,9 +54,19 @@
 void act_impatience(const struct action *);
 void act_fill_targets(const struct action *);
 void act_cold_targets(const struct action *);
+void act_late_targets(const struct action *);
 void act_lie(const struct action *);
 void act_abuse(const struct action *);
 
+/* Stops with requests that are chosen for them: aimed.c. */
+void act_stop_young(const struct action *);
+void act_stop_limits(const struct action *);
+void act_stop_unread(const struct action *);
+
+/* Settings and logs that are held up: disk.c. */
+void act_hold_settings(const struct action *);
+void act_hold_log(const struct action *);
+
 /* Daemons, links and the store in trouble: daemons.c. */
 void act_starve(const struct action *);
 void act_pause(const struct action *);
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -20,7 +20,8 @@
  * programs, machine.c keeps a machine's daemon and asks whether it is ready,
  * target.c keeps its target, store.c writes configurations and evacuations,
  *traffic.c draws requests, attempt.c plays them, plan.c draws trouble,
- *trouble.c brings it about, link.c is a proxy between daemons and the store.
+ *trouble.c, daemons.c, aimed.c and disk.c bring it about, link.c is a proxy
+ *between daemons and the store.
  *
  * Lines of the history, besides those of tests/fake/planned and
  * tests/fake/target; all are written by "plan":
@@ -38,6 +39,8 @@
  *	evacuated, back dc=
  *	target-start, target-drains, target-kill, target-end at=DAEMON
  *	target-set at=DAEMON what=	a knob of the target, "calm" ends it
+ *	disk at=DAEMON mode=	"held": reads of its settings are held up
+ *	log at=DAEMON mode=	"held": nobody reads its log
  */
 
 #define MACHINES_MAX 40
@@ -53,6 +56,7 @@
 #define PORT_STORE_PROXY 20201
 #define RIG_HOST "h.example"
 #define GRACE_S 6
+#define CONNECT_US 1000 /* delay of a new connection at a target */
 
 /** enum habit - how the callers of a kind use connections */
 enum habit { HABIT_PIPELINE, HABIT_POOL, HABIT_FRESH };
@@ -95,6 +99,15 @@
 
 struct rig;
 
+/** enum aim - how callers of its data centre use a machine, ready or not */
+enum aim {
+	AIM_NONE, /* as any other */
+	AIM_AWAY, /* not at all */
+	AIM_MORE, /* with many of their requests */
+	AIM_LONG, /* with these, of which half have long work */
+	AIM_OVER /* with these, of more work than shortened limits allow */
+};
+
 /**
  * struct machine - a daemon and its target; what is marked with an asterisk is
  * guarded by @lock
@@ -109,6 +122,9 @@
  * @in: nonzero while callers of the machine give it new work
  * @misses: answers other than 200 in a row to the question for readiness
  * @settings: * how often they were changed
+ * @aim: see enum aim; @claimed: nonzero while an action uses it alone
+ * @connect_us: delay of new connections at targets that start from now on
+ * @log_held: nonzero while nobody reads the log; @log_ends: the run ends
  * @link: how its connections from other daemons act, see enum link_mode
  * @store_link: the same for those to the store; @link_ms is the delay of both
  */
@@ -132,12 +148,18 @@
 	gint store_link;
 	gint link_ms;
 	int settings;
+	gint aim;
+	gint claimed;
+	gint connect_us;
+	gint log_held;
+	gint log_ends;
 	struct caller caller;
 	GMutex pool_lock;
 	GQueue pool; /* struct idle, connections that no request uses */
 	GThread *daemon_keeper;
 	GThread *target_keeper;
 	GThread *ready_asker;
+	GThread *log_reader; /* NULL: the daemon writes to a file */
 };
 
 /** struct rig - a run */
@@ -157,13 +179,18 @@
 	GPid platform;
 	GMutex lock; /* of @machine_count */
 	GMutex store_lock; /* of the configuration */
+	int piped_logs; /* nonzero: daemons write logs to pipes */
 	gint evacuating; /* nonzero: a data centre is out */
+	gint limits_turn; /* nonzero: an action changes @limits_percent */
+	gint limits_percent; /* of the usual time limits, of all but long work
+			      */
 	struct machine machine[MACHINES_MAX];
 	int machine_count;
 	int version; /* of the last configuration sent */
 	int timeout_turn; /* chooses its time limits */
 	int split_turn; /* chooses where batch goes */
 	int extra_turn; /* chooses the routes that come and go */
+	gint long_percent; /* of the requests of long kinds, work long */
 	gint burst; /* percent of the usual requests */
 	gint impatient; /* percent of callers that give up early */
 	gint abusive; /* percent of callers that repeat often and at once */
@@ -259,6 +286,11 @@
 /** enum link_mode - how a proxy treats bytes */
 enum link_mode { LINK_OPEN, LINK_DELAY, LINK_SILENT, LINK_ONE_WAY, LINK_RESET };
 
+/** log_open() - begin to copy what the daemon writes to a pipe to its log */
+void log_open(struct machine *);
+/** log_close() - no more, once all was copied that had been written */
+void log_close(struct machine *);
+
 /** link_start() - have a proxy forward connections to @port of the machine, or
  * from the machine to the store if @to_ip */
 void link_start(struct machine *, int listen_port, const char *to_ip, int port);
--- a/tests/rig/store.c
+++ b/tests/rig/store.c
@@ -11,6 +11,7 @@
 #define STATUS_NOT_FOUND 404
 #define STATUS_CONFLICT 409
 #define ROUTE_EXTRAS 4 /* routes that come and go, one at a time */
+#define SHORTENED_MOST_MS 2000 /* limits that limits_percent changes */
 #define SPLIT_WEIGHT 3 /* of cloner, where codebook has 1 */
 
 static char *
@@ -25,6 +26,8 @@
 {
 	int limit = k->timeout_ms ? k->timeout_ms : k->deadline_ms;
 
+	if (limit <= SHORTENED_MOST_MS)
+		limit = limit * g_atomic_int_get(&r->limits_percent) / 100;
 	return limit * (4 + r->timeout_turn % 3) / 5;
 }
 
--- a/tests/rig/target.c
+++ b/tests/rig/target.c
@@ -16,6 +16,8 @@
 	char *log = g_strdup_printf("target-%d-%d.log", m->zone, m->number);
 	char *dc = g_strdup_printf("dc%d", m->zone);
 	char *beat = g_strdup_printf("%s:%d", m->ip, PORT_HEARTBEAT);
+	char *connect_us =
+	    g_strdup_printf("%d", g_atomic_int_get(&m->connect_us));
 	char *seed = g_strdup_printf("%u",
 	    r->seed * 100 + (guint)(m->zone * 10 + m->number));
 	const char *argv[] = { program, "--users", "--ip", m->ip, "--port",
@@ -27,12 +29,13 @@
 		"--noisy-factor", "5", "--drain-ms", "2300", "--chunked",
 		(m->zone + m->number) % 2 ? "0" : "1", "--cut-ms",
 		r->harsh && m->number % 3 == 1 ? LATE_END_MS : "0", "--seed",
-		seed, NULL };
+		seed, "--connect-us", connect_us, NULL };
 	GPid pid;
 
 	note(r, "target-start at=%s", m->address);
 	pid = process_start(r, log, (char **)argv, NULL);
 	g_free(seed);
+	g_free(connect_us);
 	g_free(beat);
 	g_free(dc);
 	g_free(log);
--- a/tests/rig/trouble.c
+++ b/tests/rig/trouble.c
@@ -5,6 +5,7 @@
 #define BURST_MORE 70 /* percent of the usual requests */
 #define IMPATIENT_PERCENT 20
 #define ABUSIVE_PERCENT 30
+#define LATE_LEAST_US 200000 /* first answer of a new target */
 #define SEVERAL 3 /* targets in trouble at a time, at most */
 
 /* Changes knobs of some targets for a time. */
@@ -131,3 +132,20 @@
 	pause_ms(a->ms * 3);
 	g_atomic_int_add(&a->rig->impatient, -IMPATIENT_PERCENT);
 }
+
+/* A target ends, and the one that comes in its place is slow to answer on new
+ * connections. */
+void
+act_late_targets(const struct action *a)
+{
+	struct machine *m = action_machine(a->rig, a->first);
+	char knobs[40];
+
+	g_atomic_int_set(&m->connect_us, LATE_LEAST_US + a->ms * 1000);
+	note(a->rig, "target-kill at=%s", m->address);
+	machine_signal_target(m, SIGKILL);
+	pause_ms(2000 + a->count * 500);
+	g_atomic_int_set(&m->connect_us, CONNECT_US);
+	g_snprintf(knobs, sizeof knobs, "connect_us=%d", CONNECT_US);
+	machine_set_target(m, knobs, "calm");
+}
