--- a/tests/system/first-answer.sh
+++ b/tests/system/first-answer.sh
@@ -1,11 +1,21 @@
 #!/bin/sh
 # Long requests come before two targets have given their first answers, which take 0.2 s:
 # none is refused, as the targets have room for all.
-# usage: first-answer.sh BUILD-DIRECTORY
+# usage: first-answer.sh BUILD-DIRECTORY [once]
 set -u
 . scripts/fleet.sh
 . scripts/dialect.sh
 REQUESTS=5 # of each kind at each daemon
+TRIES=5
+TOO_LATE=2 # exit status: no request came before the first answers
+if [ $# = 1 ]; then
+	for _ in $(seq $TRIES); do
+		sh "$0" "$1" once
+		code=$?
+		[ $code = $TOO_LATE ] || exit $code
+	done
+	exit $code
+fi
 fleet_open "$1"
 trap fleet_close EXIT
 failed=0
@@ -40,5 +50,8 @@
 wait $asked
 [ "$(grep -c 'status=200' "$fleet_dir/answers")" = $((4 * REQUESTS)) ] || fleet_fail "not all requests were answered"
 [ $failed = 0 ] || sort "$fleet_dir/answers"
-grep -q 'event=512 .* queued=[1-9].* limit=1 ' "$fleet_dir"/daemon-*.log || echo "no request came before the first answers"
+grep -q 'event=512 .* queued=[1-9].* limit=1 ' "$fleet_dir"/daemon-*.log || {
+	echo "no request came before the first answers"
+	[ $failed = 1 ] || exit $TOO_LATE
+}
 exit $failed
