--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -56,6 +56,7 @@
 #define PORT_STORE_PROXY 20201
 #define RIG_HOST "h.example"
 #define GRACE_S 6
+#define NOISY_MS 150 /* of a target's noisy neighbour */
 #define CONNECT_US 1000 /* delay of a new connection at a target */
 
 /** enum habit - how the callers of a kind use connections */
