--- a/tests/history/unrun.awk
+++ b/tests/history/unrun.awk
@@ -18,14 +18,14 @@
 		if (split($i, f, "=") == 2 && index(f[1], "timeout_") == 1) {
 			route = substr(f[1], 9)
 			before[route] = limit[route]
-			limit[route] = f[2]
+			limit[route] = f[2] + 0
 		}
 }
 $3 == "call" {
 	id = value("id")
 	sent[id] = $1
 	once[id] = value("once") == 1
-	most[id] = value("limit_ms")
+	most[id] = value("limit_ms") + 0
 	lower(id, limit[value("route")])
 	lower(id, before[value("route")])
 }
@@ -39,7 +39,7 @@
 END {
 	for (id in failed)
 		if (!(id in run)) {
-			print "unrun " id " status=" failed[id] (once[id] ? " once" : "")
+			print id " status=" failed[id] (once[id] ? " once" : "")
 			n++
 		}
 	printf "unrun %d\n", n
