planned.awk: the SIGTERM of a machine counts for the process that was started after it

What callers saw: 504 while the target is at work, and cut answers, up to 7 s after a SIGTERM of the machine that took the request, from the process that was started there since. planned.awk excused them, or counted cut ones only by number (LOST-KEPT).

Cause, a blind judge: RULES count "a SIGTERM of the machine that took the request from the client, until 1 s after grace_period_s"; planned.awk looked for one to the same process.

--- a/tests/history/planned.awk
+++ b/tests/history/planned.awk
@@ -188,16 +188,20 @@
 	limit[id] = began[id] + time[id]
 }
 
-# SIGTERM whose time a request ended in, the first to that process; 0 if none.
-function stop_of(id, i, t, start, found) {
+# SIGTERM whose time a request ended in: the first one to its process, else the last one
+# to a process before it; 0 if none.
+function stop_of(id, i, t, start, found, before) {
 	start = last("start", to[id], sent[id])
 	for (i = 1; i <= count["term", to[id]]; i++) {
 		t = when["term", to[id], i]
-		if (t >= start && t <= over[id] &&
-		    over[id] <= t + GRACE + OVER && (!found || t < found))
+		if (t > over[id] || over[id] > t + GRACE + OVER)
+			continue
+		if (t < start)
+			before = t > before ? t : before
+		else if (!found || t < found)
 			found = t
 	}
-	return found + 0
+	return found ? found : before + 0
 }
 
 function beside_hup(id, i, t) {
