http: a closed connection keeps its place until the peer has closed it

Cause: the pool counted a connection as gone when the daemon had closed it; the target counts it until it has read the end. At the limit the daemon closes the connection that was idle for the longest and opens a new one at once; a target that was held up accepts that before it reads the end, finds itself above its limit and closes it with the request on it. Class: what another process holds, counted by one's own act in place of a sign of the other.

Change: after a close the own side is shut down; the connection keeps its place until the target has closed its side, for 0.5 s at most, and what comes on it has it reset at once, as close() did. A call that finds no place waits for one with nothing sent; a spare is opened once one is free. The margin below the limit stays.

Ruled out: a larger margin (any margin is used up by a target that is held up for longer). Open: a target held up for more than 0.5 s, connections given up while they are opened, and resets are covered by the margin only.

--- a/src/adapter/http/link.c
+++ b/src/adapter/http/link.c
@@ -52,37 +52,75 @@
 	list_add(l, state);
 }
 
-struct http_link *
-link_adopt(struct http_pool *p, int fd, int connected, struct kq_error *err)
+static struct http_link *
+new_link(struct http_pool *p)
 {
 	struct http_link *l = g_new0(struct http_link, 1);
 
 	l->pool = p;
-	l->fd = fd;
-	l->connected = connected;
+	l->fd = LINK_WAITS;
 	l->last_byte = io_now(p->loop);
 	l->timer.fire = on_timer;
 	l->timer.ctx = l;
-	if (io_watch_add(p->loop, &l->watch, fd, connected ? IO_READ : IO_WRITE,
-		on_ready, l) < 0) {
+	in_init(&l->in, HTTP_RESPONSE, p->limits.head_bytes, &link_in_ops, l);
+	return l;
+}
+
+static void
+add_link(struct http_link *l)
+{
+	list_add(l, LINK_SPARE);
+	l->pool->nopen++;
+	link_update_watch(l);
+}
+
+static int
+set_socket(struct http_link *l, int fd, int connected)
+{
+	l->connected = connected;
+	if (io_watch_add(l->pool->loop, &l->watch, fd,
+		connected ? IO_READ : IO_WRITE, on_ready, l) < 0) {
+		close(fd);
+		return -1;
+	}
+	l->fd = fd;
+	return 0;
+}
+
+struct http_link *
+link_adopt(struct http_pool *p, int fd, int connected, struct kq_error *err)
+{
+	struct http_link *l = new_link(p);
+
+	if (set_socket(l, fd, connected) < 0) {
 		kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_SOCKET,
 		    "watch socket: %s", strerror(errno));
-		close(fd);
+		in_clear(&l->in);
 		g_free(l);
 		return NULL;
 	}
-	in_init(&l->in, HTTP_RESPONSE, p->limits.head_bytes, &link_in_ops, l);
-	list_add(l, LINK_SPARE);
-	p->nopen++;
-	link_update_watch(l);
+	add_link(l);
+	return l;
+}
+
+static struct http_link *
+wait_for_place(struct http_pool *p)
+{
+	struct http_link *l = new_link(p);
+
+	p->nwaiting++;
+	add_link(l);
 	return l;
 }
 
 struct http_link *
 link_new(struct http_pool *p, struct kq_error *err)
 {
-	int fd = io_connect_tcp(p->ip, p->port);
+	int fd;
 
+	if (p->endings.length && pool_places(p) >= p->max)
+		return wait_for_place(p);
+	fd = io_connect_tcp(p->ip, p->port);
 	if (fd >= 0)
 		return link_adopt(p, fd, 0, err);
 	kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_CONNECT,
@@ -90,6 +128,36 @@
 	return NULL;
 }
 
+void
+link_connect(struct http_link *l)
+{
+	struct http_pool *p = l->pool;
+	int fd = io_connect_tcp(p->ip, p->port);
+
+	p->nwaiting--;
+	l->last_byte = io_now(p->loop);
+	if (fd >= 0 && !set_socket(l, fd, 0))
+		return;
+	l->fd = LINK_NO_SOCKET;
+	l->send_errno = errno;
+	link_schedule(l);
+}
+
+static void
+close_socket(struct http_link *l)
+{
+	if (l->fd == LINK_WAITS)
+		l->pool->nwaiting--;
+	if (l->fd < 0)
+		return;
+	/* else bytes of a request that was given up may arrive much later */
+	io_limit_silence(l->fd, IO_USER_TIMEOUT_MS);
+	if (l->connected)
+		ending_begin(l->pool, l->fd);
+	else
+		close(l->fd);
+}
+
 void
 link_close(struct http_link *l)
 {
@@ -102,14 +170,13 @@
 	in_pause(&l->in, 1);
 	io_watch_remove(p->loop, &l->watch);
 	io_timer_clear(p->loop, &l->timer);
-	/* else bytes of a request that was given up may arrive much later */
-	io_limit_silence(l->fd, IO_USER_TIMEOUT_MS);
-	close(l->fd);
+	close_socket(l);
 	list_remove(l);
 	p->nopen--;
 	l->next = p->closed;
 	p->closed = l;
 	io_timer_set(p->loop, &p->free_timer, io_now(p->loop));
+	pool_connect_waiting(p);
 }
 
 void
--- a/src/adapter/http/link.h
+++ b/src/adapter/http/link.h
@@ -19,8 +19,12 @@
  */
 enum link_state { LINK_SPARE, LINK_IDLE, LINK_BUSY, LINK_STATES };
 
+#define LINK_WAITS (-1) /* it is opened once a place is free */
+#define LINK_NO_SOCKET (-2) /* it could not be opened then */
+
 /**
  * struct http_link - connection of a pool to the pool's address
+ * @fd: its socket, or LINK_WAITS or LINK_NO_SOCKET
  * @connected: connect is complete
  * @in_callback: link_handle_ready() or link_handle_timer() is running; both
  *               update the watch and the timer before they return
@@ -110,11 +114,14 @@
  * @host: value of the Host field
  * @max: most connections open at once
  * @spare: connections of LINK_SPARE kept open
- * @nopen: connections open now
+ * @nopen: connections open now, or waiting for a place
+ * @nwaiting: those of them that wait: they are opened once fewer than @max are
+ *            open or ending
  * @count: connections open now, by state
  * @links: connections by state, those that entered it last first
  * @free_calls: calls whose memory is reused
  * @closed: closed connections, not yet freed
+ * @endings: connections that were closed, but not yet by the peer
  * @free_timer: frees @closed
  * @timer: opens spare connections after HTTP_SPARE_RETRY_US
  * @scratch: receive buffer of HTTP_READ_BYTES, shared by all connections
@@ -129,27 +136,37 @@
 	int max;
 	int spare;
 	int nopen;
+	int nwaiting;
 	int count[LINK_STATES];
 	struct http_link *links[LINK_STATES];
 	struct http_call *free_calls;
 	struct http_link *closed;
+	GQueue endings;
 	struct io_timer free_timer;
 	struct io_timer timer;
 	char *scratch;
 	struct byte_limit *call_bytes;
 };
 
-/** link_new() - open a connection to the pool's address, or NULL with the error
+/** link_new() - open a connection to the pool's address, or NULL with the
+ * error; it waits until the peer has closed one if too many may be open there
  */
 struct http_link *link_new(struct http_pool *, struct kq_error *);
 /** link_adopt() - add a socket to the pool; closes it on error */
 struct http_link *
 link_adopt(struct http_pool *, int fd, int connected, struct kq_error *);
-/** link_close() - close a connection at once; its memory is freed in the next
- * iteration */
+/** link_close() - close a connection at once; it keeps its place until the peer
+ * has closed it, and its memory is freed in the next iteration */
 void link_close(struct http_link *);
 /** link_free_closed() - free the memory of closed connections */
 void link_free_closed(struct http_pool *);
+/** link_connect() - open a connection that waited */
+void link_connect(struct http_link *);
+/** ending_begin() - close a connection's own side and wait for the peer to
+ * close its own, for a time */
+void ending_begin(struct http_pool *, int fd);
+/** ending_free_all() - wait for none any more */
+void ending_free_all(struct http_pool *);
 void link_set_state(struct http_link *, enum link_state);
 /** link_is_alive() - whether a connection that has no call is usable: still
  * connecting, or connected and neither closed by the peer nor with input */
@@ -179,6 +196,10 @@
  * http_call_start(); NULL with the error if there is none */
 struct http_link *
 pool_get_link(struct http_pool *, int unused_only, struct kq_error *);
+/** pool_places() - connections that the peer may count as open */
+int pool_places(const struct http_pool *);
+/** pool_connect_waiting() - open those that wait, as far as places are free */
+void pool_connect_waiting(struct http_pool *);
 /** pool_open_spare() - open missing spare connections, unless one was lost or
  * could not be opened within HTTP_SPARE_RETRY_US */
 void pool_open_spare(struct http_pool *);
--- a/src/adapter/http/pool.c
+++ b/src/adapter/http/pool.c
@@ -48,6 +48,7 @@
 	if (!p)
 		return;
 	io_timer_clear(p->loop, &p->timer);
+	p->max = 0;
 	for (i = 0; i < LINK_STATES; i++) {
 		while (p->links[i]) {
 			if (p->links[i]->call)
@@ -55,6 +56,7 @@
 			link_close(p->links[i]);
 		}
 	}
+	ending_free_all(p);
 	link_free_closed(p);
 	io_timer_clear(p->loop, &p->free_timer);
 	while ((c = p->free_calls)) {
@@ -79,6 +81,33 @@
 	return p->count[LINK_BUSY];
 }
 
+int
+pool_places(const struct http_pool *p)
+{
+	return p->nopen - p->nwaiting + (int)p->endings.length;
+}
+
+/* A connection that waits was opened for a call. */
+static struct http_link *
+find_waiting(const struct http_pool *p)
+{
+	struct http_link *l, *first = NULL;
+
+	for (l = p->links[LINK_BUSY]; l; l = l->next)
+		if (l->fd == LINK_WAITS)
+			first = l;
+	return first;
+}
+
+void
+pool_connect_waiting(struct http_pool *p)
+{
+	struct http_link *l;
+
+	while (p->nwaiting && pool_places(p) < p->max && (l = find_waiting(p)))
+		link_connect(l);
+}
+
 static struct http_link *
 find_idle(struct http_pool *p)
 {
@@ -146,7 +175,8 @@
 {
 	if (p->timer.pos)
 		return;
-	while (p->count[LINK_SPARE] < p->spare && p->nopen < p->max) {
+	while (p->count[LINK_SPARE] < p->spare &&
+	       pool_places(p) + p->nwaiting < p->max) {
 		if (!link_new(p, NULL)) {
 			pool_open_spare_later(p);
 			return;
