pick: of targets that all leave, those that leave last are tried first

Cause: both targets of the service were beside daemons that stopped, for 1.8 s and 0.2 s. Both refused once, as each could think that another was left; the second round chose by weight, and took the one that ended first. Class: a choice among last resorts without the time that they have.

Change: the first refusal as leaving is kept; where all that are left are leaving, those that began over 1 s before the last are tried after it.

Ruled out: a lack of processor time (0.2 ms to pass it on, the work at its pace); that no target could do it.

Open: a stop is known by the first refusal only, which may come late where little is sent.

--- a/src/core/pick/choose.c
+++ b/src/core/pick/choose.c
@@ -26,13 +26,39 @@
 	return GROUP_LOCAL;
 }
 
+/* Where all that may be chosen are leaving, those that were leaving this much
+ * earlier than the last one have too little time left to be chosen. */
+#define LEAVING_SPREAD_US 1000000
+
+static int64_t
+leaving_from(const struct pick *p, const struct query *q)
+{
+	int64_t last = 0;
+	int g;
+	uint32_t i;
+
+	for (g = 0; g < GROUPS; g++)
+		for (i = 0; i < p->list[g].n; i++) {
+			uint32_t index = p->list[g].index[i];
+			int64_t at = p->candidate[index].leaving_at;
+
+			if (!pick_allowed(p, q, index))
+				continue;
+			if (!at)
+				return 0;
+			if (at > last)
+				last = at;
+		}
+	return last - LEAVING_SPREAD_US;
+}
+
 /* The first pass over both groups is strict; the second also takes candidates
  * that are avoided or draining, and disregards ramps. */
 uint32_t
 pick_choose(struct pick *p, int64_t now, const uint32_t *exclude,
     uint32_t nexclude)
 {
-	struct query q = { now, GROUP_LOCAL, 1, nexclude, exclude };
+	struct query q = { now, GROUP_LOCAL, 1, 0, nexclude, exclude };
 	enum group first;
 	int g;
 
@@ -41,6 +67,8 @@
 		p->probe_credit += p->config.probe_per_call;
 	first = first_group(p);
 	for (q.strict = 1; q.strict >= 0; q.strict--) {
+		if (!q.strict)
+			q.leaving_from = leaving_from(p, &q);
 		for (g = 0; g < GROUPS; g++) {
 			uint32_t index;
 
--- a/src/core/pick/impl.h
+++ b/src/core/pick/impl.h
@@ -29,6 +29,7 @@
  * @unreported: own requests sent since the last report arrived, which does not
  *	include them; at most @in_flight
  * @avoid_until: until then it is chosen only if there is no other
+ * @leaving_at: time at which it first refused as leaving, else 0
  * @failures: failures since the last good reply
  * @virtual_turn: virtual time at which it was last chosen
  */
@@ -51,6 +52,7 @@
 	int64_t report_at;
 	uint32_t unreported;
 	int64_t avoid_until;
+	int64_t leaving_at;
 	uint32_t failures;
 	double virtual_turn;
 };
@@ -132,12 +134,14 @@
  * struct query - one choice
  * @strict: nonzero to leave out candidates that are avoided or draining, and
  *	to apply ramps in pick_usable()
+ * @leaving_from: not to choose those that were leaving before this
  * @exclude: handles not to choose
  */
 struct query {
 	int64_t now;
 	enum group group;
 	int strict;
+	int64_t leaving_from;
 	uint32_t nexclude;
 	const uint32_t *exclude;
 };
--- a/src/core/pick/note.c
+++ b/src/core/pick/note.c
@@ -160,6 +160,8 @@
 		remove_in_flight(c, c->sent_sum / c->in_flight);
 	if (l)
 		pick_note_report(p, c, now, l, 0);
+	if (reason == ADMIT_DRAINING && !c->leaving_at)
+		c->leaving_at = now;
 	if (reason == ADMIT_DRAINING || reason == ADMIT_OUT) {
 		avoid(c, now + AVOID_LEAVING_US);
 		return;
--- a/src/core/pick/sample.c
+++ b/src/core/pick/sample.c
@@ -14,7 +14,7 @@
 		if (q->exclude[i] == pick_handle(p, index))
 			return 0;
 	if (!q->strict)
-		return 1;
+		return !q->leaving_from || c->leaving_at >= q->leaving_from;
 	return !c->draining && c->avoid_until <= q->now;
 }
 
--- a/tests/unit/pick.c
+++ b/tests/unit/pick.c
@@ -319,6 +319,36 @@
 }
 END_TEST
 
+/** While all targets leave, those that began over a second before the last one
+ * are chosen only if that one was tried. */
+START_TEST(last_leaving_target_is_chosen)
+{
+	struct pick *p = new_table((enum pick_policy)_i, 1);
+	uint32_t h[] = { pick_add(p, 0, 1, 1), pick_add(p, 0, 1, 1),
+		pick_add(p, 0, 0, 1) };
+	static const int64_t at[] = { 400 * MS, 800 * MS, 2 * SECOND,
+		2 * SECOND, 2 * SECOND };
+	uint32_t got;
+	int i;
+
+	/* A second refusal is no later end. */
+	for (i = 0; i < 5; i++) {
+		pick_sent(p, h[i % 3], at[i]);
+		pick_refused(p, h[i % 3], at[i], ADMIT_DRAINING, NULL);
+	}
+	for (i = 0; i < 100; i++)
+		ck_assert_uint_eq(pick_choose(p, at[4], NULL, 0), h[2]);
+	for (i = 0; i < 2; i++) {
+		uint32_t tried[] = { h[2], h[i] };
+
+		got = pick_choose(p, at[4], tried, 1);
+		ck_assert(got == h[0] || got == h[1]);
+		ck_assert_uint_eq(pick_choose(p, at[4], tried, 2), h[!i]);
+	}
+	pick_free(p);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -334,6 +364,7 @@
 	    PICK_POLICIES);
 	tcase_add_loop_test(c, unresponsive_targets_are_not_chosen, 0,
 	    PICK_POLICIES);
+	tcase_add_loop_test(c, last_leaving_target_is_chosen, 0, PICK_POLICIES);
 	tcase_add_loop_test(c, probes_are_bounded, 0, 3);
 	tcase_add_test(c, slow_target_gets_few_calls);
 	tcase_add_test(c, spill_follows_pressure_without_flapping);
