--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -195,21 +195,3 @@
 		sleep 0.1
 	done
 }
-
-# fleet_wait_tries SECONDS TRY-SECONDS COMMAND...: the same for a command that its own
-# time limits end within TRY-SECONDS: what a try takes beyond that, in which the script
-# was held up and could not look, does not count
-fleet_wait_tries() {
-	fleet_end=$(($(date +%s%3N) + $1 * 1000))
-	fleet_try_ms=$(($2 * 1000))
-	shift 2
-	fleet_began=$(date +%s%3N)
-	until "$@"; do
-		fleet_now=$(date +%s%3N)
-		fleet_over=$((fleet_now - fleet_began - fleet_try_ms))
-		[ $fleet_over -le 0 ] || fleet_end=$((fleet_end + fleet_over))
-		[ "$fleet_now" -lt $fleet_end ] || return 1
-		sleep 0.1
-		fleet_began=$(date +%s%3N)
-	done
-}
--- a/tests/system/health-without-end.sh
+++ b/tests/system/health-without-end.sh
@@ -7,7 +7,6 @@
 . scripts/dialect.sh
 KINDS=8
 SERVED_S=9
-TRY_S=3 # of a request, which curl ends after 2 s
 END_S=4 # all checks of a start have ended by then
 MEMORY_MAX_KB=10000
 fleet_open "$1"
@@ -39,7 +38,7 @@
 	curl -s -m 1 -o "$fleet_dir/set" "http://$at:9001/fake/set?flood=1000000&flood_kind=$kind"
 	fleet_daemon 1 1
 	fleet_await "http://$at:8430/v1/readiness"
-	fleet_wait_tries $SERVED_S $TRY_S serves || not_served
+	fleet_wait_until $SERVED_S serves || not_served
 	# shellcheck disable=SC2154
 	before=$(memory_kb "$fleet_daemon_1_1")
 	sleep $END_S
--- a/tests/system/left-target.sh
+++ b/tests/system/left-target.sh
@@ -9,7 +9,6 @@
 trap fleet_close EXIT
 failed=0
 at=$fleet_net.1.1
-TRY_S=2 # of a question to the daemon, which curl ends after 1 s
 
 # report CALL ID SEQUENCE: sends a report of a target that nothing else answers for
 report() {
@@ -27,7 +26,7 @@
 	wait "$fleet_daemon_1_1" 2>/dev/null
 	fleet_daemon 1 1
 	fleet_await "http://$at:8430/v1/readiness"
-	fleet_wait_tries 5 $TRY_S is_configured || fleet_fail "no configuration after the restart"
+	fleet_wait_until 5 is_configured || fleet_fail "no configuration after the restart"
 }
 is_configured() { [ "$(fleet_status 1 1 complete)" -gt 0 ] 2>/dev/null; }
 
@@ -35,12 +34,12 @@
 dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /s/ safe)")" >"$fleet_dir/code"
 fleet_daemon 1 1
 fleet_await "http://$at:8430/v1/readiness"
-fleet_wait_tries 5 $TRY_S is_configured || fleet_fail "no configuration"
+fleet_wait_until 5 is_configured || fleet_fail "no configuration"
 report heartbeat i-1 5
 report heartbeat i-1 6
-fleet_wait_tries 3 $TRY_S has_target || fleet_fail "the target is not taken"
+fleet_wait_until 3 has_target || fleet_fail "the target is not taken"
 report leave i-1 0
-fleet_wait_tries 3 $TRY_S has_none || fleet_fail "the target that left is still in use"
+fleet_wait_until 3 has_none || fleet_fail "the target that left is still in use"
 restart
 report heartbeat i-1 4
 for _ in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15; do
@@ -49,6 +48,6 @@
 done
 restart
 dialect_target 1 1
-fleet_wait_tries 4 $TRY_S has_target || fleet_fail "a running target is not taken after a restart"
+fleet_wait_until 4 has_target || fleet_fail "a running target is not taken after a restart"
 [ $failed = 0 ] && echo ok
 exit $failed
