Revert the change of: a shared answer is not fetched ahead of its caller

Cause: a review showed that it costs answers in a planned stop. What is fetched ahead of callers that read slowly and what a stop fetches for late readers share one bound, half of the memory for calls.

A sum of its own for shared answers is the next thing to try.

--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -5,8 +5,6 @@
 /* Credit is given once it is this part of the window or more, and held back
  * while more than this part is unsent. */
 #define CREDIT_PARTS 4
-/* bytes of an answer fetched ahead of its caller, if it shares a connection */
-#define SHARED_AHEAD_MAX 4194304
 
 /* Whether a target reports a failure by this status. */
 static int
@@ -79,38 +77,15 @@
 	byte_limit_give(&a->call->data->call_bytes, n);
 }
 
-/* Never at the cost of other calls. */
+/* Whether credit needn't wait for the caller, as what is not taken by the end
+ * of this daemon or of the peer is lost; never at the cost of other calls. */
 static int
-memory_is_free(const struct out_attempt *a)
+ahead_of_caller(const struct out_attempt *a)
 {
-	return !byte_limit_is_half(&a->call->data->call_bytes);
-}
-
-/* Whether what is not taken by the end of this daemon or of the peer is
- * lost. */
-static int
-one_ends(const struct out_attempt *a)
-{
-	return a->call->data->unbound || !a->peer->live;
-}
+	const struct data *d = a->call->data;
 
-/* Whether an answer that is cut would take others along, or be cut as it waits
- * for others. */
-static int
-shares_connection(const struct out_call *c)
-{
-	return http_exchange_has_predecessor(c->exchange) ||
-	       http_exchange_next(c->exchange);
-}
-
-/* Whether credit needn't wait for the caller that has yet to take so many
- * bytes. */
-static int
-ahead_of_caller(const struct out_attempt *a, size_t unsent)
-{
-	return memory_is_free(a) &&
-	       (one_ends(a) ||
-		   (unsent < SHARED_AHEAD_MAX && shares_connection(a->call)));
+	return (d->unbound || !a->peer->live) &&
+	       !byte_limit_is_half(&d->call_bytes);
 }
 
 /* Passes bytes of the answer on to the caller. Credit for them waits until
@@ -126,7 +101,7 @@
 	n = outbound_hold_body(c, http_exchange_write(c->exchange, p, n));
 	if (n > a->window / CREDIT_PARTS)
 		c->caller_slow = 1;
-	if (n <= a->window / CREDIT_PARTS || ahead_of_caller(a, n))
+	if (n <= a->window / CREDIT_PARTS || ahead_of_caller(a))
 		give_credit(c);
 }
 
@@ -248,8 +223,8 @@
 void
 outbound_take_answer(struct out_call *c)
 {
-	if (c->state == OUT_ANSWERING && c->winner && one_ends(c->winner) &&
-	    memory_is_free(c->winner))
+	if (c->state == OUT_ANSWERING && c->winner &&
+	    ahead_of_caller(c->winner))
 		give_credit(c);
 }
 
