Revert the change of: an attempt at a silent daemon is counted as before

Cause: a review (read, not run) showed that the number of attempts is then not bounded by max_attempts where a second attempt is open as the first one is counted: choose_peer() compares only the attempts that were counted. With max_attempts 2, a silent daemon, a second target at work and a third one free, three targets could run a safe request. The double count hid that.

To be done: count open attempts before another one begins, with a test of three targets.

--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -67,7 +67,6 @@
 	int64_t started;
 	size_t body_sent; /* bytes of the body */
 	int end_sent; /* the last message of the body was sent */
-	int counted; /* in @reached of the call */
 	int refusable; /* the target may refuse, as another one is left */
 	size_t credit; /* bytes of the body that may still be sent */
 	size_t window; /* most bytes of the answer given credit at once */
@@ -164,9 +163,6 @@
 /** outbound_attempt_cancel() - end an open attempt and tell its peer; @why is
  * its outcome in the log */
 void outbound_attempt_cancel(struct out_attempt *, const char *why);
-/** outbound_attempt_reached() - count an attempt that may have reached a
- * target, once */
-void outbound_attempt_reached(struct out_attempt *);
 /** outbound_attempt_failed() - end an attempt that may have run and has no
  * whole answer; retry or end its call */
 void outbound_attempt_failed(struct out_attempt *, enum retry_cause);
