Daemons of one version compare digests of what they hold

Nothing told whether two daemons of one version hold the same: the hypotheses of docs/incidents/version-without-content.md could not be told apart in logs or metrics. Now each datagram carries a digest of the objects held at the version that it names; a member that differs is event 324, once a version, with counter config_differs_total; event 320 and status name the digest. Event 312 prints the version that it compared with: a list refused at a version equal to the feed's own was one below the complete version. The format of datagrams is 3 now: daemons of format 2 don't understand it, as with format 2 before. Ruled out: digests in pulls alone: a daemon that thinks it has all pulls nothing. Evidence: unit-config digest_tells_what_is_held, unit-member other_content_at_the_same_version_is_reported; offsets in unit-member_codec moved by the 8 bytes, as strict as before.

--- a/src/adapter/rpc/member_codec.c
+++ b/src/adapter/rpc/member_codec.c
@@ -6,7 +6,7 @@
 
 #include "adapter/rpc/replay.h"
 
-#define FORMAT_VERSION 2
+#define FORMAT_VERSION 3
 #define KEY_ID_OFFSET 1 /* one byte for each tag */
 #define EXTRA_TAGS_OFFSET 3 /* number of tags less one */
 #define COUNTER_OFFSET 4
--- a/src/adapter/rpc/member_xdr.c
+++ b/src/adapter/rpc/member_xdr.c
@@ -85,6 +85,7 @@
 	       xdr_uint32_t(x, &m->probed_address.ip) &&
 	       xdr_port(x, &m->probed_address.port) &&
 	       xdr_uint64_t(x, &m->config_version) &&
+	       xdr_uint64_t(x, &m->config_digest) &&
 	       xdr_uint32_t(x, &m->reading) &&
 	       xdr_uint32_t(x, &m->reading_age) &&
 	       xdr_state(x, &m->view_state) && xdr_uint32_t(x, &m->view_seq) &&
--- a/src/core/config/table.c
+++ b/src/core/config/table.c
@@ -95,6 +95,9 @@
 	n->object.version = o->version;
 	n->object.serial = o->removed ? 0 : o->serial;
 	n->listed_in = 0;
+	t->digest -= n->digest;
+	n->digest = config_object_digest(&n->object);
+	t->digest += n->digest;
 	if (n->position)
 		g_sequence_sort_changed(n->position, config_entry_compare,
 		    NULL);
--- a/src/core/config/table_impl.h
+++ b/src/core/config/table_impl.h
@@ -8,11 +8,13 @@
  * @position: of the entry in the table's @by_version
  * @listed_in: the table's @list_number when a page last named the object; 0 if
  *             none did since it changed
+ * @digest: of the object, 0 for a tombstone
  */
 struct config_entry {
 	struct config_object object;
 	GSequenceIter *position;
 	uint64_t listed_in;
+	uint64_t digest;
 };
 
 /**
@@ -42,6 +44,7 @@
  * @list_number: number of the list that is being taken, raised at the first
  *               page of each batch and by each list of only some kinds
  * @ntombstone: tombstones in the table
+ * @digest: sum of the digests of all objects
  */
 struct config_table {
 	GHashTable *by_name;
@@ -50,6 +53,7 @@
 	uint64_t removals_after;
 	uint64_t list_number;
 	int ntombstone;
+	uint64_t digest;
 	struct config_transfer transfer;
 	struct config_counts counts;
 	config_changed_fn *changed;
@@ -65,6 +69,9 @@
 /** config_entry_put() - add an object, or replace the one with its kind and
  * name */
 void config_entry_put(struct config_table *, const struct config_object *);
+/** config_object_digest() - digest of kind, name and value; 0 for a tombstone
+ */
+uint64_t config_object_digest(const struct config_object *);
 /** config_trim_tombstones() - remove the oldest tombstones if there are more
  * than CONFIG_TOMBSTONES_MAX */
 void config_trim_tombstones(struct config_table *);
--- a/src/core/member/gossip.c
+++ b/src/core/member/gossip.c
@@ -26,10 +26,13 @@
 
 void
 member_set_config_version(struct member_table *t, uint64_t config_version,
-    int64_t now)
+    uint64_t digest, int64_t now)
 {
 	t->now = now;
-	if (config_version <= t->config_version)
+	if (config_version < t->config_version)
+		return;
+	t->config_digest = digest;
+	if (config_version == t->config_version)
 		return;
 	t->config_version = config_version;
 	t->notify_rounds = NOTIFY_ROUNDS;
--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -159,6 +159,7 @@
  * @suspects: handles of suspects
  * @rng_state: state of the random number generator
  * @config_version: version that our configuration is complete to
+ * @config_digest: of what we hold at that version
  * @notify_rounds: gossip rounds left that announce @config_version or @reading
  * @reading: number of the newest reading of the platform, 0 for none
  * @reading_at: its time
@@ -191,6 +192,7 @@
 	void *ctx;
 	uint64_t rng_state;
 	uint64_t config_version;
+	uint64_t config_digest;
 	int notify_rounds;
 	uint32_t reading;
 	int64_t reading_at;
--- a/src/core/member/message.c
+++ b/src/core/member/message.c
@@ -21,6 +21,7 @@
 	msg->from = member_row(t, 0)->m.info.id;
 	msg->to = to;
 	msg->config_version = t->config_version;
+	msg->config_digest = t->config_digest;
 	msg->reading = t->reading;
 	msg->reading_age = reading_age(t);
 	msg->view_state = r ? r->m.state : MEMBER_ALIVE;
--- a/src/core/member/receive.c
+++ b/src/core/member/receive.c
@@ -55,6 +55,10 @@
 	r->m.config_version = MAX(r->m.config_version, msg->config_version);
 	if (msg->config_version > t->config_version)
 		t->ops->behind(t->ctx, handle, msg->config_version);
+	else if (msg->config_version == t->config_version && t->ops->differs &&
+		 t->config_digest && msg->config_digest &&
+		 msg->config_digest != t->config_digest)
+		t->ops->differs(t->ctx, handle, msg->config_digest);
 }
 
 /* Whether the sender's info is in the message. If the sender is unknown all the
--- a/src/core/member/size.c
+++ b/src/core/member/size.c
@@ -5,7 +5,7 @@
 #include "core/member/impl.h"
 
 #define FRAME_BYTES 44 /* version, key id, counter and tag */
-#define HEAD_BYTES 76 /* fixed part of a message */
+#define HEAD_BYTES 84 /* fixed part of a message */
 #define UPDATE_BYTES 20 /* id, state, two sequence numbers */
 #define ADDRESS_BYTES 16 /* IP number and three ports */
 #define WANT_BYTES 8
--- a/src/daemon/control/config.c
+++ b/src/daemon/control/config.c
@@ -311,16 +311,18 @@
 		log_event(EVENT_PLATFORM_STALE, G_LOG_LEVEL_WARNING,
 		    control_now(c), "answer with an older version refused: %s",
 		    e.text);
+	member_set_config_version(c->members,
+	    config_complete_version(c->config), config_digest(c->config),
+	    control_now(c));
 	if (config_complete_version(c->config) == before && !c->view_dirty)
 		return;
 	log_event(EVENT_CONFIG_APPLIED, G_LOG_LEVEL_INFO, control_now(c),
 	    "configuration complete=%" G_GUINT64_FORMAT
-	    " source=%016" G_GINT64_MODIFIER "x objects=%d"
-	    " us=%" G_GINT64_FORMAT,
+	    " source=%016" G_GINT64_MODIFIER
+	    "x objects=%d digest=%016" G_GINT64_MODIFIER
+	    "x us=%" G_GINT64_FORMAT,
 	    config_complete_version(c->config), b->source, b->nobject,
-	    control_now(c));
-	member_set_config_version(c->members,
-	    config_complete_version(c->config), control_now(c));
+	    config_digest(c->config), control_now(c));
 	control_schedule_member_tick(c);
 	control_publish_view(c);
 	check_registration(c);
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -80,6 +80,8 @@
 	uint64_t platform_failures;
 	uint64_t pulls;
 	uint64_t pulls_served;
+	uint64_t config_differs; /* versions of which a member held other
+				    objects */
 	uint64_t views;
 	uint64_t pauses;
 };
@@ -118,6 +120,7 @@
 	int may_act;
 	uint32_t data_pause_seq; /* number of the data task's last pause */
 	uint64_t reported_version; /* highest that a member told us of */
+	uint64_t differs_version; /* of the last EVENT_CONFIG_DIFFERS */
 
 	struct platform *platform;
 	int platform_down;
--- a/src/daemon/control/member.c
+++ b/src/daemon/control/member.c
@@ -88,6 +88,27 @@
 	control_pull_config(c, member_at(c->members, source)->info.id);
 }
 
+/* One line for each version: a member that differs does so in each of its
+ * datagrams. */
+static void
+on_other_digest(void *ctx, int handle, uint64_t digest)
+{
+	struct control *c = ctx;
+	uint64_t complete = config_complete_version(c->config);
+
+	if (complete == c->differs_version)
+		return;
+	c->differs_version = complete;
+	c->counters.config_differs++;
+	log_event(EVENT_CONFIG_DIFFERS, G_LOG_LEVEL_WARNING, control_now(c),
+	    "a member holds other objects of the same version"
+	    " complete=%" G_GUINT64_FORMAT " digest=%016" G_GINT64_MODIFIER
+	    "x member=%016" G_GINT64_MODIFIER
+	    "x its_digest=%016" G_GINT64_MODIFIER "x",
+	    complete, config_digest(c->config),
+	    member_at(c->members, handle)->info.id, digest);
+}
+
 static void
 on_note(void *ctx, const struct member_note *note, int64_t at)
 {
@@ -122,6 +143,7 @@
 	.send = send_message,
 	.event = on_event,
 	.behind = on_newer_version,
+	.differs = on_other_digest,
 	.note = on_note,
 };
 
--- a/src/daemon/control/metrics.c
+++ b/src/daemon/control/metrics.c
@@ -56,6 +56,10 @@
 	counter(t, "pulls_total", "Pulls of configuration from daemons",
 	    n->pulls);
 	counter(t, "pulls_served_total", "Pulls answered", n->pulls_served);
+	counter(t, "config_differs_total",
+	    "Versions of the configuration of which a member holds other "
+	    "objects than this daemon",
+	    n->config_differs);
 	counter(t, "span_batches_lost_total",
 	    "Batches of spans that could not be sent", c->span_batches_lost);
 	counter(t, "log_lines_lost_total",
--- a/src/daemon/control/operators.c
+++ b/src/daemon/control/operators.c
@@ -21,11 +21,12 @@
 	    ",\"incarnation\":\"%016" G_GINT64_MODIFIER "x\""
 	    ",\"complete\":%" G_GUINT64_FORMAT ",\"rules\":%" G_GUINT64_FORMAT
 	    ",\"highest\":%" G_GUINT64_FORMAT
+	    ",\"digest\":\"%016" G_GINT64_MODIFIER "x\""
 	    ",\"members\":%d,\"platform\":\"%s\",\"watching\":%s"
 	    ",\"registered\":%s,\"leaving\":%s,\"may_act\":%s}\n",
 	    c->incarnation, config_complete_version(c->config),
 	    c->rules_version, config_highest_version(c->config),
-	    member_count(c->members),
+	    config_digest(c->config), member_count(c->members),
 	    !c->platform       ? "none"
 	    : c->platform_down ? "down"
 			       : "up",
--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -134,16 +134,17 @@
 {
 	struct control *c = f->control;
 	uint64_t version = b->kinds ? b->complete : MAX(b->seen, f->version);
+	uint64_t in_force = f->version;
 
-	if (version < f->version ||
-	    (control_is_watched_feed(c, f->number) &&
-		version < config_complete_version(c->config))) {
+	if (control_is_watched_feed(c, f->number))
+		in_force = MAX(in_force, config_complete_version(c->config));
+	if (version < in_force) {
 		log_event(EVENT_PLATFORM_STALE, G_LOG_LEVEL_WARNING,
 		    control_now(c),
 		    "answer with an older version refused feed=%d"
 		    " version=%" G_GUINT64_FORMAT
 		    " in_force=%" G_GUINT64_FORMAT,
-		    f->number, version, f->version);
+		    f->number, version, in_force);
 		return -1;
 	}
 	f->version = version;
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -188,6 +188,11 @@
 /** config_highest_version() - get the highest version of any object in the
  * table */
 uint64_t config_highest_version(const struct config_table *);
+/** config_digest() - get a digest of the kinds, names and values in force, to
+ * compare with that of another table complete to the same version; 0 unless the
+ * table holds exactly what that version names: it is complete to none, or holds
+ * newer objects, too */
+uint64_t config_digest(const struct config_table *);
 /** config_next_pull() - fill in the next pull from a source */
 void config_next_pull(const struct config_table *, uint64_t source,
     struct config_pull *);
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -143,6 +143,7 @@
  * @probed: incarnation to be probed, in PING_REQ and its answers
  * @probed_address: address of @probed, in PING_REQ
  * @config_version: version that the sender's configuration is complete to
+ * @config_digest: of what the sender holds at that version, 0 if not known
  * @reading: number of the newest reading of the platform that the sender knows
  * @reading_age: time since that reading, microseconds
  * @view_state: state of the receiver in the sender's table
@@ -159,6 +160,7 @@
 	uint64_t probed;
 	struct member_address probed_address;
 	uint64_t config_version;
+	uint64_t config_digest;
 	uint32_t reading;
 	uint32_t reading_age;
 	enum member_state view_state;
@@ -196,7 +198,8 @@
  *         list us as left for good, so that we need a new incarnation
  * @behind: called for each datagram of a member that has a higher configuration
  *          version than ours; this callback must keep to one pull at a time
- *
+ * @differs: called for each datagram of a member that has our configuration
+ *          version and another digest; may be NULL
  * @note: called for each note that another member told, once; may be NULL
  *
  * None of these may call a function that changes the table.
@@ -206,6 +209,7 @@
 	    const struct member_message *);
 	void (*event)(void *ctx, int handle, enum member_event);
 	void (*behind)(void *ctx, int handle, uint64_t config_version);
+	void (*differs)(void *ctx, int handle, uint64_t config_digest);
 	void (*note)(void *ctx, const struct member_note *, int64_t at);
 };
 
@@ -311,11 +315,12 @@
 member_set_service(struct member_table *, const char *service, int64_t now);
 /** member_set_config_version() - set the version that our configuration is
  * complete to
+ * @digest: of what is held at that version, see config_digest()
  *
  * A higher one than before is announced to a few members at once.
  */
 void member_set_config_version(struct member_table *, uint64_t config_version,
-    int64_t now);
+    uint64_t digest, int64_t now);
 
 /** member_tell() - tell a note to all members */
 void
--- a/tests/fuzz/datagram.c
+++ b/tests/fuzz/datagram.c
@@ -68,7 +68,7 @@
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
 	static const struct member_ops ops = { on_send, on_event, on_behind,
-		on_note };
+		NULL, on_note };
 	static const struct member_info self = { .id = SELF_ID,
 		.datacentre = "luzon-a" };
 	struct member_table *t = member_new(&self, &limits, 1, &ops, codec, 0);
--- a/tests/lib/fleet.c
+++ b/tests/lib/fleet.c
@@ -156,7 +156,8 @@
 	me->note_at = c->fleet->now;
 }
 
-static const struct member_ops ops = { on_send, on_event, on_behind, on_note };
+static const struct member_ops ops = { on_send, on_event, on_behind, NULL,
+	on_note };
 
 static void
 node_init(struct fleet *f, int i)
@@ -307,7 +308,7 @@
 		return;
 	n->config_version = digest;
 	n->config_version_at = f->now;
-	member_set_config_version(n->table, digest, f->now);
+	member_set_config_version(n->table, digest, 0, f->now);
 }
 
 void
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -127,6 +127,31 @@
 }
 END_TEST
 
+START_TEST(digest_tells_what_is_held)
+{
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_table *u = config_new(NULL, NULL);
+
+	ck_assert_uint_eq(config_digest(t), 0);
+	apply(t, 0, 0, 1, object("a", 1, "one"));
+	apply(t, 0, 1, 2, object("b", 2, "two"));
+	apply(u, 0, 0, 1, object("b", 1, "two"));
+	ck_assert_uint_ne(config_digest(t), config_digest(u));
+	apply(u, 0, 1, 2, object("a", 2, "one"));
+	ck_assert_uint_eq(config_digest(t), config_digest(u));
+	apply(u, 0, 2, 3, object("a", 3, "eno"));
+	ck_assert_uint_ne(config_digest(t), config_digest(u));
+	apply(u, 0, 3, 4, object("a", 4, NULL));
+	apply(t, 0, 2, 3, object("a", 3, NULL));
+	ck_assert_uint_eq(config_digest(t), config_digest(u));
+	/* what is newer than the complete version is not compared */
+	apply(t, 0, 8, 9, object("c", 9, "three"));
+	ck_assert_uint_eq(config_digest(t), 0);
+	config_free(t);
+	config_free(u);
+}
+END_TEST
+
 START_TEST(full_list_removes_missing_objects)
 {
 	struct config_table *t = config_new(NULL, NULL);
@@ -453,6 +478,7 @@
 	tcase_add_test(c, versions_only_increase);
 	tcase_add_test(c, removal_has_a_version);
 	tcase_add_test(c, lower_platform_version_is_rejected);
+	tcase_add_test(c, digest_tells_what_is_held);
 	tcase_add_test(c, full_list_removes_missing_objects);
 	tcase_add_test(c, invalid_objects_are_counted);
 	tcase_add_test(c, tombstones_are_bounded);
--- a/tests/unit/member.c
+++ b/tests/unit/member.c
@@ -420,6 +420,7 @@
 	int nupdate; /* in the last message sent */
 	int left; /* MEMBER_EVENT_LEFT events for ourselves */
 	uint64_t behind; /* version last passed to the behind callback */
+	int differs; /* calls of the differs callback */
 };
 
 static void
@@ -453,12 +454,22 @@
 	l->behind = digest;
 }
 
+static void
+on_differs(void *ctx, int handle, uint64_t digest)
+{
+	struct callback_log *l = ctx;
+
+	(void)handle;
+	(void)digest;
+	l->differs++;
+}
+
 static struct member_table *
 table_new(struct callback_log *l)
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
 	static const struct member_ops ops = { on_send, on_event, on_behind,
-		NULL };
+		on_differs, NULL };
 	struct member_info info = { .id = SELF, .datacentre = "estrie" };
 	struct member_table *t;
 
@@ -588,13 +599,49 @@
 	ck_assert_int_eq(l.sent, 1);
 	ck_assert_uint_eq(l.behind, 5);
 	l.behind = 0;
-	member_set_config_version(t, 5, 0);
+	member_set_config_version(t, 5, 0, 0);
 	deliver(t, MEMBER_PING, PEER, SELF, NULL);
 	ck_assert_uint_eq(l.behind, 0);
 	member_free(t);
 }
 END_TEST
 
+/* Gives the table a gossip of the peer with a version and a digest. */
+static void
+deliver_digest(struct member_table *t, uint64_t version, uint64_t digest)
+{
+	struct member_message m = { .kind = MEMBER_GOSSIP,
+		.from = PEER,
+		.to = SELF,
+		.config_version = version,
+		.config_digest = digest };
+
+	member_receive(t, &m, 0);
+}
+
+START_TEST(other_content_at_the_same_version_is_reported)
+{
+	struct callback_log l;
+	struct member_table *t = table_new(&l);
+
+	member_set_config_version(t, 5, 77, 0);
+	deliver_digest(t, 5, 77);
+	deliver_digest(t, 4, 78);
+	deliver_digest(t, 6, 78);
+	deliver_digest(t, 5, 0);
+	ck_assert_int_eq(l.differs, 0);
+	deliver_digest(t, 5, 78);
+	ck_assert_int_eq(l.differs, 1);
+	member_set_config_version(t, 5, 78, 0);
+	deliver_digest(t, 5, 78);
+	ck_assert_int_eq(l.differs, 1);
+	member_set_config_version(t, 5, 0, 0);
+	deliver_digest(t, 5, 77);
+	ck_assert_int_eq(l.differs, 1);
+	member_free(t);
+}
+END_TEST
+
 /* ---- tables that get each other's messages ---- */
 
 #define TALKERS 2
@@ -651,7 +698,7 @@
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
 	static const struct member_ops ops = { talk_send, talk_event,
-		talk_behind, NULL };
+		talk_behind, NULL, NULL };
 	static const enum member_kind kinds[] = { MEMBER_PING, MEMBER_ACK,
 		MEMBER_GOSSIP, MEMBER_PAGE, MEMBER_WANT };
 	struct member_table *t[TALKERS];
@@ -827,6 +874,7 @@
 	tcase_add_test(c, pause_extends_suspicion);
 	tcase_add_test(c, only_confirmed_members_watch);
 	tcase_add_test(c, table_is_bounded);
+	tcase_add_test(c, other_content_at_the_same_version_is_reported);
 	return c;
 }
 
--- a/tests/unit/member_codec.c
+++ b/tests/unit/member_codec.c
@@ -31,6 +31,7 @@
 	p->message.from = SENDER;
 	p->message.to = RECEIVER;
 	p->message.config_version = 77;
+	p->message.config_digest = 78;
 	p->message.reading = 6;
 	p->message.reading_age = 1500;
 	return p;
@@ -292,14 +293,14 @@
 	{ 7, 0 }, /* sender id 0 */
 	{ 19, 10 }, /* unknown kind */
 	{ 37, 1 }, /* port over 65535 */
-	{ 59, 4 }, /* unknown view state */
-	{ 71, 2 }, /* more updates than follow */
-	{ 70, 1 }, /* more than MEMBER_UPDATES_MAX updates */
-	{ 75, 1 }, /* more wants than follow */
-	{ 83, 0 }, /* member id 0 in an update */
-	{ 87, 4 }, /* unknown state in an update */
-	{ 86, 2 }, /* unknown flag */
-	{ 86, 1 }, /* info flag, but no info follows */
+	{ 67, 4 }, /* unknown view state */
+	{ 79, 2 }, /* more updates than follow */
+	{ 78, 1 }, /* more than MEMBER_UPDATES_MAX updates */
+	{ 83, 1 }, /* more wants than follow */
+	{ 91, 0 }, /* member id 0 in an update */
+	{ 95, 4 }, /* unknown state in an update */
+	{ 94, 2 }, /* unknown flag */
+	{ 94, 1 }, /* info flag, but no info follows */
 };
 
 START_TEST(malformed_messages_are_rejected)
@@ -312,7 +313,7 @@
 	m->nupdate = 1;
 	m->update[0].info.id = 5;
 	n = member_message_encode(m, buf, sizeof buf);
-	ck_assert_uint_eq(n, 96);
+	ck_assert_uint_eq(n, 104);
 	ck_assert_uint_eq(member_message_decode(m, buf, n), n);
 	buf[bad_bytes[_i].offset] = bad_bytes[_i].byte;
 	ck_assert_uint_eq(member_message_decode(m, buf, n), 0);
--- a/tests/unit/member_join.c
+++ b/tests/unit/member_join.c
@@ -150,7 +150,7 @@
 {
 	static const struct member_limits limits = MEMBER_LIMITS_DEFAULT;
 	static const struct member_ops ops = { on_send, on_event, on_behind,
-		NULL };
+		NULL, NULL };
 	struct member_info info = { .id = SELF };
 	struct member_address seed = { .ip = SEED };
 	struct member_message *pull = g_new0(struct member_message, 1);
