--- a/tests/fake/platform/fault.c
+++ b/tests/fake/platform/fault.c
@@ -48,6 +48,13 @@
 		users_abort_watches(p);
 		return SOUP_STATUS_OK;
 	}
+	if (g_str_equal(m, "stale")) {
+		const char *at = g_hash_table_lookup(query, "at");
+
+		p->stale_ms = (int)query_number(query, "ms", 0);
+		p->stale_names_now = at && g_str_equal(at, "now");
+		return SOUP_STATUS_OK;
+	}
 	if (g_str_equal(m, "turn-away")) {
 		set_turn_away(p, g_hash_table_lookup(query, "how"));
 		return SOUP_STATUS_OK;
--- a/tests/fake/platform/platform.h
+++ b/tests/fake/platform/platform.h
@@ -10,7 +10,8 @@
 /**
  * DOC: Stand-in for the platform's object API.
  *
- * store.c keeps the objects and the latest events, rate.c counts API calls and
+ * store.c keeps the objects and the latest events, past.c what they were some
+ * seconds ago, rate.c counts API calls and
  * limits their rate, watch.c keeps pending watches (long polls), fault.c sets
  * the faults that tests ask for. serve.c is the HTTP server with the product's
  * own object API; users.c has the object API of the users' platform, which
@@ -37,6 +38,20 @@
 	uint64_t version;
 };
 
+/**
+ * struct change - what a write has replaced
+ * @at: time of the write, io_clock()
+ * @store_version: of the store before it
+ * @value, @version: of the object before it; NULL and 0 if there was none
+ */
+struct change {
+	int64_t at;
+	uint64_t store_version;
+	char *key;
+	char *value;
+	uint64_t version;
+};
+
 /** struct store - objects and the latest events */
 struct store {
 	uint64_t version; /* rises by 1 with each write */
@@ -44,8 +59,14 @@
 	GHashTable *objects; /* key to struct event of its last write */
 	GQueue events; /* struct event, oldest first */
 	uint64_t dropped_version; /* of the newest event discarded */
+	GQueue changes; /* struct change, oldest first */
 };
 
+/** store_event_new(), store_event_free() - an event, or an object as its last
+ * one */
+struct event *
+store_event_new(const char *key, const char *value, uint64_t version);
+void store_event_free(void *);
 void store_init(struct store *);
 const struct event *store_get(const struct store *, const char *key);
 /** store_put() - set an object to @value, or remove it if @value is NULL;
@@ -63,6 +84,15 @@
  * been reached and all later events are still kept */
 int store_covers(const struct store *, uint64_t from);
 
+/** past_note() - keep what a write of @key at @now is about to replace, in a
+ * store that is at @store_version */
+void
+past_note(struct store *, const char *key, uint64_t store_version, int64_t now);
+/** past_view() - fill in an empty store with the objects that there were at a
+ * time; free it with past_clear() */
+void past_view(const struct store *, int64_t at, struct store *past);
+void past_clear(struct store *past);
+
 enum call_kind { CALL_READ, CALL_WRITE, CALL_WATCH, CALL_REFUSED, CALL_KINDS };
 
 /** struct rates - token buckets and counters of the API calls */
@@ -108,6 +138,8 @@
 	enum turn_away turn_away;
 	int turn_away_status;
 	int lose_answers; /* next writes that are done but not answered */
+	int stale_ms; /* age of lists that may be stale */
+	int stale_names_now; /* these name the present version of the store */
 	GList *pending; /* struct pending_watch */
 	int users; /* serves the object API of the users' platform */
 	GList *users_pending; /* struct users_watch */
--- a/tests/fake/platform/store.c
+++ b/tests/fake/platform/store.c
@@ -3,8 +3,10 @@
 #include <string.h>
 #include <yajl/yajl_gen.h>
 
-static void
-event_free(void *p)
+#include "io.h"
+
+void
+store_event_free(void *p)
 {
 	struct event *v = p;
 
@@ -13,8 +15,8 @@
 	g_free(v);
 }
 
-static struct event *
-event_new(const char *key, const char *value, uint64_t version)
+struct event *
+store_event_new(const char *key, const char *value, uint64_t version)
 {
 	struct event *v = g_new0(struct event, 1);
 
@@ -28,9 +30,10 @@
 store_init(struct store *s)
 {
 	memset(s, 0, sizeof *s);
-	s->objects =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, event_free);
+	s->objects = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	    store_event_free);
 	g_queue_init(&s->events);
+	g_queue_init(&s->changes);
 }
 
 const struct event *
@@ -48,7 +51,7 @@
 	g_hash_table_remove(s->objects, key);
 	if (!value)
 		return;
-	o = event_new(key, value, version);
+	o = store_event_new(key, value, version);
 	g_hash_table_insert(s->objects, o->key, o);
 }
 
@@ -57,12 +60,13 @@
 {
 	struct event *old;
 
+	past_note(s, key, s->version, io_clock());
 	s->version++;
-	g_queue_push_tail(&s->events, event_new(key, value, s->version));
+	g_queue_push_tail(&s->events, store_event_new(key, value, s->version));
 	if (g_queue_get_length(&s->events) > EVENTS_MAX) {
 		old = g_queue_pop_head(&s->events);
 		s->dropped_version = old->version;
-		event_free(old);
+		store_event_free(old);
 	}
 	set_object(s, key, value, s->version);
 	return s->version;
@@ -90,11 +94,12 @@
 
 	for (; by && s->events.tail; by--) {
 		v = g_queue_pop_tail(&s->events);
+		past_note(s, v->key, s->version, io_clock());
 		previous = last_event(s, v->key);
 		set_object(s, v->key, previous ? previous->value : NULL,
 		    previous ? previous->version : 0);
 		s->version = v->version - 1;
-		event_free(v);
+		store_event_free(v);
 	}
 }
 
--- a/tests/fake/platform/users.c
+++ b/tests/fake/platform/users.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "io.h"
 #include "json.h"
 
 /* The object API of the users' platform. A list or a watch covers the objects
@@ -42,14 +43,15 @@
 }
 
 static void
-answer_list(struct platform *p, SoupServerMessage *msg, const char *kind)
+answer_list(const struct store *s, uint64_t at, SoupServerMessage *msg,
+    const char *kind)
 {
 	GString *t = g_string_new("{\"items\":[");
 	GHashTableIter it;
 	gpointer o;
 	int n = 0;
 
-	g_hash_table_iter_init(&it, p->store.objects);
+	g_hash_table_iter_init(&it, s->objects);
 	while (g_hash_table_iter_next(&it, NULL, &o)) {
 		const struct event *v = o;
 
@@ -59,11 +61,24 @@
 		append_object(t, v, v->value);
 	}
 	g_string_append_printf(t,
-	    "],\"has_more\":false,\"at\":%" G_GUINT64_FORMAT "}",
-	    p->store.version);
+	    "],\"has_more\":false,\"at\":%" G_GUINT64_FORMAT "}", at);
 	serve_json(msg, SOUP_STATUS_OK, g_string_free(t, FALSE));
 }
 
+/* A list that may be stale: the objects of some time ago, with the store's
+ * version of then or of now. */
+static void
+answer_stale_list(struct platform *p, SoupServerMessage *msg, const char *kind)
+{
+	struct store past;
+
+	past_view(&p->store, io_clock() - p->stale_ms * INT64_C(1000), &past);
+	answer_list(&past,
+	    p->stale_names_now ? p->store.version : MAX(past.version, 1), msg,
+	    kind);
+	past_clear(&past);
+}
+
 /* JSON answer with the events of a kind after version @from. If there are none,
  * NULL, or an empty answer when @allow_empty. */
 static char *
@@ -324,8 +339,11 @@
 	else if (!strcmp(m, "GET") && from)
 		start_watch(p, msg, part[0], strtoull(from, NULL, 10),
 		    ms ? (unsigned)strtoul(ms, NULL, 10) : 0);
+	else if (!strcmp(m, "GET") && !part[1] && p->stale_ms &&
+		 g_hash_table_lookup(t, "allow_stale"))
+		answer_stale_list(p, msg, part[0]);
 	else if (!strcmp(m, "GET") && !part[1])
-		answer_list(p, msg, part[0]);
+		answer_list(&p->store, p->store.version, msg, part[0]);
 	else if (!strcmp(m, "GET") && store_get(&p->store, key))
 		answer_object(p, msg, SOUP_STATUS_OK, key);
 	else
