Objects of a stale list have no version

Cause: a list that may be stale can name the present version beside objects of some seconds ago. A daemon that started took that version for complete; it and the daemons that heard of it asked nobody for the change, and refused the change itself as not newer than the complete version. Class: a version counts without the content that it names. Now such objects are held at version 0: they serve requests, any object with a version replaces them, the first page from a peer is a full list so that those which were removed go, and they are not passed on. A daemon is ready with them as before, and answers 503 in place of 404 to a path without a route until it holds a version. A stale list that the store leaves unanswered no longer holds back the current one. Ruled out: the highest version among the objects in place of the list's: a list without objects, or with a removal, names none, and after a restore it may show versions of the era before under the new era; no stale lists at all: a daemon would serve 0.7 s later after all started.

--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -180,6 +180,26 @@
 		config_remove_unlisted(t, b->upto, b->kinds);
 }
 
+/* Takes objects of no known version for names that the table has not. */
+static enum config_outcome
+apply_stale_objects(struct config_table *t, const struct config_batch *b)
+{
+	struct config_object o;
+	int i, updated = 0;
+
+	for (i = 0; i < b->nobject && !t->complete; i++) {
+		o = b->object[i];
+		if (o.invalid || o.removed || !object_valid(&o) ||
+		    config_entry_find(t, o.kind, o.name))
+			continue;
+		o.version = 0;
+		config_entry_put(t, &o);
+		t->counts.updated++;
+		updated++;
+	}
+	return updated ? CONFIG_GAP : CONFIG_OLD;
+}
+
 enum config_outcome
 config_apply_batch(struct config_table *t, const struct config_batch *b,
     struct kq_error *e)
@@ -187,6 +207,8 @@
 	enum batch_role role;
 	int i, updated = 0, conflict = 0;
 
+	if (b->stale)
+		return apply_stale_objects(t, b);
 	if (platform_went_back(t, b)) {
 		t->counts.went_back++;
 		kq_error_set(e, KQ_LAYER_CORE, CONFIG_WENT_BACK,
--- a/src/core/config/changes.c
+++ b/src/core/config/changes.c
@@ -33,7 +33,8 @@
 }
 
 /* Fills in everything but the objects. A pull that begins before
- * removals_after gets the first page of a full list. */
+ * removals_after, or with nothing that has a version, gets the first page of a
+ * full list. */
 static void
 begin_page(const struct config_table *t, uint64_t source,
     const struct config_pull *pull, struct config_batch *b)
@@ -42,7 +43,7 @@
 	b->source = source;
 	b->complete = t->complete;
 	b->full = pull->full;
-	if (!pull->full && pull->after < t->removals_after) {
+	if (!pull->full && (!pull->after || pull->after < t->removals_after)) {
 		b->full = 1;
 		return;
 	}
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -48,6 +48,7 @@
  * @reading: a list is in flight beside the watch: another feed has a newer
  *	version, or the watch is being verified
  * @listed: a list has succeeded
+ * @stale_listed: a list that may be stale has
  * @list_next: the last watch failed; list next, since the platform may answer
  *	lists while it does not answer watches
  */
@@ -63,6 +64,7 @@
 	int watching;
 	int reading;
 	int listed;
+	int stale_listed;
 	int list_next;
 	struct io_timer timer;
 };
@@ -256,6 +258,8 @@
 /* Whether the platform has several feeds, each with a complete version of its
  * own. */
 int control_many_feeds(const struct control *);
+/* Whether a configuration is held, if only one that may be stale. */
+int control_has_config(const struct control *);
 /* Whether a watch is in flight. */
 int control_has_open_watch(const struct control *);
 /* Whether this daemon is one of its data centre's watchers. */
--- a/src/daemon/control/operators.c
+++ b/src/daemon/control/operators.c
@@ -181,14 +181,14 @@
 	control_answer(msg, 200, "application/json", g_string_new("{}\n"));
 }
 
-/* Ready for callers: a configuration is in force and this daemon is not
+/* Ready for callers: a configuration is held and this daemon is not
  * stopping. */
 static void
 ready_handler(SoupServer *s, SoupServerMessage *msg, const char *path,
     GHashTable *query, gpointer ctx)
 {
 	struct control *c = ctx;
-	int ready = !c->leaving && config_complete_version(c->config);
+	int ready = !c->leaving && control_has_config(c);
 
 	control_answer(msg, ready ? 200 : 503, "application/json",
 	    g_string_new(ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n"));
--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -69,6 +69,21 @@
 	return c->platform && platform_form(c->platform)->nfeed > 1;
 }
 
+int
+control_has_config(const struct control *c)
+{
+	int i;
+
+	if (config_complete_version(c->config))
+		return 1;
+	if (!control_many_feeds(c))
+		return 0;
+	for (i = 0; i < platform_form(c->platform)->nfeed; i++)
+		if (control_is_watched_feed(c, i) && !c->feed[i].stale_listed)
+			return 0;
+	return 1;
+}
+
 int
 control_has_open_watch(const struct control *c)
 {
@@ -334,16 +349,18 @@
 	struct feed *f = ctx;
 	struct control *c = f->control;
 
-	f->listing = 0;
 	control_note_platform_result(c, r);
-	if (r->status == PLATFORM_OK && r->batch->complete > f->version &&
-	    r->batch->complete > config_complete_version(c->config))
-		control_apply_feed_batch(f, r->batch);
+	if (r->status == PLATFORM_OK) {
+		f->stale_listed = 1;
+		r->batch->stale = 1;
+		control_apply_batch(c, r->batch);
+	}
 	control_watch_platform(c);
 }
 
 /* A stale list lets a daemon serve at once and costs a tenth of a current one.
- * Later changes come from the peers, or from the watchers' own lists. */
+ * The objects of a version come from the peers, or from the watchers' own
+ * lists. */
 static void
 list_all_stale(struct control *c)
 {
@@ -352,7 +369,6 @@
 	for (i = 0; i < platform_form(c->platform)->nfeed; i++) {
 		if (!control_is_watched_feed(c, i))
 			continue;
-		c->feed[i].listing = 1;
 		platform_list(c->platform, i, 1, stale_list_done, &c->feed[i]);
 	}
 }
--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -130,6 +130,12 @@
 	int i;
 
 	i = host ? routing_find(d->view->routing, host, h->path) : ROUTE_NONE;
+	if (i == ROUTE_NONE && !d->view->complete_version) {
+		refuse_request(d, x, h, 503, "no-configuration",
+		    "no confirmed configuration has reached this instance "
+		    "yet\n");
+		return -1;
+	}
 	if (i == ROUTE_NONE) {
 		refuse_request(d, x, h, 404, "no-route",
 		    "no route has this host and path\n");
--- a/src/internal/config.h
+++ b/src/internal/config.h
@@ -16,6 +16,11 @@
  * removed object stays as a tombstone with the version of its removal. Values
  * are text that the table does not interpret.
  *
+ * Objects of a list that may be stale are of no known version: the platform may
+ * name its present version beside objects of some time ago. An empty table
+ * holds them at version 0, below every other, until it gets the objects of a
+ * version. They are not passed on.
+ *
  * A platform that comes back from an older copy gives revisions out again, in a
  * new era (store_form.h). Versions here hold the era above the revision, so
  * that all of a later era are newer than all of an earlier one.
@@ -116,6 +121,8 @@
  * @hold: nonzero for such a list of a store that came back from an older copy:
  *        objects that it lacks may have been written since the copy was made
  * and are kept
+ * @stale: nonzero for objects that may be older than the versions of the batch;
+ *	only a table that is complete to no version takes them
  * @seen: highest version of any entry of the answer of a platform, also of
  *those that are not among the objects
  * @left_out: number of these
@@ -130,6 +137,7 @@
 	int full;
 	uint32_t kinds;
 	int hold;
+	int stale;
 	uint64_t seen;
 	int left_out;
 	uint32_t batch_id;
@@ -206,7 +214,8 @@
  * config_read_page() - fill in a page with the objects after a version
  * @source: incarnation of this daemon
  * @pull: what was asked for; if it begins after a version so old that removals
- *        since then may be missing here, the page is the first of a full list
+ *        since then may be missing here, or after none, the page is the first
+ * of a full list
  * @bytes: limit on the size of versions, names and values; the page always has
  *         all objects of at least one version
  *
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -127,6 +127,57 @@
 }
 END_TEST
 
+/* Applies one object of a list that may be stale and names version 9. */
+static void
+apply_stale(struct config_table *t, struct config_object o)
+{
+	struct config_batch b = { .upto = 9,
+		.complete = 9,
+		.kinds = 1u << CONFIG_SERVICE,
+		.stale = 1,
+		.nobject = 1,
+		.object = &o };
+	struct kq_error e;
+
+	config_apply_batch(t, &b, &e);
+	g_bytes_unref(o.value);
+}
+
+START_TEST(stale_objects_have_no_version)
+{
+	const struct config_pull first = { 0 };
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_table *peer = config_new(NULL, NULL);
+	struct config_batch page;
+	struct kq_error e;
+
+	apply(peer, 0, 0, 5, object("a", 5, "five"));
+	apply(peer, 0, 5, 9, object("a", 9, "nine"));
+	apply_stale(t, object("a", 5, "five"));
+	apply_stale(t, object("gone", 3, "three"));
+	ck_assert_uint_eq(config_complete_version(t), 0);
+	ck_assert_uint_eq(config_digest(t), 0);
+	ck_assert_uint_eq(config_find(t, CONFIG_SERVICE, "a")->version, 0);
+	/* they are not passed on */
+	config_read_page(t, 2, &first, 1000, &page);
+	ck_assert_int_eq(page.nobject, 0);
+	config_batch_clear(&page);
+	/* the first page of a peer replaces them, and removes what it lacks */
+	config_read_page(peer, 2, &first, 1000, &page);
+	ck_assert_int_eq(config_apply_batch(t, &page, &e), CONFIG_APPLIED);
+	config_batch_clear(&page);
+	ck_assert_uint_eq(config_complete_version(t), 9);
+	ck_assert_uint_eq(config_find(t, CONFIG_SERVICE, "a")->version, 9);
+	ck_assert_int_eq(config_find(t, CONFIG_SERVICE, "gone")->removed, 1);
+	ck_assert_uint_eq(config_digest(t), config_digest(peer));
+	/* a late one is ignored */
+	apply_stale(t, object("late", 9, "x"));
+	ck_assert_ptr_null(config_find(t, CONFIG_SERVICE, "late"));
+	config_free(t);
+	config_free(peer);
+}
+END_TEST
+
 START_TEST(digest_tells_what_is_held)
 {
 	struct config_table *t = config_new(NULL, NULL);
@@ -478,6 +529,7 @@
 	tcase_add_test(c, versions_only_increase);
 	tcase_add_test(c, removal_has_a_version);
 	tcase_add_test(c, lower_platform_version_is_rejected);
+	tcase_add_test(c, stale_objects_have_no_version);
 	tcase_add_test(c, digest_tells_what_is_held);
 	tcase_add_test(c, full_list_removes_missing_objects);
 	tcase_add_test(c, invalid_objects_are_counted);
