Members that ask a daemon which has listed get a full list

Cause: a list of the objects of some kinds raises the complete version, but the table that took it has no tombstones of what was removed before. It answered a member that was behind with the changes alone, so that the member took the version without the removal. docs/MEMBERSHIP.md said that it gets a full list; only lists of all kinds did so. Class: a version counts without the content that it names. Now a list that covers more than one change since the complete version makes the table answer earlier versions with a full list. One change alone is either an object or a removal that the table has. Evidence: unit-config list_does_not_hide_removals_from_members fails without the change. Ruled out: a full list after each list: evacuations would send the routes to all daemons again.

--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -171,9 +171,13 @@
 	return updated > 0 ? CONFIG_GAP : CONFIG_OLD;
 }
 
+/* Several changes since the complete version may include the removal of an
+ * object that this table never had, and that a member still has. */
 static void
 finish_list(struct config_table *t, const struct config_batch *b)
 {
+	if (b->upto > t->complete + 1)
+		t->removals_after = MAX(t->removals_after, b->upto);
 	if (b->hold)
 		config_keep_unlisted(t, b->upto, b->kinds);
 	else
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -178,6 +178,54 @@
 }
 END_TEST
 
+/* Applies a current list of the services from the platform. */
+static void
+apply_list(struct config_table *t, uint64_t version, struct config_object *o,
+    int n)
+{
+	struct config_batch b = { .upto = version,
+		.kinds = 1u << CONFIG_SERVICE,
+		.nobject = n,
+		.object = o };
+	struct config_batch advance = { .after = config_complete_version(t),
+		.upto = version,
+		.complete = version };
+	struct kq_error e;
+	int i;
+
+	config_apply_batch(t, &b, &e);
+	config_apply_batch(t, &advance, &e);
+	for (i = 0; i < n; i++)
+		g_bytes_unref(o[i].value);
+}
+
+/* Guards against a member that keeps an object which was removed before its
+ * source began. */
+START_TEST(list_does_not_hide_removals_from_members)
+{
+	const struct config_pull from_20 = { .after = 20 };
+	struct config_table *source = config_new(NULL, NULL);
+	struct config_table *behind = config_new(NULL, NULL);
+	struct config_object o = object("a", 5, "a");
+	struct config_batch page;
+	struct kq_error e;
+
+	apply(behind, 0, 0, 5, object("a", 5, "a"));
+	apply(behind, 0, 5, 20, object("removed at 25", 20, "x"));
+	apply_list(source, 30, &o, 1);
+	config_read_page(source, 2, &from_20, 1000, &page);
+	config_apply_batch(behind, &page, &e);
+	config_batch_clear(&page);
+	ck_assert_uint_eq(config_complete_version(behind), 30);
+	ck_assert_int_eq(config_find(behind, CONFIG_SERVICE, "removed at 25")
+			     ->removed,
+	    1);
+	ck_assert_uint_eq(config_digest(behind), config_digest(source));
+	config_free(source);
+	config_free(behind);
+}
+END_TEST
+
 START_TEST(digest_tells_what_is_held)
 {
 	struct config_table *t = config_new(NULL, NULL);
@@ -530,6 +578,7 @@
 	tcase_add_test(c, removal_has_a_version);
 	tcase_add_test(c, lower_platform_version_is_rejected);
 	tcase_add_test(c, stale_objects_have_no_version);
+	tcase_add_test(c, list_does_not_hide_removals_from_members);
 	tcase_add_test(c, digest_tells_what_is_held);
 	tcase_add_test(c, full_list_removes_missing_objects);
 	tcase_add_test(c, invalid_objects_are_counted);
