A current list brings what the complete version lacks

Cause: an object at or below the complete version was taken for a removed one, also where a list that names a version as high shows it. Class: a version counts without the content that it names. Now a list at the complete version or above it is taken for what it shows. Lists of an older version, events and pages of members are not. Evidence: unit-config list_brings_what_the_complete_version_lacks fails without the change.

--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -44,10 +44,18 @@
 	       o->serial > has->serial;
 }
 
-/* Takes one object if it is newer. Returns 1 if it was, 0 if not, -1 if it
- * differs from the one in the table at the same version. */
+/* Whether a list shows all objects of its kinds as they are now. */
 static int
-apply_object(struct config_table *t, const struct config_object *o)
+is_current_list(const struct config_table *t, const struct config_batch *b)
+{
+	return b->kinds && b->upto >= t->complete;
+}
+
+/* Takes one object if it is newer; @current if it is in a current list. Returns
+ * 1 if it was, 0 if not, -1 if it differs from the one in the table at the same
+ * version. */
+static int
+apply_object(struct config_table *t, const struct config_object *o, int current)
 {
 	const struct config_entry *n = config_entry_find(t, o->kind, o->name);
 	struct config_object later = *o;
@@ -71,8 +79,8 @@
 	}
 	/* An object at or below the complete version can't be new: if the table
 	 * lacks it, it was removed, perhaps between two lists without its
-	 * tombstone being received. */
-	if (o->version <= t->complete ||
+	 * tombstone being received. A current list shows that it was not. */
+	if ((o->version <= t->complete && !current) ||
 	    (n && o->version <= n->object.version)) {
 		t->counts.old++;
 		return 0;
@@ -210,6 +218,7 @@
 {
 	enum batch_role role;
 	int i, updated = 0, conflict = 0;
+	int current = is_current_list(t, b);
 
 	if (b->stale)
 		return apply_stale_objects(t, b);
@@ -234,7 +243,7 @@
 				mark_listed(t, o);
 			continue;
 		}
-		r = apply_object(t, o);
+		r = apply_object(t, o, current);
 		updated += r > 0;
 		if (r < 0 && !conflict) {
 			conflict = 1;
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -226,6 +226,28 @@
 }
 END_TEST
 
+/* Guards against a table that stays without an object which its complete
+ * version names, although each list has it. */
+START_TEST(list_brings_what_the_complete_version_lacks)
+{
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_object o[2];
+
+	apply(t, 0, 0, 9, object("a", 5, "five"));
+	ck_assert_uint_eq(config_complete_version(t), 9);
+	o[0] = object("a", 8, "eight");
+	o[1] = object("b", 7, "seven");
+	apply_list(t, 9, o, 2);
+	ck_assert_uint_eq(config_find(t, CONFIG_SERVICE, "a")->version, 8);
+	ck_assert_ptr_nonnull(config_find(t, CONFIG_SERVICE, "b"));
+	/* not one of an older version */
+	o[0] = object("c", 6, "six");
+	apply_list(t, 8, o, 1);
+	ck_assert_ptr_null(config_find(t, CONFIG_SERVICE, "c"));
+	config_free(t);
+}
+END_TEST
+
 START_TEST(digest_tells_what_is_held)
 {
 	struct config_table *t = config_new(NULL, NULL);
@@ -579,6 +601,7 @@
 	tcase_add_test(c, lower_platform_version_is_rejected);
 	tcase_add_test(c, stale_objects_have_no_version);
 	tcase_add_test(c, list_does_not_hide_removals_from_members);
+	tcase_add_test(c, list_brings_what_the_complete_version_lacks);
 	tcase_add_test(c, digest_tells_what_is_held);
 	tcase_add_test(c, full_list_removes_missing_objects);
 	tcase_add_test(c, invalid_objects_are_counted);
