The own address is looked for in a current list

After a restore of the store a daemon's address could stay lost, so that daemons which start later don't find it. Cause: a daemon looks for its address 4 to 8 s after the restore in a list that may be stale; its answer bears the new era, but may show the objects of before the restore, so that the era counted as seen. Class: a number, here the era, counts without the content that it names. Now each list but the first, which is for meeting the others, is a current one. Cost: the watchers list addresses every 20 to 25 s; a current list costs ten times a stale one.

--- a/src/daemon/control/seeds.c
+++ b/src/daemon/control/seeds.c
@@ -207,7 +207,7 @@
 		    now + LIST_PERIOD_US);
 		return;
 	}
-	list_seeds(c, c->seeds_listed);
+	list_seeds(c, 0);
 }
 
 static void
