Daemons that differ at one version list the store

A difference was only logged, and a daemon that found what it lacked kept that to itself, since its version did not rise. Now each of them lists the watched feeds within a second, once a version; a current list brings what the complete version lacks. Ruled out: a pull from the member that differs: it may be the one that lacks something.

--- a/src/daemon/control/control.c
+++ b/src/daemon/control/control.c
@@ -327,6 +327,7 @@
 	control_stop_health_check(c);
 	io_timer_clear(loop, &c->start_timer);
 	io_timer_clear(loop, &c->reading_timer);
+	io_timer_clear(loop, &c->reread_timer);
 	for (i = 0; i < STORE_FEEDS_MAX; i++)
 		io_timer_clear(loop, &c->feed[i].timer);
 	io_timer_clear(loop, &c->register_timer);
--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -134,6 +134,7 @@
 	int64_t started; /* time of control_platform_start() */
 	struct io_timer start_timer;
 	struct io_timer reading_timer;
+	struct io_timer reread_timer;
 	struct reader reader;
 	struct io_timer register_timer;
 	struct io_timer seeds_timer;
@@ -285,6 +286,9 @@
 int control_apply_feed_batch(struct feed *, struct config_batch *);
 /* Starts to list the watched feeds whenever it is this daemon's turn. */
 void control_start_reading(struct control *);
+/* Lists the watched feeds soon, to find what this daemon or a member of the
+ * same version lacks. */
+void control_reread(struct control *);
 /* Notes that a feed was listed now, by a request sent at @sent_at. */
 void control_note_reading(struct feed *, int64_t sent_at);
 /* Lists the watched feeds that are behind @ahead. The version of a change is
--- a/src/daemon/control/reading.c
+++ b/src/daemon/control/reading.c
@@ -1,6 +1,8 @@
 #include "daemon/control/impl.h"
 
 #define CHECK_PERIOD_US 250000 /* longest time between two checks */
+/* For which the daemons that differ spread their lists. */
+#define REREAD_SPREAD_US 1000000
 
 /* The time of a reading is that of the oldest list of a watched feed. */
 void
@@ -99,6 +101,26 @@
 			read_feed(&c->feed[i]);
 }
 
+static void
+reread_due(void *ctx, int64_t now)
+{
+	struct control *c = ctx;
+
+	if (!c->leaving)
+		read_feeds(c);
+}
+
+void
+control_reread(struct control *c)
+{
+	if (!control_many_feeds(c) || c->reread_timer.pos)
+		return;
+	c->reread_timer.fire = reread_due;
+	c->reread_timer.ctx = c;
+	io_timer_set(c->task.loop, &c->reread_timer,
+	    control_now(c) + rng_below(&c->rng, REREAD_SPREAD_US));
+}
+
 /* A watch can stop delivering changes without an error, and the platform can
  * turn away all watchers. So the watched feeds are also listed, by one daemon
  * of the fleet at a time. */
--- a/tests/fake/platform/fault.c
+++ b/tests/fake/platform/fault.c
@@ -53,6 +53,7 @@
 
 		p->stale_ms = (int)query_number(query, "ms", 0);
 		p->stale_names_now = at && g_str_equal(at, "now");
+		p->stale_all = (int)query_number(query, "all", 0);
 		return SOUP_STATUS_OK;
 	}
 	if (g_str_equal(m, "turn-away")) {
--- a/tests/fake/platform/platform.h
+++ b/tests/fake/platform/platform.h
@@ -140,6 +140,7 @@
 	int lose_answers; /* next writes that are done but not answered */
 	int stale_ms; /* age of lists that may be stale */
 	int stale_names_now; /* these name the present version of the store */
+	int stale_all; /* lists that may not be stale are, too */
 	GList *pending; /* struct pending_watch */
 	int users; /* serves the object API of the users' platform */
 	GList *users_pending; /* struct users_watch */
--- a/tests/fake/platform/users.c
+++ b/tests/fake/platform/users.c
@@ -340,7 +340,7 @@
 		start_watch(p, msg, part[0], strtoull(from, NULL, 10),
 		    ms ? (unsigned)strtoul(ms, NULL, 10) : 0);
 	else if (!strcmp(m, "GET") && !part[1] && p->stale_ms &&
-		 g_hash_table_lookup(t, "allow_stale"))
+		 (p->stale_all || g_hash_table_lookup(t, "allow_stale")))
 		answer_stale_list(p, msg, part[0]);
 	else if (!strcmp(m, "GET") && !part[1])
 		answer_list(&p->store, p->store.version, msg, part[0]);
