--- a/tests/fake/platform/fault.c
+++ b/tests/fake/platform/fault.c
@@ -36,6 +36,19 @@
 		p->lose_answers = (int)query_number(query, "count", 1);
 		return SOUP_STATUS_OK;
 	}
+	if (g_str_equal(m, "late-write")) {
+		p->late_writes = (int)query_number(query, "count", 1);
+		p->late_ms = (int)query_number(query, "ms", 3000);
+		return SOUP_STATUS_OK;
+	}
+	if (g_str_equal(m, "pages")) {
+		p->page_objects = (int)query_number(query, "objects", 0);
+		return SOUP_STATUS_OK;
+	}
+	if (g_str_equal(m, "cut-history")) {
+		store_forget_events(&p->store);
+		return SOUP_STATUS_OK;
+	}
 	if (g_str_equal(m, "version-back")) {
 		store_rollback(&p->store,
 		    (uint64_t)query_number(query, "by", 1));
--- a/tests/fake/platform/platform.h
+++ b/tests/fake/platform/platform.h
@@ -80,6 +80,8 @@
 /** store_events() - JSON answer to a watch: events after version @from and, if
  * @replay is nonzero, the oldest REPLAY_MAX kept; free with g_free() */
 char *store_events(const struct store *, uint64_t from, int replay);
+/** store_forget_events() - discard the history up to now */
+void store_forget_events(struct store *);
 /** store_covers() - nonzero if a watch may start after version @from: @from has
  * been reached and all later events are still kept */
 int store_covers(const struct store *, uint64_t from);
@@ -138,6 +140,10 @@
 	enum turn_away turn_away;
 	int turn_away_status;
 	int lose_answers; /* next writes that are done but not answered */
+	int late_writes; /* next writes that are done late_ms later, unanswered
+			  */
+	int late_ms;
+	int page_objects; /* most in a page of a list, 0 for no limit */
 	int stale_ms; /* age of lists that may be stale */
 	int stale_names_now; /* these name the present version of the store */
 	int stale_all; /* lists that may not be stale are, too */
--- a/tests/fake/platform/serve.c
+++ b/tests/fake/platform/serve.c
@@ -181,6 +181,43 @@
 		    SOUP_STATUS_METHOD_NOT_ALLOWED, NULL);
 }
 
+/** struct late_write - a write that is done later, without an answer */
+struct late_write {
+	struct platform *platform;
+	SoupServerMessage *msg;
+};
+
+static gboolean
+write_late(void *ctx)
+{
+	struct late_write *w = ctx;
+
+	users_serve(w->platform, w->msg,
+	    g_uri_get_path(soup_server_message_get_uri(w->msg)));
+	serve_abort(w->msg);
+	soup_server_message_unpause(w->msg);
+	g_object_unref(w->msg);
+	g_free(w);
+	return G_SOURCE_REMOVE;
+}
+
+/* Takes a write that is to be late; 0 if it is not. */
+static int
+take_late_write(struct platform *p, SoupServerMessage *msg)
+{
+	struct late_write *w;
+
+	if (p->late_writes <= 0)
+		return 0;
+	p->late_writes--;
+	w = g_new0(struct late_write, 1);
+	w->platform = p;
+	w->msg = g_object_ref(msg);
+	soup_server_message_pause(msg);
+	g_timeout_add((guint)p->late_ms, write_late, w);
+	return 1;
+}
+
 static void
 serve_users_api(struct platform *p, SoupServerMessage *msg, const char *path)
 {
@@ -193,11 +230,11 @@
 	if (!rates_take(&p->rates, k, io_clock()))
 		soup_server_message_set_status(msg, STATUS_TOO_MANY_REQUESTS,
 		    NULL);
-	else if (g_str_has_prefix(path, OBJECTS "/"))
-		users_serve(p, msg, path);
-	else
+	else if (!g_str_has_prefix(path, OBJECTS "/"))
 		soup_server_message_set_status(msg, SOUP_STATUS_NOT_FOUND,
 		    NULL);
+	else if (k != CALL_WRITE || !take_late_write(p, msg))
+		users_serve(p, msg, path);
 }
 
 int
--- a/tests/fake/platform/store.c
+++ b/tests/fake/platform/store.c
@@ -103,6 +103,13 @@
 	}
 }
 
+void
+store_forget_events(struct store *s)
+{
+	g_queue_clear_full(&s->events, store_event_free);
+	s->dropped_version = s->version;
+}
+
 int
 store_covers(const struct store *s, uint64_t from)
 {
--- a/tests/fake/platform/users.c
+++ b/tests/fake/platform/users.c
@@ -42,43 +42,95 @@
 	return !strncmp(v->key, kind, n) && v->key[n] == '/';
 }
 
-static void
-answer_list(const struct store *s, uint64_t at, SoupServerMessage *msg,
-    const char *kind)
+static int
+compare_keys(const void *a, const void *b)
 {
-	GString *t = g_string_new("{\"items\":[");
+	const struct event *const *x = a, *const *y = b;
+
+	return strcmp((*x)->key, (*y)->key);
+}
+
+/* The objects of a kind whose names come after one, NULL for all, by name. */
+static GPtrArray *
+objects_after(const struct store *s, const char *kind, const char *after)
+{
+	GPtrArray *list = g_ptr_array_new();
 	GHashTableIter it;
 	gpointer o;
-	int n = 0;
 
 	g_hash_table_iter_init(&it, s->objects);
 	while (g_hash_table_iter_next(&it, NULL, &o)) {
 		const struct event *v = o;
 
-		if (!has_kind(v, kind))
-			continue;
-		g_string_append(t, n++ ? "," : "");
+		if (has_kind(v, kind) &&
+		    (!after || strcmp(strchr(v->key, '/') + 1, after) > 0))
+			g_ptr_array_add(list, o);
+	}
+	g_ptr_array_sort(list, compare_keys);
+	return list;
+}
+
+/** struct list_query - a list that was asked for
+ * @after: name after which it begins, or NULL
+ * @most: objects in a page, 0 for no limit
+ * @at: version that the answer names */
+struct list_query {
+	const char *kind;
+	const char *after;
+	guint most;
+	uint64_t at;
+};
+
+static void
+answer_list(const struct store *s, SoupServerMessage *msg,
+    const struct list_query *q)
+{
+	GPtrArray *list = objects_after(s, q->kind, q->after);
+	guint i, n = q->most ? MIN(list->len, q->most) : list->len;
+	GString *t = g_string_new("{\"items\":[");
+
+	for (i = 0; i < n; i++) {
+		const struct event *v = g_ptr_array_index(list, i);
+
+		g_string_append(t, i ? "," : "");
 		append_object(t, v, v->value);
 	}
 	g_string_append_printf(t,
-	    "],\"has_more\":false,\"at\":%" G_GUINT64_FORMAT "}", at);
+	    "],\"has_more\":%s,\"at\":%" G_GUINT64_FORMAT "}",
+	    n < list->len ? "true" : "false", q->at);
+	g_ptr_array_free(list, TRUE);
 	serve_json(msg, SOUP_STATUS_OK, g_string_free(t, FALSE));
 }
 
 /* A list that may be stale: the objects of some time ago, with the store's
  * version of then or of now. */
 static void
-answer_stale_list(struct platform *p, SoupServerMessage *msg, const char *kind)
+answer_stale_list(struct platform *p, SoupServerMessage *msg,
+    struct list_query *q)
 {
 	struct store past;
 
 	past_view(&p->store, io_clock() - p->stale_ms * INT64_C(1000), &past);
-	answer_list(&past,
-	    p->stale_names_now ? p->store.version : MAX(past.version, 1), msg,
-	    kind);
+	if (!p->stale_names_now)
+		q->at = MAX(past.version, 1);
+	answer_list(&past, msg, q);
 	past_clear(&past);
 }
 
+static void
+serve_list(struct platform *p, SoupServerMessage *msg, const char *kind,
+    GHashTable *query)
+{
+	struct list_query q = { kind, g_hash_table_lookup(query, "after"),
+		(guint)p->page_objects, p->store.version };
+
+	if (p->stale_ms &&
+	    (p->stale_all || g_hash_table_lookup(query, "allow_stale")))
+		answer_stale_list(p, msg, &q);
+	else
+		answer_list(&p->store, msg, &q);
+}
+
 /* JSON answer with the events of a kind after version @from. If there are none,
  * NULL, or an empty answer when @allow_empty. */
 static char *
@@ -339,11 +391,8 @@
 	else if (!strcmp(m, "GET") && from)
 		start_watch(p, msg, part[0], strtoull(from, NULL, 10),
 		    ms ? (unsigned)strtoul(ms, NULL, 10) : 0);
-	else if (!strcmp(m, "GET") && !part[1] && p->stale_ms &&
-		 (p->stale_all || g_hash_table_lookup(t, "allow_stale")))
-		answer_stale_list(p, msg, part[0]);
 	else if (!strcmp(m, "GET") && !part[1])
-		answer_list(&p->store, p->store.version, msg, part[0]);
+		serve_list(p, msg, part[0], t);
 	else if (!strcmp(m, "GET") && store_get(&p->store, key))
 		answer_object(p, msg, SOUP_STATUS_OK, key);
 	else
