A list between two pages removes nothing of the first

A daemon that pulls a full list of several pages while it lists the store itself (a watcher or reader that starts, or is behind, with routes above 64 kB) could take an evacuation for removed. Cause: lists of the store and pages of members shared one number by which the objects that are not named are found. A list between two pages raised it, so that the last page removed all objects of the first that the list doesn't cover, and raised the complete version. Class: a version counts without the content that it names; the full lists to members make it more frequent. Now each has a number of its own. Evidence: unit-config list_between_pages_removes_nothing fails without the change in src, passes with it; the 40 random runs of unit-config pass. Ruled out: ending the transfer when a list comes: a large configuration would be pulled again.

--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -90,16 +90,21 @@
 	return 1;
 }
 
-/* Records that the current list names the object. Does nothing if the table has
+/* Records that the list or page names the object. Does nothing if the table has
  * a newer version: an older tombstone in a list does not say whether the list
  * has that version. */
 static void
-mark_listed(struct config_table *t, const struct config_object *o)
+mark_listed(struct config_table *t, const struct config_object *o,
+    uint32_t kinds)
 {
 	struct config_entry *n = config_entry_find(t, o->kind, o->name);
 
-	if (n && o->version >= n->object.version)
+	if (!n || o->version < n->object.version)
+		return;
+	if (kinds)
 		n->listed_in = t->list_number;
+	else
+		n->paged_in = t->batch_number;
 }
 
 static enum batch_role
@@ -127,7 +132,7 @@
 
 	c->active = 0;
 	if (c->full) {
-		config_remove_unlisted(t, c->complete, CONFIG_KINDS_ALL);
+		config_remove_unlisted(t, c->complete, 0);
 		t->removals_after = MAX(t->removals_after, c->complete);
 	}
 	t->complete = MAX(t->complete, c->complete);
@@ -231,8 +236,8 @@
 		return CONFIG_WENT_BACK;
 	}
 	role = b->kinds ? ROLE_OBJECTS : classify_batch(t, b);
-	if (role == ROLE_FIRST || b->kinds)
-		t->list_number++;
+	t->batch_number += role == ROLE_FIRST;
+	t->list_number += b->kinds != 0;
 	for (i = 0; i < b->nobject; i++) {
 		const struct config_object *o = &b->object[i];
 		int r;
@@ -240,7 +245,7 @@
 		if (o->invalid || !object_valid(o)) {
 			t->counts.invalid++;
 			if (o->invalid && (role != ROLE_OBJECTS || b->kinds))
-				mark_listed(t, o);
+				mark_listed(t, o, b->kinds);
 			continue;
 		}
 		r = apply_object(t, o, current);
@@ -253,7 +258,7 @@
 			    config_kind_name(o->kind), o->name, o->version);
 		}
 		if (role != ROLE_OBJECTS || b->kinds)
-			mark_listed(t, o);
+			mark_listed(t, o, b->kinds);
 	}
 	if (b->kinds)
 		finish_list(t, b);
--- a/src/core/config/table.c
+++ b/src/core/config/table.c
@@ -95,6 +95,7 @@
 	n->object.version = o->version;
 	n->object.serial = o->removed ? 0 : o->serial;
 	n->listed_in = 0;
+	n->paged_in = 0;
 	t->digest -= n->digest;
 	n->digest = config_object_digest(&n->object);
 	t->digest += n->digest;
--- a/src/core/config/table_impl.h
+++ b/src/core/config/table_impl.h
@@ -6,14 +6,16 @@
 /**
  * struct config_entry - object in the table
  * @position: of the entry in the table's @by_version
- * @listed_in: the table's @list_number when a page last named the object; 0 if
- *             none did since it changed
+ * @listed_in: the table's @list_number when a list of some kinds last named the
+ *             object; 0 if none did since it changed
+ * @paged_in: the same of @batch_number and the pages of a batch
  * @digest: of the object, 0 for a tombstone
  */
 struct config_entry {
 	struct config_object object;
 	GSequenceIter *position;
 	uint64_t listed_in;
+	uint64_t paged_in;
 	uint64_t digest;
 };
 
@@ -41,8 +43,9 @@
  * @by_version: entries in order of config_entry_compare(); owns them
  * @complete: version up to which no change is missing
  * @removals_after: tombstones of removals up to this version may be missing
- * @list_number: number of the list that is being taken, raised at the first
- *               page of each batch and by each list of only some kinds
+ * @list_number: number of the last list of only some kinds
+ * @batch_number: number of the last batch of which a page was taken; lists may
+ *                come between its pages
  * @ntombstone: tombstones in the table
  * @digest: sum of the digests of all objects
  */
@@ -52,6 +55,7 @@
 	uint64_t complete;
 	uint64_t removals_after;
 	uint64_t list_number;
+	uint64_t batch_number;
 	int ntombstone;
 	uint64_t digest;
 	struct config_transfer transfer;
@@ -75,14 +79,12 @@
 /** config_trim_tombstones() - remove the oldest tombstones if there are more
  * than CONFIG_TOMBSTONES_MAX */
 void config_trim_tombstones(struct config_table *);
-#define CONFIG_KINDS_ALL UINT32_MAX
 /** config_keep_object() - raise the version of an object that stays as it is */
 void config_keep_object(struct config_table *, const struct config_entry *,
     uint64_t version);
 /** config_remove_unlisted() - replace by tombstones at @version all objects
- * below that version, of the kinds whose bit is set, that no page has named
- * since
- * @list_number was raised */
+ * below that version that were not named: of the kinds whose bit is set, by the
+ * last list; of all kinds, by the last batch, if @kinds is 0 */
 void
 config_remove_unlisted(struct config_table *, uint64_t version, uint32_t kinds);
 /** config_keep_unlisted() - raise the versions of the same objects to @version
--- a/src/core/config/tombstone.c
+++ b/src/core/config/tombstone.c
@@ -29,8 +29,16 @@
 	}
 }
 
-/* Objects of some kinds, older than @version, that the last list did not name.
- */
+static int
+is_listed(const struct config_table *t, const struct config_entry *n,
+    uint32_t kinds)
+{
+	return kinds ? n->listed_in == t->list_number
+		     : n->paged_in == t->batch_number;
+}
+
+/* Objects older than @version that the last list of some kinds, or the last
+ * batch if @kinds is 0, did not name. */
 static GPtrArray *
 find_unlisted(struct config_table *t, uint64_t version, uint32_t kinds)
 {
@@ -42,8 +50,8 @@
 	while (g_hash_table_iter_next(&i, NULL, &p)) {
 		const struct config_entry *n = p;
 
-		if (kinds >> n->object.kind & 1 && !n->object.removed &&
-		    n->listed_in != t->list_number &&
+		if ((!kinds || kinds >> n->object.kind & 1) &&
+		    !n->object.removed && !is_listed(t, n, kinds) &&
 		    n->object.version < version)
 			g_ptr_array_add(unlisted, p);
 	}
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -248,6 +248,42 @@
 }
 END_TEST
 
+/* Guards against a full list of several pages that removes the objects of its
+ * first page. */
+START_TEST(list_between_pages_removes_nothing)
+{
+	const struct config_pull first = { 0 };
+	struct config_table *source = config_new(NULL, NULL);
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_object o = object("x", 2, "x");
+	struct config_batch b = { .upto = 2,
+		.kinds = 1u << CONFIG_ROUTING,
+		.nobject = 1,
+		.object = &o };
+	struct config_batch page;
+	struct config_pull next;
+	struct kq_error e;
+
+	apply(source, 0, 0, 1, object("a", 1, "a"));
+	apply(source, 0, 1, 9, object("b", 9, "b"));
+	config_read_page(source, 7, &first, 1, &page);
+	ck_assert_int_eq(page.more, 1);
+	config_apply_batch(t, &page, &e);
+	config_batch_clear(&page);
+	o.kind = CONFIG_ROUTING;
+	config_apply_batch(t, &b, &e);
+	g_bytes_unref(o.value);
+	config_next_pull(t, 7, &next);
+	config_read_page(source, 7, &next, 1, &page);
+	ck_assert_int_eq(config_apply_batch(t, &page, &e), CONFIG_APPLIED);
+	config_batch_clear(&page);
+	ck_assert_uint_eq(config_complete_version(t), 9);
+	ck_assert_int_eq(config_find(t, CONFIG_SERVICE, "a")->removed, 0);
+	config_free(source);
+	config_free(t);
+}
+END_TEST
+
 START_TEST(digest_tells_what_is_held)
 {
 	struct config_table *t = config_new(NULL, NULL);
@@ -602,6 +638,7 @@
 	tcase_add_test(c, stale_objects_have_no_version);
 	tcase_add_test(c, list_does_not_hide_removals_from_members);
 	tcase_add_test(c, list_brings_what_the_complete_version_lacks);
+	tcase_add_test(c, list_between_pages_removes_nothing);
 	tcase_add_test(c, digest_tells_what_is_held);
 	tcase_add_test(c, full_list_removes_missing_objects);
 	tcase_add_test(c, invalid_objects_are_counted);
