A current list undoes a removal that it disproves

Cause: a member that lacks an object at its version answers a pull with a full list, and the table that takes it holds a tombstone at that version. The object of a current list is older than the tombstone, and was refused as such: 404, or work for a data centre that is out, until the next change. Class: a version counts without the content that it names. Now a current list takes an object in place of a tombstone that isn't newer than the list. Evidence: unit-config list_undoes_the_removal_of_what_it_shows fails without the change in src, passes with it; unit-restored passes. Ruled out: an object that isn't removed, of a version above that of the list's object: after a restore it is held on purpose.

--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -44,18 +44,29 @@
 	       o->serial > has->serial;
 }
 
-/* Whether a list shows all objects of its kinds as they are now. */
+/* Version of a list that shows all objects of its kinds as they are now; 0 for
+ * any other batch. */
+static uint64_t
+current_list_version(const struct config_table *t, const struct config_batch *b)
+{
+	return b->kinds && b->upto >= t->complete ? b->upto : 0;
+}
+
+/* Whether a list of version @listed shows an object that the table takes for
+ * removed since a member lacked it. */
 static int
-is_current_list(const struct config_table *t, const struct config_batch *b)
+disproves_removal(const struct config_object *has,
+    const struct config_object *o, uint64_t listed)
 {
-	return b->kinds && b->upto >= t->complete;
+	return has->removed && !o->removed && has->version <= listed;
 }
 
-/* Takes one object if it is newer; @current if it is in a current list. Returns
- * 1 if it was, 0 if not, -1 if it differs from the one in the table at the same
- * version. */
+/* Takes one object if it is newer; @current is the version of a current list
+ * that it is in, or 0. Returns 1 if it was, 0 if not, -1 if it differs from the
+ * one in the table at the same version. */
 static int
-apply_object(struct config_table *t, const struct config_object *o, int current)
+apply_object(struct config_table *t, const struct config_object *o,
+    uint64_t current)
 {
 	const struct config_entry *n = config_entry_find(t, o->kind, o->name);
 	struct config_object later = *o;
@@ -72,6 +83,11 @@
 		t->counts.updated++;
 		return 1;
 	}
+	if (n && current && disproves_removal(&n->object, o, current)) {
+		config_entry_put(t, o);
+		t->counts.updated++;
+		return 1;
+	}
 	if (n && n->object.version == o->version &&
 	    !same_content(&n->object, o)) {
 		t->counts.conflicts++;
@@ -223,7 +239,7 @@
 {
 	enum batch_role role;
 	int i, updated = 0, conflict = 0;
-	int current = is_current_list(t, b);
+	uint64_t current = current_list_version(t, b);
 
 	if (b->stale)
 		return apply_stale_objects(t, b);
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -248,6 +248,35 @@
 }
 END_TEST
 
+/* Guards against a removal that a member without the object has spread, and
+ * that no list undoes. */
+START_TEST(list_undoes_the_removal_of_what_it_shows)
+{
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_object o = object("a", 5, "five");
+	struct config_batch lacking = { .source = 7,
+		.full = 1,
+		.upto = 30,
+		.complete = 30 };
+	struct kq_error e;
+
+	apply(t, 0, 0, 20, object("a", 5, "five"));
+	config_apply_batch(t, &lacking, &e);
+	ck_assert_int_eq(config_find(t, CONFIG_SERVICE, "a")->removed, 1);
+	apply_list(t, 30, &o, 1);
+	ck_assert_int_eq(config_find(t, CONFIG_SERVICE, "a")->removed, 0);
+	/* not a later removal, nor by a list of an older version */
+	apply(t, 0, 39, 40, object("a", 40, NULL));
+	o = object("a", 5, "five");
+	apply_list(t, 30, &o, 1);
+	ck_assert_int_eq(config_find(t, CONFIG_SERVICE, "a")->removed, 1);
+	o = object("a", 5, "five");
+	apply_list(t, 39, &o, 1);
+	ck_assert_int_eq(config_find(t, CONFIG_SERVICE, "a")->removed, 1);
+	config_free(t);
+}
+END_TEST
+
 /* Guards against a full list of several pages that removes the objects of its
  * first page. */
 START_TEST(list_between_pages_removes_nothing)
@@ -638,6 +667,7 @@
 	tcase_add_test(c, stale_objects_have_no_version);
 	tcase_add_test(c, list_does_not_hide_removals_from_members);
 	tcase_add_test(c, list_brings_what_the_complete_version_lacks);
+	tcase_add_test(c, list_undoes_the_removal_of_what_it_shows);
 	tcase_add_test(c, list_between_pages_removes_nothing);
 	tcase_add_test(c, digest_tells_what_is_held);
 	tcase_add_test(c, full_list_removes_missing_objects);
