Daemons that hold no version read the store in the readers' order

After a start of all daemons while the store serves none of their watchers, requests were answered 503 until 2.5 s after the start and the time of a list, later than the 3 s after which a started daemon counts. Cause: since stale lists no longer count, a version comes only from a current list; a daemon that isn't a watcher made one 2.5 s after its start, and the readers of the fleet, who would follow after 1.25 s, waited for a version first. Now they don't. One reading holds back the rest, as at any other time. Ruled out: a shorter wait for all: each daemon that starts would list the store. Not measured: calls to the store at a start of many daemons.

--- a/src/daemon/control/reading.c
+++ b/src/daemon/control/reading.c
@@ -130,7 +130,7 @@
 	struct control *c = ctx;
 	int64_t due = next_reading(c);
 
-	if (due <= now && !c->leaving && config_complete_version(c->config))
+	if (due <= now && !c->leaving)
 		read_feeds(c);
 	if (due <= now)
 		due = now + CHECK_PERIOD_US;
