A daemon that has a version from its members lists nothing at its start

A daemon that started within 3 s of a restore of the store, as a watcher, took an evacuation that the copy lacks for removed, while all others held it; with a later write in its list it would pass that on to all. Cause: a watcher listed the store 0.7 s after its start whatever it had. Only a daemon that has seen the earlier era holds what a list lacks. Class: a version counts without the content that it names: here a version of the new era without what is held. The list dates from when stale lists counted. Since they don't, a version comes from a member, which holds what it names, or from a current list. Now only a daemon without a version lists; others watch from the version that they have. It also saves two calls for a watcher that starts. Ruled out: a hold after each start: an evacuation that ends just then would stay on that daemon until the next write.

--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -281,19 +281,19 @@
 	return 0;
 }
 
-/* A new daemon asks its peers first: the platform charges for each call. */
+/* A new daemon asks its peers first: the platform charges for each call, and a
+ * list of a store that came back from a copy would undo what the peers hold. */
 static int
 needs_first_list(struct control *c, const struct feed *f)
 {
 	int64_t age = control_now(c) - c->started;
 
-	if (f->listed)
+	if (f->listed || config_complete_version(c->config))
 		return 0;
 	if (!control_many_feeds(c))
-		return !config_complete_version(c->config) && !f->version;
-	if (age >= JOIN_WAIT_US && control_is_watcher(c))
-		return 1;
-	return age >= CONFIG_WAIT_US && !config_complete_version(c->config);
+		return !f->version;
+	return age >= CONFIG_WAIT_US ||
+	       (age >= JOIN_WAIT_US && control_is_watcher(c));
 }
 
 static void
