--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -44,18 +44,29 @@
 	       o->serial > has->serial;
 }
 
-/* Whether a list shows all objects of its kinds as they are now. */
+/* Version of a list that shows all objects of its kinds as they are now; 0 for
+ * any other batch. */
+static uint64_t
+current_list_version(const struct config_table *t, const struct config_batch *b)
+{
+	return b->kinds && b->upto >= t->complete ? b->upto : 0;
+}
+
+/* Whether a list of version @listed shows an object that the table takes for
+ * removed since a member lacked it. */
 static int
-is_current_list(const struct config_table *t, const struct config_batch *b)
+disproves_removal(const struct config_object *has,
+    const struct config_object *o, uint64_t listed)
 {
-	return b->kinds && b->upto >= t->complete;
+	return has->removed && !o->removed && has->version <= listed;
 }
 
-/* Takes one object if it is newer; @current if it is in a current list. Returns
- * 1 if it was, 0 if not, -1 if it differs from the one in the table at the same
- * version. */
+/* Takes one object if it is newer; @current is the version of a current list
+ * that it is in, or 0. Returns 1 if it was, 0 if not, -1 if it differs from the
+ * one in the table at the same version. */
 static int
-apply_object(struct config_table *t, const struct config_object *o, int current)
+apply_object(struct config_table *t, const struct config_object *o,
+    uint64_t current)
 {
 	const struct config_entry *n = config_entry_find(t, o->kind, o->name);
 	struct config_object later = *o;
@@ -72,6 +83,11 @@
 		t->counts.updated++;
 		return 1;
 	}
+	if (n && current && disproves_removal(&n->object, o, current)) {
+		config_entry_put(t, o);
+		t->counts.updated++;
+		return 1;
+	}
 	if (n && n->object.version == o->version &&
 	    !same_content(&n->object, o)) {
 		t->counts.conflicts++;
@@ -90,16 +106,21 @@
 	return 1;
 }
 
-/* Records that the current list names the object. Does nothing if the table has
+/* Records that the list or page names the object. Does nothing if the table has
  * a newer version: an older tombstone in a list does not say whether the list
  * has that version. */
 static void
-mark_listed(struct config_table *t, const struct config_object *o)
+mark_listed(struct config_table *t, const struct config_object *o,
+    uint32_t kinds)
 {
 	struct config_entry *n = config_entry_find(t, o->kind, o->name);
 
-	if (n && o->version >= n->object.version)
+	if (!n || o->version < n->object.version)
+		return;
+	if (kinds)
 		n->listed_in = t->list_number;
+	else
+		n->paged_in = t->batch_number;
 }
 
 static enum batch_role
@@ -127,7 +148,7 @@
 
 	c->active = 0;
 	if (c->full) {
-		config_remove_unlisted(t, c->complete, CONFIG_KINDS_ALL);
+		config_remove_unlisted(t, c->complete, 0);
 		t->removals_after = MAX(t->removals_after, c->complete);
 	}
 	t->complete = MAX(t->complete, c->complete);
@@ -218,7 +239,7 @@
 {
 	enum batch_role role;
 	int i, updated = 0, conflict = 0;
-	int current = is_current_list(t, b);
+	uint64_t current = current_list_version(t, b);
 
 	if (b->stale)
 		return apply_stale_objects(t, b);
@@ -231,8 +252,8 @@
 		return CONFIG_WENT_BACK;
 	}
 	role = b->kinds ? ROLE_OBJECTS : classify_batch(t, b);
-	if (role == ROLE_FIRST || b->kinds)
-		t->list_number++;
+	t->batch_number += role == ROLE_FIRST;
+	t->list_number += b->kinds != 0;
 	for (i = 0; i < b->nobject; i++) {
 		const struct config_object *o = &b->object[i];
 		int r;
@@ -240,7 +261,7 @@
 		if (o->invalid || !object_valid(o)) {
 			t->counts.invalid++;
 			if (o->invalid && (role != ROLE_OBJECTS || b->kinds))
-				mark_listed(t, o);
+				mark_listed(t, o, b->kinds);
 			continue;
 		}
 		r = apply_object(t, o, current);
@@ -253,7 +274,7 @@
 			    config_kind_name(o->kind), o->name, o->version);
 		}
 		if (role != ROLE_OBJECTS || b->kinds)
-			mark_listed(t, o);
+			mark_listed(t, o, b->kinds);
 	}
 	if (b->kinds)
 		finish_list(t, b);
