fakes.sh: the users' API of the platform's stand-in

Lists that may be stale (with the version of then or the present one, also after a restore, under the new era), pages, late writes, a history that is cut, deaf watches and one address that is turned away had no check of their own.

Evidence: sh tests/system/fakes.sh build passes; with the stand-in of before the modes pages, late-write and cut-history, seven of the new lines fail.

--- a/tests/system/fakes.sh
+++ b/tests/system/fakes.sh
@@ -9,6 +9,7 @@
 failed=0
 # an address that differs between runs, so that two runs on one machine do not share it
 ip=127.99.$(($$ / 250 % 250)).$(($$ % 250 + 1))
+second=127.98.${ip#127.99.}
 P=$ip:20100
 T=$ip:20101
 B=$ip:20102
@@ -169,6 +170,94 @@
 expect_equal history-end 200 "$(status "http://$P/v1/watch?from=4&wait_ms=0")"
 expect_equal history-beyond 410 "$(status "http://$P/v1/watch?from=3&wait_ms=0")"
 
+# ---- platform with the users' API ----
+
+"$o/fake-platform" --users --ip $ip --second-ip $second --port 20104 &
+pids="$pids $!"
+wait_ready $ip:20104
+U=http://$ip:20104/v1/objects/config
+# Sets the mode of the platform with the users' API.
+set_users() {
+	status -X POST "http://$ip:20104/fake/fault?$1" >"$dir/fault"
+}
+# users_write METHOD URL NAME V [REVISION]: writes an object, prints the status
+users_write() {
+	status -X "$1" -d "{\"metadata\":{\"name\":\"$3\"${5:+,\"revision\":$5}},\"specification\":{\"v\":$4}}" "$2"
+}
+# Prints the values of an answer, whether there is more, and its version.
+listed() {
+	body "$@" | grep -o '"v":[0-9]*\|"has_more":true\|"at":[0-9]*' | tr -d '"' | tr '\n' ' '
+}
+expect_equal users-create 200 "$(users_write POST $U main 1)"
+sleep 2
+expect_equal users-update 200 "$(users_write PUT $U/main main 2)"
+set_users 'mode=stale&ms=1500&at=now'
+expect_equal stale-now 'v:1 at:2 ' "$(listed "$U?allow_stale=1")"
+expect_equal stale-only-if-allowed 'v:2 at:2 ' "$(listed $U)"
+set_users 'mode=stale&ms=1500&at=then'
+expect_equal stale-then 'v:1 at:1 ' "$(listed "$U?allow_stale=1")"
+set_users mode=ok
+expect_equal stale-outlasts-ok 'v:1 at:1 ' "$(listed "$U?allow_stale=1")"
+set_users 'mode=stale&ms=1500&at=now&all=1'
+expect_equal stale-all 'v:1 at:2 ' "$(listed $U)"
+set_users 'mode=stale&ms=0'
+expect_equal stale-ends 'v:2 at:2 ' "$(listed "$U?allow_stale=1")"
+
+expect_equal lost-by-restore 200 "$(users_write PUT $U/main main 3)"
+sleep 2
+set_users 'mode=stale&ms=1500&at=now'
+set_users 'mode=restore&by=1'
+expect_equal restored 'v:2 at:2 ' "$(listed $U)"
+expect_equal stale-restored-now 'v:3 at:2 ' "$(listed "$U?allow_stale=1")"
+expect_equal stale-restored-era 'Store-Era: 1' "$(body -i "$U?allow_stale=1" | grep -i '^store-era' | tr -d '\r')"
+set_users 'mode=stale&ms=1500&at=then'
+expect_equal stale-restored-then 'v:3 at:3 ' "$(listed "$U?allow_stale=1")"
+set_users 'mode=stale&ms=0'
+expect_equal restored-watch 410 "$(status "$U?watch=3&wait_ms=1")"
+expect_equal version-again 200 "$(users_write PUT $U/main main 4)"
+expect_equal version-given-again 'v:4 at:3 ' "$(listed $U)"
+set_users 'mode=restore&by=0'
+expect_equal era-rises 'Store-Era: 2' "$(body -i $U | grep -i '^store-era' | tr -d '\r')"
+
+for v in 5 6; do
+	users_write POST $U n$v $v >"$dir/code"
+done
+set_users 'mode=pages&objects=2'
+expect_equal page-first 'v:4 v:5 has_more:true at:5 ' "$(listed $U)"
+expect_equal page-last 'v:6 at:5 ' "$(listed "$U?after=n5")"
+set_users 'mode=pages&objects=0'
+expect_equal pages-end 'v:4 v:5 v:6 at:5 ' "$(listed $U)"
+
+set_users 'mode=late-write&count=2&ms=1000'
+users_late() {
+	curl_code -X PUT -d "{\"metadata\":{\"name\":\"main\",\"revision\":$2},\"specification\":{\"v\":$1}}" $U/main
+}
+users_late 7 3 >"$dir/late1" &
+w1=$!
+sleep 0.2
+users_late 8 3 >"$dir/late2" &
+w2=$!
+sleep 0.3
+expect_equal late-write-not-yet 'v:4 v:5 v:6 at:5 ' "$(listed $U)"
+wait $w1 $w2
+expect_equal late-write-unanswered '52 52' "$(cat "$dir/late1" "$dir/late2" | tr '\n' ' ' | sed 's/ $//')"
+expect_equal late-write-condition 'v:7 v:5 v:6 at:6 ' "$(listed $U)"
+expect_equal late-writes-over 200 "$(users_write PUT $U/main main 9)"
+
+set_users mode=cut-history
+expect_equal cut-history 410 "$(status "$U?watch=6&wait_ms=1")"
+expect_equal cut-history-now 200 "$(status "$U?watch=7&wait_ms=1")"
+expect_equal cut-history-write 200 "$(users_write PUT $U/main main 10)"
+expect_equal cut-history-later 'v:10 at:8 ' "$(listed "$U?watch=7&wait_ms=1000")"
+set_users mode=deaf-watch
+expect_equal deaf-watch 'at:8 ' "$(listed "$U?watch=7&wait_ms=200")"
+set_users mode=ok
+set_users 'mode=turn-away&how=429'
+expect_equal turn-away 429 "$(status "http://$second:20104/v1/objects/config")"
+expect_equal turn-away-others 200 "$(status $U)"
+set_users mode=ok
+expect_equal turn-away-ends 200 "$(status "http://$second:20104/v1/objects/config")"
+
 # ---- target ----
 
 "$o/fake-target" --ip $ip --port 20102 --service s --dc a &
