rig: a profile with the store's lists and daemons that start beside changes

Lists that may be stale, with an age and a version drawn by the seed, and pages of lists hold for a whole run; a store that comes back from an older copy, turns some machines away, discards its history, writes late or tells watches nothing; daemons that are killed, started or added just after a change, all of them after a change, an evacuation or its end was acknowledged, and at the end of each run. No profile had lists that may be stale (the stand-in didn't know them), so that no seed could find a version without its content.

Seeds from 10000 on have the profile; the plans of the others are drawn as before. Lists and pages are no trouble by the protocol and are noted as store-lists, so that they excuse nothing.

--- a/tests/rig/link.c
+++ b/tests/rig/link.c
@@ -31,6 +31,7 @@
 struct link {
 	struct machine *machine;
 	int backward; /* nonzero: the machine is where it began */
+	int turned_away; /* nonzero: the store's end does not serve it */
 	struct stream stream[2];
 };
 
@@ -39,6 +40,7 @@
 	int fd;
 	int to_store;
 	struct sockaddr_in to;
+	struct sockaddr_in to_away; /* for machines that are turned away */
 };
 
 static struct sockaddr_in
@@ -157,7 +159,8 @@
 	int i, bad = 0;
 
 	wait_some(l, readable);
-	if (mode_of(l) == LINK_RESET)
+	if (mode_of(l) == LINK_RESET ||
+	    l->turned_away != (mode_of(l) == LINK_TURNED_AWAY))
 		return 1;
 	for (i = 0; i < 2 && !bad; i++) {
 		if (readable[i] & (POLLIN | POLLHUP | POLLERR))
@@ -195,8 +198,14 @@
 	struct link *l = g_new0(struct link, 1);
 	int to = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	struct linger hard = { 1, 0 };
+	struct sockaddr_in *a = &d->to;
 
-	if (to < 0 || connect(to, (struct sockaddr *)&d->to, sizeof d->to)) {
+	l->machine = d->machine;
+	l->backward = d->to_store;
+	l->turned_away = mode_of(l) == LINK_TURNED_AWAY;
+	if (l->turned_away)
+		a = &d->to_away;
+	if (to < 0 || connect(to, (struct sockaddr *)a, sizeof *a)) {
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
 		close(fd);
 		if (to >= 0)
@@ -204,8 +213,6 @@
 		g_free(l);
 		return;
 	}
-	l->machine = d->machine;
-	l->backward = d->to_store;
 	l->stream[0].from = l->stream[1].to = fd;
 	l->stream[0].to = l->stream[1].from = to;
 	g_thread_unref(g_thread_new("link", run_link, l));
@@ -232,17 +239,20 @@
 	struct door *d = g_new0(struct door, 1);
 	struct sockaddr_in a = address(m->ip, listen_port);
 	char *store = g_strdup_printf("%s.0.10", m->rig->net);
+	char *away = g_strdup_printf("%s.0.11", m->rig->net);
 	int on = 1;
 
 	d->machine = m;
 	d->to_store = !to_ip;
 	d->to = address(to_ip ? to_ip : store, port);
+	d->to_away = address(away, port);
 	d->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(d->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
 	if (bind(d->fd, (struct sockaddr *)&a, sizeof a) ||
 	    listen(d->fd, BACKLOG))
 		fprintf(stderr, "rig: cannot listen on %s:%d\n", m->ip,
 		    listen_port);
+	g_free(away);
 	g_free(store);
 	g_thread_unref(g_thread_new("door", accept_links, d));
 }
@@ -251,7 +261,7 @@
 set_mode(struct machine *m, gint *link, enum link_mode mode, int ms)
 {
 	static const char *const names[] = { "open", "delay", "silent",
-		"one-way", "reset" };
+		"one-way", "reset", "turned-away" };
 
 	note(m->rig, "%s at=%s mode=%s ms=%d",
 	    link == &m->link ? "link" : "store-link", m->address, names[mode],
--- a/tests/rig/main.c
+++ b/tests/rig/main.c
@@ -5,7 +5,7 @@
 #include <sys/resource.h>
 
 #include "io.h"
-#include "rig.h"
+#include "plan.h"
 
 #define SECONDS 25
 #define LEAD_S 4 /* from the start of the machines to traffic */
@@ -62,6 +62,8 @@
 	GThread *plan;
 	int i;
 
+	if (r->profile == PROFILE_STORE)
+		lists_start(r);
 	store_configure(r, 0);
 	start_machines(r);
 	g_usleep(LEAD_S * G_USEC_PER_SEC);
@@ -143,11 +145,13 @@
 	r.load = load->dval[0];
 	r.burst = 100;
 	r.limits_percent = 100;
-	r.harsh = r.seed / PROFILES % 2;
-	r.piped_logs = r.seed % PROFILES == PROFILE_STARVED;
-	r.proxied = r.seed % PROFILES == PROFILE_LINKS;
+	r.profile = plan_profile(r.seed);
+	r.harsh = r.seed / PROFILES_BY_SEED % 2;
+	r.piped_logs = r.profile == PROFILE_STARVED;
+	r.proxied = r.profile == PROFILE_LINKS;
 	g_mutex_init(&r.lock);
 	g_mutex_init(&r.store_lock);
+	g_mutex_init(&r.evacuation_lock);
 	history = g_build_filename(r.dir, "rig.history", NULL);
 	if (history_open(&r.history, history, "plan", &e) < 0 ||
 	    start_platform(&r)) {
--- a/tests/rig/plan.c
+++ b/tests/rig/plan.c
@@ -14,6 +14,9 @@
 #define AIMED_LAST_MS 9000 /* before the end, as they take that long */
 #define AIMED_SEED 0x61696d /* so that they don't change the other actions */
 #define ACTIONS_MAX 400
+#define STORE_SEEDS 10000 /* seeds from this on have PROFILE_STORE */
+#define CLOSING_MS 9000 /* before the end: all daemons end */
+#define CLOSING_SEED 0x656e64
 
 /** struct choice - an action that a plan may draw, with its share */
 struct choice {
@@ -82,6 +85,26 @@
 	{ "slow-targets", act_slow_targets, 3 },
 };
 
+static const struct choice store[] = {
+	{ "change-kill", act_change_kill, 8 },
+	{ "change-kill-all", act_change_kill_all, 3 },
+	{ "change-start", act_change_start, 6 },
+	{ "change-add", act_change_add, 4 },
+	{ "evacuated-kill-all", act_evacuated_kill_all, 1 },
+	{ "returned-kill-all", act_returned_kill_all, 2 },
+	{ "restore", act_restore, 4 },
+	{ "turn-away", act_turn_away, 6 },
+	{ "cut-history", act_cut_history, 4 },
+	{ "deaf-watch", act_deaf_watch, 4 },
+	{ "late-write", act_late_write, 4 },
+};
+
+static const struct choice closings[] = {
+	{ "change-kill-all", act_change_kill_all, 3 },
+	{ "evacuated-kill-all", act_evacuated_kill_all, 1 },
+	{ "returned-kill-all", act_returned_kill_all, 1 },
+};
+
 static const struct choice aimed_planned[] = {
 	{ "stop-young", act_stop_young, 6 },
 	{ "stop-limits", act_stop_limits, 4 },
@@ -122,6 +145,8 @@
 	    AIMED(aimed_planned) },
 	[PROFILE_KILLS] = { kills, G_N_ELEMENTS(kills), 60,
 	    AIMED(aimed_planned) },
+	[PROFILE_STORE] = { store, G_N_ELEMENTS(store), 50,
+	    AIMED(aimed_planned) },
 };
 
 /** struct plan - actions in the order of their times */
@@ -193,6 +218,19 @@
 	g_rand_free(rand);
 }
 
+/* All daemons end shortly before the run does. */
+static void
+draw_closing(struct plan *p)
+{
+	int at = p->rig->seconds * 1000 - CLOSING_MS;
+	GRand *rand = g_rand_new_with_seed(p->rig->seed ^ CLOSING_SEED);
+
+	if (at > 0 && p->n < ACTIONS_MAX)
+		draw_action(p, rand,
+		    draw_from(rand, closings, G_N_ELEMENTS(closings)), at);
+	g_rand_free(rand);
+}
+
 static int
 order_actions(const void *a, const void *b)
 {
@@ -245,6 +283,13 @@
 	return NULL;
 }
 
+enum profile
+plan_profile(guint32 seed)
+{
+	return seed >= STORE_SEEDS ? PROFILE_STORE
+				   : (enum profile)(seed % PROFILES_BY_SEED);
+}
+
 GThread *
 plan_start(struct rig *r)
 {
@@ -252,8 +297,10 @@
 
 	p->rig = r;
 	p->rand = g_rand_new_with_seed(r->seed);
-	draw_plan(p, &lists[r->seed % PROFILES]);
-	draw_aimed(p, &lists[r->seed % PROFILES]);
+	draw_plan(p, &lists[r->profile]);
+	draw_aimed(p, &lists[r->profile]);
+	if (r->profile == PROFILE_STORE)
+		draw_closing(p);
 	qsort(p->action, (size_t)p->n, sizeof p->action[0], order_actions);
 	print_plan(p);
 	return g_thread_new("plan", run_plan, p);
--- a/tests/rig/plan.h
+++ b/tests/rig/plan.h
@@ -83,4 +83,21 @@
 void act_store(const struct action *);
 void act_store_links(const struct action *);
 
+/* Daemons that start beside a change: change.c. */
+void act_change_kill(const struct action *);
+void act_change_kill_all(const struct action *);
+void act_change_start(const struct action *);
+void act_change_add(const struct action *);
+void act_evacuated_kill_all(const struct action *);
+void act_returned_kill_all(const struct action *);
+
+/* What the store's lists and watches tell: lists.c. */
+/** lists_start() - draw how lists act in the whole run, and have them act so */
+void lists_start(struct rig *);
+void act_restore(const struct action *);
+void act_turn_away(const struct action *);
+void act_cut_history(const struct action *);
+void act_deaf_watch(const struct action *);
+void act_late_write(const struct action *);
+
 #endif
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -20,8 +20,8 @@
  * programs, machine.c keeps a machine's daemon and asks whether it is ready,
  * target.c keeps its target, store.c writes configurations and evacuations,
  *traffic.c draws requests, attempt.c plays them, plan.c draws trouble,
- *trouble.c, daemons.c, aimed.c and disk.c bring it about, link.c is a proxy
- *between daemons and the store.
+ *trouble.c, daemons.c, aimed.c, disk.c, change.c and lists.c bring it about,
+ *link.c is a proxy between daemons and the store.
  *
  * Lines of the history, besides those of tests/fake/planned and
  * tests/fake/target; all are written by "plan":
@@ -33,8 +33,13 @@
  *	slow, unslow at=DAEMON	it gets a part of its processor's time
  *	link, store-link at=DAEMON mode= ms=	its connections from other
  *				daemons or to the store, "open" ends it
+ *				"turned-away" by the store, see its mode
  *	service at=DAEMON name=	another one has its address from now on
- *	store mode=		how the platform acts, "ok" ends it
+ *	store mode=		how the platform acts, "ok" ends it; after
+ *				"restore" once the operator has written again
+ *	store-lists ms= at= objects=	all the while: age and version of lists
+ *				that may be stale, objects in a page
+ *	config-again version= code=	written once more after a restore
  *	config-sent version= timeout_ROUTE=..., config-acked version= code=
  *	evacuated, back dc=
  *	target-start, target-drains, target-kill, target-end at=DAEMON
@@ -98,6 +103,20 @@
 /** mesh_zone_share - of the requests, by zone - 1 */
 extern const double mesh_zone_share[ZONES];
 
+/** enum profile - which troubles a run has */
+enum profile {
+	PROFILE_PLANNED, /* planned work only */
+	PROFILE_TARGETS, /* beside it, targets in trouble */
+	PROFILE_STARVED, /* and daemons that are slow or stand still */
+	PROFILE_LINKS, /* and connections that are delayed, reset or silent */
+	PROFILE_KILLS, /* and daemons that are killed, and the store */
+	PROFILES_BY_SEED, /* those above are drawn by seed % this */
+	PROFILE_STORE = PROFILES_BY_SEED, /* lists that may be stale, and
+					     daemons that start beside changes
+					   */
+	PROFILES
+};
+
 struct rig;
 
 /** enum aim - how callers of its data centre use a machine, ready or not */
@@ -180,6 +199,11 @@
 	GPid platform;
 	GMutex lock; /* of @machine_count */
 	GMutex store_lock; /* of the configuration */
+	GMutex evacuation_lock; /* of @out, taken after @store_lock */
+	int out[ZONES]; /* nonzero: the operator wants the zone out */
+	enum profile profile;
+	int stale_ms; /* age of lists that may be stale, 0 for none */
+	gint store_turn; /* nonzero: an action changes how the store acts */
 	int piped_logs; /* nonzero: daemons write logs to pipes */
 	gint evacuating; /* nonzero: a data centre is out */
 	gint limits_turn; /* nonzero: an action changes @limits_percent */
@@ -267,6 +291,12 @@
 int store_evacuate(struct rig *, int zone, int begins);
 /** store_fault() - have the platform act as @mode from now on */
 void store_fault(struct rig *, const char *mode);
+/** store_set() - the same without a note, for what is no trouble */
+void store_set(struct rig *, const char *mode);
+/** store_restore() - have the store come back from a copy that lacks the last
+ * @by writes after @away_ms, and write again after @again_ms what the operator
+ * wrote */
+void store_restore(struct rig *, int by, int away_ms, int again_ms);
 
 /** traffic_start() - start the callers of all data centres; they end at
  * rig->end */
@@ -285,7 +315,14 @@
 void attempt_play(struct rig *, struct task *);
 
 /** enum link_mode - how a proxy treats bytes */
-enum link_mode { LINK_OPEN, LINK_DELAY, LINK_SILENT, LINK_ONE_WAY, LINK_RESET };
+enum link_mode {
+	LINK_OPEN,
+	LINK_DELAY,
+	LINK_SILENT,
+	LINK_ONE_WAY,
+	LINK_RESET,
+	LINK_TURNED_AWAY /* to the store's address for these */
+};
 
 /** log_open() - begin to copy what the daemon writes to a pipe to its log */
 void log_open(struct machine *);
@@ -299,16 +336,8 @@
 /** link_set_store() - the same for its connections to the store */
 void link_set_store(struct machine *, enum link_mode, int ms);
 
-/** enum profile - which troubles a run has */
-enum profile {
-	PROFILE_PLANNED, /* planned work only */
-	PROFILE_TARGETS, /* beside it, targets in trouble */
-	PROFILE_STARVED, /* and daemons that are slow or stand still */
-	PROFILE_LINKS, /* and connections that are delayed, reset or silent */
-	PROFILE_KILLS, /* and daemons that are killed, and the store */
-	PROFILES
-};
-
+/** plan_profile() - the profile of a seed */
+enum profile plan_profile(guint32 seed);
 /** plan_start() - draw the run's trouble and bring it about in time */
 GThread *plan_start(struct rig *);
 
--- a/tests/rig/store.c
+++ b/tests/rig/store.c
@@ -107,12 +107,38 @@
 	return !g_atomic_int_get(&r->ending);
 }
 
-void
-store_configure(struct rig *r, int changes)
+/* The present version as the operator writes it. */
+static char *
+config_text(const struct rig *r)
 {
 	GString *t = g_string_new(NULL);
+
+	g_string_append_printf(t,
+	    "{\"metadata\":{\"name\":\"main\"},\"specification\":{\"version\":"
+	    "%d,\"resources\":[",
+	    r->version);
+	append_resources(r, t);
+	g_string_append(t, "]}}");
+	return g_string_free(t, FALSE);
+}
+
+/* Creates or replaces the configuration; Return: the status */
+static int
+put_config(struct rig *r, const char *text, int create)
+{
 	char *ip = store_ip(r);
+	int code = rig_http(ip, PORT_STORE, STORE_MS, create ? "POST" : "PUT",
+	    create ? "/v1/objects/config" : "/v1/objects/config/main", text);
+
+	g_free(ip);
+	return code;
+}
+
+void
+store_configure(struct rig *r, int changes)
+{
 	int first, version, tries, code = 0;
+	char *text;
 
 	g_mutex_lock(&r->store_lock);
 	r->timeout_turn += !!(changes & CHANGE_TIMEOUT);
@@ -120,27 +146,34 @@
 	r->extra_turn += !!(changes & CHANGE_EXTRA);
 	first = !r->version;
 	version = ++r->version;
-	g_string_append_printf(t,
-	    "{\"metadata\":{\"name\":\"main\"},\"specification\":{\"version\":"
-	    "%d,\"resources\":[",
-	    version);
-	append_resources(r, t);
-	g_string_append(t, "]}}");
+	text = config_text(r);
 	note_limits(r);
 	for (tries = 0; goes_on(r, &code, tries); tries++) {
-		code = rig_http(ip, PORT_STORE, STORE_MS,
-		    first ? "POST" : "PUT",
-		    first ? "/v1/objects/config" : "/v1/objects/config/main",
-		    t->str);
+		code = put_config(r, text, first);
 		note(r, "config-acked version=%d code=%d", version, code);
 	}
 	g_mutex_unlock(&r->store_lock);
-	g_string_free(t, TRUE);
-	g_free(ip);
+	g_free(text);
 }
 
-int
-store_evacuate(struct rig *r, int zone, int begins)
+/* Writes the present version again, into a store that may lack it. */
+static void
+configure_again(struct rig *r)
+{
+	char *text = config_text(r);
+	int tries, create = 0, code = 0;
+
+	for (tries = 0; goes_on(r, &code, tries); tries++) {
+		code = put_config(r, text, create);
+		create = code == STATUS_NOT_FOUND;
+		note(r, "config-again version=%d code=%d", r->version, code);
+	}
+	g_free(text);
+}
+
+/* Begins or ends an evacuation, under its lock; Return: the last status */
+static int
+write_evacuation(struct rig *r, int zone, int begins)
 {
 	char *ip = store_ip(r), *path, *body;
 	int tries, code = 0;
@@ -150,29 +183,69 @@
 	body = g_strdup_printf("{\"metadata\":{\"name\":\"dc%d\"},"
 			       "\"specification\":{}}",
 	    zone);
-	note(r, "%s dc=dc%d", begins ? "evacuated" : "back", zone);
 	for (tries = 0; goes_on(r, &code, tries); tries++) {
 		code = rig_http(ip, PORT_STORE, STORE_MS,
 		    begins ? "POST" : "DELETE", path, begins ? body : NULL);
 		if (code == (begins ? STATUS_CONFLICT : STATUS_NOT_FOUND))
 			code = STATUS_OK; /* an earlier try took effect */
 	}
-	note(r, "%s dc=dc%d code=%d",
-	    begins ? "evacuation-acked" : "back-acked", zone, code);
 	g_free(body);
 	g_free(path);
 	g_free(ip);
+	return code;
+}
+
+int
+store_evacuate(struct rig *r, int zone, int begins)
+{
+	int code;
+
+	g_mutex_lock(&r->evacuation_lock);
+	r->out[zone - 1] = begins;
+	note(r, "%s dc=dc%d", begins ? "evacuated" : "back", zone);
+	code = write_evacuation(r, zone, begins);
+	note(r, "%s dc=dc%d code=%d",
+	    begins ? "evacuation-acked" : "back-acked", zone, code);
+	g_mutex_unlock(&r->evacuation_lock);
 	return code == STATUS_OK || code == STATUS_CREATED;
 }
 
 void
-store_fault(struct rig *r, const char *mode)
+store_set(struct rig *r, const char *mode)
 {
 	char *ip = store_ip(r);
 	char *path = g_strdup_printf("/fake/fault?mode=%s", mode);
 
-	note(r, "store mode=%s", mode);
 	rig_http(ip, PORT_STORE, FAULT_MS, "POST", path, NULL);
 	g_free(path);
 	g_free(ip);
 }
+
+void
+store_fault(struct rig *r, const char *mode)
+{
+	note(r, "store mode=%s", mode);
+	store_set(r, mode);
+}
+
+void
+store_restore(struct rig *r, int by, int away_ms, int again_ms)
+{
+	char *mode = g_strdup_printf("restore&by=%d", by);
+	int zone;
+
+	g_mutex_lock(&r->store_lock);
+	g_mutex_lock(&r->evacuation_lock);
+	store_fault(r, "down");
+	g_usleep((gulong)away_ms * 1000);
+	store_fault(r, mode);
+	store_set(r, "ok");
+	g_usleep((gulong)again_ms * 1000);
+	configure_again(r);
+	for (zone = 1; zone <= ZONES; zone++)
+		write_evacuation(r, zone, r->out[zone - 1]);
+	store_fault(r, "ok");
+	g_mutex_unlock(&r->evacuation_lock);
+	g_mutex_unlock(&r->store_lock);
+	g_free(mode);
+}
