rig: requests to each daemon on routes that come, go and move

The line config-sent names the services of each route. Each daemon that callers use gets 2.5 requests a second on the route that was added last, the one before it, one that never was and the one that moves; they stand in the history as other requests do, with kind=probe.

--- a/tests/rig/attempt.c
+++ b/tests/rig/attempt.c
@@ -59,8 +59,8 @@
 	return mean * exp(spread * z - spread * spread / 2);
 }
 
-static void
-close_conn(struct conn *c)
+void
+attempt_close(struct conn *c)
 {
 	close(c->fd);
 	g_free(c);
@@ -150,7 +150,7 @@
 		if (io_clock() - i->since < IDLE_MAX_US)
 			c = i->conn;
 		else
-			close_conn(i->conn);
+			attempt_close(i->conn);
 		g_free(i);
 	}
 	g_mutex_unlock(&m->pool_lock);
@@ -169,8 +169,8 @@
 	g_mutex_unlock(&m->pool_lock);
 }
 
-static struct conn *
-open_conn(struct machine *m)
+struct conn *
+attempt_open(struct machine *m)
 {
 	struct timeval t = { CONNECT_S, 0 };
 	struct conn *c = g_new0(struct conn, 1);
@@ -180,7 +180,7 @@
 	setsockopt(c->fd, SOL_SOCKET, SO_SNDTIMEO, &t, sizeof t);
 	if (c->fd < 0 || connect(c->fd, (struct sockaddr *)&c->caller->to,
 			     sizeof c->caller->to)) {
-		close_conn(c);
+		attempt_close(c);
 		return NULL;
 	}
 	c->id = g_atomic_int_add(&c->caller->last_conn, 1) + 1;
@@ -279,10 +279,8 @@
 	    a->is_signed, a->closes);
 }
 
-/* Sends requests and reads their answers; Return: nonzero if the connection is
- * of further use */
-static int
-exchange(struct conn *c, struct request *q, struct answer *a, int n)
+int
+attempt_exchange(struct conn *c, struct request *q, struct answer *a, int n)
 {
 	int i, ended = 0;
 
@@ -357,16 +355,17 @@
 		p->machine = choose_one(p);
 		if (left <= 0 || !p->machine)
 			return;
-		c = open_conn(p->machine);
+		c = attempt_open(p->machine);
 		if (!c)
 			continue;
 		draw_request(p, &q, (int)(left / 1000));
 		q.first = first->id;
 		c->rand = p->rand;
-		if (exchange(c, &q, &a, 1) && p->kind->habit != HABIT_FRESH)
+		if (attempt_exchange(c, &q, &a, 1) &&
+		    p->kind->habit != HABIT_FRESH)
 			keep_idle(p->machine, c);
 		else
-			close_conn(c);
+			attempt_close(c);
 	}
 }
 
@@ -385,7 +384,7 @@
 	if (p.machine && t->kind->habit != HABIT_FRESH)
 		c = take_idle(p.machine);
 	if (p.machine && !c)
-		c = open_conn(p.machine);
+		c = attempt_open(p.machine);
 	if (c) {
 		c->rand = p.rand;
 		c->way = WAY_SINGLE;
@@ -394,10 +393,11 @@
 			if (r->harsh)
 				c->way = draw_harsh(&p, &q[i], t->n);
 		}
-		if (exchange(c, q, a, t->n) && t->kind->habit != HABIT_FRESH)
+		if (attempt_exchange(c, q, a, t->n) &&
+		    t->kind->habit != HABIT_FRESH)
 			keep_idle(p.machine, c);
 		else
-			close_conn(c);
+			attempt_close(c);
 		for (i = 0; i < t->n; i++)
 			play_again(&p, &q[i], a[i], end);
 	}
--- a/tests/rig/main.c
+++ b/tests/rig/main.c
@@ -59,6 +59,7 @@
 run(struct rig *r)
 {
 	struct traffic *t;
+	struct probe *probe;
 	GThread *plan;
 	int i;
 
@@ -69,7 +70,9 @@
 	r->end = r->begin + r->seconds * G_USEC_PER_SEC;
 	plan = plan_start(r);
 	t = traffic_start(r);
+	probe = probe_start(r);
 	traffic_join(t);
+	probe_join(probe);
 	g_thread_join(plan);
 	g_atomic_int_set(&r->ending, 1);
 	for (i = 0; i < r->machine_count; i++)
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -19,7 +19,8 @@
  * mesh.c is the deployment: machines and kinds of request. process.c starts
  * programs, machine.c keeps a machine's daemon and asks whether it is ready,
  * target.c keeps its target, store.c writes configurations and evacuations,
- *traffic.c draws requests, attempt.c plays them, plan.c draws trouble,
+ *traffic.c draws requests, attempt.c plays them, probe.c asks each daemon
+ *what it has in force, plan.c draws trouble,
  *trouble.c, daemons.c, aimed.c and disk.c bring it about, link.c is a proxy
  *between daemons and the store.
  *
@@ -35,12 +36,12 @@
  *				daemons or to the store, "open" ends it
  *	service at=DAEMON name=	another one has its address from now on
  *	store mode=		how the platform acts, "ok" ends it
- *	config-sent version= timeout_ROUTE=..., config-acked version= code=
- *	evacuated, back dc=
- *	target-start, target-drains, target-kill, target-end at=DAEMON
- *	target-set at=DAEMON what=	a knob of the target, "calm of=" ends it
- *	disk at=DAEMON mode=	"held": reads of its settings are held up
- *	log at=DAEMON mode=	"held": nobody reads its log
+ *	config-sent version= timeout_ROUTE=... to_ROUTE=..., config-acked
+ *				version= code=	to_ROUTE is a service, or
+ *several as SERVICE:WEIGHT,SERVICE:WEIGHT evacuated, back dc= target-start,
+ *target-drains, target-kill, target-end at=DAEMON target-set at=DAEMON what=
+ *a knob of the target, "calm of=" ends it disk at=DAEMON mode=	"held": reads of
+ *its settings are held up log at=DAEMON mode=	"held": nobody reads its log
  */
 
 #define MACHINES_MAX 40
@@ -190,7 +191,7 @@
 	int version; /* of the last configuration sent */
 	int timeout_turn; /* chooses its time limits */
 	int split_turn; /* chooses where batch goes */
-	int extra_turn; /* chooses the routes that come and go */
+	gint extra_turn; /* chooses the routes that come and go */
 	gint long_percent; /* of the requests of long kinds, work long */
 	gint burst; /* percent of the usual requests */
 	gint impatient; /* percent of callers that give up early */
@@ -283,6 +284,21 @@
 
 /** attempt_play() - play the requests of a task and their repeats */
 void attempt_play(struct rig *, struct task *);
+/** attempt_open() - open a connection to a machine; Return: NULL if there is
+ * none in time */
+struct conn *attempt_open(struct machine *);
+void attempt_close(struct conn *);
+/** attempt_exchange() - send requests and read their answers; Return: nonzero
+ * if the connection is of further use */
+int attempt_exchange(struct conn *, struct request *, struct answer *, int n);
+
+#define ROUTE_EXTRAS 4 /* routes that come and go, one at a time */
+#define MOVED_ROUTE "batch" /* the one that goes to other services */
+
+/** probe_start() - keep sending requests to each daemon on routes that come,
+ * go, move or never were, until the run ends */
+struct probe *probe_start(struct rig *);
+void probe_join(struct probe *);
 
 /** enum link_mode - how a proxy treats bytes */
 enum link_mode { LINK_OPEN, LINK_DELAY, LINK_SILENT, LINK_ONE_WAY, LINK_RESET };
--- a/tests/rig/store.c
+++ b/tests/rig/store.c
@@ -10,8 +10,9 @@
 #define STATUS_CREATED 201
 #define STATUS_NOT_FOUND 404
 #define STATUS_CONFLICT 409
-#define ROUTE_EXTRAS 4 /* routes that come and go, one at a time */
 #define SHORTENED_MOST_MS 2000 /* limits that limits_percent changes */
+#define EXTRA_SERVICE "codebook"
+#define EXTRA_MS 1000 /* time limit of routes that come and go */
 #define SPLIT_WEIGHT 3 /* of cloner, where codebook has 1 */
 
 static char *
@@ -31,12 +32,23 @@
 	return limit * (4 + r->timeout_turn % 3) / 5;
 }
 
+/* Services of a route in the present version, as in the history. */
+static char *
+services_of(const struct rig *r, const struct kind *k)
+{
+	if (strcmp(k->route, MOVED_ROUTE) != 0 || r->split_turn % 3 == 0)
+		return g_strdup(k->service);
+	if (r->split_turn % 3 == 1)
+		return g_strdup_printf("cloner:%d,codebook:1", SPLIT_WEIGHT);
+	return g_strdup("codebook");
+}
+
 static void
 append_route(const struct rig *r, GString *t, const struct kind *k)
 {
 	char *to;
 
-	if (strcmp(k->route, "batch") != 0 || r->split_turn % 3 == 0)
+	if (strcmp(k->route, MOVED_ROUTE) != 0 || r->split_turn % 3 == 0)
 		to = g_strdup_printf("\"service\":\"%s\"", k->service);
 	else if (r->split_turn % 3 == 1)
 		to = g_strdup_printf("\"traffic_split\":[{\"service\":"
@@ -65,10 +77,10 @@
 	g_string_append_printf(t,
 	    "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"extra%d\"},"
 	    "\"specification\":{\"host\":\"%s\",\"path_prefix\":\"/extra%d/\","
-	    "\"kind\":\"safe\",\"timeout_ms\":1000,\"target_latency_ms\":500,"
-	    "\"priority\":2,\"service\":\"codebook\",\"max_attempts\":2}},\n",
+	    "\"kind\":\"safe\",\"timeout_ms\":%d,\"target_latency_ms\":500,"
+	    "\"priority\":2,\"service\":\"%s\",\"max_attempts\":2}},\n",
 	    r->extra_turn % ROUTE_EXTRAS, RIG_HOST,
-	    r->extra_turn % ROUTE_EXTRAS);
+	    r->extra_turn % ROUTE_EXTRAS, EXTRA_MS, EXTRA_SERVICE);
 	for (i = 0; mesh_services[i]; i++)
 		g_string_append_printf(t,
 		    "{\"resource_kind\":\"services\",\"metadata\":{\"name\":"
@@ -84,14 +96,21 @@
 }
 
 static void
-note_limits(struct rig *r)
+note_routes(struct rig *r)
 {
 	GString *t = g_string_new(NULL);
-	int i;
+	int i, extra = r->extra_turn % ROUTE_EXTRAS;
+	char *to;
 
-	for (i = 0; i < kind_count; i++)
-		g_string_append_printf(t, " timeout_%s=%d", kinds[i].route,
-		    timeout_of(r, &kinds[i]));
+	for (i = 0; i < kind_count; i++) {
+		to = services_of(r, &kinds[i]);
+		g_string_append_printf(t, " timeout_%s=%d to_%s=%s",
+		    kinds[i].route, timeout_of(r, &kinds[i]), kinds[i].route,
+		    to);
+		g_free(to);
+	}
+	g_string_append_printf(t, " timeout_extra%d=%d to_extra%d=%s", extra,
+	    EXTRA_MS, extra, EXTRA_SERVICE);
 	note(r, "config-sent version=%d%s", r->version, t->str);
 	g_string_free(t, TRUE);
 }
@@ -117,7 +136,7 @@
 	g_mutex_lock(&r->store_lock);
 	r->timeout_turn += !!(changes & CHANGE_TIMEOUT);
 	r->split_turn += !!(changes & CHANGE_SPLIT);
-	r->extra_turn += !!(changes & CHANGE_EXTRA);
+	g_atomic_int_add(&r->extra_turn, !!(changes & CHANGE_EXTRA));
 	first = !r->version;
 	version = ++r->version;
 	g_string_append_printf(t,
@@ -126,7 +145,7 @@
 	    version);
 	append_resources(r, t);
 	g_string_append(t, "]}}");
-	note_limits(r);
+	note_routes(r);
 	for (tries = 0; goes_on(r, &code, tries); tries++) {
 		code = rig_http(ip, PORT_STORE, STORE_MS,
 		    first ? "POST" : "PUT",
