rig: judge CONFIG by versions, DENIED and ROUTE

New findings CONFIG/old-version, CONFIG/went-back, CONFIG/share, CONFIG/added, DENIED, DENIED/out-of-touch and ROUTE, with the bounds of the users' rules; an unstable store stretches the bound, one that was down or slow or lost answers suspends it. Lines "judged" tell how much was judged, and of how much an older version would have made something else, so that no finding can be told from nothing to find.

--- a/tests/rig/judge.c
+++ b/tests/rig/judge.c
@@ -39,6 +39,8 @@
 	j->last_on = g_hash_table_new(g_str_hash, g_str_equal);
 	j->machine_of = g_hash_table_new(g_str_hash, g_str_equal);
 	j->versions = g_array_new(FALSE, TRUE, sizeof(struct version));
+	j->store = g_array_new(FALSE, TRUE, sizeof(struct span));
+	j->store_away = g_array_new(FALSE, TRUE, sizeof(struct span));
 	j->findings = g_array_new(FALSE, TRUE, sizeof(struct finding));
 	j->excused = g_hash_table_new(g_str_hash, g_str_equal);
 	j->kept = g_ptr_array_new();
@@ -48,11 +50,16 @@
 static void
 release(struct judgement *j)
 {
+	struct version *v;
 	guint i;
 
-	for (i = 0; i < j->versions->len; i++)
-		g_hash_table_destroy(
-		    g_array_index(j->versions, struct version, i).timeouts);
+	for (i = 0; i < j->versions->len; i++) {
+		v = &g_array_index(j->versions, struct version, i);
+		g_hash_table_destroy(v->timeouts);
+		g_hash_table_destroy(v->routes);
+	}
+	g_array_free(j->store_away, TRUE);
+	g_array_free(j->store, TRUE);
 	g_ptr_array_free(j->candidates, TRUE);
 	g_ptr_array_free(j->kept, TRUE);
 	g_hash_table_destroy(j->excused);
@@ -85,6 +92,12 @@
 	}
 	judge_lost_counts(&j);
 	judge_other_counts(&j);
+	if (judge_has_routes(&j)) {
+		judge_config(&j);
+		judge_denied(&j);
+		judge_share(&j);
+		judge_added(&j);
+	}
 	broken |= judge_print(&j);
 	release(&j);
 	return broken;
--- a/tests/rig/judge_impl.h
+++ b/tests/rig/judge_impl.h
@@ -10,9 +10,12 @@
  * judge_line.c reads history lines, judge_read.c makes requests of
  * them, judge_plan.c machines and versions; judge_time.c tells
  * what a machine was going through at a moment, judge_limit.c a request's time
- * limits, judge_lost.c holds the clauses of LOST, judge_other.c those of other
- * rules, judge_print.c prints findings. docs/TESTING.md ties each name to the
- * clause of the users' rules that it rests on.
+ * limits, judge_lost.c holds the clauses of LOST, judge_config.c those on
+ * versions and routes, judge_denied.c those on refusals, judge_share.c those on
+ * splits and added routes, judge_other.c those of other
+ * rules, judge_print.c prints findings. judge_route.c tells what a version
+ * allows and which versions a machine may go by. docs/TESTING.md ties each name
+ * to the clause of the users' rules that it rests on.
  *
  * All times are in us; a request's last byte is the time of its line "call",
  * that of requests sent at once their start.
@@ -22,6 +25,9 @@
 #define GRACE_US (6000 * MS)
 #define APPLY_US (2000 * MS)
 #define SLACK_US (200 * MS)
+#define OUTER_US (5000 * MS)
+#define DOWNGRADE_US (250 * MS)
+#define DOWNGRADE_SLOW_TIMES 8
 #define TOUCH_US (3000 * MS)
 #define OVER_US (1000 * MS) /* after the grace, and after the time to apply */
 #define EARLY_US (3000 * MS) /* of a stop: sent so early */
@@ -52,6 +58,7 @@
 	int64_t from;
 	int64_t to;
 	enum run_end how;
+	const char *service; /* of the target then, or NULL */
 };
 
 /**
@@ -72,6 +79,7 @@
 	struct judged_machine *to;
 	int behind;
 	int once;
+	int is_probe; /* sent to a daemon for what it has in force */
 	int64_t began;
 	int64_t sent;
 	int64_t allowed; /* from @began */
@@ -121,6 +129,25 @@
 	int64_t sent;
 	int64_t acked;
 	GHashTable *timeouts; /* route: ms */
+	GHashTable *routes; /* route: GArray of struct part */
+};
+
+/** struct part - a service that a route goes to, and its weight */
+struct part {
+	const char *service;
+	int weight;
+};
+
+/** struct judged_counts - how many were judged by a clause; those that are told
+ * apart would have been found if the machine had an older version */
+struct judged_counts {
+	int probes;
+	int by_version, by_version_apart;
+	int by_boot, by_boot_apart;
+	int routed;
+	int split_times, split;
+	int added, added_served, first, first_served;
+	int refused, refused_by_all; /* of requests that are allowed */
 };
 
 /** struct finding - @what rests on the clause named @rule */
@@ -139,6 +166,10 @@
 	GHashTable *request_of, *machine_of;
 	GHashTable *last_on; /* connection: its last request */
 	GArray *versions;
+	GArray *store; /* struct span, of the store */
+	GArray *store_away; /* those with which it was down or slow, or lost
+			       answers */
+	struct judged_counts counts;
 	GArray *findings;
 	GHashTable *excused; /* name: how many */
 	GPtrArray *kept; /* of machines in touch, beside no planned work */
@@ -164,6 +195,13 @@
 int judge_is_unsound(const struct judged_machine *, int64_t from, int64_t to);
 /** judge_is_parted() - nonzero if its path to the store was disturbed */
 int judge_is_parted(const struct judged_machine *, int64_t from, int64_t to);
+/** judge_is_slowed() - nonzero if it was slowed between the times */
+int judge_is_slowed(const struct judged_machine *, int64_t from, int64_t to);
+/** judge_store_moved() - nonzero if the store was in trouble between the times
+ */
+int judge_store_moved(const struct judgement *, int64_t from, int64_t to);
+/** judge_store_away() - the same for trouble that no longer bound covers */
+int judge_store_away(const struct judgement *, int64_t from, int64_t to);
 /** judge_in_touch() - nonzero if nothing happened to it for so long */
 int judge_in_touch(const struct judged_machine *, int64_t t);
 /** judge_up() - nonzero if its daemon runs and was told nothing else */
@@ -180,6 +218,33 @@
 /** judge_by_config() - nonzero if it ended beside a configuration */
 int judge_by_config(const struct judgement *, const struct judged_request *);
 
+/** judge_has_routes() - nonzero if the history tells where routes go */
+int judge_has_routes(const struct judgement *);
+/** judge_allows() - nonzero if one of the versions @from to @to - 1 that were
+ * sent by @t has the route go to @service, or has it if that is NULL;
+ * Return: its number from 1, 0 if none */
+guint judge_allows(const struct judgement *, guint from, guint to, int64_t t,
+    const char *route, const char *service);
+/** judge_all_have() - nonzero if each of these versions has the route, and
+ * there is one */
+int judge_all_have(const struct judgement *, guint from, guint to, int64_t t,
+    const char *route);
+/** judge_same_way() - nonzero if the versions have the route go the same way */
+int
+judge_same_way(const struct judgement *, guint a, guint b, const char *route);
+/** judge_parts() - where a version has a route go, NULL if it lacks it */
+const GArray *
+judge_parts(const struct judgement *, guint version, const char *route);
+/** judge_oldest() - oldest version that a request sent at @t may be handled by;
+ * Return: -1 if the machine isn't bound */
+int judge_oldest(const struct judgement *, const struct judged_machine *,
+    int64_t t);
+/** judge_calm() - nonzero if the machine is in touch and the store stable */
+int
+judge_calm(const struct judgement *, const struct judged_machine *, int64_t t);
+/** judge_is_own_answer() - nonzero if the system answered by itself */
+int judge_is_own_answer(const struct judged_request *);
+
 /** judge_last_run() - NULL if it has not run */
 const struct run *judge_last_run(const struct judged_request *);
 /** judge_was_cut() - nonzero if its connection ended without its whole answer,
@@ -190,6 +255,13 @@
 void judge_lost_counts(struct judgement *);
 void judge_other(struct judgement *, struct judged_request *);
 void judge_other_counts(struct judgement *);
+/** judge_config() - judge by versions and routes */
+void judge_config(struct judgement *);
+void judge_denied(struct judgement *);
+void judge_share(struct judgement *);
+void judge_added(struct judgement *);
+/** judge_config_print() - print how much was judged so */
+void judge_config_print(const struct judgement *);
 
 void
 judge_find(struct judgement *, const char *rule, const struct judged_request *);
--- a/tests/rig/judge_plan.c
+++ b/tests/rig/judge_plan.c
@@ -215,6 +215,51 @@
 	line_machine(j, l);
 }
 
+/* "SERVICE" or "SERVICE:WEIGHT,SERVICE:WEIGHT". */
+static GArray *
+read_parts(struct judgement *j, const char *text)
+{
+	GArray *parts = g_array_new(FALSE, FALSE, sizeof(struct part));
+	char **word = g_strsplit(text, ",", -1), *weight;
+	struct part p;
+	int i;
+
+	for (i = 0; word[i]; i++) {
+		weight = strchr(word[i], ':');
+		if (weight)
+			*weight++ = '\0';
+		p.service = judge_keep(j, word[i]);
+		p.weight = weight ? (int)strtol(weight, NULL, 10) : 1;
+		g_array_append_val(parts, p);
+	}
+	g_strfreev(word);
+	return parts;
+}
+
+static void
+free_parts(void *p)
+{
+	g_array_free(p, TRUE);
+}
+
+static void
+read_routes(struct judgement *j, struct version *v, const struct line *l)
+{
+	char **word = g_strsplit(l->text, " ", -1), *value;
+	int i;
+
+	for (i = 0; word[i]; i++) {
+		value = strchr(word[i], '=');
+		if (!value || !g_str_has_prefix(word[i], "to_"))
+			continue;
+		*value = '\0';
+		g_hash_table_insert(v->routes,
+		    g_strdup(word[i] + strlen("to_")),
+		    read_parts(j, value + 1));
+	}
+	g_strfreev(word);
+}
+
 static void
 read_limits(struct version *v, const struct line *l)
 {
@@ -236,15 +281,52 @@
 static void
 read_config_sent(struct judgement *j, const struct line *l)
 {
-	struct version v = { (int)line_number(l, "version"), l->t, NEVER,
+	struct version v = { (int)line_number(l, "version"), l->t, NEVER, NULL,
 		NULL };
 
 	v.timeouts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	v.routes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_parts);
 	read_limits(&v, l);
+	read_routes(j, &v, l);
 	g_array_append_val(j->versions, v);
 }
 
+static int
+is_mode(const char *mode, const char *const *names)
+{
+	for (; *names; names++)
+		if (g_str_has_prefix(mode, *names))
+			return 1;
+	return 0;
+}
+
+/* The protocol allows the modes in @usual at any time. A store that is restored
+ * stays so until its operator has written again. */
+static void
+read_store(struct judgement *j, const struct line *l)
+{
+	static const char *const usual[] = { "stale", "pages", NULL };
+	static const char *const away[] = { "down", "slow", "lose-answer",
+		"late-write", NULL };
+	static const char *const restored[] = { "restore", "version-back",
+		NULL };
+	char mode[FIELD_BYTES];
+
+	line_field(l, "mode", mode);
+	if (!strcmp(mode, "ok")) {
+		end_span(j->store, TROUBLE_LINK, l->t);
+		end_span(j->store_away, TROUBLE_LINK, l->t);
+	} else if (!is_mode(mode, usual)) {
+		begin_span(j->store,
+		    is_mode(mode, restored) ? TROUBLE_KILL : TROUBLE_LINK,
+		    l->t);
+		if (is_mode(mode, away))
+			begin_span(j->store_away, TROUBLE_LINK, l->t);
+	}
+}
+
 static void
 read_config_acked(struct judgement *j, const struct line *l)
 {
@@ -252,6 +334,8 @@
 	int64_t code = line_number(l, "code");
 	guint i;
 
+	if (!code || code / 100 == 2)
+		end_span(j->store, TROUBLE_KILL, l->t);
 	for (i = 0; i < j->versions->len; i++) {
 		v = &g_array_index(j->versions, struct version, i);
 		if (v->number == line_number(l, "version") &&
@@ -271,4 +355,5 @@
 	{ "target-kill", read_target_end }, { "target-end", read_target_end },
 	{ "target-set", read_target_set }, { "fell", read_fell },
 	{ "config-sent", read_config_sent },
-	{ "config-acked", read_config_acked }, { NULL, NULL } };
+	{ "config-acked", read_config_acked }, { "store", read_store },
+	{ NULL, NULL } };
--- a/tests/rig/judge_print.c
+++ b/tests/rig/judge_print.c
@@ -12,9 +12,11 @@
 static const char *const rules[] = { "LOST/planned-stop", "LOST/stop-unpassed",
 	"LOST/planned-start", "LOST/own-answer-after-sigterm", "LOST/hup",
 	"LOST/config", "LOST/kept", "TWICE", "REFUSED", "MIXED/not-its-answer",
-	"MIXED/unsigned", "MIXED/not-whole", "CONFIG/timeout", "GONE/passed-on",
-	"GONE/at-work", "Fault/own-end", "Fault/grace-over", "Fault/memory",
-	"INFO/refused-late", "INFO/call-unsent" };
+	"MIXED/unsigned", "MIXED/not-whole", "CONFIG/timeout",
+	"CONFIG/old-version", "CONFIG/went-back", "CONFIG/share",
+	"CONFIG/added", "DENIED", "DENIED/out-of-touch", "ROUTE",
+	"GONE/passed-on", "GONE/at-work", "Fault/own-end", "Fault/grace-over",
+	"Fault/memory", "INFO/refused-late", "INFO/call-unsent" };
 
 static void
 add(struct judgement *j, struct finding f)
@@ -204,6 +206,8 @@
 		tell_rule(j, rules[i], 1);
 	printf("requests %d\n", sent);
 	print_answers(j);
+	if (judge_has_routes(j))
+		judge_config_print(j);
 	print_excuses(j);
 	for (i = 0; i < G_N_ELEMENTS(rules); i++)
 		print_excused_if(j, rules[i]);
--- a/tests/rig/judge_read.c
+++ b/tests/rig/judge_read.c
@@ -77,6 +77,8 @@
 	q->conn = judge_keep(j, conn);
 	if (line_field(l, "route", value))
 		q->route = judge_keep(j, value);
+	if (line_field(l, "kind", value))
+		q->is_probe = !strcmp(value, "probe");
 	if (line_field(l, "parent", value))
 		q->parent = judge_keep(j, value);
 	q->behind = (int)line_number(l, "behind");
@@ -146,8 +148,11 @@
 {
 	struct judged_request *q = read_passed(j, l);
 	struct run r = { line_beside(j, l), line_number(l, "conn"), l->t, NEVER,
-		RUN_OPEN };
+		RUN_OPEN, NULL };
+	char service[FIELD_BYTES];
 
+	if (line_field(l, "service", service))
+		r.service = judge_keep(j, service);
 	if (q)
 		g_array_append_val(q->runs, r);
 }
--- a/tests/rig/judge_time.c
+++ b/tests/rig/judge_time.c
@@ -47,6 +47,33 @@
 	return 0;
 }
 
+int
+judge_is_slowed(const struct judged_machine *m, int64_t from, int64_t to)
+{
+	const struct span *s;
+	guint i;
+
+	for (i = 0; i < m->spans->len; i++) {
+		s = &g_array_index(m->spans, struct span, i);
+		if (s->trouble == TROUBLE_SLOW && s->from <= to &&
+		    s->to >= from)
+			return 1;
+	}
+	return 0;
+}
+
+int
+judge_store_moved(const struct judgement *j, int64_t from, int64_t to)
+{
+	return overlaps(j->store, from, to);
+}
+
+int
+judge_store_away(const struct judgement *j, int64_t from, int64_t to)
+{
+	return overlaps(j->store_away, from, to);
+}
+
 int
 judge_is_unsound(const struct judged_machine *m, int64_t from, int64_t to)
 {
