--- a/tests/rig/judge_plan.c
+++ b/tests/rig/judge_plan.c
@@ -339,8 +339,7 @@
 	end_span(j->store, TROUBLE_KILL, l->t);
 	for (i = 0; i < j->versions->len; i++) {
 		v = &g_array_index(j->versions, struct version, i);
-		if (v->number == line_number(l, "version") &&
-		    v->acked == NEVER)
+		if (v->number == line_number(l, "version") && v->acked == NEVER)
 			v->acked = l->t;
 	}
 }
