--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -19,7 +19,8 @@
  * mesh.c is the deployment: machines and kinds of request. process.c starts
  * programs, machine.c keeps a machine's daemon and asks whether it is ready,
  * target.c keeps its target, store.c writes configurations and evacuations,
- *traffic.c draws requests, attempt.c plays them, plan.c draws trouble,
+ *traffic.c draws requests, attempt.c plays them, probe.c asks each daemon
+ *what it has in force, plan.c draws trouble,
  *trouble.c, daemons.c, aimed.c, disk.c, change.c and lists.c bring it about,
  *link.c is a proxy between daemons and the store.
  *
@@ -40,7 +41,9 @@
  *	store-lists ms= at= objects=	all the while: age and version of lists
  *				that may be stale, objects in a page
  *	config-again version= code=	written once more after a restore
- *	config-sent version= timeout_ROUTE=..., config-acked version= code=
+ *	config-sent version= timeout_ROUTE=... to_ROUTE=...	services, with
+ *				weights after colons where there are several
+ *	config-acked version= code=
  *	evacuated, back dc=
  *	target-start, target-drains, target-kill, target-end at=DAEMON
  *	target-set at=DAEMON what=	a knob of the target, "calm of=" ends it
@@ -214,7 +217,7 @@
 	int version; /* of the last configuration sent */
 	int timeout_turn; /* chooses its time limits */
 	int split_turn; /* chooses where batch goes */
-	int extra_turn; /* chooses the routes that come and go */
+	gint extra_turn; /* chooses the routes that come and go */
 	gint long_percent; /* of the requests of long kinds, work long */
 	gint burst; /* percent of the usual requests */
 	gint impatient; /* percent of callers that give up early */
@@ -313,6 +316,21 @@
 
 /** attempt_play() - play the requests of a task and their repeats */
 void attempt_play(struct rig *, struct task *);
+/** attempt_open() - open a connection to a machine; Return: NULL if there is
+ * none in time */
+struct conn *attempt_open(struct machine *);
+void attempt_close(struct conn *);
+/** attempt_exchange() - send requests and read their answers; Return: nonzero
+ * if the connection is of further use */
+int attempt_exchange(struct conn *, struct request *, struct answer *, int n);
+
+#define ROUTE_EXTRAS 4 /* routes that come and go, one at a time */
+#define MOVED_ROUTE "batch" /* the one that goes to other services */
+
+/** probe_start() - keep sending requests to each daemon on routes that come,
+ * go, move or never were, until the run ends */
+struct probe *probe_start(struct rig *);
+void probe_join(struct probe *);
 
 /** enum link_mode - how a proxy treats bytes */
 enum link_mode {
