The first list of a later era is held, whatever the daemon has seen before

A daemon that starts just after a restore of the store, while the store turns its members away, had requests sent to a data centre that is out, and its members with it. Cause: what a list lacks is held for 3 s after a later era is first seen, but a daemon that was started since the restore has seen no other era. It got the version of the era before from its members, listed the store, and removed what the copy lacks; its version was the newest. Class: a version of the new era counts without what was acknowledged before it. Now a list of a later era than the complete version begins the hold, too. Open: a daemon that has met no member when it lists, or that reads the store for others within these 3 s, doesn't know that something is held.

--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -139,6 +139,17 @@
 	control_apply_batch(c, &b);
 }
 
+/* Whether a version is of a later era than what is held. A daemon that has
+ * started since the restore has seen no answer of the earlier era. */
+static int
+opens_era(const struct control *c, uint64_t version)
+{
+	uint64_t complete = config_complete_version(c->config);
+
+	return complete &&
+	       config_version_era(version) > config_version_era(complete);
+}
+
 /* Applies objects of one of several feeds; 0, or -1 if their version is below
  * the one that the feed has reached or, for a watched feed, below the complete
  * version. A list, which has @b->kinds set, counts by the version that it
@@ -164,6 +175,8 @@
 	}
 	f->version = version;
 	b->complete = 0;
+	if (opens_era(c, version))
+		c->restored_at = control_now(c);
 	b->hold = c->restored_at &&
 		  control_now(c) - c->restored_at < RESTORED_HOLD_US;
 	control_apply_batch(c, b);
