Model of configurations: a daemon that starts from a stale list

The peer can start anew from a list that names the present version beside objects of an older one. A new property: a daemon that has a version holds the objects of it; in_force_everywhere looks at the objects.

--- a/tests/model/config.pml
+++ b/tests/model/config.pml
@@ -5,17 +5,20 @@
  * Two operators write once each. One daemon, the watcher, reads the platform;
  * another, the peer, learns versions from the watcher and from the operators'
  * tool. A write and its answer can be lost, late or repeated, and so can what a
- * daemon is told; the platform can be down. Each of these defines turns one
- * mechanism off, which must break a property:
+ * daemon is told; the platform can be down. The peer can start anew, from a list
+ * that names the present version beside objects of an older one. Each of these
+ * defines turns one mechanism off, which must break a property:
  * NO_CONDITION     the platform accepts a write whatever version it is based on
  * TAKE_ANY         a daemon takes a version older than its own
  * LOST_IS_REFUSED  the tool reports a write without an answer as refused
  * NEWEST_ID_ONLY   the tool looks for its publication id in the newest version
  *                  only
  * NO_PULL          the peer does not pull from the watcher
+ * STALE_COUNTS     a daemon that starts takes the version that the list names
  */
 #define VERSIONS 5
 #define OUTAGES_MAX 2
+#define STARTS_MAX 1
 #define DELAYED_MAX 3	/* late or repeated messages to each daemon */
 
 mtype = { OPEN, ACCEPTED, REFUSED, NOT_KNOWN }
@@ -32,15 +35,16 @@
 mtype outcome[2] = OPEN;
 
 byte version[2];	/* in force at the watcher (0) and the peer (1) */
+byte held[2];		/* version of the objects that they hold */
 bool reverted;		/* a daemon went back to an older version */
 
 inline learn_version(d, v)
 {
 	if
 #ifdef TAKE_ANY
-	:: v < version[d] -> reverted = true; version[d] = v
+	:: v < version[d] -> reverted = true; version[d] = v; held[d] = v
 #endif
-	:: v > version[d] -> version[d] = v
+	:: v > version[d] -> version[d] = v; held[d] = v
 	:: else
 	fi
 }
@@ -117,6 +121,25 @@
 	od
 }
 
+proctype starter()
+{
+	byte nstarts, v;
+end:	do
+	:: atomic { up && nstarts < STARTS_MAX -> nstarts++;
+		do
+		:: v < current -> v++
+		:: break
+		od;
+		held[1] = v;
+#ifdef STALE_COUNTS
+		version[1] = current;
+#else
+		version[1] = 0;
+#endif
+		v = 0 }
+	od
+}
+
 proctype network()
 {
 	byte ndelayed[2], v;
@@ -144,6 +167,7 @@
 		run operator(1);
 		run watcher();
 		run peer();
+		run starter();
 		run network()
 	}
 }
@@ -156,4 +180,7 @@
 	    (outcome[1] == REFUSED -> !applied[1])) }
 ltl builds_on_what_was_read { [] !overwrote_unread }
 ltl in_force_everywhere {
-	<> [] (version[0] == current && version[1] == current) }
+	<> [] (held[0] == current && held[1] == current) }
+ltl holds_what_it_names {
+	[] ((version[0] == 0 || held[0] == version[0]) &&
+	    (version[1] == 0 || held[1] == version[1])) }
