rig: what is written again after a restore is noted as acknowledged

A judge that takes a store as restored until its operator has written again needs no further word for it; a version keeps its first acknowledgement.

--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -40,7 +40,6 @@
  *				"restore" once the operator has written again
  *	store-lists ms= at= objects=	all the while: age and version of lists
  *				that may be stale, objects in a page
- *	config-again version= code=	written once more after a restore
  *	config-sent version= timeout_ROUTE=... to_ROUTE=...	services, with
  *				weights after colons where there are several
  *	config-acked version= code=
