outbound: open attempts count against max_attempts, each attempt once

What callers saw: 502 `lost` to safe requests 1.6 s after they came, with 6.9 s left and a healthy target there (510 `attempts=1 reached=2`).

Cause: an attempt at a daemon that falls silent was counted as the call was to be sent again, also if nothing was sent, and again as its connection closed. Counting it once was taken back, as a third target could then be asked while the second was at work: only attempts that were over were compared with max_attempts. Open ones that are not counted yet take a place of it now; so do hedges, by reading.

Ruled out: the retry budget (5 of 8 tokens), time (6.9 s left).

--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -187,6 +187,13 @@
 	       reason == WIRE_REASON_SLOW;
 }
 
+void
+outbound_attempt_reached(struct out_attempt *a)
+{
+	a->call->reached += !a->counted;
+	a->counted = 1;
+}
+
 void
 outbound_attempt_refused(struct out_attempt *a, uint32_t reason,
     const struct load_report *load)
@@ -194,7 +201,8 @@
 	struct out_call *c = a->call;
 
 	c->reason = reason;
-	c->reached += reason == WIRE_REASON_SHED;
+	if (reason == WIRE_REASON_SHED)
+		outbound_attempt_reached(a);
 	c->tried.soft_refusals +=
 	    reason == WIRE_REASON_SLOW || reason == WIRE_REASON_DRAINING;
 	if (reason == WIRE_REASON_FULL)
@@ -220,7 +228,7 @@
 
 	outbound_trace_attempt(a, "lost", 0);
 	outbound_log_attempt(a, "lost", 0, NULL);
-	c->reached++;
+	outbound_attempt_reached(a);
 	pick_done(c->service->pick, a->handle, now, now - a->started,
 	    cause == RETRY_LOST ? PICK_LOST : PICK_FAILED, NULL);
 	c->may_have_run = 1;
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -27,6 +27,18 @@
 	return g_hash_table_lookup(c->data->peers, &id.incarnation);
 }
 
+/* Attempts that reached a target or still may. */
+static int
+attempts_used(const struct out_call *c)
+{
+	int i, n = c->reached;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		n += c->attempt[i].state != ATTEMPT_UNUSED &&
+		     !c->attempt[i].counted;
+	return n;
+}
+
 /* Peer for the next attempt, or NULL: the one in the request id for a repeat,
  * else the next candidate to try, while attempts are left. */
 static struct out_peer *
@@ -37,7 +49,7 @@
 
 	if (c->repeat)
 		return peer_of_request_id(c);
-	if (c->reached >= c->attempts_max)
+	if (attempts_used(c) >= c->attempts_max)
 		return NULL;
 	handle = tried_next(&c->tried, s->pick, now);
 	if (handle == PICK_NONE)
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -67,6 +67,7 @@
 	int64_t started;
 	size_t body_sent; /* bytes of the body */
 	int end_sent; /* the last message of the body was sent */
+	int counted; /* in @reached of the call */
 	int refusable; /* the target may refuse, as another one is left */
 	size_t credit; /* bytes of the body that may still be sent */
 	size_t window; /* most bytes of the answer given credit at once */
@@ -102,7 +103,7 @@
 	int idempotent;
 	int priority; /* 0 is the highest */
 	int64_t objective; /* an answer by then is in time */
-	int attempts_max; /* no attempt starts once @reached is this many */
+	int attempts_max; /* most of @reached and open attempts not in it */
 	int reached; /* attempts that may have reached a target */
 	int repeat; /* the caller sent a request id */
 	char id[REQUEST_ID_MAX]; /* empty if none was sent or made */
@@ -163,6 +164,9 @@
 /** outbound_attempt_cancel() - end an open attempt and tell its peer; @why is
  * its outcome in the log */
 void outbound_attempt_cancel(struct out_attempt *, const char *why);
+/** outbound_attempt_reached() - count an attempt that may have reached a
+ * target, once */
+void outbound_attempt_reached(struct out_attempt *);
 /** outbound_attempt_failed() - end an attempt that may have run and has no
  * whole answer; retry or end its call */
 void outbound_attempt_failed(struct out_attempt *, enum retry_cause);
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -151,7 +151,7 @@
 	if (!status_failed(m->status) || !c->idempotent ||
 	    m->flags & WIRE_REPLY_MORE)
 		return 0;
-	c->reached++;
+	outbound_attempt_reached(a);
 	if (!other_open(a)) {
 		if (retry_allow_resend(&c->service->retry, &c->retry,
 			RETRY_FAILED, now) != RETRY_GO)
--- a/src/daemon/outbound/silence.c
+++ b/src/daemon/outbound/silence.c
@@ -59,8 +59,10 @@
 		a = v;
 		c = a->call;
 		if (c->idempotent && !c->winner && !c->resent &&
-		    c->state == OUT_TRYING && only_attempt(a))
+		    c->state == OUT_TRYING && only_attempt(a)) {
+			outbound_attempt_reached(a);
 			g_ptr_array_add(calls, c);
+		}
 	}
 	log_event(EVENT_PEER_UNRESPONSIVE, G_LOG_LEVEL_WARNING, now,
 	    "instance does not answer incarnation=%016" G_GINT64_MODIFIER
@@ -69,7 +71,6 @@
 	for (i = 0; i < calls->len; i++) {
 		c = g_ptr_array_index(calls, i);
 		c->resent = 1;
-		c->reached++;
 		if (retry_allow_resend(&c->service->retry, &c->retry,
 			RETRY_LOST, now) == RETRY_GO &&
 		    !outbound_start_paid(c))
