An object that is held keeps its place in the batch that names it

Cause: an object whose version is raised, since a restored store lacks it, counted as not named by a batch whose first page had named it, so that the last page removed it: work for a data centre that is out. Class: a version counts without the content that it names. Evidence: unit-restored held_object_stays_between_pages fails without the change in src, passes with it.

--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -68,7 +68,7 @@
 apply_object(struct config_table *t, const struct config_object *o,
     uint64_t current)
 {
-	const struct config_entry *n = config_entry_find(t, o->kind, o->name);
+	struct config_entry *n = config_entry_find(t, o->kind, o->name);
 	struct config_object later = *o;
 
 	if (n && is_older_copy(&n->object, o)) {
--- a/src/core/config/table.c
+++ b/src/core/config/table.c
@@ -110,15 +110,18 @@
 }
 
 void
-config_keep_object(struct config_table *t, const struct config_entry *n,
+config_keep_object(struct config_table *t, struct config_entry *n,
     uint64_t version)
 {
 	struct config_object kept = n->object;
+	uint64_t listed_in = n->listed_in, paged_in = n->paged_in;
 
 	if (version <= kept.version)
 		return;
 	kept.version = version;
 	config_entry_put(t, &kept);
+	n->listed_in = listed_in;
+	n->paged_in = paged_in;
 }
 
 uint64_t
--- a/src/core/config/table_impl.h
+++ b/src/core/config/table_impl.h
@@ -80,7 +80,7 @@
  * than CONFIG_TOMBSTONES_MAX */
 void config_trim_tombstones(struct config_table *);
 /** config_keep_object() - raise the version of an object that stays as it is */
-void config_keep_object(struct config_table *, const struct config_entry *,
+void config_keep_object(struct config_table *, struct config_entry *,
     uint64_t version);
 /** config_remove_unlisted() - replace by tombstones at @version all objects
  * below that version that were not named: of the kinds whose bit is set, by the
--- a/tests/unit/restored.c
+++ b/tests/unit/restored.c
@@ -174,6 +174,42 @@
 }
 END_TEST
 
+/* Guards against a full list of several pages that removes what is held. */
+START_TEST(held_object_stays_between_pages)
+{
+	const struct config_pull first = { 0 };
+	struct config_table *source = config_new(NULL, NULL);
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_batch held = { .upto = V(47),
+		.kinds = 1u << CONFIG_DATACENTRE,
+		.hold = 1 };
+	struct config_object o;
+	struct config_batch page;
+	struct config_pull next;
+	struct kq_error e;
+
+	o = object(CONFIG_DATACENTRE, "dc2", BEFORE(18), "out");
+	apply_list(t, CONFIG_DATACENTRE, BEFORE(18), 0, &o, 1);
+	o = object(CONFIG_DATACENTRE, "dc2", V(46), "out");
+	apply_list(source, CONFIG_DATACENTRE, V(46), 0, &o, 1);
+	o = routing(V(50), 12, "twelve");
+	apply_list(source, CONFIG_ROUTING, V(50), 0, &o, 1);
+	config_read_page(source, 7, &first, 1, &page);
+	ck_assert_int_eq(page.more, 1);
+	config_apply_batch(t, &page, &e);
+	config_batch_clear(&page);
+	config_apply_batch(t, &held, &e);
+	config_next_pull(t, 7, &next);
+	config_read_page(source, 7, &next, 1, &page);
+	ck_assert_int_eq(config_apply_batch(t, &page, &e), CONFIG_APPLIED);
+	config_batch_clear(&page);
+	ck_assert_uint_eq(config_complete_version(t), V(50));
+	check_value(t, CONFIG_DATACENTRE, "dc2", "out");
+	config_free(source);
+	config_free(t);
+}
+END_TEST
+
 START_TEST(object_not_written_again_is_removed_after_the_hold)
 {
 	struct config_table *t = config_new(NULL, NULL);
@@ -201,6 +237,7 @@
 	tcase_add_test(c, older_copy_of_an_object_does_not_come_into_force);
 	tcase_add_test(c, member_passes_on_what_the_copy_lacks);
 	tcase_add_test(c, object_that_the_copy_lacks_is_held);
+	tcase_add_test(c, held_object_stays_between_pages);
 	tcase_add_test(c, object_not_written_again_is_removed_after_the_hold);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
