admit: requests wait for a first answer that is overdue

What callers saw: 503 `deadline`, not run, to requests of 2 s with 14 s left, at targets with 200 places whose first answer takes 0.35 s.

Cause: from 0.3 s on the plan of starts took the one place that a target has before its first answer for a lasting limit, so that all but five at each seemed to expire in the queue. It has the limit that holds after the answer now, from the time at which the answer is expected: one that is overdue is expected to take as long again. So requests don't wait long for a target that stays silent. In flight is one until the answer comes, as before.

The unit test of a late first answer asked for the refusals that first-answer-late.sh shows as the fault. It now asks that one request is in flight until the answer, and that all run after it; a new one, that requests don't wait for a target that stays silent. Both fail on the code before; the second one also with the plan that starts at once.

--- a/src/core/admit/cold.c
+++ b/src/core/admit/cold.c
@@ -94,7 +94,7 @@
 int
 admit_plan_limit(const struct admit *a, int64_t now)
 {
-	return a->unknown && now >= a->answer_by ? 1 : limit_once_known(a, now);
+	return limit_once_known(a, now);
 }
 
 int
--- a/src/core/admit/impl.h
+++ b/src/core/admit/impl.h
@@ -218,8 +218,8 @@
 void queue_rekey(struct queue *, uint16_t slot, int64_t key);
 
 /** admit_plan_limit() - requests in flight allowed in the time for which the
- * starts of waiting requests are planned. A target that is about to give its
- * first answer takes more than admit_limit() from then on */
+ * starts of waiting requests are planned. A target that has not answered yet
+ * takes more than admit_limit() from its first answer on */
 int admit_plan_limit(const struct admit *, int64_t now);
 
 /** enum triage - what the plan of starts, which admit_triage() makes, says of a
--- a/src/core/admit/triage.c
+++ b/src/core/admit/triage.c
@@ -67,11 +67,21 @@
 	return spacing > us ? spacing : us;
 }
 
+/** When the first answer of a target that has not answered yet is expected: one
+ * that is overdue is expected to take as long again. */
+static int64_t
+first_answer(const struct admit *a, int64_t now)
+{
+	return now > a->answer_by ? now + (now - a->answer_by) : now;
+}
+
 static int64_t
 first_start(const struct admit *a, int64_t now, int limit)
 {
 	int64_t next = admit_next_start(a, now);
 
+	if (a->unknown && first_answer(a, now) > next)
+		next = first_answer(a, now);
 	if (next > now)
 		return next;
 	if (a->in_flight < limit)
--- a/src/internal/admit.h
+++ b/src/internal/admit.h
@@ -226,8 +226,8 @@
 int admit_reported_cold(const struct admit *, int64_t now);
 /** admit_await_answer() - the target has not answered yet since admit_new(): at
  * most one request is in flight until admit_note_answered(). Its answer is
- * expected until @by: before then, waiting requests are not refused for the
- * places that it has once it has answered */
+ * expected by @by, and after that within as long again as it is overdue:
+ * waiting requests that can start then are not refused */
 void admit_await_answer(struct admit *, int64_t by);
 void admit_note_answered(struct admit *);
 /** admit_set_stated_rate() - start at most @per_s requests a second, with a
--- a/tests/unit/admit_rules.c
+++ b/tests/unit/admit_rules.c
@@ -136,12 +136,38 @@
 		0 };
 	struct admit *a = admit_new(&c, 0);
 	struct admit_item item;
+	int i;
+
+	admit_await_answer(a, ANSWER_BY);
+	ck_assert_int_eq(send_long_requests(a, ANSWER_BY), 0);
+	ck_assert_int_eq(admit_in_flight(a), 1);
+	ck_assert_int_eq(admit_pop(a, ANSWER_BY + SECOND, &item),
+	    ADMIT_POP_NONE);
+	ck_assert_int_eq(admit_in_flight(a), 1);
+	admit_note_answered(a);
+	for (i = 1; i < LONG_REQUESTS; i++)
+		ck_assert_int_eq(admit_pop(a, ANSWER_BY + SECOND, &item),
+		    ADMIT_POP_RUN);
+	admit_free(a);
+}
+END_TEST
+
+START_TEST(requests_do_not_wait_for_target_that_stays_silent)
+{
+	struct admit_config c = { 200, 260, 100000, 0, 20 * MS, 0, 32, 0, 0,
+		0 };
+	struct admit *a = admit_new(&c, 0);
+	struct admit_item item;
+	int i;
 
 	admit_await_answer(a, ANSWER_BY);
 	send_long_requests(a, ANSWER_BY);
+	for (i = 1; i < LONG_REQUESTS; i++)
+		ck_assert_int_eq(admit_pop(a, ANSWER_BY + 7 * SECOND, &item),
+		    ADMIT_POP_REFUSED);
+	ck_assert_int_eq(send_long_requests(a, ANSWER_BY + 14 * SECOND),
+	    LONG_REQUESTS);
 	ck_assert_int_eq(admit_in_flight(a), 1);
-	ck_assert_int_eq(admit_pop(a, ANSWER_BY + LONG_REQUESTS * MS, &item),
-	    ADMIT_POP_REFUSED);
 	admit_free(a);
 }
 END_TEST
@@ -273,6 +299,7 @@
 	tcase_add_test(c, burst_at_new_target_is_not_refused_as_cold);
 	tcase_add_test(c, long_requests_wait_for_first_answer);
 	tcase_add_test(c, target_whose_first_answer_is_late_gets_one_request);
+	tcase_add_test(c, requests_do_not_wait_for_target_that_stays_silent);
 	tcase_add_test(c, stalled_target_is_cold);
 	tcase_add_test(c, crowded_from_half_the_limit);
 	suite_add_tcase(s, c);
