restart-after-evacuation.sh counts before it writes; order of a struct in the rig

The first: the lines of the log were counted after the write, so that a daemon that was faster than the script seemed to take nothing; they are counted before now.

--- a/tests/rig/plan.c
+++ b/tests/rig/plan.c
@@ -135,25 +135,25 @@
 struct list {
 	const struct choice *choice;
 	size_t n;
-	int planned_percent; /* share of planned work */
 	const struct choice *aimed; /* besides, drawn apart */
 	size_t aimed_n;
+	int planned_percent; /* share of planned work */
 	int is_apart; /* nonzero: changes stay in force for a time */
 };
 
 #define AIMED(list) list, G_N_ELEMENTS(list)
 
 static const struct list lists[PROFILES] = {
-	[PROFILE_PLANNED] = { NULL, 0, 100, AIMED(aimed_planned) },
-	[PROFILE_TARGETS] = { targets, G_N_ELEMENTS(targets), 65,
-	    AIMED(aimed_targets) },
-	[PROFILE_STARVED] = { starved, G_N_ELEMENTS(starved), 60,
-	    AIMED(aimed_starved) },
-	[PROFILE_LINKS] = { links, G_N_ELEMENTS(links), 60,
-	    AIMED(aimed_planned) },
-	[PROFILE_KILLS] = { kills, G_N_ELEMENTS(kills), 60,
-	    AIMED(aimed_planned) },
-	[PROFILE_STORE] = { store, G_N_ELEMENTS(store), 0, NULL, 0, 1 },
+	[PROFILE_PLANNED] = { NULL, 0, AIMED(aimed_planned), 100 },
+	[PROFILE_TARGETS] = { targets, G_N_ELEMENTS(targets),
+	    AIMED(aimed_targets), 65 },
+	[PROFILE_STARVED] = { starved, G_N_ELEMENTS(starved),
+	    AIMED(aimed_starved), 60 },
+	[PROFILE_LINKS] = { links, G_N_ELEMENTS(links), AIMED(aimed_planned),
+	    60 },
+	[PROFILE_KILLS] = { kills, G_N_ELEMENTS(kills), AIMED(aimed_planned),
+	    60 },
+	[PROFILE_STORE] = { store, G_N_ELEMENTS(store), NULL, 0, 0, 1 },
 };
 
 /** struct plan - actions in the order of their times */
--- a/tests/system/restart-after-evacuation.sh
+++ b/tests/system/restart-after-evacuation.sh
@@ -12,9 +12,9 @@
 failed=0
 
 dialect_fleet 1.1,1.2 || fleet_fail "the targets are not known"
-dialect_store_request POST evacuations '{"metadata":{"name":"dc2"},"specification":{}}' >"$fleet_dir/code"
 in_force() { [ "$(grep -c 'event=320 ' "$fleet_dir/daemon-1-1.log")" -gt "$1" ]; }
 before=$(grep -c 'event=320 ' "$fleet_dir/daemon-1-1.log")
+dialect_store_request POST evacuations '{"metadata":{"name":"dc2"},"specification":{}}' >"$fleet_dir/code"
 fleet_wait_until 4 in_force "$before" || fleet_fail "the evacuation is not in force"
 sleep 1
 before=$(grep -c 'event=320 ' "$fleet_dir/daemon-1-1.log")
