A pull that fails goes to another data centre

What callers saw: on a trial with eight daemons (1.1 to 1.4, 2.1, 2.2, 3.1, 3.2), connections between daemons of 1.1 to 1.3 cut 0.3 s before a change while their datagrams passed, the untouched 1.4 refused the added route with 404 for 3.49 s after the acknowledgement, until the cut ended.

Cause: a pull that failed went to another member of the own data centre while there was one, excepted only the member that had failed last, and a report of a newer version began with all of them again. With two or more members of the data centre out of reach it went to and fro between them, 800 ms each.

Now a member that failed at the present version comes after all others, and after a failure in the own data centre the others are asked first.

Ruled out as cause of what the trial shows: the store and the watchers, as all daemons of the other data centres had the change after 0.79 s at most.

--- a/src/core/member/impl.h
+++ b/src/core/member/impl.h
@@ -42,6 +42,8 @@
  * @checked: nonzero while we check it as callers found it silent
  * @check_at: time at which a suspect is pinged once more
  * @dead_at: time at which a suspect is declared dead
+ * @pull_failed: nonzero if the last pull from it failed
+ * @pull_failed_version: our complete version at that time
  */
 struct row {
 	struct member m;
@@ -54,6 +56,8 @@
 	int checked;
 	int64_t check_at;
 	int64_t dead_at;
+	int pull_failed;
+	uint64_t pull_failed_version;
 };
 
 enum probe_phase { PROBE_IDLE, PROBE_DIRECT, PROBE_INDIRECT };
--- a/src/daemon/control/member.c
+++ b/src/daemon/control/member.c
@@ -82,7 +82,7 @@
 	c->reported_version = MAX(c->reported_version, digest);
 	if (digest <= complete)
 		return;
-	source = member_source(c->members, complete, 0);
+	source = member_source(c->members, complete);
 	if (source == MEMBER_NONE)
 		source = handle;
 	control_pull_config(c, member_at(c->members, source)->info.id);
--- a/src/daemon/control/pull.c
+++ b/src/daemon/control/pull.c
@@ -45,9 +45,11 @@
 static void
 pull_elsewhere(struct control *c, uint64_t failed_source)
 {
-	int h = member_source(c->members, config_complete_version(c->config),
-	    failed_source);
+	uint64_t complete = config_complete_version(c->config);
+	int h;
 
+	member_source_failed(c->members, failed_source, complete);
+	h = member_source(c->members, complete);
 	if (h != MEMBER_NONE)
 		control_pull_config(c, member_at(c->members, h)->info.id);
 }
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -379,13 +379,20 @@
 int member_verifiers(const struct member_table *, int k, int *handle);
 /**
  * member_source() - choose a member to pull the configuration from
- * @version: version that it must be above
- * @except: incarnation that is not chosen, 0 for none
+ * @version: complete version here, which it must be above
  *
  * One at random of those that have announced such a version and are alive, in
- * our data centre if there is one. Return: its handle, or MEMBER_NONE.
+ * our data centre if there is one, but in another one after one of ours has
+ * failed. Those that failed at this version come again only after all others.
+ * Return: its handle, or MEMBER_NONE.
  */
-int member_source(struct member_table *, uint64_t version, uint64_t except);
+int member_source(struct member_table *, uint64_t version);
+/**
+ * member_source_failed() - note that a pull from a member failed
+ * @id: its incarnation, ignored if unknown
+ * @version: complete version here at that time
+ */
+void member_source_failed(struct member_table *, uint64_t id, uint64_t version);
 /** member_counts() - copy the totals */
 void member_counts(const struct member_table *, struct member_counts *);
 
