A parsed object counts only for the value that it was made of

Cause: an object of a later serial may take the place of another one at the same version (after a restore). What was parsed of it was looked up by its version alone, so that the table and its digest would be new and the routes in force old.

--- a/src/daemon/control/config.c
+++ b/src/daemon/control/config.c
@@ -31,9 +31,11 @@
 }
 
 /* An object as parsed at one version, so that a change of one object does not
- * parse all the others again. */
+ * parse all the others again. An object of a later serial may replace another
+ * one at its version, so that the value is compared, too. */
 struct parsed {
 	uint64_t version;
+	GBytes *value;
 	int bad;
 	int is_routing;
 	union {
@@ -51,6 +53,7 @@
 
 	if (o->is_routing)
 		routing_unref(o->routing);
+	g_bytes_unref(o->value);
 	g_free(o);
 }
 
@@ -89,6 +92,8 @@
 	else
 		parts = read_routes(p, text, n, &e);
 	p->version = o->version;
+	g_bytes_unref(p->value);
+	p->value = g_bytes_ref(o->value);
 	if (o->kind == CONFIG_SERVICE)
 		p->service.version = o->version;
 	else if (o->kind == CONFIG_DATACENTRE)
@@ -103,7 +108,7 @@
 	GHashTable *h = c->parsed[o->kind];
 	struct parsed *p = g_hash_table_lookup(h, o->name);
 
-	if (p && p->version == o->version)
+	if (p && p->version == o->version && p->value == o->value)
 		return p;
 	if (!p) {
 		p = g_new0(struct parsed, 1);
