--- a/src/core/member/source.c
+++ b/src/core/member/source.c
@@ -59,7 +59,7 @@
 	for (h = 1; h < member_handle_end(t); h++)
 		if (member_row(t, h))
 			member_row(t, h)->pull_failed = 0;
-	return choose_source(t, version);
+	return MEMBER_NONE;
 }
 
 void
--- a/src/internal/member.h
+++ b/src/internal/member.h
@@ -384,7 +384,8 @@
  * One at random of those that have announced such a version and are alive, in
  * our data centre if there is one, but in another one after one of ours has
  * failed. Those that failed at this version come again only after all others.
- * Return: its handle, or MEMBER_NONE.
+ * Return: its handle, or MEMBER_NONE if there is none, and once after all of
+ * them have failed, so that a caller which tries at once comes to an end.
  */
 int member_source(struct member_table *, uint64_t version);
 /**
--- a/tests/unit/member_source.c
+++ b/tests/unit/member_source.c
@@ -105,6 +105,8 @@
 		asked |= 1 << id;
 		member_source_failed(t, id, OLD);
 	}
+	/* A pull that is refused at once is not tried without end. */
+	ck_assert_uint_eq(source(t, OLD), 0);
 	ck_assert_uint_ne(source(t, OLD), 0);
 	member_free(t);
 }
