A list that brings nothing leaves members to their changes

Cause: each list at a revision two or more above the complete version had members get full lists, whatever it brought. Now a list does so only if the table was complete to nothing before, or if the list brought or removed something at several revisions. Evidence: unit-config list_without_news_leaves_changes_to_members fails without the change; list_does_not_hide_removals_from_members passes. What remains: an object that came and went between two lists, unseen by a table, stays at a member that has it until the digests differ and it lists the store.

--- a/src/core/config/apply.c
+++ b/src/core/config/apply.c
@@ -200,17 +200,21 @@
 	return updated > 0 ? CONFIG_GAP : CONFIG_OLD;
 }
 
-/* Several changes since the complete version may include the removal of an
- * object that this table never had, and that a member still has. */
+/* A list that brings something, @updated, shows that changes were missed. If
+ * there were several, one of them may be the removal of an object that this
+ * table never had and that a member still has. */
 static void
-finish_list(struct config_table *t, const struct config_batch *b)
+finish_list(struct config_table *t, const struct config_batch *b, int updated)
 {
-	if (b->upto > t->complete + 1)
-		t->removals_after = MAX(t->removals_after, b->upto);
+	uint64_t before = t->counts.updated;
+
 	if (b->hold)
 		config_keep_unlisted(t, b->upto, b->kinds);
 	else
 		config_remove_unlisted(t, b->upto, b->kinds);
+	if (!t->complete || (b->upto > t->complete + 1 &&
+				(updated || t->counts.updated != before)))
+		t->removals_after = MAX(t->removals_after, b->upto);
 }
 
 /* Takes objects of no known version for names that the table has not. */
@@ -277,7 +281,7 @@
 			mark_listed(t, o, b->kinds);
 	}
 	if (b->kinds)
-		finish_list(t, b);
+		finish_list(t, b, updated);
 	advance_transfer(t, b, role);
 	config_trim_tombstones(t);
 	return conflict ? CONFIG_CONFLICT
--- a/tests/unit/config.c
+++ b/tests/unit/config.c
@@ -226,6 +226,25 @@
 }
 END_TEST
 
+/* Guards against full lists to all members after each list that brings nothing.
+ */
+START_TEST(list_without_news_leaves_changes_to_members)
+{
+	const struct config_pull from_9 = { .after = 9 };
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_object o = object("a", 9, "a");
+	struct config_batch page;
+
+	apply(t, 0, 0, 9, object("a", 9, "a"));
+	apply_list(t, 14, &o, 1);
+	config_read_page(t, 2, &from_9, 1000, &page);
+	ck_assert_int_eq(page.full, 0);
+	ck_assert_int_eq(page.nobject, 0);
+	config_batch_clear(&page);
+	config_free(t);
+}
+END_TEST
+
 /* Guards against a table that stays without an object which its complete
  * version names, although each list has it. */
 START_TEST(list_brings_what_the_complete_version_lacks)
@@ -666,6 +685,7 @@
 	tcase_add_test(c, lower_platform_version_is_rejected);
 	tcase_add_test(c, stale_objects_have_no_version);
 	tcase_add_test(c, list_does_not_hide_removals_from_members);
+	tcase_add_test(c, list_without_news_leaves_changes_to_members);
 	tcase_add_test(c, list_brings_what_the_complete_version_lacks);
 	tcase_add_test(c, list_undoes_the_removal_of_what_it_shows);
 	tcase_add_test(c, list_between_pages_removes_nothing);
