A stale object gets no version by a restore

What callers saw: nothing; found in review. Cause: what a list after a restore lacks is held and gets the version of the list, also objects of a stale list, which have none: they were passed on. Now they stay without a version, and the first list after the hold removes them. Evidence: unit-restored stale_object_gets_no_version_by_the_hold fails without the change.

--- a/src/core/config/tombstone.c
+++ b/src/core/config/tombstone.c
@@ -77,14 +77,19 @@
 }
 
 /* The new version lets the objects reach members that pull what is newer than
- * the era before. */
+ * the era before. Objects without a version stay so: a stale list may show what
+ * was removed long before the restore. */
 void
 config_keep_unlisted(struct config_table *t, uint64_t version, uint32_t kinds)
 {
 	GPtrArray *unlisted = find_unlisted(t, version, kinds);
 	guint k;
 
-	for (k = 0; k < unlisted->len; k++)
-		config_keep_object(t, g_ptr_array_index(unlisted, k), version);
+	for (k = 0; k < unlisted->len; k++) {
+		struct config_entry *n = g_ptr_array_index(unlisted, k);
+
+		if (n->object.version)
+			config_keep_object(t, n, version);
+	}
 	g_ptr_array_free(unlisted, TRUE);
 }
--- a/tests/unit/restored.c
+++ b/tests/unit/restored.c
@@ -210,6 +210,25 @@
 }
 END_TEST
 
+/* Guards against a stale object that gets a version by a restore, so that it is
+ * passed on and stays. */
+START_TEST(stale_object_gets_no_version_by_the_hold)
+{
+	struct config_table *t = config_new(NULL, NULL);
+	struct config_object o = object(CONFIG_DATACENTRE, "dc2", 7, "out");
+	struct config_batch stale = { .stale = 1, .nobject = 1, .object = &o };
+	struct kq_error e;
+
+	config_apply_batch(t, &stale, &e);
+	g_bytes_unref(o.value);
+	apply_list(t, CONFIG_DATACENTRE, V(16), 1, NULL, 0);
+	ck_assert_uint_eq(config_find(t, CONFIG_DATACENTRE, "dc2")->version, 0);
+	apply_list(t, CONFIG_DATACENTRE, V(16), 0, NULL, 0);
+	check_value(t, CONFIG_DATACENTRE, "dc2", NULL);
+	config_free(t);
+}
+END_TEST
+
 START_TEST(object_not_written_again_is_removed_after_the_hold)
 {
 	struct config_table *t = config_new(NULL, NULL);
@@ -238,6 +257,7 @@
 	tcase_add_test(c, member_passes_on_what_the_copy_lacks);
 	tcase_add_test(c, object_that_the_copy_lacks_is_held);
 	tcase_add_test(c, held_object_stays_between_pages);
+	tcase_add_test(c, stale_object_gets_no_version_by_the_hold);
 	tcase_add_test(c, object_not_written_again_is_removed_after_the_hold);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
