A stale list that comes after a current one of its kind is not used

What callers saw: nothing; found in review, by reading and a trial on the table alone. Cause: stale objects were taken until the table was complete to a version; while the other kind's current list was still open, a late stale list could bring back an object that the current one no longer has. No test in processes.

--- a/src/daemon/control/platform.c
+++ b/src/daemon/control/platform.c
@@ -363,8 +363,10 @@
 	struct control *c = f->control;
 
 	control_note_platform_result(c, r);
-	if (r->status == PLATFORM_OK) {
+	if (r->status == PLATFORM_OK)
 		f->stale_listed = 1;
+	/* With a version of the feed, a current list has come first. */
+	if (r->status == PLATFORM_OK && !f->version) {
 		r->batch->stale = 1;
 		control_apply_batch(c, r->batch);
 	}
