A list for a difference between members is tried again

What callers saw: nothing; found in review. Cause: the difference counted as seen before the list had been answered. Now a feed counts once it was listed at the version; until then each datagram that differs begins another try, 0.2 to 1.2 s later. A try that fails doesn't hold back the readings of the fleet.

--- a/src/daemon/control/impl.h
+++ b/src/daemon/control/impl.h
@@ -47,6 +47,8 @@
  * @watching: a watch is in flight
  * @reading: a list is in flight beside the watch: another feed has a newer
  *	version, or the watch is being verified
+ * @rereading: it is in flight since a member differs
+ * @reread_version: complete version after the last such list
  * @listed: a list has succeeded
  * @stale_listed: a list that may be stale has
  * @list_next: the last watch failed; list next, since the platform may answer
@@ -63,6 +65,8 @@
 	int listing;
 	int watching;
 	int reading;
+	int rereading;
+	uint64_t reread_version;
 	int listed;
 	int stale_listed;
 	int list_next;
--- a/src/daemon/control/member.c
+++ b/src/daemon/control/member.c
@@ -96,11 +96,11 @@
 	struct control *c = ctx;
 	uint64_t complete = config_complete_version(c->config);
 
+	control_reread(c);
 	if (complete == c->differs_version)
 		return;
 	c->differs_version = complete;
 	c->counters.config_differs++;
-	control_reread(c);
 	log_event(EVENT_CONFIG_DIFFERS, G_LOG_LEVEL_WARNING, control_now(c),
 	    "a member holds other objects of the same version"
 	    " complete=%" G_GUINT64_FORMAT " digest=%016" G_GINT64_MODIFIER
--- a/src/daemon/control/reading.c
+++ b/src/daemon/control/reading.c
@@ -1,7 +1,9 @@
 #include "daemon/control/impl.h"
 
 #define CHECK_PERIOD_US 250000 /* longest time between two checks */
-/* For which the daemons that differ spread their lists. */
+/* Time from a difference to a list, and for which the daemons that differ
+ * spread their lists. */
+#define REREAD_LEAST_US 200000
 #define REREAD_SPREAD_US 1000000
 
 /* The time of a reading is that of the oldest list of a watched feed. */
@@ -31,16 +33,22 @@
 	struct feed *f = ctx;
 	struct control *c = f->control;
 
-	f->reading = 0;
+	int rereading = f->rereading;
+
+	f->reading = f->rereading = 0;
 	control_note_platform_result(c, r);
 	control_note_invalid(f, r);
 	if (r->status != PLATFORM_OK) {
-		reader_failed(&c->reader, rng_unit(&c->rng), control_now(c));
+		if (!rereading)
+			reader_failed(&c->reader, rng_unit(&c->rng),
+			    control_now(c));
 		return;
 	}
 	if (r->batch->complete < f->version ||
 	    control_apply_feed_batch(f, r->batch))
 		return;
+	if (rereading)
+		f->reread_version = config_complete_version(c->config);
 	control_note_reading(f, f->read_sent_at);
 }
 
@@ -101,24 +109,48 @@
 			read_feed(&c->feed[i]);
 }
 
+/* Whether a feed is watched and was not yet listed again at this version. */
+static int
+needs_reread(struct control *c, int i)
+{
+	return control_is_watched_feed(c, i) &&
+	       c->feed[i].reread_version != config_complete_version(c->config);
+}
+
 static void
 reread_due(void *ctx, int64_t now)
 {
 	struct control *c = ctx;
+	int i;
 
-	if (!c->leaving)
-		read_feeds(c);
+	for (i = 0; i < platform_form(c->platform)->nfeed && !c->leaving; i++) {
+		struct feed *f = &c->feed[i];
+
+		if (!needs_reread(c, i) || f->reading || f->listing)
+			continue;
+		f->rereading = 1;
+		read_feed(f);
+	}
 }
 
+/* Members that differ say so in each datagram, so that a list which fails is
+ * tried again. */
 void
 control_reread(struct control *c)
 {
+	int i, needed = 0;
+
 	if (!control_many_feeds(c) || c->reread_timer.pos)
 		return;
+	for (i = 0; i < platform_form(c->platform)->nfeed; i++)
+		needed |= needs_reread(c, i);
+	if (!needed)
+		return;
 	c->reread_timer.fire = reread_due;
 	c->reread_timer.ctx = c;
 	io_timer_set(c->task.loop, &c->reread_timer,
-	    control_now(c) + rng_below(&c->rng, REREAD_SPREAD_US));
+	    control_now(c) + REREAD_LEAST_US +
+		rng_below(&c->rng, REREAD_SPREAD_US));
 }
 
 /* A watch can stop delivering changes without an error, and the platform can
