--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -33,9 +33,11 @@
 	log_request_event(EVENT_BAD_REQUEST, G_LOG_LEVEL_INFO, data_now(d),
 	    attempt, reason,
 	    "refused request=%s host=%.64s path=%.64s status=%d reason=%s "
-	    "conn=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT,
+	    "conn=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT
+	    " complete=%" G_GUINT64_FORMAT,
 	    attempt, host ? host : "none", h->path, status, reason,
-	    http_exchange_conn_number(x), d->view->rules_version);
+	    http_exchange_conn_number(x), d->view->rules_version,
+	    d->view->complete_version);
 	http_exchange_set_ctx(x, NULL);
 	http_exchange_write_head(x, status, f, status == 503 ? 4 : 3,
 	    strlen(text));
