Event 514 names the cause and the requests of a closed connection

The record names two requests and no log of their daemon: event 514, which tells that a connection was closed, named none, so that an excerpt by request leaves it out; who closed it and how was a text, one for several places.

Now 514 has the cause (caller-eof, caller-reset, broken-response, closing-response, bad-request, overrun, slow-request, slow-reader, memory, server-end) and for each request left its id and how far it was: waiting, passed, begun, broken, whole. The first cause counts: a caller that closes after a broken response no longer passes for the one that ended the connection. 510 and 511 tell a caller that left (caller-gone) from a connection that this daemon closed (closed) and from a request that broke off itself (broken-request).

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -87,26 +87,12 @@
 	struct http_exchange *x = conn_first(c);
 	int open = x->item.open;
 
-	c->left.exchanges++;
-	c->left.open += open;
+	conn_note_left(x);
 	line_remove(&c->line, &x->item);
 	retire(c, x);
 	return open;
 }
 
-static void
-report_end(struct http_conn *c)
-{
-	struct http_server *s = c->server;
-
-	c->left.unsent = out_pending(&c->out);
-	if (c->reset)
-		c->left.unsent += (size_t)conn_unacked(c);
-	c->left.reason = c->why.text[0] ? c->why.text : "closed";
-	if (s->ops->ended && (c->left.exchanges || c->left.unsent))
-		s->ops->ended(s->ctx, &c->left);
-}
-
 /* Whether a response that is cut would look whole if the connection were
  * closed. */
 static int
@@ -127,7 +113,7 @@
 	c->closed = 1;
 	while (c->line.first)
 		leave_first(c);
-	report_end(c);
+	conn_report_end(c);
 	out_clear(&c->out);
 	in_pause(&c->in, 1);
 	io_watch_remove(s->loop, &c->watch);
@@ -151,6 +137,8 @@
 		out_clear(&c->out);
 		in_clear(&c->in);
 		exchange_free_retired(c);
+		if (c->left_requests)
+			g_string_free(c->left_requests, TRUE);
 		g_free(c);
 	}
 }
@@ -241,8 +229,6 @@
 	struct http_exchange *x, *open[HTTP_PIPELINE_MAX + 1];
 	int i, n = 0;
 
-	if ((c->line.first || c->left.exchanges) && !c->why.text[0])
-		c->why = *err;
 	while ((x = conn_first(c)))
 		if (leave_first(c))
 			open[n++] = x;
@@ -251,10 +237,13 @@
 }
 
 void
-conn_end(struct http_conn *c, enum line_verdict how, const struct kq_error *err)
+conn_end(struct http_conn *c, enum line_verdict how, enum http_end_cause cause,
+    const struct kq_error *err)
 {
 	int cut = how == LINE_DROP && looks_whole(c);
 
+	if (c->line.first || c->left.exchanges)
+		conn_note_cause(c, cause, err);
 	fail_exchanges(c, err);
 	if (c->closed)
 		return;
@@ -312,7 +301,7 @@
 	if (v == LINE_CLOSE) {
 		kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
 		    "connection closed by an earlier response");
-		conn_end(c, v, &err);
+		conn_end(c, v, HTTP_END_CLOSING_RESPONSE, &err);
 		return NULL;
 	}
 	if (c->paused && !(c->line.reading && c->line.reading->open)) {
--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -28,6 +28,8 @@
  * @item: its place on the connection; the first member
  * @queued_out: what the user wrote before its turn to be sent, or while it is
  *              held
+ * @name: for logs
+ * @passed: the user passed the request on
  * @put: bytes of the response that were written, sent or not
  * @held: the user holds the response back: it is sent once it is complete
  * @expect_continue: the caller waits for "100 Continue"
@@ -47,6 +49,8 @@
 	struct http_exchange *next_retired;
 	void *ctx;
 	struct http_out queued_out;
+	char name[HTTP_NAME_BYTES];
+	int passed;
 	size_t put;
 	int held;
 	int expect_continue;
@@ -95,7 +99,9 @@
  * @head_since: when the first byte of the head being read came, 0 if none is
  *              being read
  * @discarded: bytes of the request's body that were dropped
- * @left: its number, and what it leaves when it ends; @left.reason is unused
+ * @left: its number, and what it leaves when it ends; @left.reason and
+ *        @left.requests are unused
+ * @left_requests: text of what it leaves, or NULL
  * @why: why its first exchange failed, or no text
  * @reset: it is closed with a reset
  * @unframed: a response was begun that lasts until the connection ends
@@ -126,6 +132,7 @@
 	int64_t head_since;
 	size_t discarded;
 	struct http_conn_end left;
+	GString *left_requests;
 	struct kq_error why;
 	int reset;
 	int unframed;
@@ -190,7 +197,8 @@
 /** conn_end() - fail all exchanges and tell the users of those that are open;
  * then close the connection as LINE_CLOSE, LINE_RESET or LINE_DROP says. The
  * error may be NULL if there is no exchange */
-void conn_end(struct http_conn *, enum line_verdict, const struct kq_error *);
+void conn_end(struct http_conn *, enum line_verdict, enum http_end_cause,
+    const struct kq_error *);
 /** conn_await_acks() - enter CONN_ACKS */
 void conn_await_acks(struct http_conn *);
 /** conn_wants_read() - whether input can be used now */
@@ -216,6 +224,17 @@
 struct http_exchange *exchange_new(struct http_conn *);
 void exchange_free_retired(struct http_conn *);
 
+/* ---- conn_left.c: what a connection leaves when it ends ---- */
+
+/** conn_note_cause() - note what ends the connection, unless that is known */
+void conn_note_cause(struct http_conn *, enum http_end_cause,
+    const struct kq_error *);
+/** conn_note_left() - count an exchange among those that the connection leaves
+ */
+void conn_note_left(struct http_exchange *);
+/** conn_report_end() - tell the user what the connection left */
+void conn_report_end(struct http_conn *);
+
 /* ---- conn_answer.c: heads, and answers in the server's own name ---- */
 
 /** conn_put_head() - write status, fields and framing of a response */
--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -21,7 +21,7 @@
 	if (has_input(c->fd))
 		return;
 	if (c->server->stopping)
-		conn_end(c, LINE_CLOSE, NULL);
+		conn_end(c, LINE_CLOSE, HTTP_END_NONE, NULL);
 	else
 		conn_close(c);
 }
@@ -42,8 +42,9 @@
 }
 
 static void
-end_late(struct http_conn *c, int unsent)
+end_late(struct http_conn *c, enum http_end_cause cause)
 {
+	int unsent = cause != HTTP_END_SLOW_REQUEST;
 	struct kq_error err;
 	enum line_verdict v;
 
@@ -54,9 +55,8 @@
 		conn_fault(c, 408, &err);
 		return;
 	}
-	if (!c->why.text[0])
-		c->why = err;
-	conn_end(c, v, &err);
+	conn_note_cause(c, cause, &err);
+	conn_end(c, v, cause, &err);
 }
 
 static void
@@ -72,7 +72,7 @@
 		close_idle(c);
 		return;
 	}
-	end_late(c, unsent);
+	end_late(c, unsent ? HTTP_END_SLOW_READER : HTTP_END_SLOW_REQUEST);
 }
 
 /* One whose event is being handled is not stalled, nor is one whose caller was
@@ -91,15 +91,25 @@
 	}
 	if (!stalled)
 		return 0;
-	end_late(stalled, 1);
+	end_late(stalled, HTTP_END_MEMORY);
 	return 1;
 }
 
+/* Error of a socket that is no longer watched for input. */
+static int
+socket_error(int fd)
+{
+	int e = 0;
+	socklen_t n = sizeof e;
+
+	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &e, &n) ? errno : e;
+}
+
 static void
 handle_readable(struct http_conn *c)
 {
 	if (!(c->watch.events & IO_READ))
-		conn_disconnected(c, 0);
+		conn_disconnected(c, socket_error(c->fd));
 	else if (!conn_wants_read(c))
 		c->read_disabled = 1;
 	else
--- /dev/null
+++ b/src/adapter/http/conn_left.c
@@ -0,0 +1,77 @@
+#include "conn.h"
+
+const char *
+http_end_cause_name(enum http_end_cause cause)
+{
+	static const char *const names[] = {
+		[HTTP_END_NONE] = "none",
+		[HTTP_END_CALLER_EOF] = "caller-eof",
+		[HTTP_END_CALLER_RESET] = "caller-reset",
+		[HTTP_END_BROKEN_RESPONSE] = "broken-response",
+		[HTTP_END_CLOSING_RESPONSE] = "closing-response",
+		[HTTP_END_BAD_REQUEST] = "bad-request",
+		[HTTP_END_OVERRUN] = "overrun",
+		[HTTP_END_SLOW_REQUEST] = "slow-request",
+		[HTTP_END_SLOW_READER] = "slow-reader",
+		[HTTP_END_MEMORY] = "memory",
+		[HTTP_END_SERVER] = "server-end",
+	};
+
+	return names[cause];
+}
+
+int
+http_end_by_caller(enum http_end_cause cause)
+{
+	return cause == HTTP_END_CALLER_EOF || cause == HTTP_END_CALLER_RESET;
+}
+
+void
+conn_note_cause(struct http_conn *c, enum http_end_cause cause,
+    const struct kq_error *err)
+{
+	if (c->left.cause != HTTP_END_NONE)
+		return;
+	c->left.cause = cause;
+	c->why = *err;
+}
+
+static const char *
+state_of(const struct http_exchange *x)
+{
+	if (x->item.whole)
+		return "whole";
+	if (!x->item.open)
+		return "broken";
+	if (x->head_written)
+		return "begun";
+	return x->passed ? "passed" : "waiting";
+}
+
+void
+conn_note_left(struct http_exchange *x)
+{
+	struct http_conn *c = x->conn;
+
+	c->left.exchanges++;
+	c->left.open += x->item.open;
+	if (!c->left_requests)
+		c->left_requests = g_string_new(NULL);
+	g_string_append_printf(c->left_requests, "%s%s/%s",
+	    c->left_requests->len ? "," : "", x->name[0] ? x->name : "none",
+	    state_of(x));
+}
+
+void
+conn_report_end(struct http_conn *c)
+{
+	struct http_server *s = c->server;
+
+	c->left.unsent = out_pending(&c->out);
+	if (c->reset)
+		c->left.unsent += (size_t)conn_unacked(c);
+	c->left.reason = c->left.cause ? c->why.text : "closed";
+	c->left.requests = c->left_requests ? c->left_requests->str : "none";
+	if (s->ops->ended && (c->left.exchanges || c->left.unsent))
+		s->ops->ended(s->ctx, &c->left);
+}
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -38,7 +38,7 @@
 		return;
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
 	    "request went on after its response");
-	conn_end(c, v, &err);
+	conn_end(c, v, HTTP_END_OVERRUN, &err);
 }
 
 static int
@@ -122,7 +122,10 @@
 	in_pause(&c->in, 1);
 	c->head_since = 0;
 	if (v == LINE_CLOSE || v == LINE_RESET)
-		conn_end(c, v, err);
+		conn_end(c, v,
+		    status == 408 ? HTTP_END_SLOW_REQUEST
+				  : HTTP_END_BAD_REQUEST,
+		    err);
 	if (v == LINE_ANSWER && x)
 		answer_broken(x, status, err);
 	if (v == LINE_REJECT)
@@ -142,14 +145,14 @@
 void
 conn_disconnected(struct http_conn *c, int e)
 {
+	enum http_end_cause cause =
+	    e ? HTTP_END_CALLER_RESET : HTTP_END_CALLER_EOF;
 	struct kq_error err;
 
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
 	    "caller disconnected: %s", e ? strerror(e) : "connection closed");
-	c->left.by_caller = 1;
-	if (!c->why.text[0])
-		c->why = err;
-	conn_end(c, LINE_DROP, &err);
+	conn_note_cause(c, cause, &err);
+	conn_end(c, LINE_DROP, cause, &err);
 }
 
 /* The caller may be gone, or still wait for its response: a half-close after a
@@ -182,7 +185,7 @@
 	else if (v == LINE_FAULT && in_feed_eof(&c->in) < 0)
 		reject_message(c);
 	else if (v == LINE_CLOSE && !c->in.unparsed_len)
-		conn_end(c, v, NULL);
+		conn_end(c, v, HTTP_END_NONE, NULL);
 }
 
 void
--- a/src/adapter/http/exchange.c
+++ b/src/adapter/http/exchange.c
@@ -20,6 +20,24 @@
 	return x->conn->left.number;
 }
 
+void
+http_exchange_set_name(struct http_exchange *x, const char *name)
+{
+	g_strlcpy(x->name, name, sizeof x->name);
+}
+
+void
+http_exchange_set_passed(struct http_exchange *x)
+{
+	x->passed = 1;
+}
+
+enum http_end_cause
+http_exchange_end_cause(const struct http_exchange *x)
+{
+	return x->conn->left.cause;
+}
+
 static int
 must_buffer(const struct http_conn *c)
 {
@@ -182,7 +200,7 @@
 	}
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
 	    "connection closed by a broken response");
-	conn_end(c, v, &err);
+	conn_end(c, v, HTTP_END_BROKEN_RESPONSE, &err);
 }
 
 void
--- a/src/adapter/http/server.c
+++ b/src/adapter/http/server.c
@@ -215,9 +215,8 @@
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED, "server ended");
 	stop_listening(s);
 	while ((c = s->conns)) {
-		if (!c->why.text[0])
-			c->why = err;
-		conn_end(c, LINE_DROP, &err);
+		conn_note_cause(c, HTTP_END_SERVER, &err);
+		conn_end(c, LINE_DROP, HTTP_END_SERVER, &err);
 	}
 	conn_free_closed(s);
 	io_timer_clear(s->loop, &s->free_timer);
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -231,6 +231,18 @@
 			outbound_send_body(&c->attempt[i]);
 }
 
+/* What became of a request whose exchange failed: its caller has gone, its
+ * connection was closed by this daemon, or it broke off itself. */
+static const char *
+gone_outcome(const struct http_exchange *x)
+{
+	enum http_end_cause cause = http_exchange_end_cause(x);
+
+	if (cause == HTTP_END_NONE)
+		return "broken-request";
+	return http_end_by_caller(cause) ? "caller-gone" : "closed";
+}
+
 static void
 caller_gone(void *ctx, struct http_exchange *x, const struct kq_error *err)
 {
@@ -239,9 +251,10 @@
 
 	if (!c)
 		return;
+	c->outcome = gone_outcome(x);
 	c->exchange = NULL;
 	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
-		outbound_attempt_cancel(&c->attempt[i], "caller-gone");
+		outbound_attempt_cancel(&c->attempt[i], c->outcome);
 	outbound_call_free(c);
 }
 
@@ -258,18 +271,21 @@
 {
 	struct data *d = ctx;
 
-	if (e->by_caller) {
+	int by_caller = http_end_by_caller(e->cause);
+
+	if (by_caller) {
 		d->counters.conns_left++;
 	} else {
 		d->counters.conns_cut++;
 		d->counters.conns_cut_requests += (uint64_t)e->exchanges;
 	}
 	log_event(EVENT_CONNECTION_CUT,
-	    e->by_caller ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING, data_now(d),
+	    by_caller ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING, data_now(d),
 	    "connection cut conn=%" G_GUINT64_FORMAT
-	    " by=%s requests=%d open=%d unsent=%zu reason=%s",
-	    e->number, e->by_caller ? "caller" : "daemon", e->exchanges,
-	    e->open, e->unsent, e->reason);
+	    " by=%s cause=%s requests=%d open=%d unsent=%zu ids=%s reason=%s",
+	    e->number, by_caller ? "caller" : "daemon",
+	    http_end_cause_name(e->cause), e->exchanges, e->open, e->unsent,
+	    e->requests, e->reason);
 }
 
 void
--- a/src/daemon/outbound/request.c
+++ b/src/daemon/outbound/request.c
@@ -9,6 +9,16 @@
 #define RETRY_AFTER_S \
 	"0.2" /* by then a daemon that just started has its configuration */
 
+/* Id of a caller's attempt, "none" if it gives none. */
+static const char *
+attempt_of(const struct data *d, const struct http_head *h)
+{
+	const char *field = d->dialect->attempt_field;
+	const char *id = field ? http_head_find(h, field) : NULL;
+
+	return id ? id : "none";
+}
+
 /* Answers a request for which no call is made, with an error. A request that
  * carries a request id may have run before: its outcome is "unknown", and a 503
  * becomes 504. */
@@ -17,9 +27,7 @@
     const struct http_head *h, int status, const char *reason, const char *text)
 {
 	const char *host = http_head_find(h, "Host");
-	const char *attempt = d->dialect->attempt_field
-				  ? http_head_find(h, d->dialect->attempt_field)
-				  : NULL;
+	const char *attempt = attempt_of(d, h);
 	const char *id = http_head_find(h, FIELD_REQUEST_ID);
 	struct http_field f[] = { { FIELD_OUTCOME, id ? "unknown" : "not-run" },
 		{ FIELD_REASON, reason }, { "Content-Type", "text/plain" },
@@ -28,8 +36,6 @@
 
 	if (id && status == 503)
 		status = 504;
-	if (!attempt)
-		attempt = "none";
 	log_request_event(EVENT_BAD_REQUEST, G_LOG_LEVEL_INFO, data_now(d),
 	    attempt, reason,
 	    "refused request=%s host=%.64s path=%.64s status=%d reason=%s "
@@ -359,6 +365,7 @@
 	int64_t left_ms, depth = 0, left = 0;
 
 	d->counters.calls++;
+	http_exchange_set_name(x, attempt_of(d, h));
 	if (find_terms(d, x, h, &t)) {
 		d->counters.bad_requests++;
 		return;
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -53,6 +53,7 @@
 
 #define HTTP_FIELDS_MAX 64
 #define HTTP_PIPELINE_MAX 16 /* exchanges at once on one connection */
+#define HTTP_NAME_BYTES 64 /* of an exchange's name, with its end */
 #define HTTP_LENGTH_NONE (-1) /* no body */
 #define HTTP_LENGTH_CHUNKED (-2) /* length not known in advance */
 
@@ -118,22 +119,60 @@
 struct http_server;
 struct http_exchange; /* one request and its response */
 
+/**
+ * enum http_end_cause - what ended a caller's connection
+ * @HTTP_END_NONE: it is not ended, or was closed with nothing left on it
+ * @HTTP_END_CALLER_EOF: the caller ended its sending side
+ * @HTTP_END_CALLER_RESET: the caller reset it, or is not reached any more
+ * @HTTP_END_BROKEN_RESPONSE: a response broke off after its head had been sent
+ * @HTTP_END_CLOSING_RESPONSE: a whole response after which no other may come
+ * @HTTP_END_BAD_REQUEST: a malformed request, or one that is too large
+ * @HTTP_END_OVERRUN: a request that went on after its response
+ * @HTTP_END_SLOW_REQUEST: a request that came too slowly
+ * @HTTP_END_SLOW_READER: the caller took no byte of its responses for too long
+ * @HTTP_END_MEMORY: the same, ended sooner to free memory
+ * @HTTP_END_SERVER: the server ended
+ */
+enum http_end_cause {
+	HTTP_END_NONE,
+	HTTP_END_CALLER_EOF,
+	HTTP_END_CALLER_RESET,
+	HTTP_END_BROKEN_RESPONSE,
+	HTTP_END_CLOSING_RESPONSE,
+	HTTP_END_BAD_REQUEST,
+	HTTP_END_OVERRUN,
+	HTTP_END_SLOW_REQUEST,
+	HTTP_END_SLOW_READER,
+	HTTP_END_MEMORY,
+	HTTP_END_SERVER
+};
+
+/** http_end_cause_name() - word for a cause, for logs */
+const char *http_end_cause_name(enum http_end_cause);
+/** http_end_by_caller() - whether the caller ended the connection */
+int http_end_by_caller(enum http_end_cause);
+
 /**
  * struct http_conn_end - what a caller's connection that ended had left
  * @number: of the connection, see http_exchange_conn_number()
- * @reason: why it ended
- * @by_caller: the caller closed it
+ * @cause: what ended it
+ * @reason: the same in words
  * @exchanges: requests that have no whole response, or whose response had to
  *             wait for its turn
+ * @requests: "NAME/STATE" of each of them, separated by commas, see
+ *            http_exchange_set_name(). States: "waiting" (not passed on),
+ *            "passed", "begun" (a part of the response was written), "broken",
+ *            "whole" (the response waited for its turn)
  * @open: how many of them the user had not ended
  * @unsent: bytes of responses that were not sent; if the connection was reset,
  *          also those that the caller had not acknowledged
  */
 struct http_conn_end {
 	uint64_t number;
+	enum http_end_cause cause;
 	const char *reason;
-	int by_caller;
 	int exchanges;
+	const char *requests;
 	int open;
 	size_t unsent;
 };
@@ -159,8 +198,9 @@
  *           complete responses now, see http_exchange_has_predecessor()
  * @failed: the exchange failed: the caller disconnected, sent a broken message
  *          or was too slow before the response was complete, or an earlier
- *          response closed the connection; @err says which. The exchange is
- *          freed after this returns. Not called after http_exchange_end() or
+ *          response closed the connection; @err says which, and
+ *          http_exchange_end_cause() whether the connection ended. The exchange
+ *          is freed after this returns. Not called after http_exchange_end() or
  *          http_exchange_abort().
  * @rejected: optional; the server itself answered a broken or late message with
  *            400, 408, 413 or 431
@@ -228,6 +268,13 @@
 /** http_exchange_conn_number() - number of the connection, from 1 in the order
  * in which the server accepted them */
 uint64_t http_exchange_conn_number(const struct http_exchange *);
+/** http_exchange_set_name() - name the exchange in http_conn_end.requests; what
+ * exceeds HTTP_NAME_BYTES - 1 is left out */
+void http_exchange_set_name(struct http_exchange *, const char *);
+/** http_exchange_set_passed() - note that the request was passed on */
+void http_exchange_set_passed(struct http_exchange *);
+/** http_exchange_end_cause() - what ended the connection */
+enum http_end_cause http_exchange_end_cause(const struct http_exchange *);
 /**
  * http_exchange_has_predecessor() - whether earlier requests on the connection
  * have no complete response
