Failing test: callers that half-close get no answer

What callers saw: in the platform's dialect a caller that shuts down its sending side after its requests gets no answer; what was passed on is cut at the target. docs/DESIGN.md promises the answer.

--- a/tests/fake/caller/caller.h
+++ b/tests/fake/caller/caller.h
@@ -15,6 +15,9 @@
  *
  * With --slow, it stands in for callers that read slowly or not at all: each
  * sends one request and reads its status, then so many bytes a second.
+ *
+ * With --half-close, each ends its sending side after its requests and reads
+ * their answers, or closes the connection.
  */
 
 /** enum way - how requests are sent on a connection */
@@ -87,4 +90,29 @@
 /** slow_play() - hold connections until the end, and print what came on them */
 void slow_play(const struct caller *, const struct slow_way *);
 
+/**
+ * struct half_way - what callers that end their sending side do
+ * @connections: one after the other
+ * @requests: sent at once, before the end
+ * @is_kept: a request was answered on the connection before
+ * @is_http10: they are sent in HTTP/1.0
+ * @pause_ms: from the requests to the end
+ * @leaves: the connection is closed, and nothing read
+ * @reads_ms: for so long after the end of the sending side; 0: at the same time
+ */
+struct half_way {
+	int connections;
+	int requests;
+	const char *method;
+	int is_kept;
+	int is_http10;
+	int deadline_ms;
+	int pause_ms;
+	int leaves;
+	int reads_ms;
+};
+
+/** half_play() - play these callers, and print what came */
+void half_play(struct caller *, const struct half_way *);
+
 #endif
--- a/tests/fake/caller/main.c
+++ b/tests/fake/caller/main.c
@@ -11,6 +11,7 @@
 #define DEADLINE_MS 4000 /* of requests whose answers are read slowly */
 #define OPEN_PER_S 400 /* connections whose answers are read slowly */
 #define RETRY_US 20000 /* after a connection that could not be opened */
+#define HALF_PAUSE_MS 50 /* from requests to the end of the sending side */
 #define REFUSED_MAX 25 /* in a row, until a thread ends */
 
 static const char *const way_names[WAYS] = { "whole", "halves", "late", "body",
@@ -117,9 +118,23 @@
 	    arg_lit0(NULL, "body", "with --slow, send bodies without end");
 	struct arg_int *head_bytes = arg_int0(NULL, "head-bytes", "N",
 	    "with --slow, send so much of a head that does not end");
+	struct arg_int *half = arg_int0(NULL, "half-close", "N",
+	    "connections whose sending side ends after their requests");
+	struct arg_int *requests = arg_int0(NULL, "requests", "N",
+	    "with --half-close, at once on each, default 1");
+	struct arg_str *method =
+	    arg_str0(NULL, "method", "NAME", "with --half-close, default GET");
+	struct arg_lit *kept = arg_lit0(NULL, "kept",
+	    "with --half-close, after an answer on the connection");
+	struct arg_lit *http10 =
+	    arg_lit0(NULL, "http10", "with --half-close, in HTTP/1.0");
+	struct arg_int *leave = arg_int0(NULL, "leave-ms", "N",
+	    "with --half-close, close the connection so much later");
 	struct arg_end *end = arg_end(9);
 	void *table[] = { to, host, path, seconds, batches, second, third,
-		kb_per_s, slow, rate, deadline, per_s, body, head_bytes, end };
+		kb_per_s, slow, rate, deadline, per_s, body, head_bytes, half,
+		requests, method, kept, http10, leave, end };
+	struct half_way half_way;
 	struct slow_way way;
 	struct thread t[THREADS];
 	GThread *thread[THREADS];
@@ -147,6 +162,18 @@
 	c.end = g_get_monotonic_time() + seconds->ival[0] * G_USEC_PER_SEC;
 	c.sends_body = body->count;
 	c.head_bytes = head_bytes->count ? head_bytes->ival[0] : 0;
+	if (half->count) {
+		half_way = (struct half_way){ half->ival[0],
+			requests->count ? requests->ival[0] : 1,
+			method->count ? method->sval[0] : "GET", kept->count,
+			http10->count,
+			deadline->count ? deadline->ival[0] : DEADLINE_MS,
+			HALF_PAUSE_MS, leave->count,
+			leave->count ? leave->ival[0] : 0 };
+		half_play(&c, &half_way);
+		arg_freetable(table, G_N_ELEMENTS(table));
+		return EXIT_SUCCESS;
+	}
 	if (slow->count) {
 		way.connections = slow->ival[0];
 		way.bytes_per_s = rate->count ? rate->ival[0] : 0;
