A caller that half-closes gets its answers

Cause: line_eof() took the end of the sending side for the caller's leaving, since a full close begins with the same segment and work for callers that have left has to end within half a second. The class: one sign taken for two things.

Now the daemon asks: an interim response every 250 ms until the answer begins. A socket that is closed answers with a reset, also if it was closed only later, of which no segment tells. Where nothing can be sent (HTTP/1.0, an answer that has begun and stands still for 250 ms) the dialect decides as before.

--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -40,8 +40,6 @@
  *             HTTP_LENGTH_*
  * @notify_drained: bytes are buffered; the callback drained is due once they
  *                  are sent
- * @interim_sent: "100 Continue" was sent to see whether the caller is still
- *                connected
  */
 struct http_exchange {
 	struct line_item item;
@@ -61,7 +59,6 @@
 	int no_body;
 	int64_t body_left;
 	int notify_drained;
-	int interim_sent;
 };
 
 /**
@@ -81,6 +78,9 @@
  *               watch and the timer are updated after it
  * @closed: closed; its memory is freed in the next iteration
  * @eof: the peer closed its sending side
+ * @eof_at: when that was seen
+ * @probe_at: when it is probed again whether it closed the other side, too; 0
+ *            if it need not be
  * @paused: the user suspended reading
  * @send_errno: error of a failed send, 0 if none failed
  * @scheduled: conn_schedule() set the timer
@@ -119,6 +119,8 @@
 	int in_callback;
 	int closed;
 	int eof;
+	int64_t eof_at;
+	int64_t probe_at;
 	int paused;
 	int send_errno;
 	int scheduled;
@@ -255,7 +257,8 @@
 
 /* ---- conn_time.c: timeouts ---- */
 
-/** conn_update_timer() - have the timer fire by conn_timeout_time() */
+/** conn_update_timer() - have the timer fire by conn_timeout_time(), and to
+ * probe the peer */
 void conn_update_timer(struct http_conn *);
 /** conn_timeout_time() - when the connection will have waited too long for its
  * peer; 0 while it waits for the user */
@@ -276,6 +279,9 @@
 void conn_fault(struct http_conn *, int status, const struct kq_error *);
 /** conn_handle_eof() - handle the end of the caller's input */
 void conn_handle_eof(struct http_conn *);
+/** conn_probe() - find out whether a peer that ended its sending side still
+ * waits for its responses */
+void conn_probe(struct http_conn *, int64_t now);
 /** conn_disconnected() - end the connection of a caller that is gone, with the
  * socket's error or 0 */
 void conn_disconnected(struct http_conn *, int e);
--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -169,6 +169,8 @@
 	c->in_callback = 1;
 	if (c->scheduled)
 		run_scheduled(c);
+	if (!c->closed && c->probe_at && c->probe_at <= now)
+		conn_probe(c, now);
 	due = c->closed ? 0 : conn_timeout_time(c);
 	if (due && due <= now)
 		handle_timeout(c, now);
--- a/src/adapter/http/conn_left.c
+++ b/src/adapter/http/conn_left.c
@@ -6,6 +6,7 @@
 	static const char *const names[] = {
 		[HTTP_END_NONE] = "none",
 		[HTTP_END_CALLER_EOF] = "caller-eof",
+		[HTTP_END_CALLER_CLOSED] = "caller-closed",
 		[HTTP_END_CALLER_RESET] = "caller-reset",
 		[HTTP_END_BROKEN_RESPONSE] = "broken-response",
 		[HTTP_END_CLOSING_RESPONSE] = "closing-response",
@@ -23,7 +24,9 @@
 int
 http_end_by_caller(enum http_end_cause cause)
 {
-	return cause == HTTP_END_CALLER_EOF || cause == HTTP_END_CALLER_RESET;
+	return cause == HTTP_END_CALLER_EOF ||
+	       cause == HTTP_END_CALLER_CLOSED ||
+	       cause == HTTP_END_CALLER_RESET;
 }
 
 void
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -4,6 +4,10 @@
 #include <string.h>
 #include <sys/socket.h>
 
+/* Between two interim responses to a caller that ended its sending side: half
+ * of the time for which work may go on for a caller that has left. */
+#define PROBE_US 250000
+
 static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 static void
@@ -145,28 +149,39 @@
 void
 conn_disconnected(struct http_conn *c, int e)
 {
-	enum http_end_cause cause =
-	    e ? HTTP_END_CALLER_RESET : HTTP_END_CALLER_EOF;
+	enum http_end_cause cause = HTTP_END_CALLER_EOF;
 	struct kq_error err;
 
+	if (e)
+		cause = c->eof ? HTTP_END_CALLER_CLOSED : HTTP_END_CALLER_RESET;
+
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
 	    "caller disconnected: %s", e ? strerror(e) : "connection closed");
 	conn_note_cause(c, cause, &err);
 	conn_end(c, LINE_DROP, cause, &err);
 }
 
-/* The caller may be gone, or still wait for its response: a half-close after a
- * complete request is legal. An interim response tells, since a socket that was
- * closed in both directions answers with a reset. */
-static void
-probe_caller(struct http_conn *c)
+/* The caller may be gone, or still wait for its responses: a half-close after a
+ * complete request is legal. An interim response tells, as any bytes do, since
+ * a socket that was closed in both directions answers with a reset. It has to
+ * be sent again, as the caller may close the other side later, of which nothing
+ * else tells. */
+void
+conn_probe(struct http_conn *c, int64_t now)
 {
 	struct http_exchange *x = conn_first(c);
 
-	if (x->head_written || x->http10 || x->interim_sent)
+	c->probe_at = 0;
+	if (!x || c->state != CONN_OPEN)
 		return;
-	x->interim_sent = 1;
-	send_interim(c);
+	c->probe_at = now + PROBE_US;
+	if (out_pending(&c->out))
+		return;
+	if (!x->http10 && (!x->head_written || x->held))
+		send_interim(c);
+	else if (c->server->limits.eof_cancels &&
+		 (x->http10 || now - MAX(c->eof_at, c->last_byte) >= PROBE_US))
+		conn_disconnected(c, 0);
 }
 
 void
@@ -177,15 +192,13 @@
 
 	if (c->closed || c->state != CONN_OPEN || c->in.paused)
 		return;
-	v = line_eof(&c->line, partial, c->server->limits.eof_cancels);
-	if (v == LINE_DROP)
-		conn_disconnected(c, 0);
-	else if (v == LINE_PROBE)
-		probe_caller(c);
-	else if (v == LINE_FAULT && in_feed_eof(&c->in) < 0)
+	v = line_eof(&c->line, partial);
+	if (v == LINE_FAULT && in_feed_eof(&c->in) < 0)
 		reject_message(c);
 	else if (v == LINE_CLOSE && !c->in.unparsed_len)
 		conn_end(c, v, HTTP_END_NONE, NULL);
+	if (!c->closed && !c->probe_at)
+		conn_probe(c, io_now(c->server->loop));
 }
 
 void
@@ -245,6 +258,7 @@
 	}
 	if (n == 0) {
 		c->eof = 1;
+		c->eof_at = io_now(c->server->loop);
 		conn_handle_eof(c);
 	} else if (errno != EAGAIN && errno != EINTR) {
 		conn_disconnected(c, errno);
--- a/src/adapter/http/conn_time.c
+++ b/src/adapter/http/conn_time.c
@@ -33,6 +33,8 @@
 {
 	int64_t due = conn_timeout_time(c);
 
+	if (c->probe_at && (!due || c->probe_at < due))
+		due = c->probe_at;
 	if (c->scheduled || !due)
 		return;
 	/* The timer is only moved to an earlier time. If the timeout was put
--- a/src/adapter/http/line.c
+++ b/src/adapter/http/line.c
@@ -106,10 +106,8 @@
 }
 
 enum line_verdict
-line_eof(const struct line *l, int partial, int cancels)
+line_eof(const struct line *l, int partial)
 {
-	if (cancels && l->first && !(partial && l->first == l->reading))
-		return LINE_DROP;
 	if (partial)
 		return LINE_FAULT;
 	return l->first ? LINE_PROBE : LINE_CLOSE;
--- a/src/adapter/http/line.h
+++ b/src/adapter/http/line.h
@@ -107,11 +107,10 @@
 /**
  * line_eof() - the caller closed its sending side
  * @partial: within a message
- * @cancels: this means that the caller has gone
  *
- * Return: LINE_DROP, LINE_FAULT, LINE_PROBE or LINE_CLOSE.
+ * Return: LINE_FAULT, LINE_PROBE or LINE_CLOSE.
  */
-enum line_verdict line_eof(const struct line *, int partial, int cancels);
+enum line_verdict line_eof(const struct line *, int partial);
 /** line_timeout() - the caller was too slow; @unsent: it does not read.
  * Return: LINE_DROP or LINE_FAULT */
 enum line_verdict line_timeout(int unsent, int partial);
--- a/src/internal/dialect.h
+++ b/src/internal/dialect.h
@@ -92,7 +92,8 @@
  * @ready_path: path of the daemon's readiness check
  * @report_path: path at which the daemon takes heartbeats and leaves
  * @half_close: nonzero if a caller that closed its sending side still gets its
- *	answer; otherwise it counts as gone
+ *	answer even if it is not known whether it closed the other one, too;
+ *	otherwise it counts as gone then
  * @store: request and answer formats of the platform's object API
  */
 struct dialect {
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -26,12 +26,12 @@
  * request, "unknown" if it was handed to the user before it broke.
  *
  * A caller that closes its sending side after a complete request still gets its
- * response, unless http_limits.eof_cancels is set. Since a caller that closed
- * the connection in both directions looks the same at first, the server then
- * sends an HTTP/1.1 caller one "100 Continue": a closed socket answers it with
- * a reset, upon which the exchange fails (http_server_ops.failed). An HTTP/1.0
- * caller that closed the connection is detected only when the response is
- * written.
+ * response. Since a caller that closed the connection in both directions looks
+ * the same, the server then sends an HTTP/1.1 caller "100 Continue" over and
+ * over until the response begins: a closed socket answers with a reset, upon
+ * which the exchange fails (http_server_ops.failed). No interim response can go
+ * to an HTTP/1.0 caller, nor into a response that has begun:
+ * http_limits.eof_cancels tells what happens then.
  *
  * Requests that follow a GET or HEAD on one connection (pipelining) are handed
  * to the user at once, up to HTTP_PIPELINE_MAX; their responses are sent in the
@@ -99,8 +99,9 @@
  * @head_ms: most time for a server to receive a whole head and for a pool to
  *           connect, default 5000
  * @idle_ms: most time without a byte on a connection, default 60000
- * @eof_cancels: nonzero if a caller that closes its sending side counts as
- *            disconnected
+ * @eof_cancels: nonzero if a caller that closed its sending side counts as
+ *            disconnected where no bytes can tell: it speaks HTTP/1.0, or its
+ *            response has begun and stands still
  */
 struct http_limits {
 	int head_bytes;
@@ -122,7 +123,8 @@
 /**
  * enum http_end_cause - what ended a caller's connection
  * @HTTP_END_NONE: it is not ended, or was closed with nothing left on it
- * @HTTP_END_CALLER_EOF: the caller ended its sending side
+ * @HTTP_END_CALLER_EOF: the caller ended its sending side, and may have left
+ * @HTTP_END_CALLER_CLOSED: the caller ended both its sides
  * @HTTP_END_CALLER_RESET: the caller reset it, or is not reached any more
  * @HTTP_END_BROKEN_RESPONSE: a response broke off after its head had been sent
  * @HTTP_END_CLOSING_RESPONSE: a whole response after which no other may come
@@ -136,6 +138,7 @@
 enum http_end_cause {
 	HTTP_END_NONE,
 	HTTP_END_CALLER_EOF,
+	HTTP_END_CALLER_CLOSED,
 	HTTP_END_CALLER_RESET,
 	HTTP_END_BROKEN_RESPONSE,
 	HTTP_END_CLOSING_RESPONSE,
