half-close.sh: callers read what comes before they close

Without that their sockets are reset as they close, so that a daemon without repeated probes passed, too.

--- a/tests/fake/caller/half.c
+++ b/tests/fake/caller/half.c
@@ -97,6 +97,21 @@
 	return 0;
 }
 
+/* Reads what comes for some time, so that the socket is not reset when it is
+ * closed. */
+static void
+drop_input(int fd, int ms)
+{
+	gint64 end = g_get_monotonic_time() + ms * (gint64)MS_US;
+	char b[READ_BYTES];
+
+	do {
+		g_usleep(MS_US);
+		while (recv(fd, b, sizeof b, MSG_DONTWAIT) > 0)
+			;
+	} while (g_get_monotonic_time() < end);
+}
+
 static void
 play(struct caller *r, int fd, const struct half_way *w, struct half_counts *k)
 {
@@ -113,7 +128,7 @@
 			read_answers(fd, in, w->requests, k);
 		} else if (w->reads_ms) {
 			shutdown(fd, SHUT_WR);
-			g_usleep((gulong)w->reads_ms * MS_US);
+			drop_input(fd, w->reads_ms);
 		}
 	}
 	g_string_free(in, TRUE);
