--- a/tests/fake/planned/answer.c
+++ b/tests/fake/planned/answer.c
@@ -54,6 +54,17 @@
 	g_free(key);
 }
 
+/* Drops a response that is an interim one, which comes only to a caller that
+ * ended its sending side; Return: whether it was one */
+static int
+drop_interim(struct conn *c, const char *head_end)
+{
+	if (!c->half_closes || !g_str_has_prefix(c->in, "HTTP/1.1 100 "))
+		return 0;
+	drop(c, (size_t)(head_end - c->in) + 4);
+	return 1;
+}
+
 /* Reads a head; the length of the body, LENGTH_CHUNKED, or LENGTH_NONE if there
  * is no whole head or one that isn't an answer with a length. */
 static int64_t
@@ -63,9 +74,11 @@
 	char value[ID_MAX], *head_end;
 	int64_t length = 0;
 
-	while (!(head_end = strstr(c->in, "\r\n\r\n")))
-		if (receive(c, end))
-			return LENGTH_NONE;
+	do {
+		while (!(head_end = strstr(c->in, "\r\n\r\n")))
+			if (receive(c, end))
+				return LENGTH_NONE;
+	} while (drop_interim(c, head_end));
 	head_end[2] = '\0';
 	if (strncmp(c->in, "HTTP/1.1 ", 9) != 0)
 		a->outcome = OUTCOME_BAD;
--- a/tests/fake/planned/planned.h
+++ b/tests/fake/planned/planned.h
@@ -89,7 +89,9 @@
 	int retry_after_ms;
 };
 
-/** struct conn - a connection; @in holds bytes received and not yet used */
+/** struct conn - a connection; @in holds bytes received and not yet used;
+ * @half_closes: nonzero if the caller ends its sending side after its requests
+ */
 struct conn {
 	struct caller *caller;
 	GRand *rand;
@@ -97,6 +99,7 @@
 	int thread; /* number of the thread that plays it */
 	int id;
 	int fd;
+	int half_closes;
 	int64_t sent_last; /* when sending of the last bytes began */
 	size_t n;
 	char in[16385]; /* with a final NUL */
--- a/tests/fake/planned/request.c
+++ b/tests/fake/planned/request.c
@@ -167,14 +167,14 @@
 	    "call id=%s to=%s conn=%d way=%d behind=%d once=%d "
 	    "start=%" G_GINT64_FORMAT
 	    " limit_ms=%d work_ms=%d bytes=%d breaks=%d route=%s kind=%s "
-	    "first=%s",
+	    "first=%s half=%d",
 	    r->id, c->caller->address, c->id, c->way, behind, r->once, r->start,
 	    r->limit_ms, r->work_ms, r->bytes, r->breaks,
 	    r->route ? r->route : "any",
 	    r->kind    ? r->kind
 	    : r->route ? r->route
 		       : "any",
-	    r->first ? r->first : r->id);
+	    r->first ? r->first : r->id, c->half_closes);
 }
 
 int
--- a/tests/rig/aimed.c
+++ b/tests/rig/aimed.c
@@ -17,6 +17,9 @@
 #define UNTOLD_MS 2250 /* from SIGTERM: other daemons know nothing of it */
 #define STILL 6 /* daemons that stand still while one ends */
 #define SERVICE_WITHOUT_CALLS "archive"
+#define SERVICE_OF_PIPELINES "codebook"
+#define REFUSING 2 /* targets that refuse first attempts */
+#define KEPT_MS 1500 /* least time for which connections are aimed at */
 
 static void
 aim(struct machine *m, enum aim how)
@@ -206,3 +209,42 @@
 		aim(m[i], AIM_NONE);
 	}
 }
+
+/* Up to @n running machines of a service, from a turn on; Return: how many */
+static int
+machines_of(const struct action *a, const char *service, int n,
+    struct machine **found)
+{
+	struct machine *m[MACHINES_MAX];
+	int i, all = action_machines(a->rig, a->first, MACHINES_MAX, m), k = 0;
+
+	for (i = 0; i < all && k < n; i++)
+		if (!strcmp(m[i]->service, service))
+			found[k++] = m[i];
+	return k;
+}
+
+/* Callers press a machine with several requests at once on each connection, and
+ * many end their sending side, while targets refuse first attempts. */
+void
+act_press_kept(const struct action *a)
+{
+	const char *what = a->count % 2 ? "pace" : "full";
+	struct machine *m = claim_machine(a), *refusing[REFUSING];
+	int i, n;
+
+	if (!m)
+		return;
+	n = machines_of(a, SERVICE_OF_PIPELINES, REFUSING, refusing);
+	for (i = 0; i < n; i++)
+		machine_set_target(refusing[i],
+		    a->count % 2 ? "pace=300" : "slots=3&queue=6", what);
+	aim(m, AIM_KEPT);
+	pause_ms(KEPT_MS + a->ms);
+	aim(m, AIM_NONE);
+	for (i = 0; i < n; i++)
+		machine_set_target(refusing[i],
+		    a->count % 2 ? "pace=100" : "slots=18&queue=36",
+		    a->count % 2 ? "calm of=pace" : "calm of=full");
+	g_atomic_int_set(&m->claimed, 0);
+}
--- a/tests/rig/attempt.c
+++ b/tests/rig/attempt.c
@@ -33,6 +33,12 @@
 #define AIM_LONG_SHARE 0.7
 #define OVER_PERCENT 52 /* work, of the usual time limit */
 #define LONG_PERCENT 60 /* of the longest work */
+#define HALF_SHARE 0.03 /* of connections whose sending side ends early */
+#define AIM_HALF_SHARE                                         \
+	0.5 /* at machines whose kept connections are aimed at \
+	     */
+#define HALF_PAUSE_MAX_US 60000 /* from the requests to that end */
+#define HALF_SEED 0x68616c66
 #define OUT_SHARE 0.5 /* of requests that still use an open connection */
 
 /** struct idle - a connection between two requests */
@@ -279,6 +285,13 @@
 	    a->is_signed, a->closes);
 }
 
+static void
+end_sending(struct conn *c)
+{
+	g_usleep((gulong)g_rand_int_range(c->rand, 0, HALF_PAUSE_MAX_US));
+	shutdown(c->fd, SHUT_WR);
+}
+
 int
 attempt_exchange(struct conn *c, struct request *q, struct answer *a, int n)
 {
@@ -288,6 +301,8 @@
 		a[i].outcome = OUTCOME_CUT;
 	if (request_send(c, q, n))
 		return 0;
+	if (c->half_closes)
+		end_sending(c);
 	for (i = 0; i < n; i++) {
 		if (!ended)
 			answer_read(c, &q[i], &a[i]);
@@ -306,7 +321,7 @@
 		if (ended && i + 3 < n)
 			a[i + 3].outcome = a[i + 1].outcome;
 	}
-	return !ended;
+	return !ended && !c->half_closes;
 }
 
 static int
@@ -369,6 +384,19 @@
 	}
 }
 
+/* Drawn apart, so that the other draws of a seed stay the same. */
+static int
+draw_half_closes(const struct machine *m, guint32 seed)
+{
+	GRand *rand = g_rand_new_with_seed(seed ^ HALF_SEED);
+	double share =
+	    g_atomic_int_get(&m->aim) == AIM_KEPT ? AIM_HALF_SHARE : HALF_SHARE;
+	int half = g_rand_double(rand) < share;
+
+	g_rand_free(rand);
+	return half;
+}
+
 void
 attempt_play(struct rig *r, struct task *t)
 {
@@ -388,6 +416,7 @@
 	if (c) {
 		c->rand = p.rand;
 		c->way = WAY_SINGLE;
+		c->half_closes = draw_half_closes(p.machine, t->seed);
 		for (i = 0; i < t->n; i++) {
 			draw_request(&p, &q[i], t->kind->deadline_ms);
 			if (r->harsh)
--- a/tests/rig/plan.c
+++ b/tests/rig/plan.c
@@ -13,8 +13,12 @@
 #define AIMED_FIRST_MS 500
 #define AIMED_LAST_MS 9000 /* before the end, as they take that long */
 #define AIMED_SEED 0x61696d /* so that they don't change the other actions */
+#define KEPT_PAUSE_LEAST_MS 3000 /* between two actions on kept connections */
+#define KEPT_PAUSE_MOST_MS 6000
+#define KEPT_SEED 0x6b657074
 #define ACTIONS_MAX 400
 #define STORE_SEEDS 10000 /* seeds from this on have PROFILE_STORE */
+#define KEPT_SEEDS 20000 /* and from this on PROFILE_KEPT */
 #define CLOSING_MS 9000 /* before the end: all daemons end */
 #define APART_LEAST_MS 1500 /* between two actions that change something */
 #define APART_MOST_MS 5000
@@ -106,6 +110,17 @@
 	{ "late-write", act_late_write, 4 },
 };
 
+static const struct choice kept[] = {
+	{ "restart-series", act_restart_series, 2 },
+	{ "slow-targets", act_slow_targets, 6 },
+	{ "fill-targets", act_fill_targets, 6 },
+	{ "fail-targets", act_fail_targets, 4 },
+	{ "cold-targets", act_cold_targets, 1 },
+	{ "burst", act_burst, 4 },
+	{ "impatience", act_impatience, 2 },
+	{ "abuse", act_abuse, 2 },
+};
+
 static const struct choice closings[] = {
 	{ "change-kill-all", act_change_kill_all, 3 },
 	{ "evacuated-kill-all", act_evacuated_kill_all, 1 },
@@ -154,6 +169,7 @@
 	[PROFILE_KILLS] = { kills, G_N_ELEMENTS(kills), AIMED(aimed_planned),
 	    60 },
 	[PROFILE_STORE] = { store, G_N_ELEMENTS(store), NULL, 0, 0, 1 },
+	[PROFILE_KEPT] = { kept, G_N_ELEMENTS(kept), NULL, 0, 0, 0 },
 };
 
 /** struct plan - actions in the order of their times */
@@ -229,6 +245,22 @@
 	g_rand_free(rand);
 }
 
+/* Drawn apart, as the aimed actions are. */
+static void
+draw_kept(struct plan *p)
+{
+	static const struct choice press = { "press-kept", act_press_kept, 1 };
+	int at = AIMED_FIRST_MS, last = p->rig->seconds * 1000 - SETTLE_MS;
+	GRand *rand = g_rand_new_with_seed(p->rig->seed ^ KEPT_SEED);
+
+	while (at < last && p->n < ACTIONS_MAX) {
+		draw_action(p, rand, &press, at);
+		at += g_rand_int_range(rand, KEPT_PAUSE_LEAST_MS,
+		    KEPT_PAUSE_MOST_MS);
+	}
+	g_rand_free(rand);
+}
+
 /* All daemons end shortly before the run does. */
 static void
 draw_closing(struct plan *p)
@@ -297,6 +329,8 @@
 enum profile
 plan_profile(guint32 seed)
 {
+	if (seed >= KEPT_SEEDS)
+		return PROFILE_KEPT;
 	return seed >= STORE_SEEDS ? PROFILE_STORE
 				   : (enum profile)(seed % PROFILES_BY_SEED);
 }
@@ -310,6 +344,7 @@
 	p->rand = g_rand_new_with_seed(r->seed);
 	draw_plan(p, &lists[r->profile]);
 	draw_aimed(p, &lists[r->profile]);
+	draw_kept(p);
 	if (r->profile == PROFILE_STORE)
 		draw_closing(p);
 	qsort(p->action, (size_t)p->n, sizeof p->action[0], order_actions);
--- a/tests/rig/plan.h
+++ b/tests/rig/plan.h
@@ -58,10 +58,11 @@
 void act_lie(const struct action *);
 void act_abuse(const struct action *);
 
-/* Stops with requests that are chosen for them: aimed.c. */
+/* Stops, and connections, with requests that are chosen for them: aimed.c. */
 void act_stop_young(const struct action *);
 void act_stop_limits(const struct action *);
 void act_stop_unread(const struct action *);
+void act_press_kept(const struct action *);
 
 /* Settings and logs that are held up: disk.c. */
 void act_hold_settings(const struct action *);
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -116,6 +116,8 @@
 	PROFILE_STORE = PROFILES_BY_SEED, /* lists that may be stale, and
 					     daemons that start beside changes
 					   */
+	PROFILE_KEPT, /* little planned work, so that most machines are in
+			 touch, and targets that refuse first attempts */
 	PROFILES
 };
 
@@ -127,7 +129,9 @@
 	AIM_AWAY, /* not at all */
 	AIM_MORE, /* with many of their requests */
 	AIM_LONG, /* with these, of which half have long work */
-	AIM_OVER /* with these, of more work than shortened limits allow */
+	AIM_OVER, /* with these, of more work than shortened limits allow */
+	AIM_KEPT /* with these, on connections of which half end their sending
+		    side after them */
 };
 
 /**
