http: a reset that a send meets is told as the caller's

What was seen: callers see nothing of this. Event 514 names this daemon (by=daemon, closing-response or broken-response) for connections that their callers reset, counts them and their requests in connections_cut_total and connections_cut_requests_total, and 510 says "closed" for the requests behind. These are what an operator looks for as losses.

Cause: the cause of an end is noted where the connection is ended. If the reset is met by a send, the response at hand is ended first, as one after which no other may come or one that breaks off, and the caller's leaving is noted second, which no longer counts. Now it is noted as the send fails.

Evidence: unit-http_reset before: 2 of 2 cases fail, with closing-response and broken-response in place of caller-reset; after: none of 2. http_pipeline, http_ends, http_stop, http_flow, http: 76 checks, none fails.

Ruled out: noting it where a response is ended, as each place that ends one would have to ask for the socket's state.

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -155,6 +155,9 @@
 void
 conn_note_send(struct http_conn *c, ssize_t r)
 {
+	enum http_end_cause cause;
+	struct kq_error err;
+
 	c->corked = 0;
 	if (r > 0) {
 		c->last_byte = io_now(c->server->loop);
@@ -164,6 +167,8 @@
 	if (r == 0 || errno == EAGAIN || errno == EINTR)
 		return;
 	c->send_errno = errno;
+	cause = conn_gone_cause(c, c->send_errno, &err);
+	conn_note_cause(c, cause, &err);
 	conn_schedule(c);
 }
 
--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -231,6 +231,10 @@
 /** conn_note_cause() - note what ends the connection, unless that is known */
 void conn_note_cause(struct http_conn *, enum http_end_cause,
     const struct kq_error *);
+/** conn_gone_cause() - how a caller has left, by the socket's error or 0; sets
+ * the error that says so */
+enum http_end_cause conn_gone_cause(const struct http_conn *, int e,
+    struct kq_error *);
 /** conn_note_left() - count an exchange among those that the connection leaves
  */
 void conn_note_left(struct http_exchange *);
--- a/src/adapter/http/conn_left.c
+++ b/src/adapter/http/conn_left.c
@@ -1,5 +1,7 @@
 #include "conn.h"
 
+#include <string.h>
+
 const char *
 http_end_cause_name(enum http_end_cause cause)
 {
@@ -39,6 +41,16 @@
 	c->why = *err;
 }
 
+enum http_end_cause
+conn_gone_cause(const struct http_conn *c, int e, struct kq_error *err)
+{
+	kq_error_set(err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
+	    "caller disconnected: %s", e ? strerror(e) : "connection closed");
+	if (!e)
+		return HTTP_END_CALLER_EOF;
+	return c->eof ? HTTP_END_CALLER_CLOSED : HTTP_END_CALLER_RESET;
+}
+
 static const char *
 state_of(const struct http_exchange *x)
 {
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -149,14 +149,9 @@
 void
 conn_disconnected(struct http_conn *c, int e)
 {
-	enum http_end_cause cause = HTTP_END_CALLER_EOF;
 	struct kq_error err;
+	enum http_end_cause cause = conn_gone_cause(c, e, &err);
 
-	if (e)
-		cause = c->eof ? HTTP_END_CALLER_CLOSED : HTTP_END_CALLER_RESET;
-
-	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
-	    "caller disconnected: %s", e ? strerror(e) : "connection closed");
 	conn_note_cause(c, cause, &err);
 	conn_end(c, LINE_DROP, cause, &err);
 }
