outbound: an attempt whose answer breaks off ends once

What was seen: callers see the same as before, a part of an answer. The attempt has two lines 511, lost and broken, and two requests fewer count as in flight at the target's daemon, so that this daemon takes it for less busy than it is until none of its requests is in flight there.

Cause: outbound_attempt_failed() ended the attempt for the picker, the trace and the log, and had the call given up while the attempt still counted as open; giving up a call ends the attempts that are open. It happens if a part of the answer has reached the caller, so that it can't be taken back. Now the attempt is closed first.

Evidence: broken-attempt-once.sh, 5 answers of 400,000 bytes that their target breaks off: two ends for 5 of 5 before, one for 5 of 5 after. The count in flight was read in the code, not measured.

Ruled out: that a connection or a request is lost by this. The end of the call is the same on both ways.

--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -234,11 +234,11 @@
 	c->may_have_run = 1;
 	if (!c->reason)
 		c->reason = WIRE_REASON_LOST;
+	outbound_attempt_clear(a);
 	if (c->winner == a && take_answer_back(c)) {
 		outbound_give_up_call(c);
 		return;
 	}
-	outbound_attempt_clear(a);
 	if (c->winner)
 		return;
 	try_again(c, cause, 0);
