All that is ready is taken before late timers run

What callers saw: 408 "request took too long" for bodies that had come in time, as their daemon did not run for longer than the time limit and then found more than 128 connections ready: it looked at 128 of them, then ran the timers of all.

Cause: an iteration of the loop took one batch of events, and a timer may be the time limit of what lies in a socket of the next batch. The class: a time limit judged before the input that meets it. It holds for callers' and targets' connections, those to other daemons and to the platform, as all share the loop.

Now the batches are taken until none is full, as many at most as there are watched descriptors, then the timers run.

Evidence: unit io, late_timers_fire_behind_all_that_is_ready: failed before (128 of 300 before the timer), passes now (three runs).

Ruled out: a larger batch: it moves the number. Limits that are put off after a pause: each place with a limit would need to know of it.

--- a/src/adapter/io/loop.c
+++ b/src/adapter/io/loop.c
@@ -3,7 +3,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
-#define EVENTS_MAX 128 /* of one iteration */
+#define EVENTS_MAX 128 /* of one look at the descriptors */
 
 static int
 ready_bits(uint32_t events)
@@ -38,15 +38,21 @@
 	w->ready(w->ctx, ready_bits(e->events));
 }
 
+/* Takes all that is ready before the timers run: a timer may be the time limit
+ * of what has come. A descriptor that stays ready comes behind the others, so
+ * that the looks are bounded by their number. */
 static void
 dispatch_events(struct io_loop *l)
 {
+	uint32_t looks = l->nslot / EVENTS_MAX + 1;
 	struct epoll_event ev[EVENTS_MAX];
 	int i, n;
 
-	n = epoll_wait(l->epoll, ev, EVENTS_MAX, 0);
-	for (i = 0; i < n; i++)
-		dispatch_event(l, &ev[i]);
+	do {
+		n = epoll_wait(l->epoll, ev, EVENTS_MAX, 0);
+		for (i = 0; i < n; i++)
+			dispatch_event(l, &ev[i]);
+	} while (n == EVENTS_MAX && --looks > 0);
 }
 
 static gboolean
--- a/tests/unit/io.c
+++ b/tests/unit/io.c
@@ -6,6 +6,7 @@
 #include "io.h"
 
 #define TIMERS 200
+#define READY_MAX 300 /* more than one look at the descriptors finds */
 
 struct fixture {
 	GMainContext *context;
@@ -185,6 +186,50 @@
 }
 END_TEST
 
+static void
+count_ready(void *ctx, int ready)
+{
+	char c;
+
+	ck_assert_int_eq(read(*(int *)ctx, &c, 1), 1);
+	fixture.callbacks++;
+}
+
+static void
+note_callbacks(void *ctx, int64_t now)
+{
+	*(int *)ctx = fixture.callbacks;
+}
+
+/* A timer may be the time limit of what has come in one of the descriptors. */
+START_TEST(late_timers_fire_behind_all_that_is_ready)
+{
+	static struct io_watch watch[READY_MAX];
+	static int fd[READY_MAX][2];
+	int i, before = -1;
+	struct io_timer t = { 0 };
+
+	t.fire = note_callbacks;
+	t.ctx = &before;
+	for (i = 0; i < READY_MAX; i++) {
+		ck_assert_int_eq(pipe(fd[i]), 0);
+		ck_assert_int_eq(write(fd[i][1], "x", 1), 1);
+		ck_assert_int_eq(io_watch_add(fixture.loop, &watch[i], fd[i][0],
+				     IO_READ, count_ready, &fd[i][0]),
+		    0);
+	}
+	io_timer_set(fixture.loop, &t, io_clock());
+	while (before < 0)
+		g_main_context_iteration(fixture.context, TRUE);
+	ck_assert_int_eq(before, READY_MAX);
+	for (i = 0; i < READY_MAX; i++) {
+		io_watch_remove(fixture.loop, &watch[i]);
+		close(fd[i][0]);
+		close(fd[i][1]);
+	}
+}
+END_TEST
+
 START_TEST(invalid_addresses_are_rejected)
 {
 	ck_assert_int_eq(io_listen_tcp("localhost", 0), -1);
@@ -208,6 +253,7 @@
 	    timer_set_in_its_callback_fires_in_the_next_iteration);
 	tcase_add_test(c, timers_have_submillisecond_resolution);
 	tcase_add_test(c, watch_removed_in_the_same_batch_is_not_called);
+	tcase_add_test(c, late_timers_fire_behind_all_that_is_ready);
 	tcase_add_test(c, invalid_addresses_are_rejected);
 	suite_add_tcase(s, c);
 	srunner_run_all(r, CK_NORMAL);
