--- a/src/adapter/http/conn_left.c
+++ b/src/adapter/http/conn_left.c
@@ -48,7 +48,8 @@
 	    "caller disconnected: %s", e ? strerror(e) : "connection closed");
 	if (!e)
 		return HTTP_END_CALLER_EOF;
-	return c->eof ? HTTP_END_CALLER_CLOSED : HTTP_END_CALLER_RESET;
+	return c->eof || c->eof_ahead ? HTTP_END_CALLER_CLOSED
+				      : HTTP_END_CALLER_RESET;
 }
 
 static const char *
