A caller's reset is reported as such while its response is being sent

Seen: a caller that resets its connection while bytes of a response are to be sent was reported in event 514 as by=daemon cause=none (a warning, counted in connections_cut_total), or as cause=caller-closed.

Cause: the error of a socket is given once. Sending got it, and the read after it in the same event found an end of input: the connection was closed as one with nothing left on it, or the reset taken for a close after a half-close. A connection that drops its input (CONN_LINGER), and the end of the server (http_server_finish()), closed it without a cause.

Nothing is read after sending has failed; both other places end the connection by conn_disconnected() with the error.

Ruled out: reading SO_ERROR in on_ready(): sending has taken the error by then.

--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -138,7 +138,7 @@
 	c->in_callback = 1;
 	if (ready & IO_WRITE)
 		conn_flush(c);
-	if (!c->closed && (ready & IO_READ))
+	if (!c->closed && !c->send_errno && (ready & IO_READ))
 		handle_readable(c);
 	leave_callback(c);
 }
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -233,8 +233,9 @@
 		c->discarded += (size_t)n;
 	if (n == 0)
 		c->eof = 1;
-	if ((n < 0 && errno != EAGAIN && errno != EINTR) ||
-	    (c->eof && !out_pending(&c->out)))
+	if (n < 0 && errno != EAGAIN && errno != EINTR)
+		conn_disconnected(c, errno);
+	else if (c->eof && !out_pending(&c->out))
 		conn_close(c);
 	else if (c->discarded > HTTP_DISCARD_BYTES)
 		conn_await_acks(c);
--- a/src/adapter/http/finish.c
+++ b/src/adapter/http/finish.c
@@ -62,7 +62,8 @@
 			unbind_socket(c->fd, bytes, buffer);
 }
 
-/* Drops what the caller sent. Return: 0, or -1 if the connection has failed. */
+/* Drops what the caller sent. Return: 0, or -1 if the connection has failed,
+ * with errno set. */
 static int
 drop_input(struct http_conn *c)
 {
@@ -78,21 +79,35 @@
 	return n >= 0 || errno == EAGAIN || errno == EINTR ? 0 : -1;
 }
 
-/* Sends what is left and drops what comes. Return: whether the caller has
- * everything, or can't get more. */
+/* Sends what is left. Return: 0, or -1 if the connection has failed, with errno
+ * set. */
 static int
+send_left(struct http_conn *c)
+{
+	if (!out_pending(&c->out) || out_send(&c->out, c->fd, NULL, 0) >= 0)
+		return 0;
+	return errno == EAGAIN || errno == EINTR ? 0 : -1;
+}
+
+/* Sends what is left and drops what comes; closes the connection if the caller
+ * has everything, or can't get more. */
+static void
 finish_conn(struct http_conn *c)
 {
-	if (c->send_errno || drop_input(c))
-		return 1;
-	if (out_pending(&c->out) && out_send(&c->out, c->fd, NULL, 0) < 0 &&
-	    errno != EAGAIN && errno != EINTR)
-		return 1;
+	if (c->send_errno) {
+		conn_disconnected(c, c->send_errno);
+		return;
+	}
+	if (drop_input(c) || send_left(c)) {
+		conn_disconnected(c, errno);
+		return;
+	}
 	if (out_pending(&c->out))
-		return 0;
+		return;
 	if (!c->reset)
 		shutdown(c->fd, SHUT_WR);
-	return !conn_unacked(c);
+	if (!conn_unacked(c))
+		conn_close(c);
 }
 
 /* Return: the number of connections that are not finished. */
@@ -106,10 +121,8 @@
 		next = c->next;
 		if (c->line.first)
 			continue;
-		if (finish_conn(c))
-			conn_close(c);
-		else
-			n++;
+		finish_conn(c);
+		n += !c->closed;
 	}
 	return n;
 }
