--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -138,7 +138,7 @@
 	c->in_callback = 1;
 	if (ready & IO_WRITE)
 		conn_flush(c);
-	if (!c->closed && (ready & IO_READ))
+	if (!c->closed && !c->send_errno && (ready & IO_READ))
 		handle_readable(c);
 	else if (!c->closed && (ready & IO_END))
 		conn_handle_eof_ahead(c);
