Event 517: connections of callers that are not served

Seen: a caller beyond limits.connections gets 503, or its connection closed without an answer while 64 others are being answered so; one whose socket can't be watched is closed, and while accept fails callers wait unaccepted. None of these left a line or a count, so that a closed connection could not be told from one that the daemon had never served.

The server tells its user of each (http_server_ops.refused); the daemon writes event 517 with the reason, connections open, limit and error, and counts connections_refused_total by reason.

Not tested: reason "watch", since epoll_ctl() can't be made to fail without changing limits of the machine.

--- a/src/adapter/http/server.c
+++ b/src/adapter/http/server.c
@@ -19,6 +19,26 @@
 	return s->nconn >= s->limits.connections;
 }
 
+const char *
+http_refusal_name(enum http_refusal why)
+{
+	static const char *const names[] = {
+		[HTTP_REFUSAL_LIMIT] = "limit",
+		[HTTP_REFUSAL_UNANSWERED] = "unanswered",
+		[HTTP_REFUSAL_WATCH] = "watch",
+		[HTTP_REFUSAL_ACCEPT] = "accept",
+	};
+
+	return names[why];
+}
+
+static void
+report_refused(struct http_server *s, enum http_refusal why, int error)
+{
+	if (s->ops->refused)
+		s->ops->refused(s->ctx, why, error);
+}
+
 static void
 add_conn(struct http_server *s, int fd)
 {
@@ -26,10 +46,13 @@
 
 	if (over_limit && s->nrefused >= HTTP_REFUSED_MAX) {
 		close(fd);
-		return;
-	}
-	if (!conn_new(s, fd, over_limit))
+		report_refused(s, HTTP_REFUSAL_UNANSWERED, 0);
+	} else if (!conn_new(s, fd, over_limit)) {
+		report_refused(s, HTTP_REFUSAL_WATCH, errno);
 		close(fd);
+	} else if (over_limit) {
+		report_refused(s, HTTP_REFUSAL_LIMIT, 0);
+	}
 }
 
 /* Accepts up to @max connections. Return: 0, or -1 if accept failed and is to
@@ -41,13 +64,14 @@
 
 	while (max-- > 0) {
 		fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd >= 0)
+		if (fd >= 0) {
 			add_conn(s, fd);
-		else
-			return errno == EAGAIN || errno == EINTR ||
-				       errno == ECONNABORTED
-				   ? 0
-				   : -1;
+			continue;
+		}
+		if (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED)
+			return 0;
+		report_refused(s, HTTP_REFUSAL_ACCEPT, errno);
+		return -1;
 	}
 	return 0;
 }
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -81,6 +81,7 @@
 	uint64_t conns_cut;
 	uint64_t conns_left;
 	uint64_t conns_cut_requests; /* requests on those of conns_cut */
+	uint64_t conns_refused[HTTP_REFUSALS];
 	uint64_t leave_refused; /* requests that did not fit into a stop */
 	uint64_t leave_ended; /* calls that ran when a stop ended them */
 	uint64_t in_leave_refused;
--- a/src/daemon/data/report.c
+++ b/src/daemon/data/report.c
@@ -59,6 +59,23 @@
 		    wire_reason_name(r), d->counters.in_refused[r]);
 }
 
+static void
+write_refused_conns(const struct data *d, GString *t)
+{
+	int i;
+
+	g_string_append(t,
+	    "# HELP kumquatrock_connections_refused_total Connections of "
+	    "callers not served, by reason\n"
+	    "# TYPE kumquatrock_connections_refused_total counter\n");
+	for (i = 0; i < HTTP_REFUSALS; i++)
+		g_string_append_printf(t,
+		    "kumquatrock_connections_refused_total{reason=\"%s\"} "
+		    "%" G_GUINT64_FORMAT "\n",
+		    http_refusal_name((enum http_refusal)i),
+		    d->counters.conns_refused[i]);
+}
+
 void
 data_write_metrics(struct data *d, GString *t)
 {
@@ -79,6 +96,7 @@
 	    "Requests unanswered on them", c->conns_cut_requests);
 	write_counter(t, "connections_left_total",
 	    "The same, ended by the caller", c->conns_left);
+	write_refused_conns(d, t);
 	write_counter(t, "retries_total", "Attempts after the first",
 	    c->retries);
 	write_counter(t, "hedges_total", "Attempts beside a late one",
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -288,6 +288,19 @@
 	    e->requests, e->reason);
 }
 
+static void
+conn_refused(void *ctx, enum http_refusal why, int error)
+{
+	struct data *d = ctx;
+
+	d->counters.conns_refused[why]++;
+	log_event(EVENT_CONNECTION_REFUSED, G_LOG_LEVEL_WARNING, data_now(d),
+	    "connection of a caller refused reason=%s open=%d limit=%d "
+	    "error=%s",
+	    http_refusal_name(why), http_server_connections(d->server),
+	    d->settings.connections, error ? g_strerror(error) : "none");
+}
+
 void
 outbound_call_free(struct out_call *c)
 {
@@ -322,4 +335,5 @@
 	.failed = caller_gone,
 	.rejected = bad_message,
 	.ended = conn_ended,
+	.refused = conn_refused,
 };
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -180,6 +180,25 @@
 	size_t unsent;
 };
 
+/**
+ * enum http_refusal - why a caller's connection is not served
+ * @HTTP_REFUSAL_LIMIT: there are too many; it is answered 503
+ * @HTTP_REFUSAL_UNANSWERED: the same, and too many are being answered so; it is
+ *                           closed without an answer
+ * @HTTP_REFUSAL_WATCH: its socket can't be watched; the same
+ * @HTTP_REFUSAL_ACCEPT: it can't be accepted, which is tried again
+ */
+enum http_refusal {
+	HTTP_REFUSAL_LIMIT,
+	HTTP_REFUSAL_UNANSWERED,
+	HTTP_REFUSAL_WATCH,
+	HTTP_REFUSAL_ACCEPT,
+	HTTP_REFUSALS
+};
+
+/** http_refusal_name() - word for it, for logs */
+const char *http_refusal_name(enum http_refusal);
+
 /**
  * struct http_held - bytes that the connections of a server or a pool hold
  * @unsent: to be sent
@@ -209,6 +228,7 @@
  *            400, 408, 413 or 431
  * @ended: optional; a connection was closed with requests unanswered or bytes
  *         unsent, also by http_server_free(); at most once for each
+ * @refused: optional; a connection is not served; @error is an errno value or 0
  */
 struct http_server_ops {
 	void (*request)(void *ctx, struct http_exchange *,
@@ -221,6 +241,7 @@
 	    const struct kq_error *err);
 	void (*rejected)(void *ctx, const struct kq_error *err);
 	void (*ended)(void *ctx, const struct http_conn_end *);
+	void (*refused)(void *ctx, enum http_refusal, int error);
 };
 
 struct http_server *http_server_new(struct io_loop *, const char *ip, int port,
--- a/src/internal/log.h
+++ b/src/internal/log.h
@@ -85,7 +85,8 @@
 	EVENT_BAD_REQUEST = 513,
 	EVENT_CONNECTION_CUT = 514,
 	EVENT_REQUESTS_RECEIVED = 515,
-	EVENT_REQUESTS_SENT = 516
+	EVENT_REQUESTS_SENT = 516,
+	EVENT_CONNECTION_REFUSED = 517
 };
 
 /** log_event() - write one event, unless its level or its rate limit excludes
