Lost log lines are reported though no line follows

In a daemon: lines that did not fit into the buffer are counted in the log only when another line is put, and never if none comes.

Cause: the number of lost lines was put only by log_sink_put(). The writing thread makes room after its write has returned. A reader that takes the last byte and puts its line before that finds the buffer still full; that line is lost too, the thread then has nothing to write, and the reader waits for ever. The thread now puts the count itself as soon as it has made room.

--- a/src/adapter/log/log_sink.c
+++ b/src/adapter/log/log_sink.c
@@ -169,9 +169,10 @@
 		if (done < 0 && errno != EINTR && errno != EAGAIN)
 			/* output closed: drop the lines and go on */
 			done = (ssize_t)(v[0].iov_len + v[1].iov_len);
-		if (done > 0)
+		if (done > 0) {
 			sink.tail += (size_t)done;
-		else if (done < 0 && errno == EAGAIN && sink.stop)
+			put_lost_count();
+		} else if (done < 0 && errno == EAGAIN && sink.stop)
 			break;
 	}
 	sink.ended = 1;
--- a/tests/unit/log.c
+++ b/tests/unit/log.c
@@ -91,6 +91,25 @@
 }
 END_TEST
 
+START_TEST(lost_lines_are_reported_though_no_line_follows)
+{
+	static char text[1 << 20];
+	int fd = redirect_output();
+	size_t n = 0;
+	ssize_t r;
+
+	log_setup(G_LOG_LEVEL_INFO);
+	write_lines(LINES_OVER_BUFFER);
+	ck_assert_uint_gt(log_lines_lost(), 0);
+	while (!strstr(text, "lines_lost=") && n < sizeof text - 1) {
+		r = read(fd, text + n, sizeof text - 1 - n);
+		ck_assert_int_gt(r, 0);
+		n += (size_t)r;
+	}
+	ck_assert_ptr_nonnull(strstr(text, "lines_lost="));
+}
+END_TEST
+
 /* Also where the log's ring buffer wraps and a line lies in two pieces. */
 START_TEST(lines_are_not_split)
 {
@@ -260,6 +279,7 @@
 	tcase_add_test(c, stop_does_not_wait_for_a_reader);
 	tcase_add_test(c, closed_output_does_not_end_the_process);
 	tcase_add_test(c, lost_lines_are_reported);
+	tcase_add_test(c, lost_lines_are_reported_though_no_line_follows);
 	tcase_add_test(c, lines_are_not_split);
 	tcase_add_test(c, control_characters_are_replaced);
 	tcase_add_test(c, ids_over_the_rate_are_written);
