Event 514 names responses that are complete and unsent

What callers saw: a response cut, of a caller that read slowly; 510 says whole, and 514 counted the bytes but named no request, since the exchange of a complete response is over as soon as its bytes are in the connection's output. An excerpt by request leaves such a close out.

Now the output's complete responses are kept by name until they are sent, and named in front of the requests behind them, as unsent. They aren't counted in requests and open, as before.

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -139,6 +139,8 @@
 		exchange_free_retired(c);
 		if (c->left_requests)
 			g_string_free(c->left_requests, TRUE);
+		if (c->unsent)
+			g_array_unref(c->unsent);
 		g_free(c);
 	}
 }
@@ -160,6 +162,7 @@
 
 	c->corked = 0;
 	if (r > 0) {
+		c->sent += (uint64_t)r;
 		c->last_byte = io_now(c->server->loop);
 		c->last_taken = c->last_byte;
 		return;
@@ -302,6 +305,7 @@
 	enum line_verdict v = line_finish(&c->line, &x->item);
 	struct kq_error err;
 
+	conn_note_complete(x);
 	retire(c, x);
 	if (v == LINE_CLOSE) {
 		kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -61,6 +61,16 @@
 	int notify_drained;
 };
 
+/**
+ * struct unsent_response - a complete response of which a part may be unsent
+ * @end: count of bytes sent on the connection, once it is sent whole
+ * @name: of its exchange
+ */
+struct unsent_response {
+	uint64_t end;
+	char name[HTTP_NAME_BYTES];
+};
+
 /**
  * enum conn_state - use of a connection
  * @CONN_LINGER: no request is read; once all bytes are sent, the sending side
@@ -103,6 +113,9 @@
  * @left: its number, and what it leaves when it ends; @left.reason and
  *        @left.requests are unused
  * @left_requests: text of what it leaves, or NULL
+ * @sent: bytes sent
+ * @unsent: complete responses that were not sent whole when they were last
+ *          looked at, or NULL
  * @why: why its first exchange failed, or no text
  * @reset: it is closed with a reset
  * @unframed: a response was begun that lasts until the connection ends
@@ -137,6 +150,8 @@
 	size_t discarded;
 	struct http_conn_end left;
 	GString *left_requests;
+	uint64_t sent;
+	GArray *unsent;
 	struct kq_error why;
 	int reset;
 	int unframed;
@@ -235,11 +250,14 @@
     const struct kq_error *);
 /** conn_gone_cause() - how a caller has left, by the socket's error or 0; sets
  * the error that says so */
-enum http_end_cause conn_gone_cause(const struct http_conn *, int e,
-    struct kq_error *);
+enum http_end_cause
+conn_gone_cause(const struct http_conn *, int e, struct kq_error *);
 /** conn_note_left() - count an exchange among those that the connection leaves
  */
 void conn_note_left(struct http_exchange *);
+/** conn_note_complete() - note a complete response, all of which is in the
+ * connection's output */
+void conn_note_complete(const struct http_exchange *);
 /** conn_report_end() - tell the user what the connection left */
 void conn_report_end(struct http_conn *);
 
--- a/src/adapter/http/conn_left.c
+++ b/src/adapter/http/conn_left.c
@@ -64,6 +64,13 @@
 	return x->passed ? "passed" : "waiting";
 }
 
+static void
+add_request(GString *text, const char *name, const char *state)
+{
+	g_string_append_printf(text, "%s%s/%s", text->len ? "," : "",
+	    name[0] ? name : "none", state);
+}
+
 void
 conn_note_left(struct http_exchange *x)
 {
@@ -73,9 +80,58 @@
 	c->left.open += x->item.open;
 	if (!c->left_requests)
 		c->left_requests = g_string_new(NULL);
-	g_string_append_printf(c->left_requests, "%s%s/%s",
-	    c->left_requests->len ? "," : "", x->name[0] ? x->name : "none",
-	    state_of(x));
+	add_request(c->left_requests, x->name, state_of(x));
+}
+
+static void
+forget_sent(struct http_conn *c)
+{
+	guint n = 0;
+
+	while (
+	    n < c->unsent->len &&
+	    g_array_index(c->unsent, struct unsent_response, n).end <= c->sent)
+		n++;
+	if (n)
+		g_array_remove_range(c->unsent, 0, n);
+}
+
+void
+conn_note_complete(const struct http_exchange *x)
+{
+	struct http_conn *c = x->conn;
+	struct unsent_response u = { c->sent + out_pending(&c->out), "" };
+
+	if (c->unsent)
+		forget_sent(c);
+	if (u.end == c->sent)
+		return;
+	if (!c->unsent)
+		c->unsent = g_array_new(FALSE, FALSE, sizeof u);
+	g_strlcpy(u.name, x->name, sizeof u.name);
+	g_array_append_val(c->unsent, u);
+}
+
+/* Names the complete responses that are not sent whole before the requests
+ * behind them. */
+static void
+name_unsent(struct http_conn *c)
+{
+	GString *behind = c->left_requests;
+	guint i;
+
+	forget_sent(c);
+	if (!c->unsent->len)
+		return;
+	c->left_requests = g_string_new(NULL);
+	for (i = 0; i < c->unsent->len; i++)
+		add_request(c->left_requests,
+		    g_array_index(c->unsent, struct unsent_response, i).name,
+		    "unsent");
+	if (!behind)
+		return;
+	g_string_append_printf(c->left_requests, ",%s", behind->str);
+	g_string_free(behind, TRUE);
 }
 
 void
@@ -86,6 +142,8 @@
 	c->left.unsent = out_pending(&c->out);
 	if (c->reset)
 		c->left.unsent += (size_t)conn_unacked(c);
+	if (c->unsent)
+		name_unsent(c);
 	c->left.reason = c->left.cause ? c->why.text : "closed";
 	c->left.requests = c->left_requests ? c->left_requests->str : "none";
 	if (s->ops->ended && (c->left.exchanges || c->left.unsent))
--- a/src/adapter/http/finish.c
+++ b/src/adapter/http/finish.c
@@ -84,8 +84,15 @@
 static int
 send_left(struct http_conn *c)
 {
-	if (!out_pending(&c->out) || out_send(&c->out, c->fd, NULL, 0) >= 0)
+	ssize_t n;
+
+	if (!out_pending(&c->out))
+		return 0;
+	n = out_send(&c->out, c->fd, NULL, 0);
+	if (n >= 0) {
+		c->sent += (uint64_t)n;
 		return 0;
+	}
 	return errno == EAGAIN || errno == EINTR ? 0 : -1;
 }
 
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -165,7 +165,8 @@
  * @requests: "NAME/STATE" of each of them, separated by commas, see
  *            http_exchange_set_name(). States: "waiting" (not passed on),
  *            "passed", "begun" (a part of the response was written), "broken",
- *            "whole" (the response waited for its turn)
+ *            "whole" (the response waited for its turn); before them requests
+ *            whose response is complete and not sent whole, "unsent"
  * @open: how many of them the user had not ended
  * @unsent: bytes of responses that were not sent; if the connection was reset,
  *          also those that the caller had not acknowledged
