outbound: a daemon that stood still reads on before it cuts an answer

What callers saw: a connection closed in the middle of an answer, though the answer was whole at their daemon. The target had made it and the target's daemon had sent it within the time limit (512 answer); the caller's daemon stood still meanwhile (the script's longest standstill is 0.8 s, no line of the log tells), beyond the limit, and wrote 510 broken, reason deadline, and 514 by=daemon broken-response.

Cause: as the daemon goes on, it reads a part of what came from the other daemon and passes it on; then the timer of the time limit, which is late, fires in the same iteration. Of an answer of which a part has reached the caller nothing can be taken back, so the connection is closed, with the rest unread. Now, if the timer is late by more than 10 ms and an answer is being passed on, it is put off once, by 100 ms.

Evidence: still-daemon-cut.sh, a daemon that stands still for 0.85 s over a limit of 0.9 s, answers of 200,000 bytes: 6 of 6 cut before, 0 of 6 after.

--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -3,6 +3,9 @@
 #include "daemon/outbound/outbound.h"
 #include "log.h"
 
+#define LATE_US 10000 /* by which a timer is late if this task did not run */
+#define UNREAD_US 100000 /* to read what came meanwhile */
+
 void
 outbound_start_timeout(struct out_call *c, int64_t timeout_us)
 {
@@ -19,11 +22,28 @@
 		   : MIN(c->caller_deadline, c->deadline + c->timeout_us);
 }
 
+/* Whether the rest of an answer may have come and lie unread, as this task did
+ * not run when the time was over; asked once for a call. */
+static int
+may_be_unread(struct out_call *c, int64_t now)
+{
+	int was_late = c->was_late;
+
+	c->was_late = 1;
+	return !was_late && c->state == OUT_ANSWERING &&
+	       now - c->deadline > LATE_US;
+}
+
 static void
 deadline_expired(void *ctx, int64_t now)
 {
 	struct out_call *c = ctx;
 
+	if (may_be_unread(c, now)) {
+		io_timer_set(c->data->task.loop, &c->deadline_timer,
+		    now + UNREAD_US);
+		return;
+	}
 	c->reason = WIRE_REASON_DEADLINE;
 	outbound_give_up_call(c);
 }
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -123,6 +123,7 @@
 	struct tried tried;
 	int may_have_run;
 	int resent; /* resend_calls() handled it; it does so only once */
+	int was_late; /* the deadline was put off, which is done only once */
 	uint32_t reason; /* enum wire_reason for caller and log, 0 if none */
 	struct io_timer deadline_timer;
 	struct io_timer hedge_timer;
