Event 514: room for all ids, no cause that can't be

A line was cut at 640 bytes, so that a connection with a dozen requests lost the last of their ids and the reason. It has room for the requests of a whole connection now, and the ids come last. The cause overrun is gone: a connection is ended for that only when no request is left on it, and then has no cause.

Found by the tests of closed connections and by reading; unit log, http_closes and http_ends and docs-events pass.

--- a/src/adapter/http/conn_left.c
+++ b/src/adapter/http/conn_left.c
@@ -13,7 +13,6 @@
 		[HTTP_END_BROKEN_RESPONSE] = "broken-response",
 		[HTTP_END_CLOSING_RESPONSE] = "closing-response",
 		[HTTP_END_BAD_REQUEST] = "bad-request",
-		[HTTP_END_OVERRUN] = "overrun",
 		[HTTP_END_SLOW_REQUEST] = "slow-request",
 		[HTTP_END_SLOW_READER] = "slow-reader",
 		[HTTP_END_MEMORY] = "memory",
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -42,7 +42,7 @@
 		return;
 	kq_error_set(&err, KQ_LAYER_HTTP, HTTP_E_CLOSED,
 	    "request went on after its response");
-	conn_end(c, v, HTTP_END_OVERRUN, &err);
+	conn_end(c, v, HTTP_END_NONE, &err);
 }
 
 static int
--- a/src/adapter/log/log_event.c
+++ b/src/adapter/log/log_event.c
@@ -4,8 +4,8 @@
 #include <time.h>
 
 #define EVENT_MAX 1000
-#define EVENT_TEXT_MAX 640
-#define LINE_MAX_BYTES 768
+#define EVENT_TEXT_MAX 2048
+#define LINE_MAX_BYTES 2304
 
 /* Rate limit of one event, over all tasks together. */
 struct rate {
--- a/src/daemon/outbound/call.c
+++ b/src/daemon/outbound/call.c
@@ -302,10 +302,11 @@
 	log_event(EVENT_CONNECTION_CUT,
 	    by_caller ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING, data_now(d),
 	    "connection cut conn=%" G_GUINT64_FORMAT
-	    " by=%s cause=%s requests=%d open=%d unsent=%zu ids=%s reason=%s",
+	    " by=%s cause=%s requests=%d open=%d unsent=%zu reason=\"%s\" "
+	    "ids=%s",
 	    e->number, by_caller ? "caller" : "daemon",
 	    http_end_cause_name(e->cause), e->exchanges, e->open, e->unsent,
-	    e->requests, e->reason);
+	    e->reason, e->requests);
 }
 
 static void
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -129,7 +129,6 @@
  * @HTTP_END_BROKEN_RESPONSE: a response broke off after its head had been sent
  * @HTTP_END_CLOSING_RESPONSE: a whole response after which no other may come
  * @HTTP_END_BAD_REQUEST: a malformed request, or one that is too large
- * @HTTP_END_OVERRUN: a request that went on after its response
  * @HTTP_END_SLOW_REQUEST: a request that came too slowly
  * @HTTP_END_SLOW_READER: the caller took no byte of its responses for too long
  * @HTTP_END_MEMORY: the same, ended sooner to free memory
@@ -143,7 +142,6 @@
 	HTTP_END_BROKEN_RESPONSE,
 	HTTP_END_CLOSING_RESPONSE,
 	HTTP_END_BAD_REQUEST,
-	HTTP_END_OVERRUN,
 	HTTP_END_SLOW_REQUEST,
 	HTTP_END_SLOW_READER,
 	HTTP_END_MEMORY,
