A reply of another daemon without a final status is no answer

Callers got the status that a reply named, whatever it was: 600 and 999 from a daemon of an earlier version whose target sent them, and 0 or 101 if one had sent that.

Cause: forward_head() took the status of an answer, or of a kept one, from the record unchecked.

Such a reply now counts as an attempt that may have run: 504, or another attempt and 502 if the request is safe. It is decided by the user of the codec, since the record itself is sound: to refuse it in the codec would close the connection and lose all other calls on it for one target's fault. The at-most-once table keeps only heads that the HTTP adapter has checked; a kept answer of another daemon is checked like any other.

What can't be told: "0200" that a daemon of an earlier version has read as 200 arrives as 200.

--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,8 @@
 	$(CC) $(SAN) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
 $(O)/unit-hold: $(O)/src/daemon/outbound/hold.o
+$(O)/unit-reply_status: $(O)/src/daemon/outbound/reply.o
+$(O)/unit-reply_status: LDLIBS := $(O)/libkumquatrock.a $(LDLIBS)
 
 # Built by tests/system/fuzz-*.sh with clang and libFuzzer.
 $(O)/fuzz-%: $(O)/tests/fuzz/%.o $(O)/libkumquatrock.a
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -6,6 +6,9 @@
  * while more than this part is unsent. */
 #define CREDIT_PARTS 4
 
+#define STATUS_FINAL_MIN 200 /* statuses below are interim ones */
+#define STATUS_FINAL_MAX 599
+
 /* Whether a target reports a failure by this status. */
 static int
 status_failed(int status)
@@ -13,6 +16,16 @@
 	return status == 500 || status == 502 || status == 503 || status == 504;
 }
 
+/* Whether a reply holds an answer. A daemon of an earlier version passes on any
+ * status that its target sent; as its other replies are good, only this attempt
+ * fails, and not the connection. */
+static int
+is_answer(const struct wire_reply *m)
+{
+	return (m->outcome == WIRE_ANSWER || m->outcome == WIRE_KEPT) &&
+	       m->status >= STATUS_FINAL_MIN && m->status <= STATUS_FINAL_MAX;
+}
+
 /* Ends a call with the whole answer of an attempt; frees it. */
 static void
 finish_call(struct out_attempt *a, enum pick_outcome outcome,
@@ -242,7 +255,7 @@
 	if (m->config_version > p->data->view->complete_version)
 		p->data->events->config_behind(p->data->events_ctx,
 		    m->config_version, p->incarnation);
-	if (m->outcome == WIRE_ANSWER || m->outcome == WIRE_KEPT)
+	if (is_answer(m))
 		handle_answer(a, m);
 	else if (m->outcome == WIRE_NOT_RUN)
 		handle_not_run(a, m);
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -147,6 +147,7 @@
  * wire_call
  * @clock: clock of the inbound side, microseconds
  * @retries_used: extra attempts made downstream of the call
+ * @status: of the answer, from 200 to 599 if there is one
  */
 struct wire_reply {
 	int64_t clock;
