http_extra: the pause within a second answer is shorter than its time limit

Cause: the test let 50 ms pass between the two parts of a second answer, which has 50 ms from its head on; a moment in which the test did not run decided.

What is checked is unchanged; the pause is 10 ms.

--- a/tests/unit/http_extra.c
+++ b/tests/unit/http_extra.c
@@ -2,6 +2,7 @@
 
 #define TAG 7 /* of the first call on the connection */
 #define EXTRA_WAIT_MAX_US 500000 /* for the end of one that broke off */
+#define SEGMENTS_US 10000 /* between them: less than one may take */
 #define EXTRA_MAX 4 /* responses that are read over for one call */
 
 /* Responses to an earlier call on a connection, before a call's own. */
@@ -93,10 +94,13 @@
 {
 	struct http_pool *p = used_pool("GET");
 	char *first = g_strndup(extra, (gsize)_i);
+	int64_t pause;
 
 	start(p, "GET");
 	peer_send(&peer, first);
-	peer_run_quiet(&peer);
+	pause = io_clock() + SEGMENTS_US;
+	while (io_clock() < pause)
+		bed_step(pause + BED_TIMEOUT_US);
 	ck_assert_int_eq(reply.status, 0);
 	peer_send(&peer, extra + _i);
 	peer_run_quiet(&peer);
