A half-closing caller that is known to read keeps its answer

Cause: the time in which no byte was sent was taken for a sign of its leaving. Bytes that were sent after the end of its sending side would have met a reset; only if there were none nothing tells. Now it counts as gone only then.

What it costs: a caller that half-closes, takes a part of its answer and then closes is noticed by the next byte only.

Event 514 says by=daemon for a caller-eof, as it may be a loss.

--- a/src/adapter/http/conn_left.c
+++ b/src/adapter/http/conn_left.c
@@ -25,8 +25,7 @@
 int
 http_end_by_caller(enum http_end_cause cause)
 {
-	return cause == HTTP_END_CALLER_EOF ||
-	       cause == HTTP_END_CALLER_CLOSED ||
+	return cause == HTTP_END_CALLER_CLOSED ||
 	       cause == HTTP_END_CALLER_RESET;
 }
 
--- a/src/adapter/http/conn_read.c
+++ b/src/adapter/http/conn_read.c
@@ -156,6 +156,14 @@
 	conn_end(c, LINE_DROP, cause, &err);
 }
 
+/* A closed socket would have answered bytes that were sent after the end of its
+ * sending side. */
+static int
+nothing_tells(const struct http_conn *c, int64_t now)
+{
+	return c->last_byte <= c->eof_at && now - c->eof_at >= PROBE_US;
+}
+
 /* The caller may be gone, or still wait for its responses: a half-close after a
  * complete request is legal. An interim response tells, as any bytes do, since
  * a socket that was closed in both directions answers with a reset. It has to
@@ -175,7 +183,7 @@
 	if (!x->http10 && (!x->head_written || x->held))
 		send_interim(c);
 	else if (c->eof && c->server->limits.eof_cancels &&
-		 (x->http10 || now - MAX(c->eof_at, c->last_byte) >= PROBE_US))
+		 (x->http10 || nothing_tells(c, now)))
 		conn_disconnected(c, 0);
 }
 
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -103,7 +103,7 @@
  * @idle_ms: most time without a byte on a connection, default 60000
  * @eof_cancels: nonzero if a caller that closed its sending side counts as
  *            disconnected where no bytes can tell: it speaks HTTP/1.0, or its
- *            response has begun and stands still
+ *            response had begun and stands still since then
  */
 struct http_limits {
 	int head_bytes;
@@ -152,7 +152,8 @@
 
 /** http_end_cause_name() - word for a cause, for logs */
 const char *http_end_cause_name(enum http_end_cause);
-/** http_end_by_caller() - whether the caller ended the connection */
+/** http_end_by_caller() - whether the caller is known to have ended the
+ * connection */
 int http_end_by_caller(enum http_end_cause);
 
 /**
