Log what a stop's decisions rest on

Nothing told whether a request that a stop ended had been taken by its deadline or by the usual time of its route, nor in which round over the targets. Events 510 and 512 have the decision (stop) and the time that was left then, 511 the round and whether the daemon that was asked could refuse, 106 and stop_usual_ended_total how many of those that were ended had been taken by the usual time.

No decision changes: unit leave passes as before (44 checks, four new).

--- a/src/core/leave/plan.c
+++ b/src/core/leave/plan.c
@@ -56,14 +56,36 @@
 	return usual_us && now + usual_us + WAY_US <= p->answer_by;
 }
 
-int
-leave_fits_kind(const struct leave_plan *p, int64_t now, int64_t deadline,
+static enum leave_basis
+basis(const struct leave_plan *p, int64_t now, int64_t deadline,
     const struct answer_time *t)
 {
 	int64_t usual_us = 0;
 
-	if (p->end && t)
+	if (!p->end)
+		return LEAVE_NOT_STOPPING;
+	if (leave_fits(p, now, deadline, 0))
+		return LEAVE_BY_BOUND;
+	if (t)
 		usual_us = now < p->late_from ? answer_time_most(t)
 					      : answer_time_most_late(t);
-	return leave_fits(p, now, deadline, usual_us);
+	return leave_fits(p, now, deadline, usual_us) ? LEAVE_BY_USUAL
+						      : LEAVE_REFUSED;
+}
+
+struct leave_decision
+leave_decide(const struct leave_plan *p, int64_t now, int64_t deadline,
+    const struct answer_time *t)
+{
+	return (struct leave_decision){ basis(p, now, deadline, t),
+		p->end ? p->answer_by - now : 0 };
+}
+
+const char *
+leave_basis_name(enum leave_basis b)
+{
+	static const char *const names[] = { "refused", "none", "bound",
+		"usual" };
+
+	return names[b];
 }
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -86,6 +86,9 @@
 	uint64_t leave_ended; /* calls that ran when a stop ended them */
 	uint64_t in_leave_refused;
 	uint64_t in_leave_ended;
+	/* those of both kinds that were taken in the stop by their usual time
+	 */
+	uint64_t leave_usual_ended;
 };
 
 struct data {
@@ -212,11 +215,11 @@
  * or the daemon to be idle: switch to the next target, send the target_idle and
  * drained events */
 void data_check_drained(struct data *);
-/** data_leave_fits() - whether a request that starts now can be finished before
- * this daemon ends; always while it was not told to stop. Without a time, when
- * it is NULL, only the deadline counts */
-int
-data_leave_fits(struct data *, int64_t deadline, const struct answer_time *);
+/** data_leave_decide() - whether a request that starts now can be finished
+ * before this daemon ends; always while it was not told to stop. Without a
+ * time, when it is NULL, only the deadline counts */
+struct leave_decision
+data_leave_decide(struct data *, int64_t deadline, const struct answer_time *);
 /** data_end_calls() - end all calls in flight with an answer */
 void data_end_calls(struct data *);
 /** data_log_leave() - write to the log what a stop refused and ended */
--- a/src/daemon/data/leave.c
+++ b/src/daemon/data/leave.c
@@ -59,10 +59,10 @@
 	task_post(&d->task, leave, d, g_memdup2(p, sizeof *p));
 }
 
-int
-data_leave_fits(struct data *d, int64_t deadline, const struct answer_time *t)
+struct leave_decision
+data_leave_decide(struct data *d, int64_t deadline, const struct answer_time *t)
 {
-	return leave_fits_kind(&d->leave, data_now(d), deadline, t);
+	return leave_decide(&d->leave, data_now(d), deadline, t);
 }
 
 void
@@ -78,7 +78,8 @@
 	    "requests that the stop refused, not run, and that it ended while "
 	    "they ran refused=%" G_GUINT64_FORMAT
 	    " refused_peers=%" G_GUINT64_FORMAT " ended=%" G_GUINT64_FORMAT
-	    " ended_peers=%" G_GUINT64_FORMAT,
+	    " ended_peers=%" G_GUINT64_FORMAT
+	    " ended_taken_by_usual=%" G_GUINT64_FORMAT,
 	    n->leave_refused, n->in_leave_refused, n->leave_ended,
-	    n->in_leave_ended);
+	    n->in_leave_ended, n->leave_usual_ended);
 }
--- a/src/daemon/data/report.c
+++ b/src/daemon/data/report.c
@@ -125,6 +125,10 @@
 	write_counter(t, "inbound_stop_ended_total",
 	    "Calls from daemons in flight that the stop ended",
 	    c->in_leave_ended);
+	write_counter(t, "stop_usual_ended_total",
+	    "Of the calls that the stop ended, those that it had taken as they "
+	    "usually take less time",
+	    c->leave_usual_ended);
 	write_gauge(t, "crashing_requests", "Requests known to crash targets",
 	    crash_count(d->crashes, 1, data_now(d)));
 	write_gauge(t, "suspect_requests",
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -37,6 +37,7 @@
  *	have run before
  * @refuse_if_slow: nonzero if the call may be refused while the target's
  *	machine is slow, since another target can be tried
+ * @leave: the last decision whether a stop leaves time for the call
  * @refuse_if_crowded: nonzero if the call may be refused while the target's
  *	queue is long
  * @started: when the call came
@@ -99,6 +100,7 @@
 	int repeat;
 	int refuse_if_slow;
 	int refuse_if_crowded;
+	struct leave_decision leave;
 	int64_t started;
 	int64_t deadline;
 	int64_t objective;
@@ -193,7 +195,7 @@
 void inbound_conn_closed(struct data *, struct peer_conn *);
 /** inbound_fits() - whether the request, sent to the target now, can be
  * finished before this daemon ends, for certain if another target is left */
-int inbound_fits(const struct in_call *);
+int inbound_fits(struct in_call *);
 /** inbound_note_leave_refusal() - count a call of another daemon that is
  * refused since it can't be finished before this daemon ends */
 void inbound_note_leave_refusal(struct in_call *);
--- a/src/daemon/inbound/leave.c
+++ b/src/daemon/inbound/leave.c
@@ -3,10 +3,11 @@
 /* While another target is left for the call, its usual time is no reason to
  * take it: a request that takes longer would be ended. */
 int
-inbound_fits(const struct in_call *c)
+inbound_fits(struct in_call *c)
 {
-	return data_leave_fits(c->data, c->deadline,
+	c->leave = data_leave_decide(c->data, c->deadline,
 	    c->refuse_if_slow ? NULL : c->time);
+	return c->leave.basis != LEAVE_REFUSED;
 }
 
 /* Own callers' requests are counted by the outbound side. */
@@ -55,7 +56,11 @@
 static void
 end_running(struct in_call *c)
 {
-	c->data->counters.in_leave_ended += is_of_other(c);
+	struct counters *n = &c->data->counters;
+
+	n->in_leave_ended += is_of_other(c);
+	n->leave_usual_ended +=
+	    is_of_other(c) && c->leave.basis == LEAVE_BY_USUAL;
 	if (!c->target_call) {
 		inbound_forward_answer(c, NULL, 0, 1, 1);
 		return;
--- a/src/daemon/inbound/log.c
+++ b/src/daemon/inbound/log.c
@@ -23,7 +23,8 @@
 	    "inbound request=%s from=%016" G_GINT64_MODIFIER
 	    "x target=%s outcome=%s reason=%s status=%d us=%" G_GINT64_FORMAT
 	    " target_us=%" G_GINT64_FORMAT " need_us=%" G_GINT64_FORMAT
-	    " rank=%d missed=%.2f choosy=%d in_flight=%d queued=%d limit=%d pace=%d"
+	    " rank=%d missed=%.2f choosy=%d stop=%s stop_left_us=%" G_GINT64_FORMAT
+	    " in_flight=%d queued=%d limit=%d pace=%d"
 	    " pace_age_us=%" G_GINT64_FORMAT
 	    " stated_per_s=%.2f version=%" G_GUINT64_FORMAT
 	    " caller_version=%" G_GUINT64_FORMAT,
@@ -31,6 +32,7 @@
 	    wire_reason_name(c->reason), c->answer_status, now - c->started,
 	    c->target_started ? now - c->target_started : 0, c->need_us,
 	    c->rank, c->work ? c->work->refused_share : 0, c->refuse_if_slow,
+	    leave_basis_name(c->leave.basis), c->leave.left_us,
 	    d->admit ? admit_in_flight(d->admit) : 0,
 	    d->admit ? admit_queued(d->admit) : 0,
 	    d->admit ? admit_limit(d->admit, now) : 0, d->pace.value,
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -108,6 +108,7 @@
 		a->peer = p;
 		a->handle = p->handle;
 		a->started = now;
+		a->round = c->tried.second_round + 1;
 		a->credit = byte_limit_share(&c->data->call_bytes,
 		    BODY_KEEP_MAX, WIRE_WINDOW);
 		pick_sent(s->pick, a->handle, now);
--- a/src/daemon/outbound/leave.c
+++ b/src/daemon/outbound/leave.c
@@ -3,12 +3,13 @@
 /* A repeat always goes on: its earlier run may have an answer already. A
  * request that is still being read is asked again before it is sent on. */
 int
-outbound_fits(const struct out_call *c)
+outbound_fits(struct out_call *c)
 {
 	int64_t deadline =
 	    c->state == OUT_READING ? c->deadline : outbound_latest_deadline(c);
 
-	return c->repeat || data_leave_fits(c->data, deadline, c->time);
+	c->leave = data_leave_decide(c->data, deadline, c->time);
+	return c->repeat || c->leave.basis != LEAVE_REFUSED;
 }
 
 void
@@ -99,6 +100,7 @@
 		return;
 	}
 	c->data->counters.leave_ended++;
+	c->data->counters.leave_usual_ended += c->leave.basis == LEAVE_BY_USUAL;
 	c->reason = WIRE_REASON_DRAINING;
 	if (c->state == OUT_ANSWERING)
 		outbound_give_up_call(c);
--- a/src/daemon/outbound/log.c
+++ b/src/daemon/outbound/log.c
@@ -15,11 +15,13 @@
 	    "call request=%s service=%s path=%.64s outcome=%s status=%d "
 	    "reason=%s instance=%016" G_GINT64_MODIFIER
 	    "x attempts=%d reached=%d us=%" G_GINT64_FORMAT
-	    " left_us=%" G_GINT64_FORMAT " rank=%d conn=%" G_GUINT64_FORMAT
-	    " version=%" G_GUINT64_FORMAT,
+	    " left_us=%" G_GINT64_FORMAT
+	    " stop=%s stop_left_us=%" G_GINT64_FORMAT
+	    " rank=%d conn=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT,
 	    id, c->service->conf.name, c->head.path, outcome, c->status,
 	    wire_reason_name(c->reason), c->answered_by, c->tried.total,
-	    c->reached, now - c->started, c->deadline - now, c->priority,
+	    c->reached, now - c->started, c->deadline - now,
+	    leave_basis_name(c->leave.basis), c->leave.left_us, c->priority,
 	    c->conn_number, d->view->rules_version);
 }
 
@@ -37,9 +39,9 @@
 	log_request_event(EVENT_ATTEMPT, G_LOG_LEVEL_INFO, now, id, outcome,
 	    "attempt request=%s instance=%016" G_GINT64_MODIFIER
 	    "x outcome=%s status=%d reason=%s us=%" G_GINT64_FORMAT
-	    " in_flight=%u queued=%u limit=%u version=%" G_GUINT64_FORMAT,
+	    " round=%d choosy=%d in_flight=%u queued=%u limit=%u version=%" G_GUINT64_FORMAT,
 	    id, a->peer->incarnation, outcome, status,
-	    wire_reason_name(c->reason), now - a->started,
-	    load ? load->in_flight : 0, load ? load->queued : 0,
+	    wire_reason_name(c->reason), now - a->started, a->round,
+	    a->refusable, load ? load->in_flight : 0, load ? load->queued : 0,
 	    load ? load->limit : 0, d->view->rules_version);
 }
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -69,6 +69,7 @@
 	int end_sent; /* the last message of the body was sent */
 	int counted; /* in @reached of the call */
 	int refusable; /* the target may refuse, as another one is left */
+	int round; /* of the call's targets, from 1 */
 	size_t credit; /* bytes of the body that may still be sent */
 	size_t window; /* most bytes of the answer given credit at once */
 	size_t promised; /* bytes of the answer that may still come */
@@ -121,6 +122,7 @@
 	uint64_t answered_by; /* incarnation that sent it, 0 if none did */
 	struct out_hold hold;
 	struct tried tried;
+	struct leave_decision leave; /* of this daemon's stop, the last one */
 	int may_have_run;
 	int resent; /* resend_calls() handled it; it does so only once */
 	int was_late; /* the deadline was put off, which is done only once */
@@ -190,7 +192,7 @@
 void outbound_answer_unknown(struct out_call *);
 /** outbound_fits() - whether an attempt that starts now can be finished before
  * this daemon ends */
-int outbound_fits(const struct out_call *);
+int outbound_fits(struct out_call *);
 /** outbound_refuse_leaving() - end a call that can't be finished before this
  * daemon ends; frees it */
 void outbound_refuse_leaving(struct out_call *);
--- a/src/internal/leave.h
+++ b/src/internal/leave.h
@@ -80,10 +80,26 @@
  * takes longer */
 int64_t answer_time_most_late(const struct answer_time *);
 
-/** leave_fits_kind() - whether a request of a kind that takes @t fits; NULL if
+/** enum leave_basis - why a request may start */
+enum leave_basis {
+	LEAVE_REFUSED, /* it may not */
+	LEAVE_NOT_STOPPING,
+	LEAVE_BY_BOUND, /* its deadline comes before the stop ends requests */
+	LEAVE_BY_USUAL /* its kind usually takes less time than is left */
+};
+
+/** struct leave_decision - whether a request may start, for the log
+ * @left_us: time until the stop ends requests, 0 without a stop */
+struct leave_decision {
+	enum leave_basis basis;
+	int64_t left_us;
+};
+
+/** leave_decide() - whether a request of a kind that takes @t fits; NULL if
  * only its deadline counts. Late is what comes once callers were served for
  * the time of the plan. */
-int leave_fits_kind(const struct leave_plan *, int64_t now, int64_t deadline,
-    const struct answer_time *t);
+struct leave_decision leave_decide(const struct leave_plan *, int64_t now,
+    int64_t deadline, const struct answer_time *t);
+const char *leave_basis_name(enum leave_basis);
 
 #endif
--- a/tests/unit/leave.c
+++ b/tests/unit/leave.c
@@ -6,6 +6,13 @@
 #define MS INT64_C(1000)
 #define NOW (INT64_C(1000) * 1000 * MS)
 
+static int
+fits_kind(const struct leave_plan *p, int64_t now, int64_t deadline,
+    const struct answer_time *t)
+{
+	return leave_decide(p, now, deadline, t).basis != LEAVE_REFUSED;
+}
+
 struct plan_case {
 	int64_t serve_ms;
 	int64_t grace_ms;
@@ -270,9 +277,9 @@
 	for (i = 0; i < sizeof ms / sizeof *ms; i++)
 		answer_time_note(&t, ms[i] * MS);
 	leave_plan_init(&p, NOW, NOW, 2600 * MS, 6000 * MS);
-	ck_assert(leave_fits_kind(&p, NOW + 2599 * MS, NOW + 9810 * MS, &t));
-	ck_assert(!leave_fits_kind(&p, NOW + 3190 * MS, NOW + 9810 * MS, &t));
-	ck_assert(leave_fits_kind(&p, NOW + 3190 * MS, NOW + 5500 * MS, &t));
+	ck_assert(fits_kind(&p, NOW + 2599 * MS, NOW + 9810 * MS, &t));
+	ck_assert(!fits_kind(&p, NOW + 3190 * MS, NOW + 9810 * MS, &t));
+	ck_assert(fits_kind(&p, NOW + 3190 * MS, NOW + 5500 * MS, &t));
 }
 END_TEST
 
@@ -287,9 +294,50 @@
 	for (i = 0; i < 200; i++)
 		answer_time_note(&many, (100 + i % 5 * 50) * MS);
 	leave_plan_init(&p, NOW, NOW, 2600 * MS, 6000 * MS);
-	ck_assert(leave_fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, &few));
-	ck_assert(leave_fits_kind(&p, NOW + 4400 * MS, NOW + 9810 * MS, &many));
-	ck_assert(!leave_fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, NULL));
+	ck_assert(fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, &few));
+	ck_assert(fits_kind(&p, NOW + 4400 * MS, NOW + 9810 * MS, &many));
+	ck_assert(!fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, NULL));
+}
+END_TEST
+
+struct basis_case {
+	int64_t at_ms; /* after the order to stop */
+	int64_t deadline_ms;
+	enum leave_basis basis;
+	int64_t left_ms;
+};
+
+static const struct basis_case bases[] = {
+	{ 1000, 5500, LEAVE_BY_BOUND, 4500 },
+	{ 1000, 8500, LEAVE_BY_USUAL, 4500 },
+	{ 5400, 8500, LEAVE_REFUSED, 100 },
+};
+
+START_TEST(decision_tells_what_it_rests_on)
+{
+	const struct basis_case *c = &bases[_i];
+	struct answer_time t = { 0 };
+	struct leave_plan p;
+	struct leave_decision d;
+	int i;
+
+	for (i = 0; i < 200; i++)
+		answer_time_note(&t, 200 * MS);
+	leave_plan_init(&p, NOW, NOW, 2600 * MS, 6000 * MS);
+	d = leave_decide(&p, NOW + c->at_ms * MS, NOW + c->deadline_ms * MS,
+	    &t);
+	ck_assert_int_eq(d.basis, c->basis);
+	ck_assert_int_eq(d.left_us, c->left_ms * MS);
+}
+END_TEST
+
+START_TEST(decision_before_the_order_rests_on_no_stop)
+{
+	struct leave_plan p = { 0 };
+	struct leave_decision d = leave_decide(&p, NOW, NOW + MS, NULL);
+
+	ck_assert_int_eq(d.basis, LEAVE_NOT_STOPPING);
+	ck_assert_int_eq(d.left_us, 0);
 }
 END_TEST
 
@@ -321,6 +369,9 @@
 	tcase_add_test(t, longer_work_is_noticed_after_few_answers);
 	tcase_add_test(t, few_answers_that_differ_do_not_admit_late_requests);
 	tcase_add_test(t, many_answers_or_alike_admit_late_requests);
+	tcase_add_loop_test(t, decision_tells_what_it_rests_on, 0,
+	    sizeof bases / sizeof *bases);
+	tcase_add_test(t, decision_before_the_order_rests_on_no_stop);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_ENV);
