Late in a stop only a deadline admits a request

Cause: after leave_ms the usual time of the route's answers admitted what its deadline didn't. It tells nothing of a request that takes longer than all before.

Change: leave_decide() has one rule: the bound (deadline and the route's time limit) or, before late_from, the usual time. answer_time_most_late() and its constant go.

Tests that said the opposite, replaced: - unit many_answers_or_alike_admit_late_requests: it required what ended the requests above. Now the same two histories: refused each 0.1 s from late_from on, taken by bound there, taken by the usual time before. - stop-late.sh, "refused though it could be finished" of ids idle-*, which come 2.7 and 2.8 s after SIGTERM with 8.5 s left: they must be refused at once now, not run (before: served or, where the work was too long, either). New ids bound-*, on idle connections at the same times with 2.5 s left, must be served. All other checks as before.

Ruled out: a wider estimate.

--- a/src/core/leave/plan.c
+++ b/src/core/leave/plan.c
@@ -60,17 +60,14 @@
 basis(const struct leave_plan *p, int64_t now, int64_t deadline,
     const struct answer_time *t)
 {
-	int64_t usual_us = 0;
-
 	if (!p->end)
 		return LEAVE_NOT_STOPPING;
 	if (leave_fits(p, now, deadline, 0))
 		return LEAVE_BY_BOUND;
-	if (t)
-		usual_us = now < p->late_from ? answer_time_most(t)
-					      : answer_time_most_late(t);
-	return leave_fits(p, now, deadline, usual_us) ? LEAVE_BY_USUAL
-						      : LEAVE_REFUSED;
+	if (t && now < p->late_from &&
+	    leave_fits(p, now, deadline, answer_time_most(t)))
+		return LEAVE_BY_USUAL;
+	return LEAVE_REFUSED;
 }
 
 struct leave_decision
--- a/src/core/leave/time.c
+++ b/src/core/leave/time.c
@@ -7,7 +7,6 @@
 /* an answer may be this many times as far from the mean as any that was seen */
 #define UNSEEN 2.0
 #define FEW_SAMPLES 25.0 /* so many answers show half of the spread */
-#define FEW_SAMPLES_LATE 200.0
 
 /* A few long answers among many short ones leave no trace in the mean. */
 static void
@@ -43,8 +42,8 @@
 	t->us += GAIN * off;
 }
 
-static int64_t
-time_most(const struct answer_time *t, double few)
+int64_t
+answer_time_most(const struct answer_time *t)
 {
 	double spread = DEVIATIONS * t->deviation_us;
 	int i;
@@ -54,17 +53,5 @@
 	for (i = 0; i < 2; i++)
 		if ((double)t->longest_us[i] - t->us > spread)
 			spread = (double)t->longest_us[i] - t->us;
-	return (int64_t)(t->us + spread * (UNSEEN + few / t->n));
-}
-
-int64_t
-answer_time_most(const struct answer_time *t)
-{
-	return time_most(t, FEW_SAMPLES);
-}
-
-int64_t
-answer_time_most_late(const struct answer_time *t)
-{
-	return time_most(t, FEW_SAMPLES_LATE);
+	return (int64_t)(t->us + spread * (UNSEEN + FEW_SAMPLES / t->n));
 }
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -215,9 +215,7 @@
  * or the daemon to be idle: switch to the next target, send the target_idle and
  * drained events */
 void data_check_drained(struct data *);
-/** data_leave_decide() - whether a request that starts now can be finished
- * before this daemon ends; always while it was not told to stop. Without a
- * time, when it is NULL, only the deadline counts */
+/** data_leave_decide() - whether a request may start now, see leave_decide() */
 struct leave_decision
 data_leave_decide(struct data *, int64_t deadline, const struct answer_time *);
 /** data_end_calls() - end all calls in flight with an answer */
--- a/src/internal/leave.h
+++ b/src/internal/leave.h
@@ -20,8 +20,8 @@
 
 /** struct leave_plan - times of a stop; all 0 before the order to stop
  * @serve_until: the ports close then, unless requests still run at the target
- * @late_from: callers could have been served until then, so that what comes
- *	later is late
+ * @late_from: callers and other daemons could have turned elsewhere by then;
+ *	from then on the usual time of a request is no reason to take it
  * @close_by: they close then at the latest
  * @answer_by: what is still in flight then is ended with an answer
  * @end: the process begins to end then
@@ -75,10 +75,6 @@
 /** answer_time_most() - time within which nearly all answers come, in
  * microseconds; 0 after too few answers */
 int64_t answer_time_most(const struct answer_time *);
-/** answer_time_most_late() - the same for a request that comes late in a stop:
- * few answers that differ count for less, as little time is left for one that
- * takes longer */
-int64_t answer_time_most_late(const struct answer_time *);
 
 /** enum leave_basis - why a request may start */
 enum leave_basis {
@@ -95,9 +91,10 @@
 	int64_t left_us;
 };
 
-/** leave_decide() - whether a request of a kind that takes @t fits; NULL if
- * only its deadline counts. Late is what comes once callers were served for
- * the time of the plan. */
+/** leave_decide() - whether a request may start: its deadline comes before the
+ * stop ends requests or, until the plan's @late_from, requests of its kind
+ * usually take less time
+ * @t: time of its kind, NULL if only its deadline counts */
 struct leave_decision leave_decide(const struct leave_plan *, int64_t now,
     int64_t deadline, const struct answer_time *t);
 const char *leave_basis_name(enum leave_basis);
--- a/tests/system/stop-late.sh
+++ b/tests/system/stop-late.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # A daemon gets SIGTERM in calm, with work that the rest of its grace time can't hold if
 # it comes late, and with short work. No request that was read is cut; what can't be
-# finished is refused at once, "not run"; what can be finished is served.
+# finished is refused at once, "not run"; what can be finished is served. Once callers had
+# the time to turn elsewhere, only a deadline tells what can be finished.
 # The same with two of three daemons that stop, 0 and 1 s apart.
 # usage: stop-late.sh BUILD-DIRECTORY [WORK-MS[:APART-S]]...
 set -u
@@ -40,12 +41,12 @@
 	ask_at=$3
 	shift 3
 	ask_method=GET
-	[ "$ask_route" = n ] && ask_method=POST
+	case $ask_route in n*) ask_method=POST ;; esac
 	ask_sent=$(($(now_ms) - start))
 	ask_result=$(curl -s -m 12 -X $ask_method -o /dev/null -H "Host: h.example" -H "X-Attempt-Id: $ask_id" \
-		-H "X-Deadline-Ms: 8500" "$@" \
+		-H "X-Deadline-Ms: ${ask_left-8500}" "$@" \
 		-w '%{exitcode} %{http_code} %{time_total} %header{kumquatrock-outcome} %header{kumquatrock-reason}\n' \
-		"http://$fleet_net.1.$ask_at:8400/$ask_route/1" 2>"$fleet_dir/curl.log" | tail -1)
+		"http://$fleet_net.1.$ask_at:8400/$ask_route/1${ask_query-}" 2>"$fleet_dir/curl.log" | tail -1)
 	echo "$ask_id $ask_at $ask_sent $ask_result" >>"$fleet_dir/results"
 }
 
@@ -69,12 +70,15 @@
 # Sends requests of all kinds until the ports are closed.
 send_all() {
 	i=0
-	# These come when the ports are closed, on connections that are idle since before SIGTERM.
+	# These come after the time for callers, on connections that are idle since before SIGTERM.
 	for at in 3 2; do
 		(
 			sleep 1.$at
 			ask_kept s "idle-s-$at" 1 3 &
-			ask_kept n "idle-n-$at" 1 3
+			ask_kept n "idle-n-$at" 1 3 &
+			ask_left=2500 ask_query='?work_ms=600'
+			ask_kept sb "bound-s-$at" 1 3 &
+			ask_kept nb "bound-n-$at" 1 3
 			wait
 		) &
 	done
@@ -103,6 +107,8 @@
 	function bad(why) { print "FAILED " why ": " $0; nbad++ }
 	{
 		id = $1; after = $3 - term; code = $5
+		if (id ~ /^bound/ && code != 200) bad("not served, though its deadline comes before the end")
+		if (id ~ /^idle/ && code != 503) bad("not refused, though it may not be finished")
 		if ($4 == 7) { closed++; next }
 		if (code == 200 && $4 == 0) whole++
 		else if (code == 503 && $7 == "not-run") {
@@ -112,7 +118,7 @@
 			if ($6 * 1000 > refused_ms) bad("refused late")
 			if ($2 != 1) bad("another daemon refused")
 			else if (after < 0) bad("refused before SIGTERM")
-			else if (after + 1.25 * work + 150 < grace - 500 && (after < leave - 200 || id ~ /^idle/)) bad("refused though it could be finished")
+			else if (after + 1.25 * work + 150 < grace - 500 && after < leave - 200) bad("refused though it could be finished")
 		} else bad("neither whole nor refused")
 		if (id ~ /-n-/ && runs[id] > 1) bad("ran twice")
 	}
@@ -140,7 +146,8 @@
 	fleet_open "$build"
 	trap fleet_close EXIT
 	dialect_platform
-	dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /n/ non_idempotent),$(dialect_route_json /s/ safe)" |
+	dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /n/ non_idempotent),$(dialect_route_json /s/ safe),
+$(dialect_route_json /nb/ non_idempotent),$(dialect_route_json /sb/ safe)" |
 		sed 's/"timeout_ms":900/"timeout_ms":9000/g; s/"target_latency_ms":300/"target_latency_ms":6000/g')" >"$fleet_dir/code"
 	for n in 1 2 3; do
 		fleet_daemon 1 $n
--- a/tests/unit/leave.c
+++ b/tests/unit/leave.c
@@ -13,6 +13,14 @@
 	return leave_decide(p, now, deadline, t).basis != LEAVE_REFUSED;
 }
 
+static enum leave_basis
+basis_of(const struct leave_plan *p, int64_t at_ms, int64_t deadline_ms,
+    const struct answer_time *t)
+{
+	return leave_decide(p, NOW + at_ms * MS, NOW + deadline_ms * MS, t)
+	    .basis;
+}
+
 struct plan_case {
 	int64_t serve_ms;
 	int64_t grace_ms;
@@ -283,10 +291,14 @@
 }
 END_TEST
 
-START_TEST(many_answers_or_alike_admit_late_requests)
+/* scripts/rig 20: of requests that came once callers should have gone, those
+ * were taken whose route had many answers, or answers alike. */
+START_TEST(usual_time_admits_no_late_request)
 {
 	struct answer_time few = { 0 }, many = { 0 };
+	const struct answer_time *const known[] = { &few, &many };
 	struct leave_plan p;
+	size_t k;
 	int i;
 
 	for (i = 0; i < 15; i++)
@@ -294,9 +306,34 @@
 	for (i = 0; i < 200; i++)
 		answer_time_note(&many, (100 + i % 5 * 50) * MS);
 	leave_plan_init(&p, NOW, NOW, 2600 * MS, 6000 * MS);
-	ck_assert(fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, &few));
-	ck_assert(fits_kind(&p, NOW + 4400 * MS, NOW + 9810 * MS, &many));
-	ck_assert(!fits_kind(&p, NOW + 4500 * MS, NOW + 9810 * MS, NULL));
+	for (k = 0; k < sizeof known / sizeof *known; k++) {
+		ck_assert_int_eq(basis_of(&p, 2599, 9810, known[k]),
+		    LEAVE_BY_USUAL);
+		for (i = 2600; i < 5500; i += 100) {
+			ck_assert_int_eq(basis_of(&p, i, 9810, known[k]),
+			    LEAVE_REFUSED);
+			ck_assert_int_eq(basis_of(&p, i, 5501, known[k]),
+			    LEAVE_REFUSED);
+			ck_assert_int_eq(basis_of(&p, i, 5500, known[k]),
+			    LEAVE_BY_BOUND);
+		}
+	}
+	ck_assert_int_eq(basis_of(&p, 4500, 9810, NULL), LEAVE_REFUSED);
+}
+END_TEST
+
+/* The order came 3 s before it is taken up. */
+START_TEST(usual_time_admits_nothing_after_a_long_suspension)
+{
+	struct answer_time t = { 0 };
+	struct leave_plan p;
+	int i;
+
+	for (i = 0; i < 200; i++)
+		answer_time_note(&t, 200 * MS);
+	leave_plan_init(&p, NOW - 3000 * MS, NOW, 2600 * MS, 6000 * MS);
+	ck_assert_int_eq(basis_of(&p, 0, 9810, &t), LEAVE_REFUSED);
+	ck_assert_int_eq(basis_of(&p, 0, 2500, &t), LEAVE_BY_BOUND);
 }
 END_TEST
 
@@ -368,7 +405,8 @@
 	tcase_add_test(t, long_answer_is_forgotten_after_many_short_ones);
 	tcase_add_test(t, longer_work_is_noticed_after_few_answers);
 	tcase_add_test(t, few_answers_that_differ_do_not_admit_late_requests);
-	tcase_add_test(t, many_answers_or_alike_admit_late_requests);
+	tcase_add_test(t, usual_time_admits_no_late_request);
+	tcase_add_test(t, usual_time_admits_nothing_after_a_long_suspension);
 	tcase_add_loop_test(t, decision_tells_what_it_rests_on, 0,
 	    sizeof bases / sizeof *bases);
 	tcase_add_test(t, decision_before_the_order_rests_on_no_stop);
