Calls say whether a daemon that stays can take them

What callers saw: nothing yet; the bit is set and kept, and nothing decides by it in this commit.

Change: WIRE_CALL_NOWHERE_ELSE is set where no candidate stays: each other one is known to be leaving (it refused as such, or its last report says so), failing or silent, without a share, or can't take the call any more in this round (it refused other than as slow, stopping or full by choice; in the second round, whatever it refused for; or the attempt there was lost); and where the call can't move. Neither TRIED_SOFT_MAX nor TRIED_FREE_MAX counts. A daemon of a version before doesn't set it.

Evidence: tests/unit/tried.c (12 of 12), tests/unit/pick.c (37 of 37). Not run: system tests, as they wait for the machine.

--- a/src/core/pick/choose.c
+++ b/src/core/pick/choose.c
@@ -82,3 +82,22 @@
 	}
 	return PICK_NONE;
 }
+
+int
+pick_any_stays(const struct pick *p, int64_t now, const uint32_t *exclude,
+    uint32_t nexclude)
+{
+	struct query q = { now, GROUP_LOCAL, 0, 0, nexclude, exclude };
+	int g;
+	uint32_t i;
+
+	for (g = 0; g < GROUPS; g++)
+		for (i = 0; i < p->list[g].n; i++) {
+			uint32_t index = p->list[g].index[i];
+
+			if (pick_stays(p, now, index) &&
+			    pick_allowed(p, &q, index))
+				return 1;
+		}
+	return 0;
+}
--- a/src/core/pick/impl.h
+++ b/src/core/pick/impl.h
@@ -29,6 +29,8 @@
  * @unreported: own requests sent since the last report arrived, which does not
  *	include them; at most @in_flight
  * @avoid_until: until then it is chosen only if there is no other
+ * @failing_until: until then it is taken not to answer, or to answer that it
+ *	fails
  * @leaving_at: time at which it first refused as leaving, else 0
  * @failures: failures since the last good reply
  * @virtual_turn: virtual time at which it was last chosen
@@ -52,6 +54,7 @@
 	int64_t report_at;
 	uint32_t unreported;
 	int64_t avoid_until;
+	int64_t failing_until;
 	int64_t leaving_at;
 	uint32_t failures;
 	double virtual_turn;
@@ -164,6 +167,9 @@
 /** pick_allowed() - whether a candidate may be chosen; of its share, only
  * whether it is 0 counts */
 int pick_allowed(const struct pick *, const struct query *, uint32_t index);
+/** pick_stays() - whether a candidate that may be chosen is not known to be
+ * leaving or failing */
+int pick_stays(const struct pick *, int64_t now, uint32_t index);
 /** pick_usable() - whether a candidate may be chosen; in a ramp, it may with
  * the probability of its share */
 int pick_usable(struct pick *, const struct query *, uint32_t index);
--- a/src/core/pick/note.c
+++ b/src/core/pick/note.c
@@ -77,13 +77,21 @@
 		c->avoid_until = until;
 }
 
+static void
+avoid_failing(struct candidate *c, int64_t until)
+{
+	avoid(c, until);
+	if (until > c->failing_until)
+		c->failing_until = until;
+}
+
 void
 pick_note_unresponsive(struct pick *p, uint32_t handle, int64_t now)
 {
 	uint32_t index = pick_find(p, handle);
 
 	if (index != INDEX_NONE)
-		avoid(&p->candidate[index], now + AVOID_SILENT_US);
+		avoid_failing(&p->candidate[index], now + AVOID_SILENT_US);
 }
 
 static void
@@ -96,7 +104,7 @@
 	n = c->failures - tolerated - 1;
 	if (n > AVOID_DOUBLINGS_MAX)
 		n = AVOID_DOUBLINGS_MAX;
-	avoid(c, now + ((int64_t)AVOID_FAILED_US << n));
+	avoid_failing(c, now + ((int64_t)AVOID_FAILED_US << n));
 }
 
 static void
--- a/src/core/pick/sample.c
+++ b/src/core/pick/sample.c
@@ -18,6 +18,14 @@
 	return !c->draining && c->avoid_until <= q->now;
 }
 
+int
+pick_stays(const struct pick *p, int64_t now, uint32_t index)
+{
+	const struct candidate *c = &p->candidate[index];
+
+	return !c->draining && !c->leaving_at && c->failing_until <= now;
+}
+
 int
 pick_usable(struct pick *p, const struct query *q, uint32_t index)
 {
--- a/src/core/pick/tried.c
+++ b/src/core/pick/tried.c
@@ -16,6 +16,27 @@
 	t->allowed_full = allowed ? t->allowed_full + 1 : 0;
 }
 
+void
+tried_note_ended(struct tried *t, uint32_t handle, int again)
+{
+	if ((again && !t->second_round) || t->nunable == TRIED_MAX)
+		return;
+	t->unable[t->nunable++] = handle;
+}
+
+int
+tried_any_stays(const struct tried *t, const struct pick *p, int64_t now,
+    uint32_t handle)
+{
+	uint32_t exclude[TRIED_MAX + 1];
+	int n;
+
+	for (n = 0; n < t->nunable; n++)
+		exclude[n] = t->unable[n];
+	exclude[n] = handle;
+	return pick_any_stays(p, now, exclude, (uint32_t)n + 1);
+}
+
 static uint32_t
 choose_untried(struct tried *t, struct pick *p, int64_t now)
 {
@@ -33,6 +54,7 @@
 	    (t->soft_refusals || t->allowed_full)) {
 		t->second_round = 1;
 		t->n = 0;
+		t->nunable = 0;
 		h = choose_untried(t, p, now);
 	}
 	if (h == PICK_NONE)
--- a/src/daemon/inbound/call.c
+++ b/src/daemon/inbound/call.c
@@ -71,6 +71,7 @@
 	c->repeat = !!(m->flags & WIRE_CALL_REPEAT);
 	c->refuse_if_crowded = !!(m->flags & WIRE_CALL_REFUSE_CROWDED);
 	c->refuse_if_slow = !!(m->flags & WIRE_CALL_HAS_ALTERNATIVE);
+	c->nowhere_else = !!(m->flags & WIRE_CALL_NOWHERE_ELSE);
 	c->started = data_now(d);
 	c->deadline = c->started + m->left_us;
 	c->objective = c->started + m->objective_us;
--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -37,6 +37,8 @@
  *	have run before
  * @refuse_if_slow: nonzero if the call may be refused while the target's
  *	machine is slow, since another target can be tried
+ * @nowhere_else: nonzero if no daemon that stays can take the call, as far as
+ *	the outbound side knows
  * @leave: the last decision whether a stop leaves time for the call
  * @refuse_if_crowded: nonzero if the call may be refused while the target's
  *	queue is long
@@ -100,6 +102,7 @@
 	int repeat;
 	int refuse_if_slow;
 	int refuse_if_crowded;
+	int nowhere_else;
 	struct leave_decision leave;
 	int64_t started;
 	int64_t deadline;
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -199,14 +199,16 @@
     const struct load_report *load)
 {
 	struct out_call *c = a->call;
+	int soft = reason == WIRE_REASON_SLOW || reason == WIRE_REASON_DRAINING;
 
 	c->reason = reason;
 	if (reason == WIRE_REASON_SHED)
 		outbound_attempt_reached(a);
-	c->tried.soft_refusals +=
-	    reason == WIRE_REASON_SLOW || reason == WIRE_REASON_DRAINING;
+	c->tried.soft_refusals += soft;
 	if (reason == WIRE_REASON_FULL)
 		tried_note_full(&c->tried, a->refusable);
+	tried_note_ended(&c->tried, a->handle,
+	    soft || (reason == WIRE_REASON_FULL && a->refusable));
 	outbound_trace_attempt(a, wire_reason_name(reason), 0);
 	outbound_log_attempt(a, "not-run", 0, load);
 	pick_refused(c->service->pick, a->handle, data_now(c->data), reason,
@@ -229,6 +231,7 @@
 	outbound_trace_attempt(a, "lost", 0);
 	outbound_log_attempt(a, "lost", 0, NULL);
 	outbound_attempt_reached(a);
+	tried_note_ended(&c->tried, a->handle, 0);
 	pick_done(c->service->pick, a->handle, now, now - a->started,
 	    cause == RETRY_LOST ? PICK_LOST : PICK_FAILED, NULL);
 	c->may_have_run = 1;
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -117,6 +117,7 @@
 			return 0;
 		}
 		outbound_attempt_clear(a);
+		tried_note_ended(&c->tried, a->handle, 0);
 		pick_refused(s->pick, a->handle, now, WIRE_REASON_NO_TARGET,
 		    NULL);
 		if (c->repeat)
@@ -176,11 +177,22 @@
 	return !c->repeat && length >= 0 && length <= BODY_KEEP_MAX;
 }
 
+/* Whether only the target of this attempt can take the call, or others that
+ * stop as well. */
+static int
+nowhere_else(const struct out_attempt *a, int64_t now)
+{
+	const struct out_call *c = a->call;
+
+	return !can_move(c) ||
+	       !tried_any_stays(&c->tried, c->service->pick, now, a->handle);
+}
+
 /* Lets a target that is slow or crowded, or whose daemon stops, refuse the call
  * only while another one is left for it; a crowded one also only if the call
  * has more than one extra attempt left. */
 static uint32_t
-call_flags(struct out_attempt *a)
+call_flags(struct out_attempt *a, int64_t now)
 {
 	const struct out_call *c = a->call;
 	int movable;
@@ -192,7 +204,8 @@
 	return (c->idempotent ? WIRE_CALL_IDEMPOTENT : 0) |
 	       (c->repeat ? WIRE_CALL_REPEAT : 0) |
 	       (a->refusable ? WIRE_CALL_HAS_ALTERNATIVE : 0) |
-	       (movable ? WIRE_CALL_REFUSE_CROWDED : 0);
+	       (movable ? WIRE_CALL_REFUSE_CROWDED : 0) |
+	       (nowhere_else(a, now) ? WIRE_CALL_NOWHERE_ELSE : 0);
 }
 
 /* Fills in the message of an attempt, with the first bytes of the body.
@@ -214,7 +227,7 @@
 	m->incarnation = a->peer->incarnation;
 	m->left_us = left_us(outbound_latest_deadline(c), now);
 	m->objective_us = left_us(MIN(c->objective, c->deadline), now);
-	m->flags = call_flags(a);
+	m->flags = call_flags(a, now);
 	m->retries_left = retry_begin_attempt(&c->retry);
 	m->depth = c->retry.depth + 1;
 	m->service = c->service->conf.name;
--- a/src/internal/pick.h
+++ b/src/internal/pick.h
@@ -88,6 +88,12 @@
 uint32_t pick_choose(struct pick *, int64_t now, const uint32_t *exclude,
     uint32_t nexclude);
 
+/** pick_any_stays() - whether a candidate may be chosen that is not known to be
+ * leaving or failing, slow or not
+ * @exclude: handles that don't count */
+int pick_any_stays(const struct pick *, int64_t now, const uint32_t *exclude,
+    uint32_t nexclude);
+
 /** pick_sent() - note that a request was sent to a candidate; one call of
  * pick_done() or pick_refused() must follow */
 void pick_sent(struct pick *, uint32_t handle, int64_t now);
--- a/src/internal/tried.h
+++ b/src/internal/tried.h
@@ -24,6 +24,8 @@
 /** struct tried - targets tried for one call; zero it before first use
  * @handle: targets tried in this round
  * @n: number of targets in @handle
+ * @unable: targets that can't take the call in this round any more
+ * @nunable: number of targets in @unable
  * @total: attempts in both rounds
  * @soft_refusals: refusals because the target's machine was slow, or its daemon
  *	stops
@@ -33,6 +35,8 @@
 struct tried {
 	uint32_t handle[TRIED_MAX];
 	int n;
+	uint32_t unable[TRIED_MAX];
+	int nunable;
 	int total;
 	int soft_refusals;
 	int allowed_full;
@@ -45,6 +49,14 @@
 /** tried_note_full() - a target was full and refused; @allowed: it could refuse
  * only as another target was left */
 void tried_note_full(struct tried *, int allowed);
+/** tried_note_ended() - an attempt at a target ended without an answer
+ * @again: it may take the call in a second round */
+void tried_note_ended(struct tried *, uint32_t handle, int again);
+/** tried_any_stays() - whether a target other than @handle is left in this
+ * round or the second one that is not known to be leaving or failing, slow or
+ * not */
+int tried_any_stays(const struct tried *, const struct pick *, int64_t now,
+    uint32_t handle);
 /** tried_may_refuse() - whether a target that is slow or full may refuse the
  * request, because another can be tried without using retry budget */
 int tried_may_refuse(const struct tried *, const struct pick *);
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -60,7 +60,10 @@
 	WIRE_CALL_REFUSE_CROWDED = 8,
 	/* may be refused because the target is slow or would answer late: the
 	 * outbound side has another target to try */
-	WIRE_CALL_HAS_ALTERNATIVE = 16
+	WIRE_CALL_HAS_ALTERNATIVE = 16,
+	/* no daemon that stays can take it, as far as the outbound side knows;
+	 * one that stops may then take it by its usual time */
+	WIRE_CALL_NOWHERE_ELSE = 32
 };
 
 /* The upper half of the flags is the window for the answer's body in KiB, at
--- a/tests/unit/pick.c
+++ b/tests/unit/pick.c
@@ -349,6 +349,28 @@
 }
 END_TEST
 
+/** Targets that fail or don't answer don't stay as long as they are avoided for
+ * that; one whose machine is slow does. */
+START_TEST(slow_targets_stay_failing_ones_do_not)
+{
+	struct pick *p = new_table(PICK_WEIGHTED, 1);
+	struct load_report slow = { 1, 0, SLOTS, 2000, 0, 0, 500, 0, 0 };
+	uint32_t a = pick_add(p, 0, 1, 1);
+	uint32_t b = pick_add(p, 0, 0, 1);
+
+	pick_sent(p, a, 0);
+	pick_refused(p, a, 0, ADMIT_REASONS, &slow);
+	ck_assert_int_eq(pick_any_stays(p, 1, NULL, 0), 1);
+	ck_assert_int_eq(pick_any_stays(p, 1, &b, 1), 1);
+	pick_note_unresponsive(p, a, 1);
+	ck_assert_int_eq(pick_any_stays(p, 2, &b, 1), 0);
+	ck_assert_int_eq(pick_any_stays(p, SECOND, &b, 1), 1);
+	pick_set_share(p, b, 0);
+	ck_assert_int_eq(pick_any_stays(p, SECOND, &a, 1), 0);
+	pick_free(p);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -365,6 +387,7 @@
 	tcase_add_loop_test(c, unresponsive_targets_are_not_chosen, 0,
 	    PICK_POLICIES);
 	tcase_add_loop_test(c, last_leaving_target_is_chosen, 0, PICK_POLICIES);
+	tcase_add_test(c, slow_targets_stay_failing_ones_do_not);
 	tcase_add_loop_test(c, probes_are_bounded, 0, 3);
 	tcase_add_test(c, slow_target_gets_few_calls);
 	tcase_add_test(c, spill_follows_pressure_without_flapping);
--- a/tests/unit/tried.c
+++ b/tests/unit/tried.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "admit.h"
 #include "tried.h"
 
 #define TARGETS 4
@@ -145,6 +146,91 @@
 }
 END_TEST
 
+static void
+refuse(struct tried *t, struct pick *p, uint32_t handle, int reason)
+{
+	int soft = reason == ADMIT_DRAINING;
+
+	t->soft_refusals += soft;
+	tried_note_ended(t, handle, soft);
+	pick_sent(p, handle, 1);
+	pick_refused(p, handle, 1, reason, NULL);
+}
+
+/* A target that is slow still stays for the second round, and no longer once it
+ * refused there. */
+START_TEST(slow_target_stays_until_second_round)
+{
+	struct pick *p = new_table(2);
+	struct tried t = { 0 };
+	uint32_t slow = tried_next(&t, p, 0);
+	uint32_t leaves;
+
+	t.soft_refusals++;
+	tried_note_ended(&t, slow, 1);
+	leaves = tried_next(&t, p, 0);
+	ck_assert_int_eq(tried_any_stays(&t, p, 0, leaves), 1);
+	refuse(&t, p, leaves, ADMIT_DRAINING);
+	ck_assert_uint_ne(tried_next(&t, p, 0), PICK_NONE);
+	ck_assert_int_eq(tried_any_stays(&t, p, 0, leaves), 1);
+	tried_note_ended(&t, slow, 1);
+	ck_assert_int_eq(tried_any_stays(&t, p, 0, leaves), 0);
+	pick_free(p);
+}
+END_TEST
+
+/* Of two targets that leave, the second is asked as the last one. */
+START_TEST(leaving_targets_do_not_stay)
+{
+	struct pick *p = new_table(2);
+	struct tried t = { 0 };
+	uint32_t h = tried_next(&t, p, 0);
+
+	ck_assert_int_eq(tried_any_stays(&t, p, 0, h), 1);
+	refuse(&t, p, h, ADMIT_DRAINING);
+	h = tried_next(&t, p, 1);
+	ck_assert_int_eq(tried_any_stays(&t, p, 1, h), 0);
+	pick_free(p);
+}
+END_TEST
+
+/* A target that is gone can't take the request; the only one has no other. */
+START_TEST(gone_target_does_not_stay)
+{
+	struct pick *p = new_table(2);
+	struct tried t = { 0 };
+	uint32_t h = tried_next(&t, p, 0);
+
+	refuse(&t, p, h, ADMIT_OK);
+	h = tried_next(&t, p, 0);
+	ck_assert_int_eq(tried_any_stays(&t, p, 0, h), 0);
+	pick_free(p);
+	p = new_table(1);
+	t = (struct tried){ 0 };
+	h = tried_next(&t, p, 0);
+	ck_assert_int_eq(tried_any_stays(&t, p, 0, h), 0);
+	pick_free(p);
+}
+END_TEST
+
+/* The limits of what is tried say nothing of who stays. */
+START_TEST(targets_beyond_the_limits_stay)
+{
+	struct pick *p = new_table(4 * TRIED_MAX);
+	struct tried t = { 0 };
+	int n;
+
+	for (n = 0; n < TRIED_MAX; n++) {
+		uint32_t h = tried_next(&t, p, 0);
+
+		ck_assert_int_eq(tried_any_stays(&t, p, 0, h), 1);
+		refuse(&t, p, h, ADMIT_DRAINING);
+	}
+	ck_assert_int_eq(tried_may_refuse(&t, p), 0);
+	pick_free(p);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -161,6 +247,10 @@
 	tcase_add_test(c, second_round_if_the_target_left_is_gone);
 	tcase_add_test(c, no_second_round_if_the_last_target_is_full);
 	tcase_add_test(c, tried_targets_are_bounded);
+	tcase_add_test(c, slow_target_stays_until_second_round);
+	tcase_add_test(c, leaving_targets_do_not_stay);
+	tcase_add_test(c, gone_target_does_not_stay);
+	tcase_add_test(c, targets_beyond_the_limits_stay);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
