A target that was drained and returns no longer counts as leaving

What callers saw: nothing by itself. The time at which a target first refused as leaving stayed for as long as the target was known, also after an operator's undrain; the order among targets that all leave rested on it, and since what calls say of who stays.

Cause: leaving_at was set and never cleared; a drain that ends and a daemon's stop, which is final, were the same refusal.

Change: a load report without draining that comes after the refusal clears it. A refusal as draining whose own report doesn't say so is that of a daemon that stops (its target takes requests until shortly before leave_ms is over): that one stays.

Ruled out: that a stop could look like a return. Its reports say draining once its target is drained, and not the reverse; before that its refusals are told by the rule above.

Not run: system tests, as they wait for the machine.

--- a/src/core/pick/impl.h
+++ b/src/core/pick/impl.h
@@ -31,7 +31,9 @@
  * @avoid_until: until then it is chosen only if there is no other
  * @failing_until: until then it is taken not to answer, or to answer that it
  *	fails
- * @leaving_at: time at which it first refused as leaving, else 0
+ * @leaving_at: time at which it first refused as leaving, else 0; 0 again if it
+ *	takes requests since
+ * @stops: nonzero once it refused as its daemon stops, which is final
  * @failures: failures since the last good reply
  * @virtual_turn: virtual time at which it was last chosen
  */
@@ -41,6 +43,7 @@
 	uint8_t group;
 	uint8_t draining;
 	uint8_t cold;
+	uint8_t stops;
 	uint32_t pos;
 	double share;
 	uint32_t in_flight;
--- a/src/core/pick/note.c
+++ b/src/core/pick/note.c
@@ -34,6 +34,8 @@
 	c->report_us = l->latency_us;
 	c->cold = l->cold;
 	c->draining = l->draining;
+	if (!l->draining && !c->stops)
+		c->leaving_at = 0;
 	c->unreported = unreported;
 	if (l->pace > PACE_SLOW && l->pace_age_us < AVOID_SLOW_US &&
 	    made + AVOID_SLOW_US - l->pace_age_us > c->avoid_until)
@@ -152,6 +154,17 @@
 		p->bias += SHARED_GAIN * (us / c->predicted_us - p->bias);
 }
 
+/* A target that is drained says so in its reports; one that refuses and doesn't
+ * say so has a daemon that stops. */
+static void
+note_leaving(struct candidate *c, int64_t now, const struct load_report *l)
+{
+	if (!c->leaving_at)
+		c->leaving_at = now;
+	if (l && !l->draining)
+		c->stops = 1;
+}
+
 /* When the refused request was sent is not known here; the mean of the times of
  * those in flight stands for it. */
 void
@@ -168,8 +181,8 @@
 		remove_in_flight(c, c->sent_sum / c->in_flight);
 	if (l)
 		pick_note_report(p, c, now, l, 0);
-	if (reason == ADMIT_DRAINING && !c->leaving_at)
-		c->leaving_at = now;
+	if (reason == ADMIT_DRAINING)
+		note_leaving(c, now, l);
 	if (reason == ADMIT_DRAINING || reason == ADMIT_OUT) {
 		avoid(c, now + AVOID_LEAVING_US);
 		return;
