A call goes to a daemon that stops only if none stays

Cause: as soon as one candidate that could be chosen wasn't leaving, leaving_from() put no restriction on the choice, so that those that leave were chosen by weight beside it; and a second after its refusal a candidate that leaves was chosen as any other.

Change: a candidate that leaves is chosen only while none stays: in the first pass never, in the second while each other one that is left is leaving, draining, silent or failing. Beside a silent or failing one, those that leave are chosen as before.

Ruled out: to count silent and failing candidates as staying. A call waits up to 1.2 s at a silent one, and a daemon that stops answers or refuses at once.

Not run: system tests, as they wait for the machine.

--- a/src/core/pick/choose.c
+++ b/src/core/pick/choose.c
@@ -26,10 +26,11 @@
 	return GROUP_LOCAL;
 }
 
-/* Where all that may be chosen are leaving, those that were leaving this much
- * earlier than the last one have too little time left to be chosen. */
+/* Where none of those that may be chosen stays, those that were leaving this
+ * much earlier than the last one have too little time left to be chosen. */
 #define LEAVING_SPREAD_US 1000000
 
+/* Time from which candidates that leave may be chosen, INT64_MAX for none. */
 static int64_t
 leaving_from(const struct pick *p, const struct query *q)
 {
@@ -44,8 +45,8 @@
 
 			if (!pick_allowed(p, q, index))
 				continue;
-			if (!at)
-				return 0;
+			if (pick_stays(p, q->now, index))
+				return INT64_MAX;
 			if (at > last)
 				last = at;
 		}
@@ -53,7 +54,8 @@
 }
 
 /* The first pass over both groups is strict; the second also takes candidates
- * that are avoided or draining, and disregards ramps. */
+ * that are avoided or draining, those that leave if none stays, and disregards
+ * ramps. */
 uint32_t
 pick_choose(struct pick *p, int64_t now, const uint32_t *exclude,
     uint32_t nexclude)
--- a/src/core/pick/impl.h
+++ b/src/core/pick/impl.h
@@ -138,9 +138,10 @@
 
 /**
  * struct query - one choice
- * @strict: nonzero to leave out candidates that are avoided or draining, and
- *	to apply ramps in pick_usable()
- * @leaving_from: not to choose those that were leaving before this
+ * @strict: nonzero to leave out candidates that are avoided, draining or
+ *	leaving, and to apply ramps in pick_usable()
+ * @leaving_from: unless @strict, not to choose those that were leaving before
+ *	this
  * @exclude: handles not to choose
  */
 struct query {
--- a/src/core/pick/sample.c
+++ b/src/core/pick/sample.c
@@ -14,8 +14,8 @@
 		if (q->exclude[i] == pick_handle(p, index))
 			return 0;
 	if (!q->strict)
-		return !q->leaving_from || c->leaving_at >= q->leaving_from;
-	return !c->draining && c->avoid_until <= q->now;
+		return !c->leaving_at || c->leaving_at >= q->leaving_from;
+	return !c->draining && !c->leaving_at && c->avoid_until <= q->now;
 }
 
 int
--- a/tests/unit/pick.c
+++ b/tests/unit/pick.c
@@ -371,6 +371,36 @@
 }
 END_TEST
 
+/** A target that leaves isn't chosen while one whose machine is slow may be,
+ * nor as time goes by. */
+START_TEST(leaving_target_is_not_chosen_beside_slow_ones)
+{
+	struct pick *p = new_table((enum pick_policy)_i, 1);
+	struct load_report slow = { 1, 0, SLOTS, 2000, 0, 0, 500, 0, 0 };
+	uint32_t h[] = { pick_add(p, 0, 1, 1), pick_add(p, 0, 1, 1),
+		pick_add(p, 0, 0, 1) };
+	int64_t now;
+	int i;
+
+	pick_sent(p, h[0], MS);
+	pick_refused(p, h[0], MS, ADMIT_DRAINING, &(struct load_report){ 0 });
+	for (now = 2 * MS; now < 4 * SECOND; now += 10 * MS) {
+		for (i = 1; i < 3; i++) {
+			pick_sent(p, h[i], now);
+			pick_refused(p, h[i], now, ADMIT_REASONS, &slow);
+			ck_assert_uint_ne(pick_choose(p, now, NULL, 0), h[0]);
+		}
+		for (i = 1; i < 3; i++)
+			ck_assert_uint_eq(pick_choose(p, now, &h[i], 1),
+			    h[3 - i]);
+		ck_assert_uint_eq(pick_choose(p, now, &h[1], 2), h[0]);
+	}
+	for (; now < 6 * SECOND; now += 10 * MS)
+		ck_assert_uint_ne(pick_choose(p, now, NULL, 0), h[0]);
+	pick_free(p);
+}
+END_TEST
+
 /** A target that refused since it was drained, and takes requests again, is
  * chosen again; one whose daemon stops is not. */
 START_TEST(returned_target_is_chosen_again)
@@ -423,6 +453,8 @@
 	tcase_add_loop_test(c, unresponsive_targets_are_not_chosen, 0,
 	    PICK_POLICIES);
 	tcase_add_loop_test(c, last_leaving_target_is_chosen, 0, PICK_POLICIES);
+	tcase_add_loop_test(c, leaving_target_is_not_chosen_beside_slow_ones, 0,
+	    PICK_POLICIES);
 	tcase_add_loop_test(c, returned_target_is_chosen_again, 0,
 	    PICK_POLICIES);
 	tcase_add_test(c, slow_targets_stay_failing_ones_do_not);
--- a/tests/unit/tried.c
+++ b/tests/unit/tried.c
@@ -213,6 +213,43 @@
 }
 END_TEST
 
+/* In the second round, a target that leaves comes after those that refused
+ * since they are slow. */
+START_TEST(leaving_target_is_last_in_second_round)
+{
+	struct load_report slow = { 1, 0, 8, 2000, 0, 0, 500, 0, 0 };
+	uint32_t seed;
+
+	for (seed = 0; seed < 50; seed++) {
+		struct pick_config c = PICK_CONFIG_DEFAULT;
+		struct tried t = { 0 };
+		struct pick *p;
+		uint32_t leaves;
+		int i;
+
+		c.seed = seed;
+		p = pick_new(&c);
+		for (i = 0; i < 3; i++)
+			pick_add(p, 0, 1, 1);
+		leaves = tried_next(&t, p, 1);
+		refuse(&t, p, leaves, ADMIT_DRAINING);
+		for (i = 0; i < 2; i++) {
+			uint32_t h = tried_next(&t, p, 1);
+
+			t.soft_refusals++;
+			tried_note_ended(&t, h, 1);
+			pick_sent(p, h, 1);
+			pick_refused(p, h, 1, ADMIT_REASONS, &slow);
+		}
+		for (i = 0; i < 2; i++)
+			ck_assert_uint_ne(tried_next(&t, p, 2), leaves);
+		ck_assert_int_eq(t.second_round, 1);
+		ck_assert_uint_eq(tried_next(&t, p, 2), leaves);
+		pick_free(p);
+	}
+}
+END_TEST
+
 /* The limits of what is tried say nothing of who stays. */
 START_TEST(targets_beyond_the_limits_stay)
 {
@@ -250,6 +287,7 @@
 	tcase_add_test(c, slow_target_stays_until_second_round);
 	tcase_add_test(c, leaving_targets_do_not_stay);
 	tcase_add_test(c, gone_target_does_not_stay);
+	tcase_add_test(c, leaving_target_is_last_in_second_round);
 	tcase_add_test(c, targets_beyond_the_limits_stay);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
