A full target stays, as far as calls say

Cause: a refusal as full or cold that wasn't by choice counted as one after which its target can't take the call, so that a daemon that stops would have been told that there is nobody else while others were merely full.

Not run: system tests, as they wait for the machine.

--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -208,7 +208,7 @@
 	if (reason == WIRE_REASON_FULL)
 		tried_note_full(&c->tried, a->refusable);
 	tried_note_ended(&c->tried, a->handle,
-	    soft || (reason == WIRE_REASON_FULL && a->refusable));
+	    soft || reason == WIRE_REASON_FULL || reason == WIRE_REASON_COLD);
 	outbound_trace_attempt(a, wire_reason_name(reason), 0);
 	outbound_log_attempt(a, "not-run", 0, load);
 	pick_refused(c->service->pick, a->handle, data_now(c->data), reason,
