A second round begins with targets that may take the call

A call that one target had refused as slow and another as gone could go to the gone one first in the second round. Such a refusal can cost retry budget (full, paused, deadline), without which the call ends with 503 although the slow one would have taken it.

Cause: the second round forgot how the first one had ended at each target.

Change: targets that can't take the call (gone, lost it, paused, out, behind, out of time there) come after the others in the second round.

Ruled out: to leave them out of it. A target can be back by then, and a call whose others refused again has nowhere else to go.

Before and after: tests/unit/tried.c, gone_target_is_last_in_second_round, failed without the change (the gone target was chosen first), passes with it; 14 of 14. Not run: system tests, as they wait for the machine.

--- a/src/core/pick/tried.c
+++ b/src/core/pick/tried.c
@@ -19,7 +19,7 @@
 void
 tried_note_ended(struct tried *t, uint32_t handle, int again)
 {
-	if ((again && !t->second_round) || t->nunable == TRIED_MAX)
+	if ((again && !t->second_round) || t->nunable == TRIED_UNABLE_MAX)
 		return;
 	t->unable[t->nunable++] = handle;
 }
@@ -28,7 +28,7 @@
 tried_any_stays(const struct tried *t, const struct pick *p, int64_t now,
     uint32_t handle)
 {
-	uint32_t exclude[TRIED_MAX + 1];
+	uint32_t exclude[TRIED_UNABLE_MAX + 1];
 	int n;
 
 	for (n = 0; n < t->nunable; n++)
@@ -37,12 +37,24 @@
 	return pick_any_stays(p, now, exclude, (uint32_t)n + 1);
 }
 
+/* Those that can't take the call come last. */
 static uint32_t
 choose_untried(struct tried *t, struct pick *p, int64_t now)
 {
+	uint32_t exclude[TRIED_MAX + TRIED_UNABLE_MAX];
+	uint32_t h;
+	int i, n = t->n;
+
 	if (t->n == TRIED_MAX)
 		return PICK_NONE;
-	return pick_choose(p, now, t->handle, (uint32_t)t->n);
+	for (i = 0; i < t->n; i++)
+		exclude[i] = t->handle[i];
+	for (i = 0; i < t->nunable; i++)
+		exclude[n++] = t->unable[i];
+	h = pick_choose(p, now, exclude, (uint32_t)n);
+	if (h == PICK_NONE && t->second_round)
+		h = pick_choose(p, now, t->handle, (uint32_t)t->n);
+	return h;
 }
 
 uint32_t
@@ -54,7 +66,6 @@
 	    (t->soft_refusals || t->allowed_full)) {
 		t->second_round = 1;
 		t->n = 0;
-		t->nunable = 0;
 		h = choose_untried(t, p, now);
 	}
 	if (h == PICK_NONE)
--- a/src/internal/tried.h
+++ b/src/internal/tried.h
@@ -11,11 +11,13 @@
  * When no target is left to try and one refused because its machine is slow, or
  * because its daemon stops, a second round over all targets begins. In that
  * round, such a target takes the request if it can, instead of refusing it.
- * There is at most one second round, so that a call always ends, also while no
- * target can be reached.
+ * Those that could not take it in the first one come after them. There is at
+ * most one second round, so that a call always ends, also while no target can
+ * be reached.
  */
 
 #define TRIED_MAX 8 /* targets tried for one call in a round */
+#define TRIED_UNABLE_MAX (2 * TRIED_MAX)
 /* Targets tried without using retry budget while they refuse as full. */
 #define TRIED_FREE_MAX 4
 /* After so many refusals of that kind, the next target may not refuse so. */
@@ -24,7 +26,8 @@
 /** struct tried - targets tried for one call; zero it before first use
  * @handle: targets tried in this round
  * @n: number of targets in @handle
- * @unable: targets that can't take the call in this round any more
+ * @unable: targets that can't take the call any more: they refused and were not
+ *	just slow, full or stopping, or refused in the second round, or lost it
  * @nunable: number of targets in @unable
  * @total: attempts in both rounds
  * @soft_refusals: refusals because the target's machine was slow, or its daemon
@@ -35,7 +38,7 @@
 struct tried {
 	uint32_t handle[TRIED_MAX];
 	int n;
-	uint32_t unable[TRIED_MAX];
+	uint32_t unable[TRIED_UNABLE_MAX];
 	int nunable;
 	int total;
 	int soft_refusals;
--- a/tests/unit/tried.c
+++ b/tests/unit/tried.c
@@ -250,6 +250,39 @@
 }
 END_TEST
 
+/* A second round begins with those that said that they may take the request;
+ * one that is gone is tried once more after them. */
+START_TEST(gone_target_is_last_in_second_round)
+{
+	uint32_t seed;
+
+	for (seed = 0; seed < 50; seed++) {
+		struct pick_config c = PICK_CONFIG_DEFAULT;
+		struct tried t = { 0 };
+		struct pick *p;
+		uint32_t h[3];
+		int i;
+
+		c.seed = seed;
+		p = pick_new(&c);
+		for (i = 0; i < 3; i++)
+			pick_add(p, 0, 1, 1);
+		for (i = 0; i < 3; i++)
+			h[i] = tried_next(&t, p, 1);
+		t.soft_refusals++;
+		tried_note_ended(&t, h[seed % 3], 1);
+		refuse(&t, p, h[(seed + 1) % 3], ADMIT_OK);
+		refuse(&t, p, h[(seed + 2) % 3], ADMIT_OK);
+		ck_assert_uint_eq(tried_next(&t, p, 2), h[seed % 3]);
+		ck_assert_int_eq(t.second_round, 1);
+		ck_assert_uint_ne(tried_next(&t, p, 2), PICK_NONE);
+		ck_assert_uint_ne(tried_next(&t, p, 2), PICK_NONE);
+		ck_assert_uint_eq(tried_next(&t, p, 2), PICK_NONE);
+		pick_free(p);
+	}
+}
+END_TEST
+
 /* The limits of what is tried say nothing of who stays. */
 START_TEST(targets_beyond_the_limits_stay)
 {
@@ -288,6 +321,7 @@
 	tcase_add_test(c, leaving_targets_do_not_stay);
 	tcase_add_test(c, gone_target_does_not_stay);
 	tcase_add_test(c, leaving_target_is_last_in_second_round);
+	tcase_add_test(c, gone_target_is_last_in_second_round);
 	tcase_add_test(c, targets_beyond_the_limits_stay);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
