A caller that reads is not ended to make room after a pause

A connection closed in the middle of an answer, with what waits behind it, though its caller had read all that was sent. Cause: the time at which a caller last took a byte is noted by the daemon's own sends. After a moment in which the daemon did not run, the first request that finds call_bytes short ends the connection that took nothing for the longest time before the sockets that have room again are looked at. Ruled out: asking each socket at each look (up to 1,000 system calls a request): only one that would be ended is asked. Not shown on real processes.

--- a/src/adapter/http/conn_event.c
+++ b/src/adapter/http/conn_event.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 static int
@@ -77,8 +78,8 @@
 
 /* One whose event is being handled is not stalled, nor is one whose caller was
  * offered nothing yet, since the head waits for the first bytes of the body. */
-int
-http_server_end_stalled(struct http_server *s, int64_t before)
+static struct http_conn *
+longest_stalled(const struct http_server *s, int64_t before)
 {
 	struct http_conn *c, *stalled = NULL;
 
@@ -89,9 +90,29 @@
 		before = c->last_taken;
 		stalled = c;
 	}
-	if (!stalled)
+	return stalled;
+}
+
+/* Whether the caller took bytes that are not noted yet, as this task did not
+ * run. */
+static int
+has_room(const struct http_conn *c)
+{
+	struct pollfd p = { .fd = c->fd, .events = POLLOUT };
+
+	return poll(&p, 1, 0) > 0 && p.revents & POLLOUT;
+}
+
+int
+http_server_end_stalled(struct http_server *s, int64_t before)
+{
+	struct http_conn *c;
+
+	while ((c = longest_stalled(s, before)) && has_room(c))
+		c->last_taken = io_now(s->loop);
+	if (!c)
 		return 0;
-	end_late(stalled, HTTP_END_MEMORY);
+	end_late(c, HTTP_END_MEMORY);
 	return 1;
 }
 
--- a/tests/unit/http_backlog.c
+++ b/tests/unit/http_backlog.c
@@ -267,6 +267,36 @@
 }
 END_TEST
 
+/* Reads what the system has for a caller, while the server does not run. */
+static void
+read_all(int fd)
+{
+	int64_t end = io_clock() + STALL_US;
+	char buf[65536];
+
+	while (io_clock() < end)
+		while (recv(fd, buf, sizeof buf, MSG_DONTWAIT) > 0)
+			;
+}
+
+START_TEST(caller_that_read_on_while_the_server_did_not_run_is_not_ended)
+{
+	int64_t before;
+	int fd;
+
+	start_server(&stall_ops);
+	fd = ask('f', 0);
+	before = io_clock();
+	ck_assert_int_gt(limit.used, 0);
+	read_all(fd);
+	ck_assert(!http_server_end_stalled(bed.server, before));
+	ck_assert_str_eq(ended, "");
+	close(fd);
+	bed_wait_closed();
+	ck_assert_int_eq(limit.used, 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -281,5 +311,7 @@
 	tcase_add_test(c,
 	    caller_that_sends_its_body_and_takes_nothing_gives_way);
 	tcase_add_test(c, caller_whose_answer_has_just_begun_is_not_ended);
+	tcase_add_test(c,
+	    caller_that_read_on_while_the_server_did_not_run_is_not_ended);
 	return bed_run_suite("http_backlog", c);
 }
