All connections that wait are accepted before the port closes

Connections that were open, with a request on them, were reset as the daemon stopped; none of these requests was read or passed on. Cause: the last accepts were bounded by the limit of connections, though those beyond it are accepted, too, to be answered 503. Ruled out: that the loop accepts them in the 2 ms before the port closes: a server that is busy then accepts 32 at most.

--- a/src/adapter/http/server.c
+++ b/src/adapter/http/server.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #define ACCEPT_BATCH 32
+#define ACCEPT_LAST 4096 /* more than the system lets wait */
 #define TCP_FLAGS_OFFSET 13 /* in the header of a segment */
 /* for handshakes that have begun; callers whose own is dropped meanwhile try
  * again after a second */
@@ -185,7 +186,7 @@
 	struct http_server *s = ctx;
 
 	(void)now;
-	accept_some(s, s->limits.connections);
+	accept_some(s, ACCEPT_LAST);
 	stop_listening(s);
 }
 
@@ -200,7 +201,7 @@
 	filtered = !drop_new_handshakes(s->fd);
 	/* closing the listening socket would reset the connections that are in
 	 * its accept queue */
-	accept_some(s, s->limits.connections);
+	accept_some(s, ACCEPT_LAST);
 	s->stopping = 1;
 	s->close_idle_at =
 	    io_now(s->loop) +
--- a/tests/unit/http_stop.c
+++ b/tests/unit/http_stop.c
@@ -214,6 +214,41 @@
 }
 END_TEST
 
+#define WAITING 60 /* connections that are not accepted yet */
+#define BUSY_US 3000 /* in which the server does not run */
+
+START_TEST(stop_beyond_the_limit_of_connections_answers_those_that_wait)
+{
+	struct http_limits limits = HTTP_LIMITS_DEFAULT;
+	int i, fd[WAITING], answered = 0;
+	char buf[512];
+
+	limits.connections = 2;
+	bed_setup();
+	bed_server_start(&limits, &bed_ops);
+	for (i = 0; i < WAITING; i++) {
+		fd[i] = io_connect_tcp("127.0.0.1", bed.port);
+		while (
+		    send(fd[i], request, sizeof request - 1, MSG_NOSIGNAL) < 0)
+			;
+	}
+	http_server_disable_keepalive(bed.server);
+	http_server_stop(bed.server);
+	g_usleep(BUSY_US);
+	while (http_server_connections(bed.server) ||
+	       http_server_is_listening(bed.server))
+		bed_step(bed_timeout_at());
+	for (i = 0; i < WAITING; i++) {
+		answered += recv(fd[i], buf, sizeof buf, MSG_DONTWAIT) > 0;
+		close(fd[i]);
+	}
+	ck_assert_int_eq(answered, WAITING);
+	http_server_free(bed.server);
+	bed.server = NULL;
+	bed_teardown();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -226,6 +261,8 @@
 	tcase_add_test(c, stop_cuts_no_connection_that_was_opened);
 	tcase_add_loop_test(c, stop_answers_all_requests_that_were_read, 0, 2);
 	tcase_add_test(c, finish_leaves_whole_answers_to_late_readers);
+	tcase_add_test(c,
+	    stop_beyond_the_limit_of_connections_answers_those_that_wait);
 	suite_add_tcase(s, c);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
