A daemon that stops takes calls by their usual time only if nobody stays

Cost: daemons of a version before don't set the flag, so that a daemon that stops takes their calls by the bound alone.

--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -196,8 +196,9 @@
 /** inbound_conn_closed() - abandon the calls of a closed connection, and free
  * it */
 void inbound_conn_closed(struct data *, struct peer_conn *);
-/** inbound_fits() - whether the request, sent to the target now, can be
- * finished before this daemon ends, for certain if another target is left */
+/** inbound_fits() - whether the request, sent to the target now, is finished or
+ * past its deadline before this daemon ends; by its usual time only if no
+ * daemon that stays can take it */
 int inbound_fits(struct in_call *);
 /** inbound_note_leave_refusal() - count a call of another daemon that is
  * refused since it can't be finished before this daemon ends */
--- a/src/daemon/inbound/leave.c
+++ b/src/daemon/inbound/leave.c
@@ -1,12 +1,12 @@
 #include "daemon/inbound/inbound.h"
 
-/* While another target is left for the call, its usual time is no reason to
- * take it: a request that takes longer would be ended. */
+/* A call that a daemon which stays could take would be ended here if it takes
+ * longer than usual. */
 int
 inbound_fits(struct in_call *c)
 {
 	c->leave = data_leave_decide(c->data, c->deadline,
-	    c->refuse_if_slow ? NULL : c->time);
+	    c->nowhere_else ? c->time : NULL);
 	return c->leave.basis != LEAVE_REFUSED;
 }
 
