In a stop the usual time counts only at the pace of before

Cause: the usual time is that of before; nothing compared the target's pace with that of then. The supposed cause, that a daemon which stops doesn't measure, is not so before late_from: d->draining is set as the ports close. A pace that stays slow becomes the base within 0.45 s, so that pace_slow() doesn't tell either.

Change: the base pace at SIGTERM is kept; while the last reading is slow for that base, however old it is, calls are taken by the bound alone.

Remains: until the first reading after the change (the health is asked for once a second, and before calls within the budget) the usual time counts; a target that tells no pace is judged by the age of its open requests alone; a pace that changed before SIGTERM and became the base counts as the pace of before.

--- a/src/core/pace/pace.c
+++ b/src/core/pace/pace.c
@@ -72,6 +72,12 @@
 	       now - p->read_at <= PACE_USABLE_US;
 }
 
+int
+pace_above(const struct pace *p, int base)
+{
+	return p->value * PACE_USUAL > base * PACE_SLOW;
+}
+
 enum pace_verdict
 pace_judge(const struct pace *p, int64_t now, int can_ask)
 {
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -113,6 +113,7 @@
 	int drained_sent; /* the drained event was sent */
 	int stopped; /* the task has ended and is being freed */
 	struct leave_plan leave;
+	int leave_pace; /* base pace of the target when the stop began */
 	struct io_timer leave_timer;
 
 	struct http_server *server;
--- a/src/daemon/data/leave.c
+++ b/src/daemon/data/leave.c
@@ -45,6 +45,7 @@
 	struct data *d = ctx;
 
 	d->leave = *(struct leave_plan *)message;
+	d->leave_pace = pace_base(&d->pace);
 	g_free(message);
 	http_server_disable_keepalive(d->server);
 	outbound_allow_silence(d);
--- a/src/daemon/inbound/leave.c
+++ b/src/daemon/inbound/leave.c
@@ -1,12 +1,14 @@
 #include "daemon/inbound/inbound.h"
 
-/* A call that a daemon which stays could take would be ended here if it takes
- * longer than usual. */
+/* The usual time counts only for a call that no daemon which stays can take,
+ * and only at the pace of before the stop. */
 int
 inbound_fits(struct in_call *c)
 {
-	c->leave = data_leave_decide(c->data, c->deadline,
-	    c->nowhere_else ? c->time : NULL);
+	struct data *d = c->data;
+	int usual = c->nowhere_else && !pace_above(&d->pace, d->leave_pace);
+
+	c->leave = data_leave_decide(d, c->deadline, usual ? c->time : NULL);
 	return c->leave.basis != LEAVE_REFUSED;
 }
 
--- a/src/internal/pace.h
+++ b/src/internal/pace.h
@@ -74,6 +74,9 @@
 enum pace_verdict pace_judge(const struct pace *, int64_t now, int can_ask);
 /** pace_slow() - whether the last reading is slow and still usable */
 int pace_slow(const struct pace *, int64_t now);
+/** pace_above() - whether the last reading, however old, is slow for a machine
+ * with this base */
+int pace_above(const struct pace *, int base);
 /** pace_base() - percent of the usual time that work takes outside of slow
  * periods */
 int pace_base(const struct pace *);
--- a/tests/unit/pace.c
+++ b/tests/unit/pace.c
@@ -60,6 +60,30 @@
 }
 END_TEST
 
+/* Work that was measured before doesn't become shorter as slow readings become
+ * the base, or old. */
+START_TEST(machine_slow_for_long_is_above_its_base_of_before)
+{
+	struct pace p = { 0 };
+	int64_t t, from = 1000 * MS;
+	int base = pace_base(&p);
+
+	ck_assert_int_eq(pace_above(&p, base), 0);
+	pace_note_reading(&p, from, PACE_SLOW, 0);
+	ck_assert_int_eq(pace_above(&p, base), 0);
+	for (t = from; t <= from + PACE_REBASE_US; t += 10 * MS) {
+		pace_note_reading(&p, t, SLOW_PACE, 0);
+		ck_assert_int_eq(pace_above(&p, base), 1);
+	}
+	ck_assert_int_eq(pace_base(&p), SLOW_PACE);
+	ck_assert_int_eq(pace_slow(&p, t), 0);
+	ck_assert_int_eq(pace_above(&p, base), 1);
+	ck_assert_int_eq(pace_above(&p, SLOW_PACE), 0);
+	pace_note_reading(&p, t, PACE_USUAL, 0);
+	ck_assert_int_eq(pace_above(&p, base), 0);
+}
+END_TEST
+
 /* A target that has just started takes twice as long all the time, and five
  * times that in slow periods: it is given work between these. */
 START_TEST(cold_target_works_between_slow_periods)
@@ -163,6 +187,7 @@
 
 	tcase_add_test(c, verdict_depends_on_age_of_reading);
 	tcase_add_test(c, machine_slow_for_long_gets_work);
+	tcase_add_test(c, machine_slow_for_long_is_above_its_base_of_before);
 	tcase_add_test(c, cold_target_works_between_slow_periods);
 	tcase_add_test(c, work_waits_for_end_of_slow_period);
 	suite_add_tcase(s, c);
