stop-calls.sh: also requests whose deadline lies beyond the stop

A request that was taken before SIGTERM makes its calls after leave_ms, where only the bound admits any now. They can't be told from requests of callers: both come to the same port, with ids of their own. The first form runs as before, the routes' time limit is 9 s in place of 5 s in both: the deadlines of 4.5 s are sooner.

--- a/tests/system/stop-calls.sh
+++ b/tests/system/stop-calls.sh
@@ -1,18 +1,27 @@
 #!/bin/sh
 # A request that runs at the target of a daemon that stops makes its own calls through that
-# daemon as long as it runs, also after the time in which new callers are served.
-# usage: stop-calls.sh BUILD-DIRECTORY
+# daemon as long as it runs, also after the time in which new callers are served; and where
+# its deadline lies beyond the stop, as these calls have a sooner one.
+# usage: stop-calls.sh BUILD-DIRECTORY [WORK-MS DEADLINE-MS]
 set -u
 . scripts/fleet.sh
 . scripts/dialect.sh
 REQUESTS=20
+if [ $# = 1 ]; then
+	code=0
+	sh "$0" "$1" 1400 4500 || code=1
+	sh "$0" "$1" 3600 8500 || code=1
+	exit $code
+fi
+work=$2
+deadline=$3
 fleet_open "$1"
 trap fleet_close EXIT
 failed=0
 
 ask() { # ID
-	code=$(curl -s -m 6 -X POST -o /dev/null -w '%{http_code}' -H "Host: h.example" -H "X-Attempt-Id: $1" \
-		-H "X-Deadline-Ms: 4500" "http://$fleet_net.1.2:8400/n/?work_ms=1400&calls=2")
+	code=$(curl -s -m 12 -X POST -o /dev/null -w '%{http_code}' -H "Host: h.example" -H "X-Attempt-Id: $1" \
+		-H "X-Deadline-Ms: $deadline" "http://$fleet_net.1.2:8400/n/?work_ms=$work&calls=2")
 	echo "$1 $code" >>"$fleet_dir/answers"
 }
 
@@ -20,7 +29,7 @@
 dialect_store_request POST config "$(dialect_config_json "$(dialect_route_json /n/ non_idempotent),$(dialect_route_json /check/ safe |
 	sed 's/"service":"codebook"/"service":"ledger"/'),
 $(echo '{"resource_kind":"services","metadata":{"name":"ledger"},"specification":{"health_path":"/health","max_connections":260,"cold_start_s":3.0,"cold_per_s":19.0}}')" |
-	sed 's/"timeout_ms":900/"timeout_ms":5000/g')" >"$fleet_dir/code"
+	sed 's/"timeout_ms":900/"timeout_ms":9000/g')" >"$fleet_dir/code"
 fleet_daemon 1 1
 fleet_settings 1 2 | sed 's/"service": "codebook"/"service": "ledger"/' >"$fleet_dir/dc1-2.json"
 fleet_run daemon-1-2 "$fleet_build/kumquatrockd" --settings "$fleet_dir/dc1-2.json"
