outbound: an answer on a shared connection is fetched ahead, with a sum of its own

What callers saw: several safe requests at once on a connection, the first answer beyond 512 KiB and read slowly.

Now what is fetched ahead of slow callers is counted for itself, until the connection has nothing unsent: at most three eighths of limits.call_bytes, a call at most what is free of that, and only while less than half of all is in use. What a daemon that ends, or beside one that ends, may fetch is: less than half of all without that sum, and less than three quarters with it. While an answer is fetched ahead, credit is given as parts of it are sent, not only once all is.

Open: callers that together hold the sum leave others as before; an answer alone on its connection is cut at its limit. Not run: the rig with large answers, sanitizers.

--- a/src/adapter/http/conn.c
+++ b/src/adapter/http/conn.c
@@ -194,10 +194,10 @@
 	if (c->closed || c->send_errno || !out_pending(&c->out))
 		return;
 	conn_note_send(c, out_send(&c->out, c->fd, NULL, 0));
-	if (c->send_errno || out_pending(&c->out))
+	if (c->send_errno || (out_pending(&c->out) && !c->out.ahead))
 		return;
 	if (x && x->item.open && x->notify_drained) {
-		x->notify_drained = 0;
+		x->notify_drained = out_pending(&c->out) > 0;
 		if (c->server->ops->drained)
 			c->server->ops->drained(c->server->ctx, x);
 	}
@@ -270,6 +270,8 @@
 {
 	out_add(&x->conn->out, x->queued_out.data + x->queued_out.off,
 	    out_pending(&x->queued_out));
+	if (x->queued_out.ahead)
+		out_run_ahead(&x->conn->out, x->queued_out.ahead);
 	out_clear(&x->queued_out);
 	x->held = 0;
 }
--- a/src/adapter/http/conn.h
+++ b/src/adapter/http/conn.h
@@ -263,6 +263,8 @@
 
 /* ---- conn_answer.c: heads, and answers in the server's own name ---- */
 
+/** conn_out_of() - the buffer in which a response waits to be sent */
+struct http_out *conn_out_of(struct http_exchange *);
 /** conn_put_head() - write status, fields and framing of a response */
 void conn_put_head(struct http_exchange *, int status,
     const struct http_field *field, int nfield, int64_t length);
--- a/src/adapter/http/conn_answer.c
+++ b/src/adapter/http/conn_answer.c
@@ -25,9 +25,8 @@
 	out_text(o, x->item.keep_alive ? "\r\n" : "Connection: close\r\n\r\n");
 }
 
-/* The buffer in which a response waits to be sent. */
-static struct http_out *
-out_of(struct http_exchange *x)
+struct http_out *
+conn_out_of(struct http_exchange *x)
 {
 	struct http_conn *c = x->conn;
 
@@ -39,7 +38,7 @@
     const struct http_field *field, int nfield, int64_t length)
 {
 	struct http_server *s = x->conn->server;
-	struct http_out *out = out_of(x);
+	struct http_out *out = conn_out_of(x);
 	size_t before = out_pending(out);
 	int i;
 
@@ -82,7 +81,7 @@
 conn_take_back(struct http_exchange *x)
 {
 	struct http_conn *c = x->conn;
-	struct http_out *out = out_of(x);
+	struct http_out *out = conn_out_of(x);
 
 	out_drop_last(out, x->put);
 	if (out == &c->out && !out_pending(out))
@@ -106,8 +105,8 @@
 	x->item.open = 0;
 	conn_put_head(x, status, f, sizeof f / sizeof *f, (int64_t)n + 1);
 	if (!x->no_body) {
-		out_add(out_of(x), text, n);
-		out_add(out_of(x), "\n", 1);
+		out_add(conn_out_of(x), text, n);
+		out_add(conn_out_of(x), "\n", 1);
 	}
 	conn_finish_exchange(c, x);
 }
--- a/src/adapter/http/held.c
+++ b/src/adapter/http/held.c
@@ -16,6 +16,18 @@
 	p->call_bytes = b;
 }
 
+size_t
+http_exchange_unsent(struct http_exchange *x, struct byte_limit *b)
+{
+	struct http_out *o = conn_out_of(x);
+
+	if (!x->item.open || x->conn->send_errno)
+		return 0;
+	if (b)
+		out_run_ahead(o, b);
+	return out_pending(o);
+}
+
 static size_t
 in_held(const struct http_in *in)
 {
--- a/src/adapter/http/out.c
+++ b/src/adapter/http/out.c
@@ -17,6 +17,29 @@
 	return o->len - o->off;
 }
 
+static void
+take(struct http_out *o, size_t n)
+{
+	byte_limit_take(o->limit, n);
+	byte_limit_take(o->ahead, n);
+}
+
+static void
+give(struct http_out *o, size_t n)
+{
+	byte_limit_give(o->limit, n);
+	byte_limit_give(o->ahead, n);
+}
+
+void
+out_run_ahead(struct http_out *o, struct byte_limit *b)
+{
+	if (o->ahead || !out_pending(o))
+		return;
+	o->ahead = b;
+	byte_limit_take(b, out_pending(o));
+}
+
 /* Makes room for @n more bytes; returns where they go. */
 static char *
 reserve(struct http_out *o, size_t n)
@@ -43,7 +66,7 @@
 		return;
 	memcpy(reserve(o, n), data, n);
 	o->len += n;
-	byte_limit_take(o->limit, n);
+	take(o, n);
 }
 
 void
@@ -78,13 +101,16 @@
 out_drop_last(struct http_out *o, size_t n)
 {
 	o->len -= n;
-	byte_limit_give(o->limit, n);
+	give(o, n);
+	if (!out_pending(o))
+		o->ahead = NULL;
 }
 
 void
 out_clear(struct http_out *o)
 {
-	byte_limit_give(o->limit, out_pending(o));
+	give(o, out_pending(o));
+	o->ahead = NULL;
 	g_free(o->data);
 	o->data = NULL;
 	o->off = o->len = o->cap = 0;
@@ -94,6 +120,7 @@
 reset_buffer(struct http_out *o)
 {
 	o->off = o->len = 0;
+	o->ahead = NULL;
 	if (o->cap > HTTP_OUT_KEEP_BYTES)
 		out_clear(o);
 }
@@ -136,7 +163,7 @@
 	r = sendmsg(fd, &m, MSG_NOSIGNAL);
 	e = errno;
 	n = r < 0 ? 0 : (size_t)r;
-	byte_limit_give(o->limit, MIN(n, pending));
+	give(o, MIN(n, pending));
 	if (n >= pending)
 		reset_buffer(o);
 	else
--- a/src/adapter/http/out.h
+++ b/src/adapter/http/out.h
@@ -15,6 +15,7 @@
  * @len: end of the bytes to be sent, counted from @data
  * @cap: bytes allocated
  * @limit: where bytes to be sent are counted, or NULL
+ * @ahead: where they are counted, too, until there are none, or NULL
  */
 struct http_out {
 	char *data;
@@ -22,6 +23,7 @@
 	size_t len;
 	size_t cap;
 	struct byte_limit *limit;
+	struct byte_limit *ahead;
 };
 
 /** out_pending() - bytes not yet sent */
@@ -31,6 +33,9 @@
 void out_field(struct http_out *, const char *name, const char *value);
 /** out_int() - append a number in decimal */
 void out_int(struct http_out *, int64_t);
+/** out_run_ahead() - count the bytes to be sent in a second limit, too, until
+ * there are none */
+void out_run_ahead(struct http_out *, struct byte_limit *);
 /** out_drop_last() - drop the last @n bytes, none of which was sent */
 void out_drop_last(struct http_out *, size_t n);
 /** out_clear() - drop all bytes and free the buffer */
--- a/src/daemon/data/data.c
+++ b/src/daemon/data/data.c
@@ -161,7 +161,7 @@
 
 	keys.nkey = s->nkey;
 	memcpy(keys.key, s->fleet_key, sizeof keys.key);
-	d->call_bytes.limit = s->call_bytes;
+	data_limit_bytes(d);
 	d->node = peer_node_new(d->task.loop, d->incarnation, &keys, &ops, d);
 	peer_node_set_call_bytes(d->node, &d->call_bytes);
 	if (peer_node_listen(d->node, s->ip, s->peer_port, e))
--- a/src/daemon/data/held.c
+++ b/src/daemon/data/held.c
@@ -8,6 +8,9 @@
  * requests would be refused for it */
 #define STALLED_US 2000000
 #define STALLED_REFUSED_US 500000
+/* part of the bytes of all calls that may be fetched ahead of slow callers */
+#define AHEAD_PARTS 3
+#define AHEAD_OF_PARTS 8
 
 struct held {
 	size_t promised; /* of answers, that other daemons may send */
@@ -62,6 +65,27 @@
 						  : STALLED_US;
 }
 
+void
+data_limit_bytes(struct data *d)
+{
+	d->call_bytes.limit = d->settings.call_bytes;
+	d->ahead.limit = d->call_bytes.limit / AHEAD_OF_PARTS * AHEAD_PARTS;
+}
+
+int
+data_may_run_ahead(const struct data *d, size_t unsent)
+{
+	return !byte_limit_is_half(&d->call_bytes) &&
+	       (int64_t)unsent < d->ahead.limit - d->ahead.used;
+}
+
+int
+data_may_take_answers(const struct data *d)
+{
+	return !byte_limit_is_short(&d->call_bytes) &&
+	       d->call_bytes.used - d->ahead.used < d->call_bytes.limit / 2;
+}
+
 void
 data_make_room(struct data *d)
 {
--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -122,6 +122,8 @@
 	int64_t body_bytes; /* request body bytes held in memory */
 	int64_t held_bytes; /* of answers held, see outbound_hold_begin() */
 	struct byte_limit call_bytes; /* held for all calls, or promised */
+	struct byte_limit
+	    ahead; /* those fetched for callers that read slowly */
 	GHashTable *out_calls; /* set of struct out_call */
 	GHashTable *ramps; /* data centre name to struct ramp */
 	struct io_timer ramp_timer;
@@ -206,6 +208,14 @@
 /** data_make_room() - while bytes are short, end connections of callers that
  * took none of theirs for a while */
 void data_make_room(struct data *);
+/** data_limit_bytes() - take the limits of bytes from the settings */
+void data_limit_bytes(struct data *);
+/** data_may_run_ahead() - whether more of an answer may be fetched ahead of its
+ * caller, who has yet to take @unsent bytes: a part of what is free */
+int data_may_run_ahead(const struct data *, size_t unsent);
+/** data_may_take_answers() - whether more may be fetched of an answer whose
+ * daemon, or this one, ends: what slow callers hold doesn't count */
+int data_may_take_answers(const struct data *);
 /** data_write_held() - write the metrics of what is held for calls */
 void data_write_held(const struct data *, GString *);
 void data_write_metrics(struct data *, GString *);
--- a/src/daemon/data/messages.c
+++ b/src/daemon/data/messages.c
@@ -102,7 +102,7 @@
 	struct data *d = ctx;
 
 	settings_copy_live(&d->settings, message);
-	d->call_bytes.limit = d->settings.call_bytes;
+	data_limit_bytes(d);
 	g_free(message);
 	if (!d->view->routing)
 		return;
--- a/src/daemon/data/report.c
+++ b/src/daemon/data/report.c
@@ -154,6 +154,9 @@
 	    g_hash_table_size(d->out_calls));
 	write_gauge(t, "call_bytes", "Bytes counted in limits.call_bytes",
 	    (double)d->call_bytes.used);
+	write_gauge(t, "call_bytes_ahead",
+	    "Bytes of answers fetched ahead of callers that read slowly",
+	    (double)d->ahead.used);
 	data_write_held(d, t);
 	write_gauge(t, "config_version", "Version in force",
 	    (double)d->view->complete_version);
--- a/src/daemon/outbound/reply.c
+++ b/src/daemon/outbound/reply.c
@@ -90,15 +90,36 @@
 	byte_limit_give(&a->call->data->call_bytes, n);
 }
 
-/* Whether credit needn't wait for the caller, as what is not taken by the end
- * of this daemon or of the peer is lost; never at the cost of other calls. */
+/* Whether what is not taken by the end of this daemon or of the peer is
+ * lost. */
 static int
-ahead_of_caller(const struct out_attempt *a)
+one_ends(const struct out_attempt *a)
 {
-	const struct data *d = a->call->data;
+	return a->call->data->unbound || !a->peer->live;
+}
+
+/* Whether an answer that is cut takes others along, or is cut as it waits for
+ * others. */
+static int
+shares_connection(const struct out_call *c)
+{
+	return http_exchange_has_predecessor(c->exchange) ||
+	       http_exchange_next(c->exchange);
+}
 
-	return (d->unbound || !a->peer->live) &&
-	       !byte_limit_is_half(&d->call_bytes);
+/* Whether credit needn't wait for the caller, who has yet to take so many
+ * bytes. */
+static int
+ahead_of_caller(const struct out_attempt *a, size_t unsent)
+{
+	struct out_call *c = a->call;
+
+	if (one_ends(a) && data_may_take_answers(c->data))
+		return 1;
+	if (!shares_connection(c) || !data_may_run_ahead(c->data, unsent))
+		return 0;
+	http_exchange_unsent(c->exchange, &c->data->ahead);
+	return 1;
 }
 
 /* Passes bytes of the answer on to the caller. Credit for them waits until
@@ -114,7 +135,7 @@
 	n = outbound_hold_body(c, http_exchange_write(c->exchange, p, n));
 	if (n > a->window / CREDIT_PARTS)
 		c->caller_slow = 1;
-	if (n <= a->window / CREDIT_PARTS || ahead_of_caller(a))
+	if (n <= a->window / CREDIT_PARTS || ahead_of_caller(a, n))
 		give_credit(c);
 }
 
@@ -236,8 +257,8 @@
 void
 outbound_take_answer(struct out_call *c)
 {
-	if (c->state == OUT_ANSWERING && c->winner &&
-	    ahead_of_caller(c->winner))
+	if (c->state == OUT_ANSWERING && c->winner && one_ends(c->winner) &&
+	    data_may_take_answers(c->data))
 		give_credit(c);
 }
 
@@ -286,7 +307,9 @@
 outbound_drained(void *ctx, struct http_exchange *x)
 {
 	struct out_call *c = http_exchange_ctx(x);
+	size_t n = http_exchange_unsent(x, NULL);
 
-	if (c && c->winner)
+	if (c && c->winner &&
+	    (!n || c->hold.on || ahead_of_caller(c->winner, n)))
 		give_credit(c);
 }
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -330,6 +330,9 @@
 /** http_exchange_write() - send bytes of the response's body. Return: bytes not
  * yet sent */
 size_t http_exchange_write(struct http_exchange *, const void *, size_t);
+/** http_exchange_unsent() - get the bytes not yet sent; unless NULL, @b counts
+ * them, too, until the connection has none, and drained is called for parts */
+size_t http_exchange_unsent(struct http_exchange *, struct byte_limit *b);
 /** http_exchange_end() - complete the response; the exchange is invalid after.
  * A response without head or with fewer bytes than announced is aborted. What
  * has not come yet of the request's body is read and dropped; a long one closes
