Rig: stops beside callers that a stop can't serve any more

Seeds from 30000 on have a profile for it, drawn apart, so that other seeds stay as they are: stop-slowed, stop-callers, stop-service (tests/rig/stops.c), under long time limits and with answers that are alike.

--- a/tests/rig/aimed.c
+++ b/tests/rig/aimed.c
@@ -21,7 +21,7 @@
 #define REFUSING 2 /* targets that refuse first attempts */
 #define KEPT_MS 1500 /* least time for which connections are aimed at */
 
-static void
+void
 aim(struct machine *m, enum aim how)
 {
 	g_atomic_int_set(&m->aim, how);
@@ -63,8 +63,7 @@
 	g_atomic_int_set(&m->claimed, 0);
 }
 
-/* Its ports stay open in a stop. */
-static void
+void
 keep_target_busy(struct machine *m)
 {
 	machine_set_target(m, "straggle=8", "slow");
@@ -210,8 +209,7 @@
 	}
 }
 
-/* Up to @n running machines of a service, from a turn on; Return: how many */
-static int
+int
 machines_of(const struct action *a, const char *service, int n,
     struct machine **found)
 {
--- a/tests/rig/attempt.c
+++ b/tests/rig/attempt.c
@@ -27,6 +27,7 @@
 #define AIM_SHARE 0.6 /* of requests, at machines that callers are led to */
 #define LONG_DEADLINE_MS 4000
 #define AIM_LONG_MS 3000 /* work */
+#define AIM_LATE_MS 600 /* work */
 #define AIM_LIMIT_MS 6600
 #define AIM_TRIES 8
 #define AIM_LONG_KIND 0.9 /* the same of long kinds */
@@ -213,6 +214,10 @@
 			g_rand_int_range(p->rand, 0, 100) <
 			    g_atomic_int_get(&p->rig->long_percent);
 
+	if (aim == AIM_ALIKE)
+		return k->work_ms;
+	if (aim == AIM_LATE && is_patient(k))
+		return AIM_LATE_MS;
 	if (aim == AIM_LONG && is_patient(k))
 		return AIM_LONG_MS;
 	if (is_longer ||
@@ -249,7 +254,11 @@
 		    1 + (int)draw_around(p->rand, k->body_bytes, SPREAD_BYTES);
 		q->chunked = g_rand_boolean(p->rand);
 	}
-	q->limit_ms = q->work_ms == AIM_LONG_MS ? AIM_LIMIT_MS : left_ms;
+	q->limit_ms = left_ms;
+	if (q->work_ms == AIM_LONG_MS ||
+	    (q->work_ms == AIM_LATE_MS &&
+		g_atomic_int_get(&p->machine->aim) == AIM_LATE))
+		q->limit_ms = AIM_LIMIT_MS;
 	if (g_rand_int_range(p->rand, 0, 100) <
 	    g_atomic_int_get(&p->rig->impatient))
 		q->patience_ms = left_ms / 4;
--- a/tests/rig/main.c
+++ b/tests/rig/main.c
@@ -10,6 +10,8 @@
 #define SECONDS 25
 #define LEAD_S 4 /* from the start of the machines to traffic */
 #define DESCRIPTORS 60000
+#define STOP_LIMITS_PERCENT 400
+#define STOP_TIMEOUT_TURN 2 /* the longest time limits */
 
 static void
 raise_descriptors(void)
@@ -83,6 +85,23 @@
 		machine_close(&r->machine[i]);
 }
 
+static void
+set_profile(struct rig *r)
+{
+	r->burst = 100;
+	r->limits_percent = 100;
+	r->noisy_ms = NOISY_MS;
+	r->profile = plan_profile(r->seed);
+	r->harsh = r->seed / PROFILES_BY_SEED % 2;
+	r->piped_logs = r->profile == PROFILE_STARVED;
+	r->proxied = r->profile == PROFILE_LINKS;
+	if (r->profile != PROFILE_STOP)
+		return;
+	r->limits_percent = STOP_LIMITS_PERCENT;
+	r->timeout_turn = STOP_TIMEOUT_TURN;
+	r->noisy_ms = 0;
+}
+
 static int
 judge_directory(const char *dir)
 {
@@ -146,12 +165,7 @@
 	r.seed = (guint32)seed->ival[0];
 	r.seconds = seconds->ival[0];
 	r.load = load->dval[0];
-	r.burst = 100;
-	r.limits_percent = 100;
-	r.profile = plan_profile(r.seed);
-	r.harsh = r.seed / PROFILES_BY_SEED % 2;
-	r.piped_logs = r.profile == PROFILE_STARVED;
-	r.proxied = r.profile == PROFILE_LINKS;
+	set_profile(&r);
 	g_mutex_init(&r.lock);
 	g_mutex_init(&r.store_lock);
 	g_mutex_init(&r.evacuation_lock);
--- a/tests/rig/plan.c
+++ b/tests/rig/plan.c
@@ -19,6 +19,7 @@
 #define ACTIONS_MAX 400
 #define STORE_SEEDS 10000 /* seeds from this on have PROFILE_STORE */
 #define KEPT_SEEDS 20000 /* and from this on PROFILE_KEPT */
+#define STOP_SEEDS 30000 /* and from this on PROFILE_STOP */
 #define CLOSING_MS 9000 /* before the end: all daemons end */
 #define APART_LEAST_MS 1500 /* between two actions that change something */
 #define APART_MOST_MS 5000
@@ -146,6 +147,20 @@
 	{ "hold-log", act_hold_log, 4 },
 };
 
+static const struct choice stops[] = {
+	{ "restart-series", act_restart_series, 4 },
+	{ "restart-together", act_restart_together, 1 },
+	{ "reload-series", act_reload_series, 2 },
+	{ "slow-targets", act_slow_targets, 2 },
+	{ "burst", act_burst, 2 },
+};
+
+static const struct choice aimed_stops[] = {
+	{ "stop-slowed", act_stop_slowed, 5 },
+	{ "stop-callers", act_stop_callers, 5 },
+	{ "stop-service", act_stop_service, 3 },
+};
+
 /** struct list - choices beside planned work */
 struct list {
 	const struct choice *choice;
@@ -170,6 +185,8 @@
 	    60 },
 	[PROFILE_STORE] = { store, G_N_ELEMENTS(store), NULL, 0, 0, 1 },
 	[PROFILE_KEPT] = { kept, G_N_ELEMENTS(kept), NULL, 0, 0, 0 },
+	[PROFILE_STOP] = { stops, G_N_ELEMENTS(stops), AIMED(aimed_stops), 0,
+	    1 },
 };
 
 /** struct plan - actions in the order of their times */
@@ -329,6 +346,8 @@
 enum profile
 plan_profile(guint32 seed)
 {
+	if (seed >= STOP_SEEDS)
+		return PROFILE_STOP;
 	if (seed >= KEPT_SEEDS)
 		return PROFILE_KEPT;
 	return seed >= STORE_SEEDS ? PROFILE_STORE
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -21,8 +21,8 @@
  * target.c keeps its target, store.c writes configurations and evacuations,
  *traffic.c draws requests, attempt.c plays them, probe.c asks each daemon
  *what it has in force, plan.c draws trouble,
- *trouble.c, daemons.c, aimed.c, disk.c, change.c and lists.c bring it about,
- *link.c is a proxy between daemons and the store.
+ *trouble.c, daemons.c, aimed.c, stops.c, disk.c, change.c and lists.c bring it
+ *about, link.c is a proxy between daemons and the store.
  *
  * Lines of the history, besides those of tests/fake/planned and
  * tests/fake/target; all are written by "plan":
@@ -118,6 +118,8 @@
 					   */
 	PROFILE_KEPT, /* little planned work, so that most machines are in
 			 touch, and targets that refuse first attempts */
+	PROFILE_STOP, /* stops beside callers that they can't serve any more,
+			 under long time limits */
 	PROFILES
 };
 
@@ -130,8 +132,10 @@
 	AIM_MORE, /* with many of their requests */
 	AIM_LONG, /* with these, of which half have long work */
 	AIM_OVER, /* with these, of more work than shortened limits allow */
-	AIM_KEPT /* with these, on connections of which half end their sending
-		    side after them */
+	AIM_KEPT, /* with these, on connections of which half end their sending
+		     side after them */
+	AIM_ALIKE, /* with these, of a kind's mean work */
+	AIM_LATE /* with these, of which patient ones have more work and time */
 };
 
 /**
@@ -196,6 +200,7 @@
 	guint32 seed;
 	int seconds;
 	double load; /* factor of the requests */
+	int noisy_ms; /* of each target's noisy neighbour, 0 for none */
 	int harsh; /* nonzero: callers in ways that daemons stumble over */
 	int proxied; /* nonzero: connections between daemons have a proxy */
 	int64_t begin; /* of traffic, io_clock() */
--- a/tests/rig/target.c
+++ b/tests/rig/target.c
@@ -18,6 +18,7 @@
 	char *beat = g_strdup_printf("%s:%d", m->ip, PORT_HEARTBEAT);
 	char *connect_us =
 	    g_strdup_printf("%d", g_atomic_int_get(&m->connect_us));
+	char *noisy_ms = g_strdup_printf("%d", r->noisy_ms);
 	char *seed = g_strdup_printf("%u",
 	    r->seed * 100 + (guint)(m->zone * 10 + m->number));
 	const char *argv[] = { program, "--users", "--ip", m->ip, "--port",
@@ -25,8 +26,8 @@
 		"--announce", beat, "--calls-to", m->address, "--calls-host",
 		RIG_HOST, "--history", history, "--slots", "18", "--queue",
 		"36", "--full-hangs", "1", "--deadline-ends", "1", "--knee",
-		"80", "--noisy-ms", G_STRINGIFY(NOISY_MS), "--noisy-share",
-		"25", "--noisy-factor", "5", "--drain-ms", "2300", "--chunked",
+		"80", "--noisy-ms", noisy_ms, "--noisy-share", "25",
+		"--noisy-factor", "5", "--drain-ms", "2300", "--chunked",
 		(m->zone + m->number) % 2 ? "0" : "1", "--cut-ms",
 		r->harsh && m->number % 3 == 1 ? LATE_END_MS : "0", "--seed",
 		seed, "--connect-us", connect_us, NULL };
@@ -35,6 +36,7 @@
 	note(r, "target-start at=%s", m->address);
 	pid = process_start(r, log, (char **)argv, NULL);
 	g_free(seed);
+	g_free(noisy_ms);
 	g_free(connect_us);
 	g_free(beat);
 	g_free(dc);
