--- a/tests/unit/reply_status.c
+++ b/tests/unit/reply_status.c
@@ -32,6 +32,21 @@
 	return 1;
 }
 
+int
+data_may_run_ahead(const struct data *d, size_t unsent)
+{
+	(void)d;
+	(void)unsent;
+	return 0;
+}
+
+int
+data_may_take_answers(const struct data *d)
+{
+	(void)d;
+	return 0;
+}
+
 void *
 peer_ctx(const struct peer_conn *c)
 {
@@ -74,6 +89,28 @@
 	(void)x;
 }
 
+int
+http_exchange_has_predecessor(const struct http_exchange *x)
+{
+	(void)x;
+	return 0;
+}
+
+struct http_exchange *
+http_exchange_next(const struct http_exchange *x)
+{
+	(void)x;
+	return NULL;
+}
+
+size_t
+http_exchange_unsent(struct http_exchange *x, struct byte_limit *b)
+{
+	(void)x;
+	(void)b;
+	return 0;
+}
+
 void *
 http_exchange_ctx(const struct http_exchange *x)
 {
