Rig: pauses of stop-service are never negative

They stop 240 ms apart now. Targets of a service that stops take three times as long; eight times as long, as stop-service-slowed.

--- a/tests/rig/aimed.c
+++ b/tests/rig/aimed.c
@@ -63,7 +63,8 @@
 	g_atomic_int_set(&m->claimed, 0);
 }
 
-void
+/* Its ports stay open in a stop. */
+static void
 keep_target_busy(struct machine *m)
 {
 	machine_set_target(m, "straggle=8", "slow");
--- a/tests/rig/plan.c
+++ b/tests/rig/plan.c
@@ -159,6 +159,7 @@
 	{ "stop-slowed", act_stop_slowed, 5 },
 	{ "stop-callers", act_stop_callers, 5 },
 	{ "stop-service", act_stop_service, 3 },
+	{ "stop-service-slowed", act_stop_service_slowed, 1 },
 };
 
 /** struct list - choices beside planned work */
--- a/tests/rig/plan.h
+++ b/tests/rig/plan.h
@@ -65,9 +65,6 @@
 void act_press_kept(const struct action *);
 /** aim() - lead callers to a machine or away from it */
 void aim(struct machine *, enum aim);
-/** keep_target_busy() - its work takes long, so that the ports of its daemon
- * stay open in a stop */
-void keep_target_busy(struct machine *);
 /** machines_of() - up to @n running machines of a service, from the action's
  * turn on; Return: how many */
 int machines_of(const struct action *, const char *service, int n,
@@ -77,6 +74,7 @@
 void act_stop_slowed(const struct action *);
 void act_stop_callers(const struct action *);
 void act_stop_service(const struct action *);
+void act_stop_service_slowed(const struct action *);
 
 /* Settings and logs that are held up: disk.c. */
 void act_hold_settings(const struct action *);
--- a/tests/rig/stops.c
+++ b/tests/rig/stops.c
@@ -3,13 +3,17 @@
 #include "io.h"
 #include "plan.h"
 
+#define SLOWED "straggle=8"
+#define BUSY "straggle=3"
 #define SLOWED_MS 300 /* other targets turn slow before SIGTERM */
 #define FRONTS_MS 2700 /* from SIGTERM: daemons of its callers stop */
 #define FRONTS_APART_MS 300
 #define ALIKE_MS 2000 /* of callers, before SIGTERM */
 #define TAKES_LATE_MS 2600 /* from SIGTERM: other daemons know of it */
 #define LATE_MS 1000 /* for which callers come that need longer */
-#define APART_MS 300 /* between the daemons of a service */
+#define APART_MS                                                              \
+	240 /* between the daemons of a service, of which all stop in LATE_MS \
+	     */
 #define SERVICE_MAX 4 /* daemons of one that stop together */
 #define SERVICES 4 /* in mesh_services */
 
@@ -96,7 +100,7 @@
 	pause_ms(SLOWED_MS);
 	since = io_clock();
 	machine_stop(m[0]);
-	keep_target_busy(m[0]);
+	machine_set_target(m[0], SLOWED, "slow");
 	pause_ms(FRONTS_MS);
 	stop_fronts(front, fronts);
 	machine_await_start(m[0], since);
@@ -134,9 +138,10 @@
 }
 
 /* Daemons that know many answers, all alike, stop one after the other, and
- * callers with longer work go on to come. */
+ * callers with longer work go on to come. @busy has their targets take longer,
+ * so that ports stay open. */
 static void
-stop_beside_callers(struct machine **m, int n)
+stop_beside_callers(struct machine **m, int n, const char *busy)
 {
 	int64_t since;
 	int i;
@@ -147,7 +152,7 @@
 	since = io_clock();
 	for (i = 0; i < n; i++) {
 		machine_stop(m[i]);
-		keep_target_busy(m[i]);
+		machine_set_target(m[i], busy, "slow");
 		pause_ms(APART_MS);
 	}
 	pause_ms(TAKES_LATE_MS - n * APART_MS);
@@ -169,16 +174,28 @@
 	for (i = 0; i < n && !claim(m[i]); i++)
 		;
 	if (i < n)
-		stop_beside_callers(&m[i], 1);
+		stop_beside_callers(&m[i], 1, SLOWED);
 }
 
-void
-act_stop_service(const struct action *a)
+static void
+stop_service(const struct action *a, const char *busy)
 {
 	struct machine *m[SERVICE_MAX];
 	const char *service = mesh_services[a->count % SERVICES];
 	int n = claim_service(a, service, m);
 
 	if (n)
-		stop_beside_callers(m, n);
+		stop_beside_callers(m, n, busy);
+}
+
+void
+act_stop_service(const struct action *a)
+{
+	stop_service(a, BUSY);
+}
+
+void
+act_stop_service_slowed(const struct action *a)
+{
+	stop_service(a, SLOWED);
 }
