Full targets don't stay, as far as calls say

Cause: since a target that refused as full counted as one that could still take the call, so that the daemon that stops went by the bound alone and the second round queued the call at the full ones, where its time ran out.

Change: a target that refused as full or cold has no room and doesn't count as staying, while it may still be tried in the second round.

--- a/src/core/pick/tried.c
+++ b/src/core/pick/tried.c
@@ -17,22 +17,27 @@
 }
 
 void
-tried_note_ended(struct tried *t, uint32_t handle, int again)
+tried_note_ended(struct tried *t, uint32_t handle, enum tried_end e)
 {
-	if ((again && !t->second_round) || t->nunable == TRIED_UNABLE_MAX)
+	if (e == TRIED_FULL && t->nfull < TRIED_MAX)
+		t->full[t->nfull++] = handle;
+	if (e != TRIED_UNABLE && !t->second_round)
 		return;
-	t->unable[t->nunable++] = handle;
+	if (t->nunable < TRIED_UNABLE_MAX)
+		t->unable[t->nunable++] = handle;
 }
 
 int
 tried_any_stays(const struct tried *t, const struct pick *p, int64_t now,
     uint32_t handle)
 {
-	uint32_t exclude[TRIED_UNABLE_MAX + 1];
-	int n;
+	uint32_t exclude[TRIED_UNABLE_MAX + TRIED_MAX + 1];
+	int i, n;
 
 	for (n = 0; n < t->nunable; n++)
 		exclude[n] = t->unable[n];
+	for (i = 0; i < t->nfull; i++)
+		exclude[n++] = t->full[i];
 	exclude[n] = handle;
 	return pick_any_stays(p, now, exclude, (uint32_t)n + 1);
 }
--- a/src/daemon/outbound/answer.c
+++ b/src/daemon/outbound/answer.c
@@ -194,6 +194,16 @@
 	a->counted = 1;
 }
 
+static enum tried_end
+end_of(uint32_t reason)
+{
+	if (reason == WIRE_REASON_FULL || reason == WIRE_REASON_COLD)
+		return TRIED_FULL;
+	return reason == WIRE_REASON_SLOW || reason == WIRE_REASON_DRAINING
+		   ? TRIED_AGAIN
+		   : TRIED_UNABLE;
+}
+
 void
 outbound_attempt_refused(struct out_attempt *a, uint32_t reason,
     const struct load_report *load)
@@ -207,8 +217,7 @@
 	c->tried.soft_refusals += soft;
 	if (reason == WIRE_REASON_FULL)
 		tried_note_full(&c->tried, a->refusable);
-	tried_note_ended(&c->tried, a->handle,
-	    soft || reason == WIRE_REASON_FULL || reason == WIRE_REASON_COLD);
+	tried_note_ended(&c->tried, a->handle, end_of(reason));
 	outbound_trace_attempt(a, wire_reason_name(reason), 0);
 	outbound_log_attempt(a, "not-run", 0, load);
 	pick_refused(c->service->pick, a->handle, data_now(c->data), reason,
@@ -231,7 +240,7 @@
 	outbound_trace_attempt(a, "lost", 0);
 	outbound_log_attempt(a, "lost", 0, NULL);
 	outbound_attempt_reached(a);
-	tried_note_ended(&c->tried, a->handle, 0);
+	tried_note_ended(&c->tried, a->handle, TRIED_UNABLE);
 	pick_done(c->service->pick, a->handle, now, now - a->started,
 	    cause == RETRY_LOST ? PICK_LOST : PICK_FAILED, NULL);
 	c->may_have_run = 1;
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -117,7 +117,7 @@
 			return 0;
 		}
 		outbound_attempt_clear(a);
-		tried_note_ended(&c->tried, a->handle, 0);
+		tried_note_ended(&c->tried, a->handle, TRIED_UNABLE);
 		pick_refused(s->pick, a->handle, now, WIRE_REASON_NO_TARGET,
 		    NULL);
 		if (c->repeat)
--- a/src/internal/tried.h
+++ b/src/internal/tried.h
@@ -29,6 +29,8 @@
  * @unable: targets that can't take the call any more: they refused and were not
  *	just slow, full or stopping, or refused in the second round, or lost it
  * @nunable: number of targets in @unable
+ * @full: targets that had no room
+ * @nfull: number of targets in @full
  * @total: attempts in both rounds
  * @soft_refusals: refusals because the target's machine was slow, or its daemon
  *	stops
@@ -40,6 +42,8 @@
 	int n;
 	uint32_t unable[TRIED_UNABLE_MAX];
 	int nunable;
+	uint32_t full[TRIED_MAX];
+	int nfull;
 	int total;
 	int soft_refusals;
 	int allowed_full;
@@ -52,12 +56,17 @@
 /** tried_note_full() - a target was full and refused; @allowed: it could refuse
  * only as another target was left */
 void tried_note_full(struct tried *, int allowed);
-/** tried_note_ended() - an attempt at a target ended without an answer
- * @again: it may take the call in a second round */
-void tried_note_ended(struct tried *, uint32_t handle, int again);
+/** enum tried_end - how an attempt ended without an answer */
+enum tried_end {
+	TRIED_UNABLE, /* the target can't take the call any more */
+	TRIED_AGAIN, /* it may take it in a second round */
+	TRIED_FULL /* the same, but it has no room now */
+};
+/** tried_note_ended() - an attempt at a target ended without an answer */
+void tried_note_ended(struct tried *, uint32_t handle, enum tried_end);
 /** tried_any_stays() - whether a target other than @handle is left in this
- * round or the second one that is not known to be leaving or failing, slow or
- * not */
+ * round or the second one that has room and is not known to be leaving or
+ * failing, slow or not */
 int tried_any_stays(const struct tried *, const struct pick *, int64_t now,
     uint32_t handle);
 /** tried_may_refuse() - whether a target that is slow or full may refuse the
--- a/tests/unit/tried.c
+++ b/tests/unit/tried.c
@@ -152,7 +152,7 @@
 	int soft = reason == ADMIT_DRAINING;
 
 	t->soft_refusals += soft;
-	tried_note_ended(t, handle, soft);
+	tried_note_ended(t, handle, soft ? TRIED_AGAIN : TRIED_UNABLE);
 	pick_sent(p, handle, 1);
 	pick_refused(p, handle, 1, reason, NULL);
 }
@@ -167,13 +167,13 @@
 	uint32_t leaves;
 
 	t.soft_refusals++;
-	tried_note_ended(&t, slow, 1);
+	tried_note_ended(&t, slow, TRIED_AGAIN);
 	leaves = tried_next(&t, p, 0);
 	ck_assert_int_eq(tried_any_stays(&t, p, 0, leaves), 1);
 	refuse(&t, p, leaves, ADMIT_DRAINING);
 	ck_assert_uint_ne(tried_next(&t, p, 0), PICK_NONE);
 	ck_assert_int_eq(tried_any_stays(&t, p, 0, leaves), 1);
-	tried_note_ended(&t, slow, 1);
+	tried_note_ended(&t, slow, TRIED_AGAIN);
 	ck_assert_int_eq(tried_any_stays(&t, p, 0, leaves), 0);
 	pick_free(p);
 }
@@ -194,6 +194,20 @@
 }
 END_TEST
 
+/* A target without room doesn't take the request from one that stops. */
+START_TEST(full_target_does_not_stay)
+{
+	struct pick *p = new_table(2);
+	struct tried t = { 0 };
+	uint32_t full = tried_next(&t, p, 0);
+	uint32_t leaves = tried_next(&t, p, 0);
+
+	tried_note_ended(&t, full, TRIED_FULL);
+	ck_assert_int_eq(tried_any_stays(&t, p, 0, leaves), 0);
+	pick_free(p);
+}
+END_TEST
+
 /* A target that is gone can't take the request; the only one has no other. */
 START_TEST(gone_target_does_not_stay)
 {
@@ -237,7 +251,7 @@
 			uint32_t h = tried_next(&t, p, 1);
 
 			t.soft_refusals++;
-			tried_note_ended(&t, h, 1);
+			tried_note_ended(&t, h, TRIED_AGAIN);
 			pick_sent(p, h, 1);
 			pick_refused(p, h, 1, ADMIT_REASONS, &slow);
 		}
@@ -270,7 +284,7 @@
 		for (i = 0; i < 3; i++)
 			h[i] = tried_next(&t, p, 1);
 		t.soft_refusals++;
-		tried_note_ended(&t, h[seed % 3], 1);
+		tried_note_ended(&t, h[seed % 3], TRIED_AGAIN);
 		refuse(&t, p, h[(seed + 1) % 3], ADMIT_OK);
 		refuse(&t, p, h[(seed + 2) % 3], ADMIT_OK);
 		ck_assert_uint_eq(tried_next(&t, p, 2), h[seed % 3]);
@@ -319,6 +333,7 @@
 	tcase_add_test(c, tried_targets_are_bounded);
 	tcase_add_test(c, slow_target_stays_until_second_round);
 	tcase_add_test(c, leaving_targets_do_not_stay);
+	tcase_add_test(c, full_target_does_not_stay);
 	tcase_add_test(c, gone_target_does_not_stay);
 	tcase_add_test(c, leaving_target_is_last_in_second_round);
 	tcase_add_test(c, gone_target_is_last_in_second_round);
