data: answers of late readers are fetched from the order to stop on

Cause: what callers don't read was fetched only from the time at which the ports close, 0.5 s before calls are ended. 70 MB take longer than that where processors are short.

Now they are fetched from SIGTERM on, as before while memory for calls isn't short, and the kernel takes up to 64 MB of them until the ports close, then up to 256 MB. It touches src/daemon/data/leave.c (unbind_answers()) and http_server_unbind(), which gets its bound.

A larger window for what is fetched (trial): no difference seen.

Not run: a load of 80 to 100.

--- a/src/adapter/http/finish.c
+++ b/src/adapter/http/finish.c
@@ -10,9 +10,6 @@
  * outlives the process: it goes to a caller that reads it later, unless bytes
  * that the caller sent lie unread as the socket is closed. */
 
-/* Bytes that the kernel may take for all callers: the largest buffers, as Linux
- * sets them, of 64 callers. */
-#define KERNEL_BYTES 268435456
 #define DROPS_MAX 16 /* reads at once */
 #define STEP_US 5000 /* between looks at the connections */
 
@@ -46,7 +43,7 @@
 }
 
 void
-http_server_unbind(struct http_server *s)
+http_server_unbind(struct http_server *s, int sum)
 {
 	int bytes, buffer, n = 0;
 	struct http_conn *c;
@@ -55,7 +52,7 @@
 		n += out_pending(&c->out) > 0;
 	if (!n)
 		return;
-	bytes = MAX(KERNEL_BYTES / n, HTTP_KERNEL_UNSENT_BYTES);
+	bytes = MAX(sum / n, HTTP_KERNEL_UNSENT_BYTES);
 	buffer = buffer_for(bytes);
 	for (c = s->conns; c; c = c->next)
 		if (out_pending(&c->out))
--- a/src/daemon/data/leave.c
+++ b/src/daemon/data/leave.c
@@ -3,6 +3,10 @@
 #include "log.h"
 
 #define CHECK_US 50000 /* between checks for requests that no longer fit */
+/* Bytes that the kernel may take for all callers, until the ports close and
+ * then: the largest buffers, as Linux sets them, of 16 and 64 callers. */
+#define KERNEL_EARLY_BYTES 67108864
+#define KERNEL_BYTES 268435456
 
 void
 data_end_calls(struct data *d)
@@ -15,11 +19,12 @@
 /* What a caller did not read is taken from other daemons and given to the
  * kernel, which has it after this process. */
 static void
-unbind_answers(struct data *d)
+unbind_answers(struct data *d, int64_t now)
 {
 	d->unbound = 1;
 	outbound_take_answers(d);
-	http_server_unbind(d->server);
+	http_server_unbind(d->server,
+	    now < d->leave.close_by ? KERNEL_EARLY_BYTES : KERNEL_BYTES);
 }
 
 static void
@@ -31,8 +36,7 @@
 		data_end_calls(d);
 		return;
 	}
-	if (now >= d->leave.close_by)
-		unbind_answers(d);
+	unbind_answers(d, now);
 	outbound_refuse_late(d);
 	inbound_refuse_late(d);
 	io_timer_set(d->task.loop, &d->leave_timer,
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -280,8 +280,8 @@
 /** http_server_held() - add up what the connections hold */
 void http_server_held(const struct http_server *, struct http_held *);
 /** http_server_unbind() - let the kernel take more of what is unsent, shortly
- * before the end of the process, up to a bound for all callers */
-void http_server_unbind(struct http_server *);
+ * before the end of the process, about @sum bytes for all callers */
+void http_server_unbind(struct http_server *, int sum);
 /** http_server_finish() - without the loop, send what is left and close the
  * connections whose requests have ended; waits until @until at most */
 void http_server_finish(struct http_server *, int64_t until);
--- a/tests/unit/http_stop.c
+++ b/tests/unit/http_stop.c
@@ -200,7 +200,7 @@
 	bed_setup();
 	ops.end = hold_request;
 	fd = respond_unread(&ops);
-	http_server_unbind(bed.server);
+	http_server_unbind(bed.server, 268435456);
 	http_server_finish(bed.server, io_clock());
 	http_server_free(bed.server);
 	bed.server = NULL;
