--- a/tests/rig/stops.c
+++ b/tests/rig/stops.c
@@ -4,18 +4,16 @@
 #include "plan.h"
 
 #define SLOWED "straggle=8"
-#define BUSY "straggle=3"
+#define BUSY "straggle=3" /* its ports stay open */
+#define BUSIER "straggle=24" /* also where its work is short */
 #define SLOWED_MS 300 /* other targets turn slow before SIGTERM */
 #define FRONTS_MS 2700 /* from SIGTERM: daemons of its callers stop */
 #define FRONTS_APART_MS 300
 #define ALIKE_MS 2000 /* of callers, before SIGTERM */
 #define TAKES_LATE_MS 2600 /* from SIGTERM: other daemons know of it */
-#define LATE_MS 1000 /* for which callers come that need longer */
-#define APART_MS                                                              \
-	240 /* between the daemons of a service, of which all stop in LATE_MS \
-	     */
+#define LATE_MS 1600 /* for which callers come that need longer */
+#define APART_MS 240 /* between daemons; that of all fits in LATE_MS */
 #define SERVICE_MAX 4 /* daemons of one that stop together */
-#define SERVICES 4 /* in mesh_services */
 
 static int
 claim(struct machine *m)
@@ -174,14 +172,14 @@
 	for (i = 0; i < n && !claim(m[i]); i++)
 		;
 	if (i < n)
-		stop_beside_callers(&m[i], 1, SLOWED);
+		stop_beside_callers(&m[i], 1, BUSIER);
 }
 
 static void
 stop_service(const struct action *a, const char *busy)
 {
 	struct machine *m[SERVICE_MAX];
-	const char *service = mesh_services[a->count % SERVICES];
+	const char *service = a->count % 2 ? "archive" : "cloner";
 	int n = claim_service(a, service, m);
 
 	if (n)
