A hedge doesn't go to the target where the request runs already

Cause: a second round forgets which targets were tried, also those at which an attempt is open. A hedge that a daemon which stops refused begins that round.

Change: a target with an open attempt of the call isn't chosen.

Ruled out: leaving open targets out in tried.c, which doesn't know what is open.

--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -39,6 +39,18 @@
 	return n;
 }
 
+static int
+is_open_at(const struct out_call *c, uint32_t handle)
+{
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state != ATTEMPT_UNUSED &&
+		    c->attempt[i].handle == handle)
+			return 1;
+	return 0;
+}
+
 /* Peer for the next attempt, or NULL: the one in the request id for a repeat,
  * else the next candidate to try, while attempts are left. */
 static struct out_peer *
@@ -51,7 +63,9 @@
 		return peer_of_request_id(c);
 	if (attempts_used(c) >= c->attempts_max)
 		return NULL;
-	handle = tried_next(&c->tried, s->pick, now);
+	do {
+		handle = tried_next(&c->tried, s->pick, now);
+	} while (handle != PICK_NONE && is_open_at(c, handle));
 	if (handle == PICK_NONE)
 		return NULL;
 	return g_hash_table_lookup(s->by_handle, GUINT_TO_POINTER(handle));
--- a/tests/fake/target/calls.c
+++ b/tests/fake/target/calls.c
@@ -127,11 +127,12 @@
 	struct target *t = c->target;
 	struct calls *k = c->calls;
 	struct call *l = &k->call[k->made];
-	int64_t now = io_clock(), limit_ms = LIMIT_MS;
+	int64_t now = io_clock(), limit_ms;
 	char limit[16], path[PATH_MAX_BYTES];
 	struct http_field f[] = { { "Host", t->calls_host },
 		{ "X-Attempt-Id", l->id }, { "X-Deadline-Ms", limit } };
 
+	limit_ms = path_number(c, "call_limit_ms", LIMIT_MS);
 	if (c->deadline)
 		limit_ms = MIN(limit_ms, (c->deadline - now) / 1000);
 	if (limit_ms <= 0)
