--- a/src/daemon/data/impl.h
+++ b/src/daemon/data/impl.h
@@ -86,6 +86,9 @@
 	uint64_t leave_ended; /* calls that ran when a stop ended them */
 	uint64_t in_leave_refused;
 	uint64_t in_leave_ended;
+	/* those of both kinds that were taken in the stop by their usual time
+	 */
+	uint64_t leave_usual_ended;
 };
 
 struct data {
@@ -110,6 +113,7 @@
 	int drained_sent; /* the drained event was sent */
 	int stopped; /* the task has ended and is being freed */
 	struct leave_plan leave;
+	int leave_pace; /* base pace of the target when the stop began */
 	struct io_timer leave_timer;
 
 	struct http_server *server;
@@ -119,6 +123,8 @@
 	int64_t body_bytes; /* request body bytes held in memory */
 	int64_t held_bytes; /* of answers held, see outbound_hold_begin() */
 	struct byte_limit call_bytes; /* held for all calls, or promised */
+	struct byte_limit
+	    ahead; /* those fetched for callers that read slowly */
 	GHashTable *out_calls; /* set of struct out_call */
 	GHashTable *ramps; /* data centre name to struct ramp */
 	struct io_timer ramp_timer;
@@ -203,6 +209,14 @@
 /** data_make_room() - while bytes are short, end connections of callers that
  * took none of theirs for a while */
 void data_make_room(struct data *);
+/** data_limit_bytes() - take the limits of bytes from the settings */
+void data_limit_bytes(struct data *);
+/** data_may_run_ahead() - whether more of an answer may be fetched ahead of its
+ * caller, who has yet to take @unsent bytes: a part of what is free */
+int data_may_run_ahead(const struct data *, size_t unsent);
+/** data_may_take_answers() - whether more may be fetched of an answer whose
+ * daemon, or this one, ends: what slow callers hold doesn't count */
+int data_may_take_answers(const struct data *);
 /** data_write_held() - write the metrics of what is held for calls */
 void data_write_held(const struct data *, GString *);
 void data_write_metrics(struct data *, GString *);
@@ -212,11 +226,9 @@
  * or the daemon to be idle: switch to the next target, send the target_idle and
  * drained events */
 void data_check_drained(struct data *);
-/** data_leave_fits() - whether a request that starts now can be finished before
- * this daemon ends; always while it was not told to stop. Without a time, when
- * it is NULL, only the deadline counts */
-int
-data_leave_fits(struct data *, int64_t deadline, const struct answer_time *);
+/** data_leave_decide() - whether a request may start now, see leave_decide() */
+struct leave_decision
+data_leave_decide(struct data *, int64_t deadline, const struct answer_time *);
 /** data_end_calls() - end all calls in flight with an answer */
 void data_end_calls(struct data *);
 /** data_log_leave() - write to the log what a stop refused and ended */
--- a/src/daemon/data/leave.c
+++ b/src/daemon/data/leave.c
@@ -3,6 +3,10 @@
 #include "log.h"
 
 #define CHECK_US 50000 /* between checks for requests that no longer fit */
+/* Bytes that the kernel may take for all callers, until the ports close and
+ * then: the largest buffers, as Linux sets them, of 16 and 64 callers. */
+#define KERNEL_EARLY_BYTES 67108864
+#define KERNEL_BYTES 268435456
 
 void
 data_end_calls(struct data *d)
@@ -15,11 +19,12 @@
 /* What a caller did not read is taken from other daemons and given to the
  * kernel, which has it after this process. */
 static void
-unbind_answers(struct data *d)
+unbind_answers(struct data *d, int64_t now)
 {
 	d->unbound = 1;
 	outbound_take_answers(d);
-	http_server_unbind(d->server);
+	http_server_unbind(d->server,
+	    now < d->leave.close_by ? KERNEL_EARLY_BYTES : KERNEL_BYTES);
 }
 
 static void
@@ -31,8 +36,7 @@
 		data_end_calls(d);
 		return;
 	}
-	if (now >= d->leave.close_by)
-		unbind_answers(d);
+	unbind_answers(d, now);
 	outbound_refuse_late(d);
 	inbound_refuse_late(d);
 	io_timer_set(d->task.loop, &d->leave_timer,
@@ -45,6 +49,7 @@
 	struct data *d = ctx;
 
 	d->leave = *(struct leave_plan *)message;
+	d->leave_pace = pace_base(&d->pace);
 	g_free(message);
 	http_server_disable_keepalive(d->server);
 	outbound_allow_silence(d);
@@ -59,10 +64,10 @@
 	task_post(&d->task, leave, d, g_memdup2(p, sizeof *p));
 }
 
-int
-data_leave_fits(struct data *d, int64_t deadline, const struct answer_time *t)
+struct leave_decision
+data_leave_decide(struct data *d, int64_t deadline, const struct answer_time *t)
 {
-	return leave_fits_kind(&d->leave, data_now(d), deadline, t);
+	return leave_decide(&d->leave, data_now(d), deadline, t);
 }
 
 void
@@ -78,7 +83,8 @@
 	    "requests that the stop refused, not run, and that it ended while "
 	    "they ran refused=%" G_GUINT64_FORMAT
 	    " refused_peers=%" G_GUINT64_FORMAT " ended=%" G_GUINT64_FORMAT
-	    " ended_peers=%" G_GUINT64_FORMAT,
+	    " ended_peers=%" G_GUINT64_FORMAT
+	    " ended_taken_by_usual=%" G_GUINT64_FORMAT,
 	    n->leave_refused, n->in_leave_refused, n->leave_ended,
-	    n->in_leave_ended);
+	    n->in_leave_ended, n->leave_usual_ended);
 }
--- a/src/daemon/inbound/leave.c
+++ b/src/daemon/inbound/leave.c
@@ -1,12 +1,15 @@
 #include "daemon/inbound/inbound.h"
 
-/* While another target is left for the call, its usual time is no reason to
- * take it: a request that takes longer would be ended. */
+/* The usual time counts only for a call that no daemon which stays can take,
+ * and only at the pace of before the stop. */
 int
-inbound_fits(const struct in_call *c)
+inbound_fits(struct in_call *c)
 {
-	return data_leave_fits(c->data, c->deadline,
-	    c->refuse_if_slow ? NULL : c->time);
+	struct data *d = c->data;
+	int usual = c->nowhere_else && !pace_above(&d->pace, d->leave_pace);
+
+	c->leave = data_leave_decide(d, c->deadline, usual ? c->time : NULL);
+	return c->leave.basis != LEAVE_REFUSED;
 }
 
 /* Own callers' requests are counted by the outbound side. */
@@ -55,7 +58,11 @@
 static void
 end_running(struct in_call *c)
 {
-	c->data->counters.in_leave_ended += is_of_other(c);
+	struct counters *n = &c->data->counters;
+
+	n->in_leave_ended += is_of_other(c);
+	n->leave_usual_ended +=
+	    is_of_other(c) && c->leave.basis == LEAVE_BY_USUAL;
 	if (!c->target_call) {
 		inbound_forward_answer(c, NULL, 0, 1, 1);
 		return;
--- a/src/daemon/outbound/attempt.c
+++ b/src/daemon/outbound/attempt.c
@@ -39,6 +39,18 @@
 	return n;
 }
 
+static int
+is_open_at(const struct out_call *c, uint32_t handle)
+{
+	int i;
+
+	for (i = 0; i < ATTEMPTS_OPEN_MAX; i++)
+		if (c->attempt[i].state != ATTEMPT_UNUSED &&
+		    c->attempt[i].handle == handle)
+			return 1;
+	return 0;
+}
+
 /* Peer for the next attempt, or NULL: the one in the request id for a repeat,
  * else the next candidate to try, while attempts are left. */
 static struct out_peer *
@@ -51,7 +63,9 @@
 		return peer_of_request_id(c);
 	if (attempts_used(c) >= c->attempts_max)
 		return NULL;
-	handle = tried_next(&c->tried, s->pick, now);
+	do {
+		handle = tried_next(&c->tried, s->pick, now);
+	} while (handle != PICK_NONE && is_open_at(c, handle));
 	if (handle == PICK_NONE)
 		return NULL;
 	return g_hash_table_lookup(s->by_handle, GUINT_TO_POINTER(handle));
@@ -108,6 +122,7 @@
 		a->peer = p;
 		a->handle = p->handle;
 		a->started = now;
+		a->round = c->tried.second_round + 1;
 		a->credit = byte_limit_share(&c->data->call_bytes,
 		    BODY_KEEP_MAX, WIRE_WINDOW);
 		pick_sent(s->pick, a->handle, now);
@@ -116,6 +131,7 @@
 			return 0;
 		}
 		outbound_attempt_clear(a);
+		tried_note_ended(&c->tried, a->handle, TRIED_UNABLE);
 		pick_refused(s->pick, a->handle, now, WIRE_REASON_NO_TARGET,
 		    NULL);
 		if (c->repeat)
@@ -175,11 +191,22 @@
 	return !c->repeat && length >= 0 && length <= BODY_KEEP_MAX;
 }
 
+/* Whether only the target of this attempt can take the call, or others that
+ * stop as well. */
+static int
+nowhere_else(const struct out_attempt *a, int64_t now)
+{
+	const struct out_call *c = a->call;
+
+	return !can_move(c) ||
+	       !tried_any_stays(&c->tried, c->service->pick, now, a->handle);
+}
+
 /* Lets a target that is slow or crowded, or whose daemon stops, refuse the call
  * only while another one is left for it; a crowded one also only if the call
  * has more than one extra attempt left. */
 static uint32_t
-call_flags(struct out_attempt *a)
+call_flags(struct out_attempt *a, int64_t now)
 {
 	const struct out_call *c = a->call;
 	int movable;
@@ -191,7 +218,8 @@
 	return (c->idempotent ? WIRE_CALL_IDEMPOTENT : 0) |
 	       (c->repeat ? WIRE_CALL_REPEAT : 0) |
 	       (a->refusable ? WIRE_CALL_HAS_ALTERNATIVE : 0) |
-	       (movable ? WIRE_CALL_REFUSE_CROWDED : 0);
+	       (movable ? WIRE_CALL_REFUSE_CROWDED : 0) |
+	       (nowhere_else(a, now) ? WIRE_CALL_NOWHERE_ELSE : 0);
 }
 
 /* Fills in the message of an attempt, with the first bytes of the body.
@@ -213,7 +241,7 @@
 	m->incarnation = a->peer->incarnation;
 	m->left_us = left_us(outbound_latest_deadline(c), now);
 	m->objective_us = left_us(MIN(c->objective, c->deadline), now);
-	m->flags = call_flags(a);
+	m->flags = call_flags(a, now);
 	m->retries_left = retry_begin_attempt(&c->retry);
 	m->depth = c->retry.depth + 1;
 	m->service = c->service->conf.name;
--- a/src/internal/http.h
+++ b/src/internal/http.h
@@ -280,8 +280,8 @@
 /** http_server_held() - add up what the connections hold */
 void http_server_held(const struct http_server *, struct http_held *);
 /** http_server_unbind() - let the kernel take more of what is unsent, shortly
- * before the end of the process, up to a bound for all callers */
-void http_server_unbind(struct http_server *);
+ * before the end of the process, about @sum bytes for all callers */
+void http_server_unbind(struct http_server *, int sum);
 /** http_server_finish() - without the loop, send what is left and close the
  * connections whose requests have ended; waits until @until at most */
 void http_server_finish(struct http_server *, int64_t until);
@@ -330,6 +330,9 @@
 /** http_exchange_write() - send bytes of the response's body. Return: bytes not
  * yet sent */
 size_t http_exchange_write(struct http_exchange *, const void *, size_t);
+/** http_exchange_unsent() - get the bytes not yet sent; unless NULL, @b counts
+ * them, too, until the connection has none, and drained is called for parts */
+size_t http_exchange_unsent(struct http_exchange *, struct byte_limit *b);
 /** http_exchange_end() - complete the response; the exchange is invalid after.
  * A response without head or with fewer bytes than announced is aborted. What
  * has not come yet of the request's body is read and dropped; a long one closes
