Requests at a daemon that stops are kept while it stands still

What callers saw: 504 and 502 (reason lost) from a daemon that doesn't stop, for requests whose target is at work and whose target's daemon, told to stop, stands still, or whose link to it passes nothing, for longer than 1.45 s. Cause: a silent connection is closed as new calls need one that works; no new call goes to a daemon that leaves. Touches outbound/silence.c and outbound/view.c and the view, neither leave.c nor pick.

--- a/src/daemon/control/config.c
+++ b/src/daemon/control/config.c
@@ -118,6 +118,15 @@
 	return p;
 }
 
+static int
+has_left(const struct control *c, uint64_t id)
+{
+	int h = member_find(c->members, id);
+
+	return h != MEMBER_NONE &&
+	       member_at(c->members, h)->state == MEMBER_LEFT;
+}
+
 static void
 add_object(struct control *c, struct view *v, const struct config_object *o)
 {
@@ -142,6 +151,7 @@
 		vi->instance = p->instance;
 		control_set_instance_service(c, &vi->instance);
 		vi->live = control_instance_live(c, p->instance.incarnation);
+		vi->left = has_left(c, p->instance.incarnation);
 	}
 }
 
@@ -165,6 +175,7 @@
 		if (o)
 			continue;
 		vi->live = control_instance_live(c, vi->instance.incarnation);
+		vi->left = has_left(c, vi->instance.incarnation);
 		v->ninstance++;
 	}
 }
--- a/src/daemon/data/view.h
+++ b/src/daemon/data/view.h
@@ -17,10 +17,13 @@
 /** struct view_instance - an instance from the configuration or the membership
  * @live: zero if the membership table has its daemon as dead, left or
  *        forgotten, or does not have it confirmed; for this daemon, zero while
- *        it is leaving */
+ *        it is leaving
+ * @left: nonzero if its daemon told the members that it leaves, which is
+ *        final */
 struct view_instance {
 	struct instance instance;
 	int live;
+	int left;
 };
 
 /**
--- a/src/daemon/outbound/outbound.h
+++ b/src/daemon/outbound/outbound.h
@@ -51,6 +51,7 @@
 	GPtrArray *waiting; /* attempts that wait for the connection */
 	GHashTable *probes; /* xids of probes in flight */
 	int live; /* live in the view */
+	int64_t left_at; /* when it was heard that its daemon stops, or 0 */
 	int pull_wanted; /* send @pull once the connection is open */
 	struct config_pull pull;
 	uint32_t pull_xid; /* 0 when no pull is in flight */
--- a/src/daemon/outbound/silence.c
+++ b/src/daemon/outbound/silence.c
@@ -113,12 +113,17 @@
 	d->events->peer_silent(d->events_ctx, p->incarnation);
 }
 
-/* While this daemon stops, a peer may only stand still: requests that it runs
- * can be answered until the end of the stop. */
+/* While this daemon stops, or the peer does, no new calls need a connection
+ * that works, and the peer may only stand still: requests that it runs can be
+ * answered until the end of the stop. */
 static int
-answers_awaited(const struct out_peer *p)
+answers_awaited(const struct out_peer *p, int64_t now)
 {
-	return p->data->leave.end && g_hash_table_size(p->attempts);
+	const struct data *d = p->data;
+	int64_t grace_us = (int64_t)(d->settings.grace_s * 1e6);
+	int leaves = p->left_at && now < p->left_at + grace_us;
+
+	return (d->leave.end || leaves) && g_hash_table_size(p->attempts);
 }
 
 /* Probes a silent peer. While the probe is unanswered, new calls avoid the
@@ -148,7 +153,7 @@
 		p->check_asked = 1;
 		ask_check(p, now);
 	}
-	if (now - p->probed_at > CLOSE_AFTER_US && !answers_awaited(p)) {
+	if (now - p->probed_at > CLOSE_AFTER_US && !answers_awaited(p, now)) {
 		log_event(EVENT_PEER_TIMEOUT, G_LOG_LEVEL_WARNING, now,
 		    "unresponsive connection closed "
 		    "incarnation=%016" G_GINT64_MODIFIER
--- a/src/daemon/outbound/view.c
+++ b/src/daemon/outbound/view.c
@@ -99,6 +99,11 @@
 	if (!p)
 		p = out_peer_new(d, in->incarnation, in->ip, in->peer_port);
 	p->live = vi->live;
+	if (vi->left && !p->left_at) {
+		p->left_at = data_now(d);
+		if (p->conn && peer_is_open(p->conn))
+			peer_allow_silence(p->conn);
+	}
 	g_strlcpy(p->datacentre, in->datacentre, sizeof p->datacentre);
 	if (p->service &&
 	    (!usable(d, vi) || strcmp(p->service->conf.name, in->service)))
--- a/tests/system/stop-silent.sh
+++ b/tests/system/stop-silent.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # The daemon of a target stands still for a while, or runs in turns, while the daemon that
-# passed requests on to it stops, and it may have been told to stop first. Work that ends
-# in time is answered by its target's answer.
+# passed requests on to it stops, and it may have been told to stop first, or alone. Work
+# that ends in time is answered by its target's answer.
 # usage: stop-silent.sh BUILD-DIRECTORY [WHO-STOPS STILL]
 set -u
 . scripts/fleet.sh
@@ -13,6 +13,7 @@
 	sh "$0" "$1" caller long || code=1
 	sh "$0" "$1" both long || code=1
 	sh "$0" "$1" both turns || code=1
+	sh "$0" "$1" target long || code=1
 	exit $code
 fi
 fleet_open "$1"
@@ -51,9 +52,14 @@
 	fleet_wait_until 2 runs $((2 * i)) || fleet_fail "not all of $((2 * i)) requests run"
 done
 [ "$2" = caller ] || kill "$fleet_daemon_1_2"
-sleep 0.1
-# shellcheck disable=SC2154
-kill "$fleet_daemon_1_1"
+if [ "$2" = target ]; then
+	left() { grep -q 'event=404' "$fleet_dir/daemon-1-1.log"; }
+	fleet_wait_until 2 left || fleet_fail "the daemon of the target did not say that it leaves"
+else
+	sleep 0.1
+	# shellcheck disable=SC2154
+	kill "$fleet_daemon_1_1"
+fi
 if [ "$3" = long ]; then
 	stand_still 2.3
 else
@@ -64,7 +70,7 @@
 fi
 # shellcheck disable=SC2086
 wait $asked
-wait "$fleet_daemon_1_1" || fleet_fail "the daemon of the callers ended with $?"
+[ "$2" = target ] || wait "$fleet_daemon_1_1" || fleet_fail "the daemon of the callers ended with $?"
 [ "$3" != long ] || grep -q 'event=432' "$fleet_dir/daemon-1-1.log" || fleet_fail "the other daemon was not silent"
 echo "$2 told to stop, still $3:"
 sort "$fleet_dir/answers" | uniq -c
