A daemon that stops takes calls of others by their bound alone

What callers saw: 502 and 504 to requests that a daemon which stops had taken by their usual time as nobody else was left, and that it ended as their target had turned slow.

Nobody else to take a call is no reason to expect that it ends in time. The daemon of its callers may stop later than the one beside the target, so that neither of them has to end it.

Change: the usual time counts for own callers alone, whose daemon ends with the one that takes the call. Calls of others are taken by their bound.

Price: while all daemons of a service stop, requests with a deadline beyond the end are refused at once, not run, from SIGTERM on in place of from 0.3 s before leave_ms is over. With a deadline before the end they are served as before.

--- a/src/daemon/inbound/inbound.h
+++ b/src/daemon/inbound/inbound.h
@@ -197,8 +197,8 @@
  * it */
 void inbound_conn_closed(struct data *, struct peer_conn *);
 /** inbound_fits() - whether the request, sent to the target now, is finished or
- * past its deadline before this daemon ends; by its usual time only if no
- * daemon that stays can take it */
+ * past its deadline before this daemon ends; by its usual time only for own
+ * callers, if no daemon that stays can take it */
 int inbound_fits(struct in_call *);
 /** inbound_note_leave_refusal() - count a call of another daemon that is
  * refused since it can't be finished before this daemon ends */
--- a/src/daemon/inbound/leave.c
+++ b/src/daemon/inbound/leave.c
@@ -1,24 +1,26 @@
 #include "daemon/inbound/inbound.h"
 
-/* The usual time counts only for a call that no daemon which stays can take,
- * and only at the pace of before the stop. */
+/* Own callers' requests are counted by the outbound side. */
+static int
+is_of_other(const struct in_call *c)
+{
+	return c->sender_incarnation != c->data->incarnation;
+}
+
+/* The usual time counts only for own callers, whose daemon ends with this one,
+ * if no daemon that stays can take the call, and only at the pace of before the
+ * stop. */
 int
 inbound_fits(struct in_call *c)
 {
 	struct data *d = c->data;
-	int usual = c->nowhere_else && !pace_above(&d->pace, d->leave_pace);
+	int usual = c->nowhere_else && !is_of_other(c) &&
+		    !pace_above(&d->pace, d->leave_pace);
 
 	c->leave = data_leave_decide(d, c->deadline, usual ? c->time : NULL);
 	return c->leave.basis != LEAVE_REFUSED;
 }
 
-/* Own callers' requests are counted by the outbound side. */
-static int
-is_of_other(const struct in_call *c)
-{
-	return c->sender_incarnation != c->data->incarnation;
-}
-
 void
 inbound_note_leave_refusal(struct in_call *c)
 {
--- a/src/internal/wire.h
+++ b/src/internal/wire.h
@@ -62,7 +62,8 @@
 	 * outbound side has another target to try */
 	WIRE_CALL_HAS_ALTERNATIVE = 16,
 	/* no daemon that stays can take it, as far as the outbound side knows;
-	 * one that stops may then take it by its usual time */
+	 * one that stops may then take it by its usual time from its own
+	 * callers */
 	WIRE_CALL_NOWHERE_ELSE = 32
 };
 
